--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -11,6 +11,7 @@
 #include <cstring>
 #include <deque>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
@@ -218,6 +219,7 @@
 struct Exchange {
   Request request;
   std::size_t header_bytes = 0;
+  bool begun = false;
   bool too_large = false;
   bool handed_over = false;
   std::shared_ptr<Answer> answer;
@@ -232,16 +234,6 @@
   return MHD_YES;
 }
 
-MHD_Result CollectArgument(void* closure, MHD_ValueKind, const char* name,
-                           const char* value) {
-  auto& query = static_cast<Exchange*>(closure)->request.query;
-  if (!query.empty()) query += '&';
-  query += name;
-  query += '=';
-  if (value != nullptr) query += value;
-  return MHD_YES;
-}
-
 }  // namespace
 
 std::string_view FindHeader(const std::vector<Header>& headers,
@@ -265,6 +257,21 @@
   return {};
 }
 
+std::string EncodePath(std::string_view path) {
+  constexpr std::string_view kPlain = "-._~!$&'()*+,;=:@/";
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (char c : path) {
+    if (absl::ascii_isalnum(c) || kPlain.find(c) != std::string_view::npos) {
+      encoded += c;
+      continue;
+    }
+    auto byte = static_cast<unsigned char>(c);
+    encoded += {'%', kDigits[byte >> 4], kDigits[byte & 15]};
+  }
+  return encoded;
+}
+
 std::string ProblemBody(const Error& error) {
   const CodeInfo& info = Describe(error.code);
   Json::Value body;
@@ -302,8 +309,11 @@
                      const char* path, const char* upload,
                      std::size_t* upload_size, void** slot) {
     // First call of a request: only its headers are there.
-    if (*slot == nullptr) return BeginExchange(connection, method, path, slot);
     auto& exchange = *static_cast<Exchange*>(*slot);
+    if (!exchange.begun) {
+      BeginExchange(connection, method, path, exchange);
+      return MHD_YES;
+    }
     // Later calls: a block of the body, or the end of it.
     if (*upload_size > 0) {
       AppendBody(exchange, std::string_view(upload, *upload_size));
@@ -314,18 +324,14 @@
     return exchange.answer->QueueOrSuspend(exchange.answer);
   }
 
-  MHD_Result BeginExchange(MHD_Connection* connection, const char* method,
-                           const char* path, void** slot) const {
-    auto exchange = std::make_unique<Exchange>();
-    exchange->request.method = method;
-    exchange->request.path = path;
-    exchange->answer = std::make_shared<Answer>(connection);
+  static void BeginExchange(MHD_Connection* connection, const char* method,
+                            const char* path, Exchange& exchange) {
+    exchange.begun = true;
+    exchange.request.method = method;
+    exchange.request.path = path;
+    exchange.answer = std::make_shared<Answer>(connection);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
-                              exchange.get());
-    MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND,
-                              &CollectArgument, exchange.get());
-    *slot = exchange.release();
-    return MHD_YES;
+                              &exchange);
   }
 
   void AppendBody(Exchange& exchange, std::string_view block) const {
@@ -366,11 +372,21 @@
       connection, method, path, upload, upload_size, slot);
 }
 
+// Called with the request line, before anything is decoded; what it returns
+// becomes the slot of the request.
+void* OnRequestLine(void* /*closure*/, const char* target,
+                    MHD_Connection* /*connection*/) {
+  auto exchange = std::make_unique<Exchange>();
+  const char* question = std::strchr(target, '?');
+  if (question != nullptr) exchange->request.query = question + 1;
+  return exchange.release();
+}
+
 void OnCompleted(void* /*closure*/, MHD_Connection* /*connection*/, void** slot,
                  MHD_RequestTerminationCode why) {
   std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*slot));
   *slot = nullptr;
-  if (exchange == nullptr) return;
+  if (exchange == nullptr || exchange->answer == nullptr) return;
   exchange->answer->Close(why == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 }
 
@@ -404,6 +420,8 @@
     options.push_back({option, value, const_cast<void*>(pointer)});
   };
   add(MHD_OPTION_SOCK_ADDR, 0, &address);
+  add(MHD_OPTION_URI_LOG_CALLBACK,
+      reinterpret_cast<std::intptr_t>(&OnRequestLine), nullptr);
   add(MHD_OPTION_NOTIFY_COMPLETED,
       reinterpret_cast<std::intptr_t>(&OnCompleted), nullptr);
   add(MHD_OPTION_CONNECTION_LIMIT,
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -30,19 +30,22 @@
 
 struct Request {
   std::string method;
-  std::string path;   // Without the query.
-  std::string query;  // As name=value pairs joined by '&', decoded.
+  std::string path;   // Decoded, without the query.
+  std::string query;  // As it was sent, without the question mark.
   std::vector<Header> headers;
   std::string body;
 
   std::string_view header(std::string_view name) const {
     return FindHeader(headers, name);
   }
-  // The value of the query's argument `name`, or empty.
+  // The value of the query's argument `name` as it was sent, or empty.
   std::string_view argument(std::string_view name) const;
   bool operator==(const Request&) const = default;
 };
 
+// `path` with all but the characters that a path may hold percent-encoded.
+std::string EncodePath(std::string_view path);
+
 // Takes the answer to one request. Thread-safe. Dropping the last reference
 // before Finish() breaks the connection, so that a caller never takes a cut
 // answer for a whole one.
--- /dev/null
+++ b/src/member/roles.cc
@@ -0,0 +1,118 @@
+#include "member/roles.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace gentianlb::member {
+namespace {
+
+// Rendezvous hashing: each role has its own order of hosts, so that roles
+// spread, and a host that goes moves only its own roles.
+std::uint64_t Rank(const std::string& role, const EntryHostId& host) {
+  std::uint64_t seed = XXH3_64bits(role.data(), role.size());
+  return XXH3_64bits_withSeed(host.str().data(), host.str().size(), seed);
+}
+
+bool MayHold(const Member& member, const ZoneId& zone) {
+  if (!zone.empty() && member.zone != zone) return false;
+  return member.state == MemberState::kAlive;
+}
+
+// A suspect may be slow for a moment only; its role moves when it is dead.
+bool MayKeep(const Member& member, const ZoneId& zone) {
+  if (!zone.empty() && member.zone != zone) return false;
+  return member.state == MemberState::kAlive ||
+         member.state == MemberState::kSuspect;
+}
+
+const HeldRole* Announced(const Member& member, const std::string& role) {
+  auto found =
+      std::find_if(member.roles.begin(), member.roles.end(),
+                   [&](const HeldRole& held) { return held.role == role; });
+  return found == member.roles.end() ? nullptr : &*found;
+}
+
+}  // namespace
+
+void RoleBoard::SetRoles(std::vector<RoleSpec> roles) {
+  std::map<std::string, State> next;
+  for (RoleSpec& spec : roles) {
+    auto known = states_.find(spec.role);
+    State state = known == states_.end() ? State{} : known->second;
+    state.zone = spec.zone;
+    next.emplace(spec.role, std::move(state));
+  }
+  states_ = std::move(next);
+}
+
+std::vector<RoleBoard::Change> RoleBoard::Update(
+    const Member& self, const std::vector<Member>& others, absl::Time now) {
+  std::vector<Change> changes;
+  for (auto& [role, state] : states_) {
+    EntryHostId holder = Judge(role, state, self, others, now);
+    if (holder == state.holder) continue;
+    state.holder = holder;
+    changes.push_back({role, holder});
+  }
+  return changes;
+}
+
+EntryHostId RoleBoard::Judge(const std::string& role, State& state,
+                             const Member& self,
+                             const std::vector<Member>& others,
+                             absl::Time now) const {
+  if (!MayHold(self, state.zone)) state.held_since.reset();
+
+  // Among those that announce the role the earliest keeps it.
+  const Member* holder = nullptr;
+  std::tuple<std::int64_t, EntryHostId> first;
+  for (const Member& member : others) {
+    const HeldRole* held = Announced(member, role);
+    if (held == nullptr || !MayKeep(member, state.zone)) continue;
+    std::tuple<std::int64_t, EntryHostId> mark(held->since, member.id);
+    if (holder == nullptr || mark < first) {
+      holder = &member;
+      first = mark;
+    }
+  }
+  if (state.held_since.has_value()) {
+    std::tuple<std::int64_t, EntryHostId> own(*state.held_since, self_);
+    if (holder == nullptr || own < first) return self_;
+    state.held_since.reset();
+  }
+  if (holder != nullptr) {
+    state.vacant_since.reset();
+    return holder->id;
+  }
+
+  // Vacant: the host of the highest rank takes it, after a while.
+  if (!state.vacant_since.has_value()) state.vacant_since = now;
+  if (!MayHold(self, state.zone)) return {};
+  if (now - *state.vacant_since < kRoleSettle) return {};
+  std::uint64_t own_rank = Rank(role, self_);
+  for (const Member& member : others) {
+    if (MayHold(member, state.zone) && Rank(role, member.id) > own_rank) {
+      return {};
+    }
+  }
+  state.held_since = absl::ToUnixMicros(now);
+  state.vacant_since.reset();
+  return self_;
+}
+
+EntryHostId RoleBoard::HolderOf(const std::string& role) const {
+  auto found = states_.find(role);
+  return found == states_.end() ? EntryHostId() : found->second.holder;
+}
+
+std::vector<HeldRole> RoleBoard::Held() const {
+  std::vector<HeldRole> held;
+  for (const auto& [role, state] : states_) {
+    if (state.held_since.has_value()) held.push_back({role, *state.held_since});
+  }
+  return held;
+}
+
+}  // namespace gentianlb::member
