--- a/src/member/roles.cc
+++ b/src/member/roles.cc
@@ -15,16 +15,18 @@
   return XXH3_64bits_withSeed(host.str().data(), host.str().size(), seed);
 }
 
+bool InZone(const Member& member, const ZoneId& zone) {
+  return zone.empty() || member.zone == zone;
+}
+
 bool MayHold(const Member& member, const ZoneId& zone) {
-  if (!zone.empty() && member.zone != zone) return false;
-  return member.state == MemberState::kAlive;
+  return InZone(member, zone) && member.state == MemberState::kAlive;
 }
 
 // A suspect may be slow for a moment only; its role moves when it is dead.
 bool MayKeep(const Member& member, const ZoneId& zone) {
-  if (!zone.empty() && member.zone != zone) return false;
-  return member.state == MemberState::kAlive ||
-         member.state == MemberState::kSuspect;
+  return InZone(member, zone) && (member.state == MemberState::kAlive ||
+                                  member.state == MemberState::kSuspect);
 }
 
 const HeldRole* Announced(const Member& member, const std::string& role) {
@@ -63,7 +65,14 @@
                              const Member& self,
                              const std::vector<Member>& others,
                              absl::Time now) const {
-  if (!MayHold(self, state.zone)) state.held_since.reset();
+  // The last host of a zone keeps its roles while it leaves: its own requests
+  // still need them.
+  bool others_may = std::any_of(
+      others.begin(), others.end(),
+      [&](const Member& member) { return MayHold(member, state.zone); });
+  bool may_hold =
+      MayHold(self, state.zone) || (!others_may && InZone(self, state.zone));
+  if (!may_hold) state.held_since.reset();
 
   // Among those that announce the role the earliest keeps it.
   const Member* holder = nullptr;
@@ -89,7 +98,7 @@
 
   // Vacant: the host of the highest rank takes it, after a while.
   if (!state.vacant_since.has_value()) state.vacant_since = now;
-  if (!MayHold(self, state.zone)) return {};
+  if (!may_hold) return {};
   if (now - *state.vacant_since < kRoleSettle) return {};
   std::uint64_t own_rank = Rank(role, self_);
   for (const Member& member : others) {
--- a/src/rpc/codec.cc
+++ b/src/rpc/codec.cc
@@ -115,5 +115,40 @@
   return answer;
 }
 
+void AsyncMethodTable::AddMethod(const std::string& name, Method method) {
+  methods_[name] = std::move(method);
+  table_.AddMethod(
+      name, [this, name](const Json::Value& params, Json::Value* result) {
+        pass_.reached = true;
+        pass_.method = name;
+        if (pass_.error == nullptr) {
+          pass_.params = params;
+          return RpcError{0, ""};
+        }
+        *result = *pass_.result;
+        return *pass_.error;
+      });
+}
+
+void AsyncMethodTable::Handle(const std::string& message,
+                              std::function<void(std::string answer)> answer) {
+  pass_ = Pass();
+  std::string refusal = table_.Handle(message);
+  if (!pass_.reached) {
+    answer(refusal);
+    return;
+  }
+  Json::Value params = pass_.params;
+  methods_[pass_.method](
+      params, [this, message, answer](RpcError error, Json::Value result) {
+        pass_ = Pass();
+        pass_.error = &error;
+        pass_.result = &result;
+        std::string encoded = table_.Handle(message);
+        pass_ = Pass();
+        answer(encoded);
+      });
+}
+
 }  // namespace rpc
 }  // namespace gentianlb
--- a/src/rpc/codec.h
+++ b/src/rpc/codec.h
@@ -9,6 +9,7 @@
 #include <json/json.h>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -59,6 +60,36 @@
   std::unique_ptr<Impl> impl_;
 };
 
+// A MethodTable whose methods answer later. Not thread-safe: owned by one
+// thread, on which the methods must also answer.
+class AsyncMethodTable {
+ public:
+  using Done = std::function<void(RpcError error, Json::Value result)>;
+  using Method = std::function<void(const Json::Value& params, Done done)>;
+
+  // Params are always a JSON object.
+  void AddMethod(const std::string& name, Method method);
+
+  // Calls `answer` once, with the message to send back.
+  void Handle(const std::string& message,
+              std::function<void(std::string answer)> answer);
+
+ private:
+  // What the library's handler meets in a pass over a message: the first pass
+  // only takes the parameters out, the second one gives the result in.
+  struct Pass {
+    bool reached = false;
+    std::string method;
+    Json::Value params;
+    const RpcError* error = nullptr;
+    const Json::Value* result = nullptr;
+  };
+
+  MethodTable table_;
+  std::map<std::string, Method> methods_;
+  Pass pass_;
+};
+
 }  // namespace rpc
 }  // namespace gentianlb
 
--- a/src/rpc/codec_test.cc
+++ b/src/rpc/codec_test.cc
@@ -44,6 +44,26 @@
   BOOST_TEST(seen == 7);
 }
 
+BOOST_AUTO_TEST_CASE(AMethodMayAnswerLater) {
+  AsyncMethodTable table;
+  AsyncMethodTable::Done kept;
+  table.AddMethod("later",
+                  [&](const Json::Value& params, AsyncMethodTable::Done done) {
+                    BOOST_TEST(params["n"].asInt() == 3);
+                    kept = std::move(done);
+                  });
+  Json::Value params;
+  params["n"] = 3;
+  std::string answer;
+  table.Handle(EncodeCall("later", params),
+               [&](std::string text) { answer = std::move(text); });
+  BOOST_TEST(answer.empty());
+  kept(RpcError{0, ""}, Json::Value("done"));
+  Json::Value result;
+  BOOST_TEST(DecodeAnswer(answer, &result).code == 0);
+  BOOST_TEST(result.asString() == "done");
+}
+
 // A peer of another release, or a stranger, sends garbage. It gets an error and
 // the table goes on serving.
 BOOST_AUTO_TEST_CASE(GarbageIsAnsweredWithAnError) {
