Settings: read from INI and checked as a whole

A host with a slip in its settings must not start half right, and an operator must not learn of ten slips in ten starts. libinih reads the file, but its handler gets no line, drops empty sections, cuts long section names and takes an indented line as part of the value above; the reader that feeds it counts lines, marks each header and looks at the form of each line. Ruled out: INIReader, which keeps neither lines nor duplicates.

--- /dev/null
+++ b/src/settings/field_reader.h
@@ -0,0 +1,121 @@
+// Reads the fields of one section into variables that already hold their
+// defaults, and notes every problem on the way.
+
+#ifndef GENTIANLB_SETTINGS_FIELD_READER_H_
+#define GENTIANLB_SETTINGS_FIELD_READER_H_
+
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/time/time.h"
+#include "settings/document.h"
+#include "settings/units.h"
+
+namespace gentianlb::settings {
+
+enum class Need { kOptional, kRequired };
+
+// Both ends belong to it.
+template <typename T>
+struct Range {
+  T least;
+  T most;
+};
+
+inline constexpr Range<double> kNotNegative = {
+    0, std::numeric_limits<double>::max()};
+
+class FieldReader {
+ public:
+  // The arguments outlive the reader.
+  FieldReader(const Document& document, const Section& section,
+              Problems* problems)
+      : document_(document), section_(section), problems_(problems) {}
+
+  void Text(std::string_view key, std::string* out,
+            Need need = Need::kOptional);
+  void Name(std::string_view key, std::string* out,
+            Need need = Need::kOptional);
+  void Names(std::string_view key, std::vector<std::string>* out,
+             Need need = Need::kOptional);
+  // Separated by commas; blanks around each are dropped.
+  void List(std::string_view key, std::vector<std::string>* out,
+            Need need = Need::kOptional);
+  void Flag(std::string_view key, bool* out, Need need = Need::kOptional);
+  void Integer(std::string_view key, Range<std::int64_t> range,
+               std::int64_t* out, Need need = Need::kOptional);
+  void Integer(std::string_view key, Range<std::int64_t> range, int* out,
+               Need need = Need::kOptional);
+  void Number(std::string_view key, Range<double> range, double* out,
+              Need need = Need::kOptional);
+  void Duration(std::string_view key, Range<absl::Duration> range,
+                absl::Duration* out, Need need = Need::kOptional);
+  void Size(std::string_view key, Range<std::int64_t> range, std::int64_t* out,
+            Need need = Need::kOptional);
+  void Watts(std::string_view key, Range<double> range, double* out,
+             Need need = Need::kOptional);
+  void Joules(std::string_view key, Range<double> range, double* out,
+              Need need = Need::kOptional);
+  void TokenRate(std::string_view key, Range<double> range, double* out,
+                 Need need = Need::kOptional);
+  void Percent(std::string_view key, Range<double> range, double* out,
+               Need need = Need::kOptional);
+  void Address(std::string_view key, Endpoint* out,
+               Need need = Need::kOptional);
+  void Ip(std::string_view key, std::string* out, Need need = Need::kOptional);
+
+  // One of the named values.
+  template <typename T>
+  void Choice(std::string_view key,
+              const std::vector<std::pair<std::string_view, T>>& choices,
+              T* out, Need need = Need::kOptional) {
+    const Entry* entry = Find(key, need);
+    if (entry == nullptr) return;
+    std::string names;
+    for (const auto& [name, value] : choices) {
+      if (entry->value == name) *out = value;
+      if (entry->value == name) return;
+      names += (names.empty() ? "" : ", ") + std::string(name);
+    }
+    Note(*entry, {Code::kOutOfRange, "must be one of " + names});
+  }
+
+  // Whether the section has the key; it counts as known from then on.
+  bool Has(std::string_view key) {
+    return Find(key, Need::kOptional) != nullptr;
+  }
+
+  // Where the key stands, or else the section.
+  int Line(std::string_view key) const;
+
+  // Notes a problem with the key, such as a contradiction.
+  void Note(std::string_view key, Code code, std::string_view text);
+
+  // Notes every key that was never asked for.
+  void Finish();
+
+ private:
+  const Entry* Find(std::string_view key, Need need);
+  void Note(const Entry& entry, const Error& error);
+
+  template <typename T, typename Parser>
+  void Read(std::string_view key, Need need, const Parser& parser,
+            const Range<T>& range, T* out);
+
+  const Document& document_;
+  const Section& section_;
+  Problems* problems_;
+  absl::flat_hash_set<std::string> known_;
+};
+
+// `a, b` as {"a", "b"}; empty for a blank text.
+std::vector<std::string> SplitList(std::string_view text);
+
+}  // namespace gentianlb::settings
+
+#endif  // GENTIANLB_SETTINGS_FIELD_READER_H_
