--- a/src/config/configuration.h
+++ b/src/config/configuration.h
@@ -20,8 +20,9 @@
 
 struct TierConfig {
   std::string name;
-  Tier tier;                // Rank 0 is the most urgent.
-  absl::Duration deadline;  // For requests that state none.
+  Tier tier;                        // Rank 0 is the most urgent.
+  absl::Duration deadline;          // For requests that state none.
+  std::vector<ServiceId> services;  // Open to its workspaces; empty: all.
   bool operator==(const TierConfig&) const = default;
 };
 
--- /dev/null
+++ b/src/gentianctl/main.cc
@@ -0,0 +1,36 @@
+// gentianctl, the operators' program. Each subcommand stands in a file of its
+// own; here they are only listed.
+
+#include <CLI/CLI.hpp>
+
+#include "gentianctl/check.h"
+#include "gentianctl/command.h"
+
+namespace {
+
+using gentianlb::ctl::Action;
+using gentianlb::ctl::Exit;
+
+void AddCommands(CLI::App* app, Action* action) {
+  gentianlb::ctl::AddCheck(app, action);
+  // `replay` and `bench` come from replay/command.h.
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app(
+      "Operates gentianlb. Exit codes: 0 done, 1 refused, 2 invalid "
+      "command line or file, 3 entry host unreachable.");
+  Action action;
+  app.require_subcommand(1);
+  AddCommands(&app, &action);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    // Prints the help or the error; help alone is no failure.
+    bool help = app.exit(error) == 0;
+    return static_cast<int>(help ? Exit::kDone : Exit::kInvalid);
+  }
+  return static_cast<int>(action());
+}
