Dispatcher: a first simple policy to link against

Cause: the replay and the entry host need a dispatcher to drive before the decision modules stand. Strict tiers, then deadline; least predicted time; windows by max_streams; refused when no server can finish in time.

--- a/src/schedule/dispatcher.h
+++ b/src/schedule/dispatcher.h
@@ -5,6 +5,8 @@
 #define GENTIANLB_SCHEDULE_DISPATCHER_H_
 
 #include <cstdint>
+#include <map>
+#include <utility>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -33,7 +35,32 @@
   absl::Time NextWakeup() const;
 
  private:
+  struct Server {
+    ServerSpec spec;
+    ServerHealth health = ServerHealth::kAlive;
+    bool configured = false;
+    int running = 0;
+  };
+  struct Running {
+    Request request;
+    ServerId server;
+  };
+  // Tier, deadline, order of arrival.
+  using WaitKey = std::pair<std::pair<int, absl::Time>, std::uint64_t>;
+
+  void Arrive(const Request& request, absl::Time now,
+              std::vector<Decision>* decisions);
+  void Gone(const RequestId& id, std::vector<Decision>* decisions);
+  void Configure(const std::vector<ServerSpec>& specs);
+  void GrantWaiting(absl::Time now, std::vector<Decision>* decisions);
+  Server* Choose(const Request& request);
+
   DispatcherOptions options_;
+  std::map<ServerId, Server> servers_;
+  std::map<WaitKey, Request> waiting_;
+  std::map<RequestId, WaitKey> waiting_by_id_;
+  std::map<RequestId, Running> running_;
+  std::uint64_t next_sequence_ = 0;
 };
 
 }  // namespace gentianlb::schedule
