--- a/tests/standins/control.cc
+++ b/tests/standins/control.cc
@@ -74,14 +74,14 @@
   absl::MutexLock lock(&mutex_);
   std::int64_t left = switches_[name].asInt64();
   if (left <= 0) return false;
-  switches_[name] = Json::Int64(left - 1);
+  switches_[name] = left - 1;
   return true;
 }
 
 void Control::Count(const std::string& counter, std::int64_t by) {
   absl::MutexLock lock(&mutex_);
   Json::Value& value = counters_[counter];
-  value = Json::Int64(value.asInt64() + by);
+  value = value.asInt64() + by;
 }
 
 std::int64_t Control::CountIn(const std::string& table,
@@ -89,7 +89,7 @@
   if (key.empty()) return 0;
   absl::MutexLock lock(&mutex_);
   Json::Value& value = counters_[table][key];
-  value = Json::Int64(value.asInt64() + 1);
+  value = value.asInt64() + 1;
   return value.asInt64();
 }
 
--- a/tests/standins/load_history.h
+++ b/tests/standins/load_history.h
@@ -37,10 +37,10 @@
       if (sample.measured <= then) shown = sample;
     }
     Json::Value report;
-    report["measured"] = Json::Int64(absl::ToUnixMicros(shown.measured));
-    report["running"] = Json::Int64(shown.running);
-    report["queued"] = Json::Int64(shown.queued);
-    report["kv_used_tokens"] = Json::Int64(shown.kv_used_tokens);
+    report["measured"] = absl::ToUnixMicros(shown.measured);
+    report["running"] = shown.running;
+    report["queued"] = shown.queued;
+    report["kv_used_tokens"] = shown.kv_used_tokens;
     report["leaving"] = shown.leaving;
     return report;
   }
--- a/tests/standins/model_engine.cc
+++ b/tests/standins/model_engine.cc
@@ -182,7 +182,7 @@
     Json::Value entry;
     entry["id"] = id;
     entry["request"] = stream.request;
-    entry["tokens"] = Json::Int64(stream.tokens());
+    entry["tokens"] = stream.tokens();
     entry["done"] = stream.done;
     body["streams"].append(entry);
   }
@@ -243,7 +243,7 @@
   for (const CacheEvent& event :
        cache_.Events(ToNumber(request.argument("after")), absl::Now())) {
     Json::Value entry;
-    entry["sequence"] = Json::Int64(event.sequence);
+    entry["sequence"] = event.sequence;
     entry["added"] = ToJson(event.added);
     entry["removed"] = ToJson(event.removed);
     entry["cleared"] = false;
@@ -272,7 +272,7 @@
     control_.Count("stale_orders");
     Json::Value refusal;
     refusal["error"] = "stale fence";
-    refusal["fence"] = Json::Int64(orders_.highest_fence());
+    refusal["fence"] = orders_.highest_fence();
     return RespondJson(*answer, 409, refusal);
   }
   if (verdict == OrderVerdict::kTaken) {
--- a/tests/standins/plain_service.cc
+++ b/tests/standins/plain_service.cc
@@ -41,7 +41,7 @@
   body["path"] = request.path;
   body["query"] = request.query;
   body["key"] = key;
-  body["execution"] = Json::Int64(execution);
+  body["execution"] = execution;
   body["body"] = request.body;
   AddRunning(1);
   timers_.After(control_.Milliseconds("work_ms"),
--- a/tests/standins/platform.cc
+++ b/tests/standins/platform.cc
@@ -40,7 +40,7 @@
     Json::Value entry;
     entry["key"] = row.key;
     entry["value"] = row.value;
-    entry["version"] = Json::UInt64(row.version);
+    entry["version"] = row.version;
     list.append(entry);
   }
   return list;
@@ -61,7 +61,7 @@
   for (const platform::Row& row : result.versions) {
     Json::Value entry;
     entry["key"] = row.key;
-    entry["version"] = Json::UInt64(row.version);
+    entry["version"] = row.version;
     body["versions"].append(entry);
   }
   RespondJson(answer, 200, body);
--- a/tests/standins/stream.cc
+++ b/tests/standins/stream.cc
@@ -11,9 +11,9 @@
 
 Json::Value Usage(const Stream& stream) {
   Json::Value usage;
-  usage["prompt_tokens"] = Json::Int64(stream.prompt_tokens);
-  usage["completion_tokens"] = Json::Int64(stream.tokens());
-  usage["cached_tokens"] = Json::Int64(stream.cached_tokens);
+  usage["prompt_tokens"] = stream.prompt_tokens;
+  usage["completion_tokens"] = stream.tokens();
+  usage["cached_tokens"] = stream.cached_tokens;
   return usage;
 }
 
@@ -63,7 +63,7 @@
 std::string ChunkEvent(const Stream& stream, std::int64_t from,
                        std::int64_t to) {
   Json::Value chunk = Envelope(stream, "chat.completion.chunk");
-  chunk["offset"] = Json::Int64(from);
+  chunk["offset"] = from;
   chunk["choices"][0]["index"] = 0;
   chunk["choices"][0]["delta"]["content"] = TextOf(stream, from, to);
   return Event(chunk);
@@ -71,7 +71,7 @@
 
 std::string FinalEvents(const Stream& stream) {
   Json::Value chunk = Envelope(stream, "chat.completion.chunk");
-  chunk["offset"] = Json::Int64(stream.tokens());
+  chunk["offset"] = stream.tokens();
   chunk["choices"][0]["index"] = 0;
   chunk["choices"][0]["delta"] = Json::objectValue;
   chunk["choices"][0]["finish_reason"] = "stop";
