--- a/tests/standins/stream.cc
+++ b/tests/standins/stream.cc
@@ -64,6 +64,7 @@
                        std::int64_t to) {
   Json::Value chunk = Envelope(stream, "chat.completion.chunk");
   chunk["offset"] = from;
+  chunk["tokens"] = to - from;
   chunk["choices"][0]["index"] = 0;
   chunk["choices"][0]["delta"]["content"] = TextOf(stream, from, to);
   return Event(chunk);
@@ -72,6 +73,7 @@
 std::string FinalEvents(const Stream& stream) {
   Json::Value chunk = Envelope(stream, "chat.completion.chunk");
   chunk["offset"] = stream.tokens();
+  chunk["tokens"] = 0;
   chunk["choices"][0]["index"] = 0;
   chunk["choices"][0]["delta"] = Json::objectValue;
   chunk["choices"][0]["finish_reason"] = "stop";
