Claims: interface of the slice, without its decisions

The entry host has to be written against claims while these are still being built. A verdict's callback gets the claim's id, because a verdict can come before Open() returns it. Not tested yet.

--- /dev/null
+++ b/src/claim/claim_table.h
@@ -0,0 +1,164 @@
+// The claims of one entry host: the pure ClaimMachine, wired to a table service
+// and to the peers. Owned by the control thread; nothing here blocks.
+
+#ifndef GENTIANLB_CLAIM_CLAIM_TABLE_H_
+#define GENTIANLB_CLAIM_CLAIM_TABLE_H_
+
+#include <functional>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "claim/claim_machine.h"
+#include "claim/messages.h"
+
+namespace gentianlb::claim {
+
+// Asks another entry host; answers once, later, on the control thread, with
+// nothing when the peer gave no answer in time.
+template <typename P>
+concept PeerService =
+    requires(P peers, EntryHostId peer, PeerQuestion question,
+             std::function<void(std::optional<PeerAnswer>)> done) {
+  peers.Ask(peer, question, done);
+};
+
+// Decides right before a dispatch, so it needs the time of that moment and not
+// of the event that led to it.
+template <typename C>
+concept Clock = requires(C clock) {
+  { clock() } -> std::convertible_to<absl::Time>;
+};
+
+template <platform::TableService Table, PeerService Peers, Clock Now>
+class ClaimTable {
+ public:
+  // Gets the id too: a verdict may come before Open() has returned it.
+  using OnVerdict = std::function<void(ClaimId, ClaimVerdict)>;
+  using OnDispatch = std::function<void(std::optional<Refuse>)>;
+
+  // `table` and `peers` outlive this object.
+  ClaimTable(ClaimOptions options, Table* table, Peers* peers, Now now)
+      : machine_(std::move(options), now()),
+        table_(table),
+        peers_(peers),
+        now_(std::move(now)) {}
+
+  // Called back once, possibly before Open() returns.
+  ClaimId Open(ClaimRequest request, OnVerdict on_verdict) {
+    ClaimId id = next_id_++;
+    verdicts_[id] = std::move(on_verdict);
+    Run(Opened{id, std::move(request)});
+    return id;
+  }
+
+  // Must be called after a Proceed and before the first byte leaves; called
+  // back without a refusal when it may leave at once.
+  void Dispatching(ClaimId id, ServerId server, OnDispatch on_dispatch) {
+    dispatches_[id] = std::move(on_dispatch);
+    Run(DispatchWanted{id, std::move(server)});
+  }
+
+  // The dispatched request ended; `sent` false is certain that no byte left.
+  void Ended(ClaimId id, bool sent) {
+    Run(DispatchEnded{id, sent});
+    if (sent) Forget(id);
+  }
+
+  // The request ends without a dispatch, whether or not a verdict came.
+  void Abandon(ClaimId id) {
+    Run(Abandoned{id});
+    Forget(id);
+  }
+
+  // An Attach didn't work; another verdict follows.
+  void FailAttach(ClaimId id, OnVerdict on_verdict) {
+    verdicts_[id] = std::move(on_verdict);
+    Run(AttachFailed{id});
+  }
+
+  PeerAnswer HandleQuestion(const PeerQuestion& question) {
+    std::vector<Action> actions;
+    PeerAnswer answer = machine_.HandleQuestion(question, now_(), &actions);
+    Perform(std::move(actions));
+    return answer;
+  }
+
+  // Entry hosts that may take requests, without this one; from membership.
+  void SetPeers(std::vector<EntryHostId> peers) {
+    machine_.SetPeers(std::move(peers));
+  }
+
+  void OnTimer() { Run(TimePassed{}); }
+  absl::Time NextWakeup() const { return machine_.NextWakeup(); }
+  const ClaimCounters& counters() const { return machine_.counters(); }
+
+ private:
+  void Run(Event event) {
+    std::vector<Action> actions;
+    machine_.Handle(event, now_(), &actions);
+    Perform(std::move(actions));
+  }
+
+  void Perform(std::vector<Action> actions) {
+    for (Action& action : actions) {
+      std::visit([this](auto& one) { Do(std::move(one)); }, action);
+    }
+  }
+
+  void Do(CommitCall one) {
+    table_->Commit(std::move(one.transaction),
+                   [this, call = one.call](platform::CommitResult result) {
+                     Run(CommitAnswered{call, std::move(result)});
+                   });
+  }
+
+  void Do(ReadCall one) { table_->Read(std::move(one.keys), Reader(one.call)); }
+
+  void Do(ScanCall one) {
+    table_->Scan(std::move(one.prefix), Reader(one.call));
+  }
+
+  void Do(AskCall one) {
+    peers_->Ask(std::move(one.peer), std::move(one.question),
+                [this, call = one.call](std::optional<PeerAnswer> answer) {
+                  Run(PeerAnswered{call, std::move(answer)});
+                });
+  }
+
+  void Do(VerdictGiven one) {
+    auto node = verdicts_.extract(one.id);
+    if (!node.empty()) node.mapped()(one.id, std::move(one.verdict));
+  }
+
+  void Do(DispatchAnswered one) {
+    auto node = dispatches_.extract(one.id);
+    if (!node.empty()) node.mapped()(std::move(one.refusal));
+  }
+
+  std::function<void(platform::ReadResult)> Reader(CallId call) {
+    return [this, call](platform::ReadResult result) {
+      ReadAnswered answer{call, std::nullopt};
+      if (result.ok()) answer.rows = std::move(result.value());
+      Run(std::move(answer));
+    };
+  }
+
+  void Forget(ClaimId id) {
+    verdicts_.erase(id);
+    dispatches_.erase(id);
+  }
+
+  ClaimMachine machine_;
+  Table* table_;
+  Peers* peers_;
+  Now now_;
+  ClaimId next_id_ = 1;
+  absl::flat_hash_map<ClaimId, OnVerdict> verdicts_;
+  absl::flat_hash_map<ClaimId, OnDispatch> dispatches_;
+};
+
+}  // namespace gentianlb::claim
+
+#endif  // GENTIANLB_CLAIM_CLAIM_TABLE_H_
