--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -2,7 +2,9 @@
 # library from the .cc files of the current folder, without its tests, and one
 # test program per *_test.cc. gentian_program(NAME DEPS ...) builds a program.
 
-set(GENTIAN_WARNINGS -Wall -Wextra -Wpedantic -Wshadow -Werror
+# GCC 12 takes the inactive side of a variant for an uninitialized value.
+set(GENTIAN_WARNINGS -Wno-unknown-warning-option -Wno-maybe-uninitialized
+  -Wall -Wextra -Wpedantic -Wshadow -Werror
   -Wno-missing-field-initializers)
 
 function(gentian_package name)
--- a/src/member/roles.cc
+++ b/src/member/roles.cc
@@ -53,7 +53,7 @@
     const Member& self, const std::vector<Member>& others, absl::Time now) {
   std::vector<Change> changes;
   for (auto& [role, state] : states_) {
-    EntryHostId holder = Judge(role, state, self, others, now);
+    Holder holder = Judge(role, state, self, others, now);
     if (holder == state.holder) continue;
     state.holder = holder;
     changes.push_back({role, holder});
@@ -61,10 +61,10 @@
   return changes;
 }
 
-EntryHostId RoleBoard::Judge(const std::string& role, State& state,
-                             const Member& self,
-                             const std::vector<Member>& others,
-                             absl::Time now) const {
+RoleBoard::Holder RoleBoard::Judge(const std::string& role, State& state,
+                                   const Member& self,
+                                   const std::vector<Member>& others,
+                                   absl::Time now) const {
   // The last host of a zone keeps its roles while it leaves: its own requests
   // still need them.
   bool others_may = std::any_of(
@@ -88,12 +88,14 @@
   }
   if (state.held_since.has_value()) {
     std::tuple<std::int64_t, EntryHostId> own(*state.held_since, self_);
-    if (holder == nullptr || own < first) return self_;
+    if (holder == nullptr || own < first) {
+      return {self_, *state.held_since};
+    }
     state.held_since.reset();
   }
   if (holder != nullptr) {
     state.vacant_since.reset();
-    return holder->id;
+    return {holder->id, std::get<0>(first)};
   }
 
   // Vacant: the host of the highest rank takes it, after a while.
@@ -108,12 +110,12 @@
   }
   state.held_since = absl::ToUnixMicros(now);
   state.vacant_since.reset();
-  return self_;
+  return {self_, *state.held_since};
 }
 
 EntryHostId RoleBoard::HolderOf(const std::string& role) const {
   auto found = states_.find(role);
-  return found == states_.end() ? EntryHostId() : found->second.holder;
+  return found == states_.end() ? EntryHostId() : found->second.holder.host;
 }
 
 std::vector<HeldRole> RoleBoard::Held() const {
--- a/src/member/roles.h
+++ b/src/member/roles.h
@@ -37,9 +37,17 @@
 
   void SetRoles(std::vector<RoleSpec> roles);
 
+  // Who holds a role, and since when: a host that has lost a role and taken it
+  // again has forgotten what it was told, so that counts as a change too.
+  struct Holder {
+    EntryHostId host;  // Empty: nobody is known to hold it.
+    std::int64_t since = 0;
+    bool operator==(const Holder&) const = default;
+  };
+
   struct Change {
     std::string role;
-    EntryHostId holder;  // Empty: nobody is known to hold it.
+    Holder holder;
     bool operator==(const Change&) const = default;
   };
 
@@ -57,13 +65,13 @@
  private:
   struct State {
     ZoneId zone;
-    EntryHostId holder;
+    Holder holder;
     std::optional<std::int64_t> held_since;  // Set while this host holds it.
     std::optional<absl::Time> vacant_since;
   };
 
-  EntryHostId Judge(const std::string& role, State& state, const Member& self,
-                    const std::vector<Member>& others, absl::Time now) const;
+  Holder Judge(const std::string& role, State& state, const Member& self,
+               const std::vector<Member>& others, absl::Time now) const;
 
   const EntryHostId self_;
   std::map<std::string, State> states_;
