Platform client: breaker, rate shares, retry budget, groups, follow-up

Everything that must be agreed goes through the platform, which is rate limited, goes out for long stretches and may lose an answer after the write took effect. The policy is pure and tested by moving the time by hand: the breaker answers an outage at once, a token bucket keeps all hosts together under the service's rate, retries add at most a tenth, and small transactions without a token travel as one. A conflict settles only the rows it names; the rest go again. The transport adds a bounded number of calls in flight and sends a lost commit again under its own token.

The first run of the client's test found one fault: a follow-up refused by the open breaker was reported as not applied although the first sending may have been. Doubt now stays until the service has answered. Ruled out: grouping transactions that carry their caller's token, because a later sending alone could not get the group's answer.

--- /dev/null
+++ b/src/platform/client.cc
@@ -0,0 +1,386 @@
+#include "platform/client.h"
+
+#include <algorithm>
+#include <deque>
+#include <utility>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/random/random.h"
+#include "absl/strings/str_cat.h"
+
+namespace gentianlb::platform {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+constexpr int kTooMany = 429;
+constexpr int kUnavailable = 503;
+constexpr int kServerErrors = 500;
+
+// How a whole call ended, after its retries.
+struct CallEnd {
+  AnswerKind kind = AnswerKind::kNotApplied;
+  http::Reply reply;
+};
+
+struct Call {
+  CallKind kind = CallKind::kRead;
+  http::ClientRequest request;
+  std::function<void(CallEnd)> done;
+  absl::Time deadline;
+  int retries = 0;
+  bool maybe_applied = false;  // An earlier sending was lost.
+};
+
+AnswerKind Sort(const http::Reply& reply) {
+  if (reply.end == http::TransferEnd::kNotSent) return AnswerKind::kNotApplied;
+  if (reply.end != http::TransferEnd::kComplete) return AnswerKind::kLost;
+  if (reply.status == kTooMany) return AnswerKind::kRateLimited;
+  if (reply.status == kUnavailable) return AnswerKind::kNotApplied;
+  // Any other fault of the service may have come after the write.
+  if (reply.status >= kServerErrors) return AnswerKind::kLost;
+  return AnswerKind::kAnswered;
+}
+
+CommitResult ToCommitResult(const CallEnd& end) {
+  if (end.kind == AnswerKind::kLost) return {CommitState::kUnknown, {}, {}};
+  if (end.kind != AnswerKind::kAnswered) {
+    return {CommitState::kNotApplied, {}, {}};
+  }
+  if (end.reply.status != kOk && end.reply.status != kConflict) {
+    return {CommitState::kNotApplied, {}, {}};
+  }
+  auto decoded =
+      Capture([&] { return DecodeCommit(end.reply.status, end.reply.body); });
+  // An answer that can't be read tells as little as none.
+  if (!decoded.ok()) return {CommitState::kUnknown, {}, {}};
+  return decoded.value();
+}
+
+// The body of a successful answer, or why there is none.
+Outcome<std::string> ToBody(CallEnd end) {
+  if (end.kind == AnswerKind::kRateLimited) {
+    return Error{Code::kPlatformRate, "rate limited"};
+  }
+  if (end.kind != AnswerKind::kAnswered) {
+    return Error{Code::kPlatformUnavailable, end.reply.detail};
+  }
+  if (end.reply.status != kOk) {
+    return Error{Code::kBadPlatformAnswer,
+                 absl::StrCat("status ", end.reply.status)};
+  }
+  return std::move(end.reply.body);
+}
+
+}  // namespace
+
+// Shared with the transfers on their way, which may end after the client.
+struct Client::Impl : std::enable_shared_from_this<Impl> {
+  Impl(ClientOptions options_in, http::Client* http_in, TimerService* timers_in,
+       Post post_in)
+      : options(std::move(options_in)),
+        http(http_in),
+        timers(timers_in),
+        post(std::move(post_in)),
+        gate(options.gate),
+        group(options.group) {}
+
+  ClientOptions options;
+  http::Client* http;
+  TimerService* timers;
+  Post post;
+  CallGate gate;
+  TransactionGroup group;
+  std::deque<Call> waiting;
+  absl::flat_hash_map<MemberId, std::function<void(CommitResult)>> members;
+  MemberId next_member = 1;
+  std::uint64_t next_token = 1;
+  TimerId wakeup = 0;
+  bool was_up = true;
+  bool closed = false;
+  std::function<void(bool)> on_state;
+  absl::BitGen random;
+  ClientCounters counters;
+
+  http::ClientRequest Request(std::string method, std::string_view path,
+                              std::string body) const {
+    http::ClientRequest request;
+    request.method = std::move(method);
+    request.url = "http://" + options.address + std::string(path);
+    request.body = std::move(body);
+    if (!request.body.empty()) {
+      request.headers.push_back({"Content-Type", "application/json"});
+    }
+    return request;
+  }
+
+  void Submit(CallKind kind, http::ClientRequest request,
+              std::function<void(CallEnd)> done) {
+    absl::Time now = absl::Now();
+    Call call{kind, std::move(request), std::move(done),
+              now + options.deadline};
+    if (waiting.size() >= options.max_waiting) {
+      ++counters.refused_at_once;
+      Finish(std::move(call), AnswerKind::kNotApplied, {});
+      return;
+    }
+    waiting.push_back(std::move(call));
+    Pump(now);
+  }
+
+  // Sends what may be sent, and sets the timer for the rest.
+  void Pump(absl::Time now) {
+    if (closed) return;
+    FormBatches(now);
+    std::deque<Call> left;
+    while (!waiting.empty()) {
+      Call call = std::move(waiting.front());
+      waiting.pop_front();
+      Place(std::move(call), now, &left);
+    }
+    // A callback may have added calls meanwhile.
+    left.insert(left.end(), std::make_move_iterator(waiting.begin()),
+                std::make_move_iterator(waiting.end()));
+    waiting = std::move(left);
+    ReportState();
+    SetTimer(now);
+  }
+
+  void Place(Call call, absl::Time now, std::deque<Call>* left) {
+    if (now >= call.deadline) {
+      Finish(std::move(call), AnswerKind::kNotApplied, {});
+      return;
+    }
+    switch (gate.TryStart(call.kind, now)) {
+      case GateState::kOpen:
+        Send(std::move(call), now);
+        return;
+      case GateState::kWait:
+        left->push_back(std::move(call));
+        return;
+      case GateState::kDown:
+        ++counters.refused_at_once;
+        Finish(std::move(call), AnswerKind::kNotApplied, {});
+        return;
+    }
+  }
+
+  // A group is closed only when its commit can leave: while the share is used
+  // up, more transactions join it.
+  void FormBatches(absl::Time now) {
+    while (group.NextDue() <= now &&
+           (gate.NextAt(CallKind::kWrite, now) <= now || !gate.up())) {
+      std::optional<Batch> batch = group.Take(now);
+      if (!batch) return;
+      batch->transaction.token =
+          absl::StrCat(options.host_name, "/group/", next_token++);
+      ++counters.commits;
+      http::ClientRequest request =
+          Request("POST", "/v1/table/commit", EncodeCommit(batch->transaction));
+      auto shared = std::make_shared<Batch>(std::move(*batch));
+      Call call{CallKind::kWrite, std::move(request),
+                [this, shared](CallEnd end) {
+                  Settle(std::move(*shared), ToCommitResult(end));
+                },
+                now + options.deadline};
+      std::deque<Call> left;
+      Place(std::move(call), now, &left);
+      for (Call& later : left) waiting.push_back(std::move(later));
+    }
+  }
+
+  void Settle(Batch batch, const CommitResult& result) {
+    for (Settled& settled : group.OnResult(std::move(batch), result)) {
+      auto node = members.extract(settled.id);
+      if (!node.empty()) node.mapped()(std::move(settled.result));
+    }
+  }
+
+  void Send(Call call, absl::Time now) {
+    call.request.timeout = std::min(options.try_timeout, call.deadline - now);
+    http::ClientRequest request = call.request;
+    auto shared = std::make_shared<Call>(std::move(call));
+    auto self = shared_from_this();
+    http->Fetch(std::move(request), [self, shared](http::Reply reply) {
+      // From the client's thread over to the control thread.
+      auto moved = std::make_shared<http::Reply>(std::move(reply));
+      self->post([self, shared, moved] {
+        if (!self->closed) self->OnReply(std::move(*shared), std::move(*moved));
+      });
+    });
+  }
+
+  void OnReply(Call call, http::Reply reply) {
+    absl::Time now = absl::Now();
+    AnswerKind kind = Sort(reply);
+    bool lost = kind == AnswerKind::kLost;
+    double draw = absl::Uniform(random, 0.0, 1.0);
+    auto again = gate.OnAnswer(kind, call.retries, now, draw);
+    call.maybe_applied = call.maybe_applied || lost;
+    if (kind != AnswerKind::kAnswered && again && *again < call.deadline) {
+      ++call.retries;
+      if (lost) ++counters.follow_ups;
+      Later(std::move(call), *again);
+    } else {
+      Finish(std::move(call), kind, std::move(reply));
+    }
+    Pump(now);
+  }
+
+  void Later(Call call, absl::Time when) {
+    auto shared = std::make_shared<Call>(std::move(call));
+    timers->At(when, [self = shared_from_this(), shared](absl::Time now) {
+      if (self->closed) return;
+      self->waiting.push_front(std::move(*shared));
+      self->Pump(now);
+    });
+  }
+
+  static void Finish(Call call, AnswerKind kind, http::Reply reply) {
+    // A lost sending stays in doubt until the service has answered, whatever
+    // refused its follow-up: a caller told "not applied" would say "not run" of
+    // a claim that another host then finds in the table.
+    bool doubt = call.maybe_applied && kind != AnswerKind::kAnswered;
+    if (doubt) kind = AnswerKind::kLost;
+    if (call.done) call.done({kind, std::move(reply)});
+  }
+
+  void ReportState() {
+    if (gate.up() == was_up) return;
+    was_up = gate.up();
+    if (on_state) on_state(was_up);
+  }
+
+  void SetTimer(absl::Time now) {
+    absl::Time due = group.NextDue();
+    if (due <= now) due = gate.NextAt(CallKind::kWrite, now);
+    for (const Call& call : waiting) {
+      due = std::min({due, call.deadline, gate.NextAt(call.kind, now)});
+    }
+    timers->Cancel(wakeup);
+    wakeup = 0;
+    if (due == absl::InfiniteFuture()) return;
+    wakeup = timers->At(std::max(due, now + absl::Microseconds(1)),
+                        [self = shared_from_this()](absl::Time at) {
+                          self->wakeup = 0;
+                          self->Pump(at);
+                        });
+  }
+
+  void ReadRows(std::string path, std::string body,
+                std::function<void(Outcome<ScanPage>)> done) {
+    Submit(CallKind::kRead, Request("POST", path, std::move(body)),
+           [done = std::move(done)](CallEnd end) {
+             Outcome<std::string> text = ToBody(std::move(end));
+             if (!text.ok()) return done(text.error());
+             done(Capture([&] { return DecodeRows(text.value()); }));
+           });
+  }
+
+  void ScanFrom(std::string prefix, std::string after, std::vector<Row> rows,
+                std::function<void(ReadResult)> done) {
+    std::string body = EncodeScan(prefix, after);
+    ReadRows("/v1/table/scan", std::move(body),
+             [this, prefix = std::move(prefix), rows = std::move(rows),
+              done = std::move(done)](Outcome<ScanPage> page) mutable {
+               if (!page.ok()) return done(page.error());
+               std::vector<Row>& got = page.value().rows;
+               bool more = page.value().more && !got.empty();
+               rows.insert(rows.end(), std::make_move_iterator(got.begin()),
+                           std::make_move_iterator(got.end()));
+               if (!more) return done(std::move(rows));
+               std::string last = rows.back().key;
+               ScanFrom(std::move(prefix), std::move(last), std::move(rows),
+                        std::move(done));
+             });
+  }
+};
+
+Client::Client(ClientOptions options, http::Client* http, TimerService* timers,
+               Post post)
+    : impl_(std::make_shared<Impl>(std::move(options), http, timers,
+                                   std::move(post))) {}
+
+Client::~Client() {
+  impl_->closed = true;
+  impl_->timers->Cancel(impl_->wakeup);
+}
+
+void Client::Commit(Transaction transaction,
+                    std::function<void(CommitResult)> done) {
+  ++impl_->counters.transactions;
+  absl::Time now = absl::Now();
+  if (transaction.token.empty()) {
+    MemberId id = impl_->next_member++;
+    impl_->members[id] = std::move(done);
+    impl_->group.Add(id, std::move(transaction), now);
+    impl_->Pump(now);
+    return;
+  }
+  ++impl_->counters.commits;
+  impl_->Submit(
+      CallKind::kWrite,
+      impl_->Request("POST", "/v1/table/commit", EncodeCommit(transaction)),
+      [done = std::move(done)](const CallEnd& end) {
+        done(ToCommitResult(end));
+      });
+}
+
+void Client::Read(std::vector<std::string> keys,
+                  std::function<void(ReadResult)> done) {
+  impl_->ReadRows("/v1/table/read", EncodeRead(keys),
+                  [done = std::move(done)](Outcome<ScanPage> page) {
+                    if (!page.ok()) return done(page.error());
+                    done(std::move(page.value().rows));
+                  });
+}
+
+void Client::Scan(std::string prefix, std::function<void(ReadResult)> done) {
+  impl_->ScanFrom(std::move(prefix), "", {}, std::move(done));
+}
+
+void Client::PutObject(std::string_view name, std::string bytes,
+                       std::function<void(std::optional<Error>)> done) {
+  http::ClientRequest request = impl_->Request(
+      "PUT", "/v1/objects/" + std::string(name), std::move(bytes));
+  impl_->Submit(
+      CallKind::kWrite, std::move(request),
+      [done = std::move(done)](CallEnd end) {
+        Outcome<std::string> body = ToBody(std::move(end));
+        done(body.ok() ? std::nullopt : std::optional<Error>(body.error()));
+      });
+}
+
+void Client::GetObject(std::string_view name,
+                       std::function<void(Outcome<std::string>)> done) {
+  impl_->Submit(
+      CallKind::kRead,
+      impl_->Request("GET", "/v1/objects/" + std::string(name), ""),
+      [done = std::move(done)](CallEnd end) { done(ToBody(std::move(end))); });
+}
+
+void Client::ListHosts(
+    std::function<void(Outcome<std::vector<ListedHost>>)> done) {
+  impl_->Submit(CallKind::kRead, impl_->Request("GET", "/v1/hosts", ""),
+                [done = std::move(done)](CallEnd end) {
+                  Outcome<std::string> body = ToBody(std::move(end));
+                  if (!body.ok()) return done(body.error());
+                  done(Capture([&] { return DecodeHosts(body.value()); }));
+                });
+}
+
+void Client::SetLiveHosts(int hosts) { impl_->gate.SetHosts(hosts); }
+
+void Client::OnStateChange(std::function<void(bool up)> callback) {
+  impl_->on_state = std::move(callback);
+}
+
+bool Client::up() const { return impl_->gate.up(); }
+
+ClientCounters Client::counters() const {
+  ClientCounters counters = impl_->counters;
+  counters.gate = impl_->gate.counters();
+  return counters;
+}
+
+}  // namespace gentianlb::platform
--- /dev/null
+++ b/src/platform/client_test.cc
@@ -0,0 +1,236 @@
+#include "platform/client.h"
+
+#include <json/json.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <sstream>
+
+#include "absl/synchronization/mutex.h"
+#include "http/server.h"
+
+namespace gentianlb::platform {
+namespace {
+
+// A table service in memory that can be told to fail.
+class FakePlatform {
+ public:
+  FakePlatform() {
+    auto started =
+        http::Server::Start({}, [this](http::Request request, auto answer) {
+          absl::MutexLock lock(&mutex_);
+          Serve(request, *answer);
+        });
+    BOOST_REQUIRE(started.ok());
+    server_ = std::move(started.value());
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(server_->port());
+  }
+  // The next commits take effect, and their answers never arrive.
+  void LoseAnswers(int count) {
+    absl::MutexLock lock(&mutex_);
+    lose_ = count;
+  }
+  void SetDown(bool down) {
+    absl::MutexLock lock(&mutex_);
+    down_ = down;
+  }
+  int commits() {
+    absl::MutexLock lock(&mutex_);
+    return commits_;
+  }
+
+ private:
+  void Serve(const http::Request& request, http::Responder& answer)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    if (down_) return answer.Respond(503, {}, "{}");
+    Json::Value body;
+    std::istringstream(request.body) >> body;
+    if (request.path == "/v1/table/commit") return Commit(body, answer);
+    if (request.path == "/v1/table/scan") return Scan(body, answer);
+    answer.Respond(404, {}, "{}");
+  }
+
+  void Commit(const Json::Value& body, http::Responder& answer)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    ++commits_;
+    std::string token = body["token"].asString();
+    if (!answers_.contains(token)) answers_[token] = Apply(body);
+    if (lose_ > 0) {
+      --lose_;
+      return answer.Abort();
+    }
+    const Json::Value& result = answers_[token];
+    int status = result.isMember("committed") ? 200 : 409;
+    answer.Respond(status, {}, result.toStyledString());
+  }
+
+  Json::Value Apply(const Json::Value& body)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    Json::Value conflicts(Json::arrayValue);
+    for (const Json::Value& condition : body["conditions"]) {
+      std::string key = condition["key"].asString();
+      std::uint64_t have = rows_.contains(key) ? rows_[key].version : 0;
+      if (have != condition["version"].asUInt64()) conflicts.append(key);
+    }
+    Json::Value result;
+    if (!conflicts.empty()) {
+      result["conflicts"] = conflicts;
+      return result;
+    }
+    result["committed"] = true;
+    result["versions"] = Json::Value(Json::arrayValue);
+    for (const Json::Value& write : body["writes"]) {
+      Row& row = rows_[write["key"].asString()];
+      row = {write["key"].asString(), write["value"].asString(),
+             row.version + 1};
+      result["versions"].append(ToJson(row));
+    }
+    return result;
+  }
+
+  void Scan(const Json::Value& body, http::Responder& answer)
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    Json::Value result;
+    result["rows"] = Json::Value(Json::arrayValue);
+    auto row = rows_.upper_bound(body["after"].asString());
+    for (int i = 0; i < 2 && row != rows_.end(); ++i, ++row) {
+      result["rows"].append(ToJson(row->second));
+    }
+    result["more"] = row != rows_.end();
+    answer.Respond(200, {}, result.toStyledString());
+  }
+
+  static Json::Value ToJson(const Row& row) {
+    Json::Value json;
+    json["key"] = row.key;
+    json["value"] = row.value;
+    json["version"] = Json::UInt64{row.version};
+    return json;
+  }
+
+  absl::Mutex mutex_;
+  std::map<std::string, Row> rows_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, Json::Value> answers_ ABSL_GUARDED_BY(mutex_);
+  int lose_ ABSL_GUARDED_BY(mutex_) = 0;
+  bool down_ ABSL_GUARDED_BY(mutex_) = false;
+  int commits_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::unique_ptr<http::Server> server_;
+};
+
+// A control thread in small: the test's own thread with a mailbox and timers.
+class Control {
+ public:
+  explicit Control(const std::string& address)
+      : client_({.address = address, .host_name = "host/1"}, &http_, &timers_,
+                [this](std::function<void()> closure) {
+                  absl::MutexLock lock(&mutex_);
+                  mailbox_.push_back(std::move(closure));
+                }) {}
+
+  Client& client() { return client_; }
+
+  void RunUntil(const std::function<bool()>& done) {
+    while (!done()) {
+      std::vector<std::function<void()>> taken;
+      {
+        absl::MutexLock lock(&mutex_);
+        auto any = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+          return !mailbox_.empty();
+        };
+        mutex_.AwaitWithDeadline(absl::Condition(&any),
+                                 absl::Now() + absl::Milliseconds(2));
+        taken.swap(mailbox_);
+      }
+      for (auto& closure : taken) closure();
+      timers_.Advance(absl::Now());
+    }
+  }
+
+  CommitResult Commit(Transaction transaction) {
+    std::optional<CommitResult> got;
+    client_.Commit(std::move(transaction),
+                   [&](CommitResult result) { got = std::move(result); });
+    RunUntil([&] { return got.has_value(); });
+    return *got;
+  }
+
+ private:
+  absl::Mutex mutex_;
+  std::vector<std::function<void()>> mailbox_ ABSL_GUARDED_BY(mutex_);
+  TimerService timers_;
+  http::Client http_;
+  Client client_;
+};
+
+Transaction Insert(const std::string& key, const std::string& token = "") {
+  return {token, {{key, 0}}, {{key, "value"}}};
+}
+
+BOOST_AUTO_TEST_CASE(GroupsCommitsAndScansPageByPage) {
+  FakePlatform platform;
+  Control control(platform.address());
+  int done = 0;
+  for (const char* key : {"a", "b", "c", "d", "e"}) {
+    control.client().Commit(Insert(key), [&](const CommitResult& result) {
+      done += result.state == CommitState::kCommitted;
+    });
+  }
+  control.RunUntil([&] { return done == 5; });
+  BOOST_TEST(platform.commits() == 1);
+  std::optional<ReadResult> rows;
+  control.client().Scan("", [&](ReadResult got) { rows = std::move(got); });
+  control.RunUntil([&] { return rows.has_value(); });
+  BOOST_REQUIRE(rows->ok());
+  BOOST_TEST(rows->value().size() == 5u);
+}
+
+// The write took effect and its answer was lost on the way. Sent again under a
+// new token it would meet its own row as a conflict, and the caller would be
+// refused although it holds the claim.
+BOOST_AUTO_TEST_CASE(ALostAnswerIsFollowedUpUnderTheSameToken) {
+  FakePlatform platform;
+  Control control(platform.address());
+  platform.LoseAnswers(1);
+  CommitResult result = control.Commit(Insert("a"));
+  BOOST_TEST((result.state == CommitState::kCommitted));
+  BOOST_TEST(result.versions[0].version == 1u);
+  BOOST_TEST(control.client().counters().follow_ups == 1u);
+}
+
+// Every answer is lost until the retries are used up. The client must not claim
+// that nothing was written, since a caller would then be told "not run" and
+// another host could find a row that nobody closes.
+BOOST_AUTO_TEST_CASE(DoubtIsReportedAsUnknown) {
+  FakePlatform platform;
+  Control control(platform.address());
+  platform.LoseAnswers(1000);
+  CommitResult result = control.Commit(Insert("a", "token"));
+  BOOST_TEST((result.state == CommitState::kUnknown));
+}
+
+// The platform goes out for a while. Everybody who asks is told that nothing
+// was written, and afterwards the host goes back to work by itself.
+BOOST_AUTO_TEST_CASE(AnOutageIsCertainAndEnds) {
+  FakePlatform platform;
+  Control control(platform.address());
+  std::vector<bool> states;
+  control.client().OnStateChange([&](bool up) { states.push_back(up); });
+  platform.SetDown(true);
+  for (int i = 0; i < 3; ++i) {
+    CommitResult result = control.Commit(Insert("a" + std::to_string(i)));
+    BOOST_TEST((result.state == CommitState::kNotApplied));
+  }
+  BOOST_TEST(!control.client().up());
+  platform.SetDown(false);
+  while (control.Commit(Insert("b")).state == CommitState::kNotApplied) {
+  }
+  BOOST_TEST(control.client().up());
+  BOOST_TEST(states == (std::vector<bool>{false, true}),
+             boost::test_tools::per_element());
+}
+
+}  // namespace
+}  // namespace gentianlb::platform
--- /dev/null
+++ b/src/platform/policy_test.cc
@@ -0,0 +1,115 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/call_gate.h"
+#include "platform/transaction_group.h"
+
+namespace gentianlb::platform {
+namespace {
+
+absl::Time At(double seconds) {
+  return absl::UnixEpoch() + absl::Seconds(seconds);
+}
+
+Transaction Insert(const std::string& key) {
+  return {"", {{key, 0}}, {{key, "value"}}};
+}
+
+// The platform goes out. Callers that wait for each timeout would learn of the
+// outage seconds late; with the breaker open they are told at once, and one
+// call a second finds out when it is over.
+BOOST_AUTO_TEST_CASE(AnOutageIsAnsweredAtOnceAndItsEndIsNoticed) {
+  CallGate gate(GateOptions{});
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST((gate.TryStart(CallKind::kRead, At(i)) == GateState::kOpen));
+    gate.OnAnswer(AnswerKind::kLost, 0, At(i), 0.5);
+  }
+  BOOST_TEST(!gate.up());
+  BOOST_TEST((gate.TryStart(CallKind::kRead, At(4.5)) == GateState::kDown));
+  BOOST_TEST((gate.TryStart(CallKind::kRead, At(5)) == GateState::kOpen));
+  BOOST_TEST((gate.TryStart(CallKind::kRead, At(5)) == GateState::kDown));
+  gate.OnAnswer(AnswerKind::kAnswered, 0, At(5), 0.5);
+  BOOST_TEST(gate.up());
+  BOOST_TEST((gate.TryStart(CallKind::kRead, At(5)) == GateState::kOpen));
+}
+
+// All hosts restart together and each reads all it can. What they send in any
+// second must stay near the service's limit, else all are refused and none
+// becomes ready.
+BOOST_AUTO_TEST_CASE(AllHostsTogetherStayUnderTheRate) {
+  constexpr int kHosts = 8;
+  int sent = 0;
+  for (int host = 0; host < kHosts; ++host) {
+    RateShare share(300, absl::Seconds(1));
+    share.SetHosts(kHosts);
+    for (int ms = 0; ms < 10000; ++ms) sent += share.Take(At(ms / 1000.0));
+  }
+  BOOST_TEST(sent <= 300 * 10 + kHosts);
+  BOOST_TEST(sent >= 300 * 10 - kHosts);
+}
+
+// The service fails every call. Callers that repeat each call three times make
+// it four times as busy, so that it stays down; the budget ends that after a
+// few retries.
+BOOST_AUTO_TEST_CASE(RetriesAddAtMostATenthToTheLoad) {
+  RetryBudget budget(RetryOptions{});
+  int retries = 0;
+  for (int call = 0; call < 1000; ++call) {
+    budget.OnCall();
+    for (int i = 0; i < 3; ++i) retries += budget.Take();
+  }
+  BOOST_TEST(retries <= 110);
+}
+
+BOOST_AUTO_TEST_CASE(RetryDelaysGrowAndAreSpread) {
+  RetryOptions options;
+  BOOST_TEST((RetryDelay(options, 0, 0.5) == absl::Milliseconds(10)));
+  BOOST_TEST((RetryDelay(options, 3, 0.5) == absl::Milliseconds(80)));
+  BOOST_TEST((RetryDelay(options, 60, 0.5) == absl::Milliseconds(500)));
+}
+
+BOOST_AUTO_TEST_CASE(ABurstBecomesOneTransaction) {
+  TransactionGroup group(GroupOptions{});
+  for (MemberId id = 1; id <= 50; ++id) {
+    group.Add(id, Insert("row" + std::to_string(id)), At(0));
+  }
+  BOOST_TEST(!group.Take(At(0.002)).has_value());
+  auto batch = group.Take(At(0.003));
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_TEST(batch->members.size() == 50u);
+  BOOST_TEST(batch->transaction.writes.size() == 50u);
+  BOOST_TEST(group.waiting() == 0u);
+}
+
+// A caller sends one key twice, and the second claim meets the first one's row.
+// Without taking the group apart, all requests that happened to travel with it
+// would fail as well.
+BOOST_AUTO_TEST_CASE(OneConflictDoesNotFailItsNeighbours) {
+  TransactionGroup group(GroupOptions{});
+  group.Add(1, Insert("a"), At(0));
+  group.Add(2, Insert("b"), At(0));
+  group.Add(3, Insert("c"), At(0));
+  auto settled =
+      group.OnResult(*group.Take(At(1)), {CommitState::kConflict, {"b"}, {}});
+  BOOST_REQUIRE(settled.size() == 1u);
+  BOOST_TEST(settled[0].id == 2u);
+  auto again = group.Take(At(1));
+  BOOST_REQUIRE(again.has_value());
+  BOOST_TEST(again->members.size() == 2u);
+  auto rest = group.OnResult(
+      *again, {CommitState::kCommitted, {}, {{"a", "", 1}, {"c", "", 7}}});
+  BOOST_REQUIRE(rest.size() == 2u);
+  BOOST_TEST(rest[1].result.versions[0].version == 7u);
+}
+
+// A close and a new claim of one row come together. In one transaction they
+// would have no order, and the claim might be deleted.
+BOOST_AUTO_TEST_CASE(TwoWritesOfOneRowTravelOneAfterTheOther) {
+  TransactionGroup group(GroupOptions{});
+  group.Add(1, Insert("a"), At(0));
+  group.Add(2, Insert("a"), At(0));
+  BOOST_TEST(group.Take(At(1))->members.size() == 1u);
+  BOOST_TEST(group.Take(At(1))->members.size() == 1u);
+}
+
+}  // namespace
+}  // namespace gentianlb::platform
