--- /dev/null
+++ b/src/claim/claim_dispatch.cc
@@ -0,0 +1,133 @@
+// A claim around its dispatch: the fence of what may not be repeated, the note
+// of the server, the end.
+
+#include <utility>
+
+#include "claim/claim_machine.h"
+
+namespace gentianlb::claim {
+namespace {
+
+constexpr absl::Duration kComeBack = absl::Seconds(2);
+
+}  // namespace
+
+void ClaimMachine::On(const DispatchWanted& event) {
+  Claim* claim = Find(event.id);
+  if (claim == nullptr || claim->phase != Phase::kReady) {
+    Refuse refusal{{Code::kClaimHeldElsewhere, "not held here"}, kComeBack};
+    actions_->push_back(DispatchAnswered{event.id, std::move(refusal)});
+    return;
+  }
+  claim->server = event.server;
+  if (claim->request.idempotent) {
+    AllowDispatch(*claim);
+  } else {
+    WriteFence(*claim);
+  }
+}
+
+void ClaimMachine::On(const DispatchEnded& event) {
+  Claim* claim = Find(event.id);
+  if (claim == nullptr || claim->phase != Phase::kRunning) return;
+  if (event.sent) {
+    End(*claim);
+  } else {
+    claim->phase = Phase::kReady;
+  }
+}
+
+void ClaimMachine::WriteFence(Claim& claim) {
+  claim.phase = Phase::kFencing;
+  Commit(Purpose::kFence, claim.id, claim.token, RowKey(claim.request.key),
+         claim.version, Encode(RowOf(claim, RowState::kDispatched)));
+}
+
+void ClaimMachine::OnFenceWritten(Claim& claim,
+                                  const platform::CommitResult& result) {
+  if (claim.phase != Phase::kFencing) return;
+  switch (result.state) {
+    case platform::CommitState::kCommitted:
+      claim.version = result.versions.empty() ? claim.version + 1
+                                              : result.versions[0].version;
+      AllowDispatch(claim);
+      return;
+    case platform::CommitState::kConflict:
+    case platform::CommitState::kUnknown:
+      claim.phase = Phase::kFenceReading;
+      Read(Purpose::kClaimRead, claim.id, claim.token,
+           RowKey(claim.request.key));
+      return;
+    case platform::CommitState::kNotApplied:
+      claim.phase = Phase::kReady;
+      RefuseDispatch(claim, Code::kClaimStoreDown);
+      return;
+  }
+}
+
+void ClaimMachine::OnFenceRead(Claim& claim, const platform::Row* row) {
+  if (claim.phase != Phase::kFenceReading) return;
+  std::optional<ClaimRow> found;
+  if (row != nullptr) found = DecodeClaim(row->value);
+  if (!found || found->token != claim.token) {
+    // Another host has replaced the row while this one was slow.
+    RefuseDispatch(claim, Code::kClaimHeldElsewhere);
+    LetGo(claim);
+    claims_.erase(claim.id);
+    return;
+  }
+  claim.version = row->version;
+  bool fenced =
+      found->state == RowState::kDispatched && found->server == claim.server;
+  if (fenced) {
+    AllowDispatch(claim);
+  } else {
+    WriteFence(claim);
+  }
+}
+
+void ClaimMachine::AllowDispatch(Claim& claim) {
+  claim.phase = Phase::kRunning;
+  auto late = late_.find(claim.token);
+  if (late != late_.end()) {
+    late->second.row = RowOf(claim, RowState::kDispatched);
+  } else if (claim.request.idempotent && claim.version != 0) {
+    // Tells a host that resumes the answer where to look first. Nobody waits
+    // for this write, and nothing depends on it.
+    WriteProgress(claim, RowState::kDispatched);
+  }
+  actions_->push_back(DispatchAnswered{claim.id, std::nullopt});
+}
+
+void ClaimMachine::RefuseDispatch(Claim& claim, Code code) {
+  Refuse refusal{{code, ""}, kComeBack};
+  actions_->push_back(DispatchAnswered{claim.id, std::move(refusal)});
+}
+
+void ClaimMachine::WriteProgress(Claim& claim, RowState state) {
+  Commit(Purpose::kProgress, claim.id, claim.token, RowKey(claim.request.key),
+         claim.version, Encode(RowOf(claim, state)));
+}
+
+void ClaimMachine::End(Claim& claim) {
+  const ClaimRequest& request = claim.request;
+  memory_.AddEnded(request.key, {claim.server, request.body_digest, now_});
+  if (!request.idempotent) WriteProgress(claim, RowState::kDone);
+  holders_.erase(request.key);
+  claims_.erase(claim.id);
+}
+
+ClaimRow ClaimMachine::RowOf(const Claim& claim, RowState state) const {
+  ClaimRow row;
+  row.owner = options_.self;
+  row.incarnation = options_.incarnation;
+  row.state = state;
+  row.body_digest = claim.request.body_digest;
+  row.token = claim.token;
+  row.server = claim.server;
+  row.fenced = !claim.request.idempotent;
+  row.written = now_;
+  return row;
+}
+
+}  // namespace gentianlb::claim
--- /dev/null
+++ b/src/claim/claim_machine.cc
@@ -0,0 +1,536 @@
+// A claim's way from Open() to its verdict.
+
+#include "claim/claim_machine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace gentianlb::claim {
+namespace {
+
+// When a refused caller may come back: the table's breaker tries once a second,
+// and a lease lapses within its term.
+constexpr absl::Duration kComeBack = absl::Seconds(2);
+constexpr absl::Duration kComeBackInDoubt = absl::Seconds(15);
+
+// The control thread's own tick, for what has no time of its own.
+constexpr absl::Duration kTick = absl::Seconds(1);
+
+}  // namespace
+
+ClaimMachine::ClaimMachine(ClaimOptions options, absl::Time now)
+    : options_(std::move(options)),
+      coverage_(options_.coverage, options_.self, options_.incarnation, now),
+      started_(now),
+      now_(now),
+      next_scan_(now),
+      awake_since_(now) {}
+
+void ClaimMachine::Handle(const Event& event, absl::Time now,
+                          std::vector<Action>* actions) {
+  actions_ = actions;
+  if (now - now_ > options_.pause_gap) awake_since_ = now;
+  now_ = now;
+  std::visit([this](const auto& one) { On(one); }, event);
+  actions_ = nullptr;
+}
+
+void ClaimMachine::SetPeers(std::vector<EntryHostId> peers) {
+  peers_.insert(peers.begin(), peers.end());
+  peers_.erase(options_.self);
+}
+
+absl::Time ClaimMachine::NextWakeup() const {
+  absl::Time next = std::min(next_scan_, now_ + kTick);
+  return scanning_ ? now_ + kTick : next;
+}
+
+// --- Events -----------------------------------------------------------------
+
+void ClaimMachine::On(const Opened& event) {
+  ++counters_.opened;
+  Claim& claim = claims_[event.id];
+  claim.id = event.id;
+  claim.request = event.request;
+  claim.opened = now_;
+  Begin(claim);
+}
+
+void ClaimMachine::On(const AttachFailed& event) {
+  Claim* claim = Find(event.id);
+  if (claim == nullptr || claim->phase != Phase::kElsewhere) return;
+  // Start again as a re-send: the owner may have run it or closed its row.
+  Claim again;
+  again.id = claim->id;
+  again.request = claim->request;
+  again.opened = claim->opened;
+  again.attach_failed = true;
+  *claim = std::move(again);
+  Begin(*claim);
+}
+
+void ClaimMachine::On(const Abandoned& event) {
+  Claim* claim = Find(event.id);
+  if (claim == nullptr) return;
+  if (claim->phase == Phase::kRunning) {
+    End(*claim);
+    return;
+  }
+  LetGo(*claim);
+  claims_.erase(event.id);
+}
+
+void ClaimMachine::On(const PeerAnswered& event) {
+  auto node = calls_.extract(event.call);
+  if (node.empty()) return;
+  Claim* claim = Find(node.mapped().claim);
+  if (claim == nullptr) return;
+  auto asked = claim->asked.extract(event.call);
+  if (asked.empty()) return;
+  if (claim->phase == Phase::kAskingOwner) {
+    OnOwnerAnswered(*claim, event.answer);
+  } else {
+    OnAnswerOfAsked(*claim, asked.mapped(), event.answer);
+  }
+}
+
+// --- Towards a durable row --------------------------------------------------
+
+void ClaimMachine::Begin(Claim& claim) {
+  if (coverage_.superseded()) {
+    GiveRefusal(claim, Code::kLeaseLost, "another incarnation took over");
+    return;
+  }
+  const ClaimRequest& request = claim.request;
+  // Several sendings of one key at this host share one claim.
+  if (Claim* holder = Holder(request.key)) {
+    if (holder->request.body_digest != request.body_digest) {
+      GiveRefusal(claim, Code::kKeyReused, "");
+    } else {
+      GiveAttach(claim, options_.self);
+    }
+    return;
+  }
+  if (std::optional<EndedKey> ended = memory_.FindEnded(request.key)) {
+    if (ended->body_digest != request.body_digest) {
+      GiveRefusal(claim, Code::kKeyReused, "");
+    } else if (!request.idempotent) {
+      GiveRefusal(claim, Code::kKeyAlreadyRun, "ran at " + ended->server.str());
+    } else {
+      GiveResume(claim, ended->server, true);
+    }
+    return;
+  }
+  holders_[request.key] = claim.id;
+  claim.token = absl::StrCat(options_.self.str(), "/", options_.incarnation,
+                             "/", next_token_++);
+  if (auto promise = memory_.FindPromise(request.key)) {
+    claim.promised = promise->made;
+  }
+  if (table_up_) {
+    WriteRow(claim);
+  } else {
+    OnTableFailed(claim);
+  }
+}
+
+void ClaimMachine::WriteRow(Claim& claim) {
+  claim.phase = Phase::kWriting;
+  // The first sending counts: any of them may be the one that took effect.
+  if (!claim.maybe_row) claim.row_sent = now_;
+  claim.maybe_row = true;
+  Commit(Purpose::kClaimWrite, claim.id, claim.token, RowKey(claim.request.key),
+         claim.base, Encode(RowOf(claim, RowState::kClaimed)));
+}
+
+void ClaimMachine::ReadRow(Claim& claim, Phase phase) {
+  claim.phase = phase;
+  Read(Purpose::kClaimRead, claim.id, claim.token, RowKey(claim.request.key));
+}
+
+void ClaimMachine::OnRowWritten(Claim& claim,
+                                const platform::CommitResult& result) {
+  if (claim.phase != Phase::kWriting) return;
+  switch (result.state) {
+    case platform::CommitState::kCommitted:
+      OnDurable(claim, result.versions.empty() ? claim.base + 1
+                                               : result.versions[0].version);
+      return;
+    case platform::CommitState::kConflict:
+    case platform::CommitState::kUnknown:
+      // The answer may be lost after the write took effect: our own token in
+      // the row tells, and nothing is decided before that.
+      ReadRow(claim, Phase::kReading);
+      return;
+    case platform::CommitState::kNotApplied:
+      OnTableFailed(claim);
+      return;
+  }
+}
+
+void ClaimMachine::OnRowRead(Claim& claim, const platform::Row* row) {
+  if (claim.phase != Phase::kReading) return;
+  if (row == nullptr) {
+    claim.base = 0;
+    WriteRow(claim);
+    return;
+  }
+  std::optional<ClaimRow> found = DecodeClaim(row->value);
+  if (!found) {
+    GiveRefusal(claim, Code::kClaimInDoubt, "the row can't be read");
+  } else if (found->token == claim.token) {
+    OnDurable(claim, row->version);
+  } else {
+    OnOthersRow(claim, *row, *found);
+  }
+}
+
+void ClaimMachine::OnTableFailed(Claim& claim) {
+  if (!claim.request.idempotent) {
+    GiveRefusal(claim, DownCode(claim), "the table does not answer");
+  } else if (coverage_.Lapsed(now_)) {
+    RunWithoutTable(claim);
+  } else {
+    // Peers still count on this host's rows until its lease lapses.
+    claim.phase = Phase::kQueued;
+  }
+}
+
+// --- Another's row ----------------------------------------------------------
+
+void ClaimMachine::OnOthersRow(Claim& claim, const platform::Row& row,
+                               const ClaimRow& other) {
+  if (other.body_digest != claim.request.body_digest) {
+    GiveRefusal(claim, Code::kKeyReused, "");
+    return;
+  }
+  if (other.state == RowState::kDone && !claim.request.idempotent) {
+    GiveRefusal(claim, Code::kKeyAlreadyRun, "ran at " + other.server.str());
+    return;
+  }
+  claim.other = row;
+  if (other.owner != options_.self) {
+    claim.phase = Phase::kAskingOwner;
+    Ask(claim, other.owner, other.token);
+  } else if (memory_.IsAbandoned(other.token)) {
+    TakeOver(claim);
+  } else {
+    OnOwnerGone(claim, other);
+  }
+}
+
+void ClaimMachine::OnOwnerAnswered(Claim& claim,
+                                   const std::optional<PeerAnswer>& answer) {
+  std::optional<ClaimRow> other = DecodeClaim(claim.other->value);
+  PeerState state = answer ? answer->state : PeerState::kNoPromise;
+  if (state == PeerState::kHeld && !claim.attach_failed) {
+    GiveAttach(claim, other->owner);
+  } else if (state == PeerState::kAbandoned) {
+    TakeOver(claim);
+  } else if (state == PeerState::kEnded && claim.request.idempotent) {
+    GiveResume(claim, answer->server, true);
+  } else if (state == PeerState::kEnded) {
+    GiveRefusal(claim, Code::kKeyAlreadyRun, "ran at " + answer->server.str());
+  } else {
+    OnOwnerGone(claim, *other);
+  }
+}
+
+// The owner is dead, cut off, or has forgotten the key.
+void ClaimMachine::OnOwnerGone(Claim& claim, const ClaimRow& other) {
+  if (other.fenced && other.state == RowState::kClaimed) {
+    // Whatever the owner does, it must replace this very row before its first
+    // byte leaves, and our row makes that fail.
+    TakeOver(claim);
+  } else if (claim.request.idempotent) {
+    GiveResume(claim, other.server, false);
+  } else {
+    GiveRefusal(claim, Code::kClaimInDoubt,
+                "sent to " + other.server.str() + " by a host that is gone");
+  }
+}
+
+void ClaimMachine::TakeOver(Claim& claim) {
+  claim.base = claim.other->version;
+  WriteRow(claim);
+}
+
+// --- A row of our own -------------------------------------------------------
+
+void ClaimMachine::OnDurable(Claim& claim, platform::RowVersion version) {
+  claim.version = version;
+  AskAboutUnwritten(claim);
+}
+
+// The row is ours. A host that had lost the table may have run the key without
+// a row; a marked first sending rules that out, and so do current leases.
+void ClaimMachine::AskAboutUnwritten(Claim& claim) {
+  const ClaimRequest& request = claim.request;
+  bool unmarked_but_sure = request.attempt == 0 && coverage_.CleanStart(now_);
+  bool first_sending = request.attempt == 1 || unmarked_but_sure;
+  bool may_have_run = claim.attach_failed || !first_sending;
+  // A call that may not be repeated is never run without a row, by anyone.
+  if (!request.idempotent) {
+    GiveProceed(claim);
+    return;
+  }
+  Suspects suspects;
+  if (may_have_run) {
+    if (!coverage_.FreshScan(now_)) {
+      claim.phase = Phase::kAwaitingScan;
+      StartScan();
+      return;
+    }
+    suspects = coverage_.FindSuspects(claim.row_sent, request.key_time, now_);
+  }
+  // Whoever asked us about the key may be running it.
+  std::set<EntryHostId> ask(suspects.to_ask.begin(), suspects.to_ask.end());
+  if (auto promise = memory_.FindPromise(request.key)) {
+    ask.insert(promise->asker);
+  }
+  claim.phase = Phase::kAskingPeers;
+  claim.doubt = suspects.lost;
+  if (!claim.doubt) {
+    for (const EntryHostId& peer : ask) Ask(claim, peer, "");
+  }
+  if (claim.asked.empty()) OnAllAsked(claim);
+}
+
+void ClaimMachine::Ask(Claim& claim, const EntryHostId& peer,
+                       std::string token) {
+  ++counters_.questions;
+  CallId call = NewCall(Purpose::kQuestion, claim.id, claim.token);
+  claim.asked[call] = peer;
+  PeerQuestion question{claim.request.key, options_.self, std::move(token),
+                        claim.version != 0};
+  actions_->push_back(AskCall{call, peer, std::move(question)});
+}
+
+void ClaimMachine::OnAnswerOfAsked(Claim& claim, const EntryHostId& peer,
+                                   const std::optional<PeerAnswer>& answer) {
+  if (answer && answer->state == PeerState::kHeld) {
+    GiveAttach(claim, peer);
+    return;
+  }
+  if (answer && answer->state == PeerState::kEnded) {
+    GiveResume(claim, answer->server, true);
+    return;
+  }
+  if (!RulesOut(claim, peer, answer)) claim.doubt = true;
+  if (claim.asked.empty()) OnAllAsked(claim);
+}
+
+// Whether the answer proves that `peer` hasn't run the key, and won't.
+bool ClaimMachine::RulesOut(const Claim& claim, const EntryHostId& peer,
+                            const std::optional<PeerAnswer>& answer) const {
+  if (!answer || answer->state != PeerState::kNotHeld) return false;
+  if (claim.request.attempt == 1 && !claim.promised) return true;
+  // A restarted peer has forgotten what its earlier incarnation ran.
+  if (coverage_.Remembers(answer->knows_since, claim.request.key_time, now_)) {
+    return true;
+  }
+  if (claim.phase != Phase::kAskingPeers) return false;
+  bool knows_promise =
+      !claim.promised || answer->knows_since <= *claim.promised;
+  return knows_promise && answer->incarnation == coverage_.IncarnationOf(peer);
+}
+
+void ClaimMachine::OnAllAsked(Claim& claim) {
+  if (!claim.doubt) {
+    GiveProceed(claim);
+  } else if (claim.phase == Phase::kAskingPeers) {
+    GiveRefusal(claim, Code::kClaimInDoubt, "a host that may know is away");
+  } else {
+    GiveRefusal(claim, DownCode(claim), "the table and a peer are away");
+  }
+}
+
+// --- Without the table ------------------------------------------------------
+
+void ClaimMachine::RunWithoutTable(Claim& claim) {
+  bool first =
+      claim.request.attempt == 1 && !claim.promised && !claim.attach_failed;
+  // The key was first sent after our lease lapsed, so whoever gets a re-send
+  // sees the lapse and asks us. A pause may have kept the message waiting in a
+  // socket for longer than the server allows.
+  absl::Time received = claim.opened - options_.max_transit;
+  bool awake = awake_since_ <= received;
+  bool sent_since = awake && received > coverage_.LapseTime();
+  bool made_since = claim.request.key_time &&
+                    *claim.request.key_time >
+                        coverage_.LapseTime() + options_.coverage.clock_skew;
+  if (first && (sent_since || made_since)) {
+    GiveProceed(claim);
+  } else {
+    AskAll(claim);
+  }
+}
+
+void ClaimMachine::AskAll(Claim& claim) {
+  claim.phase = Phase::kAskingAll;
+  const ClaimRequest& request = claim.request;
+  bool may_be_resend = request.attempt != 1 || claim.attach_failed;
+  if (may_be_resend) {
+    claim.doubt = !coverage_.Remembers(started_, request.key_time, now_) ||
+                  coverage_.AnyLost(request.key_time, now_);
+  }
+  if (!claim.doubt) {
+    for (const EntryHostId& peer : AllOthers()) Ask(claim, peer, "");
+  }
+  if (claim.asked.empty()) OnAllAsked(claim);
+}
+
+// --- Verdicts ---------------------------------------------------------------
+
+void ClaimMachine::GiveProceed(Claim& claim) {
+  ++counters_.proceeded;
+  claim.phase = Phase::kReady;
+  claim.without_table = claim.version == 0;
+  if (claim.without_table) {
+    ++counters_.proceeded_without_table;
+    late_[claim.token] = {claim.request.key, RowOf(claim, RowState::kClaimed)};
+  }
+  actions_->push_back(VerdictGiven{claim.id, Proceed{}});
+}
+
+void ClaimMachine::GiveAttach(Claim& claim, const EntryHostId& owner) {
+  ++counters_.attached;
+  LetGo(claim);
+  claim.phase = Phase::kElsewhere;
+  actions_->push_back(VerdictGiven{claim.id, Attach{owner}});
+}
+
+void ClaimMachine::GiveResume(Claim& claim, const ServerId& server,
+                              bool ended) {
+  ++counters_.resumed;
+  LetGo(claim);
+  actions_->push_back(
+      VerdictGiven{claim.id, Resume{claim.request.key, server, ended}});
+  claims_.erase(claim.id);
+}
+
+void ClaimMachine::GiveRefusal(Claim& claim, Code code, std::string detail) {
+  ++counters_.refused;
+  LetGo(claim);
+  bool doubt = code == Code::kClaimInDoubt;
+  Refuse refusal{{code, std::move(detail)},
+                 doubt ? kComeBackInDoubt : kComeBack};
+  actions_->push_back(VerdictGiven{claim.id, std::move(refusal)});
+  claims_.erase(claim.id);
+}
+
+// Nothing will be dispatched under this claim's token from here on.
+void ClaimMachine::LetGo(Claim& claim) {
+  auto holder = holders_.find(claim.request.key);
+  if (holder != holders_.end() && holder->second == claim.id) {
+    holders_.erase(holder);
+  }
+  claim.asked.clear();
+  bool late = late_.erase(claim.token) > 0;
+  if (claim.maybe_row || late) StartClosing(claim);
+  claim.maybe_row = false;
+}
+
+// The truth about a request that the table's absence stops: a re-send may have
+// run under an earlier claim.
+Code ClaimMachine::DownCode(const Claim& claim) const {
+  bool earlier =
+      claim.request.attempt > 1 || claim.promised || claim.attach_failed ||
+      (claim.phase == Phase::kAskingAll && claim.request.attempt != 1);
+  return earlier ? Code::kClaimInDoubt : Code::kClaimStoreDown;
+}
+
+// --- Questions of peers -----------------------------------------------------
+
+PeerAnswer ClaimMachine::HandleQuestion(const PeerQuestion& question,
+                                        absl::Time now,
+                                        std::vector<Action>* actions) {
+  actions_ = actions;
+  if (now - now_ > options_.pause_gap) awake_since_ = now;
+  now_ = now;
+  peers_.insert(question.asker);
+  PeerAnswer answer{PeerState::kNoPromise, options_.incarnation, started_, {}};
+  AnswerQuestion(question, &answer);
+  actions_ = nullptr;
+  return answer;
+}
+
+void ClaimMachine::AnswerQuestion(const PeerQuestion& question,
+                                  PeerAnswer* answer) {
+  if (coverage_.superseded()) return;
+  if (Claim* holder = Holder(question.key)) {
+    if (!Yields(*holder, question)) {
+      answer->state = PeerState::kHeld;
+      return;
+    }
+    GiveAttach(*holder, question.asker);
+  }
+  if (auto ended = memory_.FindEnded(question.key)) {
+    answer->state = PeerState::kEnded;
+    answer->server = ended->server;
+  } else if (memory_.IsAbandoned(question.token)) {
+    answer->state = PeerState::kAbandoned;
+  } else if (memory_.AddPromise(question.key, question.asker, now_)) {
+    answer->state = PeerState::kNotHeld;
+  }
+}
+
+// Two hosts that ask each other about the same key must not both go on, nor
+// both give way to the other for ever: a row goes before none, and then the
+// lower name goes first.
+bool ClaimMachine::Yields(const Claim& holder,
+                          const PeerQuestion& question) const {
+  bool decided =
+      holder.phase == Phase::kReady || holder.phase == Phase::kFencing ||
+      holder.phase == Phase::kFenceReading || holder.phase == Phase::kRunning;
+  if (decided || !holder.request.idempotent) return false;
+  if (!question.token.empty() || holder.version != 0) return false;
+  return question.durable || question.asker < options_.self;
+}
+
+// --- Small helpers ----------------------------------------------------------
+
+ClaimMachine::Claim* ClaimMachine::Find(ClaimId id) {
+  auto found = claims_.find(id);
+  return found == claims_.end() ? nullptr : &found->second;
+}
+
+ClaimMachine::Claim* ClaimMachine::Holder(const ClaimKey& key) {
+  auto found = holders_.find(key);
+  return found == holders_.end() ? nullptr : Find(found->second);
+}
+
+std::vector<EntryHostId> ClaimMachine::AllOthers() const {
+  std::set<EntryHostId> all = peers_;
+  for (EntryHostId& host : coverage_.Members()) all.insert(std::move(host));
+  return {all.begin(), all.end()};
+}
+
+CallId ClaimMachine::NewCall(Purpose purpose, ClaimId claim,
+                             std::string token) {
+  CallId call = next_call_++;
+  calls_[call] = {purpose, claim, std::move(token), now_};
+  return call;
+}
+
+void ClaimMachine::Commit(Purpose purpose, ClaimId claim, std::string token,
+                          const std::string& row_key,
+                          platform::RowVersion version,
+                          std::optional<std::string> value) {
+  ++counters_.row_writes;
+  CallId call = NewCall(purpose, claim, std::move(token));
+  platform::Transaction transaction{
+      "", {{row_key, version}}, {{row_key, std::move(value)}}};
+  actions_->push_back(CommitCall{call, std::move(transaction)});
+}
+
+void ClaimMachine::Read(Purpose purpose, ClaimId claim, std::string token,
+                        const std::string& row_key) {
+  ++counters_.row_reads;
+  CallId call = NewCall(purpose, claim, std::move(token));
+  actions_->push_back(ReadCall{call, {row_key}});
+}
+
+}  // namespace gentianlb::claim
--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -1,22 +1,39 @@
 // The decisions on claims of one entry host, without network, thread or clock:
 // events go in with the time, actions come out. A copyable value, so that the
-// explorer can branch it at every step.
+// explorer can branch it at every step. docs/design/at-most-once.md has the
+// states and every transition.
 
 #ifndef GENTIANLB_CLAIM_CLAIM_MACHINE_H_
 #define GENTIANLB_CLAIM_CLAIM_MACHINE_H_
 
 #include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "absl/time/time.h"
 #include "base/ids.h"
+#include "claim/coverage.h"
+#include "claim/key_memory.h"
 #include "claim/messages.h"
+#include "claim/rows.h"
 
 namespace gentianlb::claim {
 
 struct ClaimOptions {
   EntryHostId self;
   Incarnation incarnation = 0;
+  CoverageOptions coverage;
+  // How long a sending may be on its way: the HTTP server refuses a message
+  // that isn't whole within 30 s.
+  absl::Duration max_transit = absl::Seconds(30);
+  // The control thread wakes every second; a longer gap means that the process
+  // was paused, and messages may have waited in its sockets meanwhile.
+  absl::Duration pause_gap = absl::Seconds(5);
+  // While the table is out: how soon its return is noticed.
+  absl::Duration probe_every = absl::Milliseconds(500);
 };
 
 struct ClaimCounters {
@@ -26,8 +43,8 @@
   std::uint64_t attached = 0;
   std::uint64_t resumed = 0;
   std::uint64_t refused = 0;
-  std::uint64_t transactions = 0;
   std::uint64_t row_writes = 0;
+  std::uint64_t row_reads = 0;
   std::uint64_t questions = 0;
   auto operator<=>(const ClaimCounters&) const = default;
 };
@@ -50,9 +67,185 @@
   absl::Time NextWakeup() const;
 
   const ClaimCounters& counters() const { return counters_; }
+  bool table_up() const { return table_up_; }
+  const Coverage& coverage() const { return coverage_; }
+  std::size_t open_claims() const { return claims_.size(); }
+
+  // All that decides the future, as text: for dumps and for the explorer.
+  std::string Describe() const;
 
  private:
+  enum class Phase {
+    kQueued,        // Waits for the table to come back, or the lease to lapse.
+    kWriting,       // Its row is on the way.
+    kReading,       // Reads the row: after a conflict or a lost answer.
+    kAskingOwner,   // Another's row was found.
+    kAwaitingScan,  // Row durable; the picture of the leases is too old.
+    kAskingPeers,   // Row durable; someone may have run it without a row.
+    kAskingAll,     // Without the table.
+    kReady,         // Proceed was given.
+    kFencing,       // Names the server in the row before the dispatch.
+    kFenceReading,  // The answer to that was lost, or it met a change.
+    kRunning,       // Dispatched.
+    kElsewhere,     // Attach was given.
+  };
+
+  struct Claim {
+    ClaimId id = 0;
+    ClaimRequest request;
+    std::string token;
+    Phase phase = Phase::kQueued;
+    absl::Time opened;
+    absl::Time row_sent;
+    platform::RowVersion base = 0;     // What the next write replaces.
+    platform::RowVersion version = 0;  // Of the own row; 0: not durable.
+    bool maybe_row = false;            // The row may be in the table.
+    bool without_table = false;        // Was allowed to run without a row.
+    bool attach_failed = false;
+    bool doubt = false;  // An asked peer can't rule the key out.
+    ServerId server;
+    std::optional<platform::Row> other;  // Another's row, while asking.
+    std::map<CallId, EntryHostId> asked;
+    std::optional<absl::Time> promised;  // When this host promised not to run.
+  };
+
+  // A row to delete: nothing will be dispatched under its token.
+  struct Closing {
+    ClaimKey key;
+    std::string token;
+    bool busy = false;  // A call is on its way.
+  };
+
+  // A key that runs without a row; its row must follow.
+  struct Late {
+    ClaimKey key;
+    ClaimRow row;
+    bool busy = false;
+  };
+
+  enum class Purpose {
+    kClaimWrite,
+    kClaimRead,
+    kFence,
+    kProgress,
+    kCloseRead,
+    kCloseWrite,
+    kLateWrite,
+    kLateRead,
+    kScan,
+    kRenew,
+    kQuestion,
+  };
+
+  // What an answer belongs to.
+  struct Call {
+    Purpose purpose = Purpose::kScan;
+    ClaimId claim = 0;
+    std::string token;  // Of a closing or late row.
+    absl::Time sent;
+  };
+
+  using Actions = std::vector<Action>;
+
+  // Events.
+  void On(const Opened& event);
+  void On(const DispatchWanted& event);
+  void On(const DispatchEnded& event);
+  void On(const Abandoned& event);
+  void On(const AttachFailed& event);
+  void On(const CommitAnswered& event);
+  void On(const ReadAnswered& event);
+  void On(const PeerAnswered& event);
+  void On(const TimePassed& event);
+
+  // The claim's way, claim_machine.cc.
+  void Begin(Claim& claim);
+  void WriteRow(Claim& claim);
+  void ReadRow(Claim& claim, Phase phase);
+  void OnRowWritten(Claim& claim, const platform::CommitResult& result);
+  void OnRowRead(Claim& claim, const platform::Row* row);
+  void OnTableFailed(Claim& claim);
+  void OnOthersRow(Claim& claim, const platform::Row& row,
+                   const ClaimRow& other);
+  void OnOwnerAnswered(Claim& claim, const std::optional<PeerAnswer>& answer);
+  void OnOwnerGone(Claim& claim, const ClaimRow& other);
+  void TakeOver(Claim& claim);
+  void OnDurable(Claim& claim, platform::RowVersion version);
+  void AskAboutUnwritten(Claim& claim);
+  void RunWithoutTable(Claim& claim);
+  void AskAll(Claim& claim);
+  void Ask(Claim& claim, const EntryHostId& peer, std::string token);
+  void OnAnswerOfAsked(Claim& claim, const EntryHostId& peer,
+                       const std::optional<PeerAnswer>& answer);
+  bool RulesOut(const Claim& claim, const EntryHostId& peer,
+                const std::optional<PeerAnswer>& answer) const;
+  void OnAllAsked(Claim& claim);
+  void GiveProceed(Claim& claim);
+  void GiveAttach(Claim& claim, const EntryHostId& owner);
+  void GiveResume(Claim& claim, const ServerId& server, bool ended);
+  void GiveRefusal(Claim& claim, Code code, std::string detail);
+  void LetGo(Claim& claim);
+  Code DownCode(const Claim& claim) const;
+  void AnswerQuestion(const PeerQuestion& question, PeerAnswer* answer);
+  bool Yields(const Claim& holder, const PeerQuestion& question) const;
+
+  // Around the dispatch, claim_dispatch.cc.
+  void WriteFence(Claim& claim);
+  void OnFenceWritten(Claim& claim, const platform::CommitResult& result);
+  void OnFenceRead(Claim& claim, const platform::Row* row);
+  void AllowDispatch(Claim& claim);
+  void RefuseDispatch(Claim& claim, Code code);
+  void WriteProgress(Claim& claim, RowState state);
+  void End(Claim& claim);
+  ClaimRow RowOf(const Claim& claim, RowState state) const;
+
+  // What follows the claims, claim_upkeep.cc.
+  void StartClosing(Claim& claim);
+  void StepClosing(Closing& closing);
+  void OnCloseRead(const std::string& token, const platform::Row* row,
+                   bool answered);
+  void OnCloseWritten(const std::string& token, platform::CommitState state);
+  void StepLate(Late& late);
+  void OnLateWritten(const std::string& token,
+                     const platform::CommitResult& result);
+  void OnLateRead(const std::string& token, const platform::Row* row,
+                  bool answered);
+  void OnLateDurable(const std::string& token, platform::RowVersion version);
+  void OnScanned(const Call& call, const std::vector<platform::Row>& rows);
+  void OnTableAnswer(bool answered);
+  void ResumeQueued();
+  void RenewIfClean();
+  void StartScan();
+
+  CallId NewCall(Purpose purpose, ClaimId claim, std::string token);
+  void Commit(Purpose purpose, ClaimId claim, std::string token,
+              const std::string& row_key, platform::RowVersion version,
+              std::optional<std::string> value);
+  void Read(Purpose purpose, ClaimId claim, std::string token,
+            const std::string& row_key);
+  Claim* Find(ClaimId id);
+  Claim* Holder(const ClaimKey& key);
+  std::vector<EntryHostId> AllOthers() const;
+
   ClaimOptions options_;
+  Coverage coverage_;
+  KeyMemory memory_;
+  absl::Time started_;
+  absl::Time now_;
+  Actions* actions_ = nullptr;  // Only during a call.
+  bool table_up_ = true;
+  bool scanning_ = false;
+  bool renewing_ = false;
+  absl::Time next_scan_;
+  absl::Time awake_since_;  // Since the last pause of the process.
+  CallId next_call_ = 1;
+  std::uint64_t next_token_ = 1;
+  std::map<ClaimId, Claim> claims_;
+  std::map<ClaimKey, ClaimId> holders_;
+  std::map<std::string, Closing> closings_;  // By token.
+  std::map<std::string, Late> late_;         // By token.
+  std::map<CallId, Call> calls_;
+  std::set<EntryHostId> peers_;
   ClaimCounters counters_;
 };
 
--- /dev/null
+++ b/src/claim/coverage.cc
@@ -0,0 +1,139 @@
+#include "claim/coverage.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianlb::claim {
+
+Coverage::Coverage(CoverageOptions options, EntryHostId self,
+                   Incarnation incarnation, absl::Time started)
+    : options_(options),
+      self_(std::move(self)),
+      incarnation_(incarnation),
+      started_(started) {}
+
+void Coverage::OnScan(const std::vector<platform::Row>& rows, absl::Time sent,
+                      absl::Time now) {
+  scan_sent_ = sent;
+  others_.clear();
+  bool own_row = false;
+  for (const platform::Row& row : rows) {
+    std::optional<LeaseRow> lease = DecodeLease(row.value);
+    if (!lease) continue;
+    if (lease->host != self_) {
+      others_[lease->host] = *lease;
+      continue;
+    }
+    own_row = true;
+    OnOwnRow(*lease, row.version);
+  }
+  if (!own_row) version_ = 0;
+  if (scanned_once_) return;
+  scanned_once_ = true;
+  clean_start_ = std::all_of(others_.begin(), others_.end(), [&](auto& entry) {
+    return now + options_.clock_skew < entry.second.until &&
+           !Lost(entry.second, std::nullopt, now);
+  });
+}
+
+void Coverage::OnOwnRow(const LeaseRow& row, platform::RowVersion version) {
+  version_ = version;
+  if (row.incarnation == incarnation_) {
+    registered_ = true;  // Also when the answer to Renew() was lost.
+    return;
+  }
+  // A paused incarnation that wakes after its successor has registered must
+  // not act under the name any more: peers ask the successor.
+  superseded_ = registered_ || row.incarnation > incarnation_;
+  // The earlier incarnation ended before this one started. If its lease had
+  // lapsed by then, it may have run keys whose rows died with it.
+  bool lapsed = row.until < started_;
+  lost_until_ = lapsed ? started_ : row.lost_until;
+}
+
+platform::Transaction Coverage::Renew(absl::Time now) {
+  bool continuous = registered_ && now < until_;
+  if (!continuous) since_ = now;
+  // An answer may be lost after the write took effect: from here on this host
+  // counts as covered until the new time, whatever comes back.
+  until_ = now + options_.lease;
+  LeaseRow row{self_, incarnation_, since_, until_, lost_until_};
+  std::string key = LeaseKey(self_);
+  return {"", {{key, version_}}, {{key, Encode(row)}}};
+}
+
+void Coverage::OnRenewed(const platform::CommitResult& result) {
+  if (result.state != platform::CommitState::kCommitted) return;
+  registered_ = true;
+  for (const platform::Row& row : result.versions) version_ = row.version;
+}
+
+bool Coverage::Lapsed(absl::Time now) const {
+  // Peers find this host's lease only once it is registered; before, nobody
+  // would know to ask it.
+  return registered_ && !superseded_ && now > LapseTime();
+}
+
+bool Coverage::FreshScan(absl::Time now) const {
+  // A host that registered after the scan is covered for a whole lease.
+  return now + options_.clock_skew < scan_sent_ + options_.lease;
+}
+
+bool Coverage::Covered(const LeaseRow& lease, absl::Time row_sent,
+                       absl::Time now) const {
+  bool current = now + options_.clock_skew < lease.until;
+  // Its late rows were in the table before ours was sent, so ours would have
+  // met a row of the same key as a conflict.
+  bool flushed = lease.since + options_.clock_skew < row_sent;
+  return current && flushed;
+}
+
+bool Coverage::Lost(const LeaseRow& lease, std::optional<absl::Time> key_time,
+                    absl::Time now) const {
+  if (now > lease.lost_until + options_.key_window) return false;
+  bool younger = key_time && *key_time > lease.lost_until + options_.clock_skew;
+  return !younger;
+}
+
+Suspects Coverage::FindSuspects(absl::Time row_sent,
+                                std::optional<absl::Time> key_time,
+                                absl::Time now) const {
+  Suspects suspects;
+  for (const auto& [host, lease] : others_) {
+    if (Lost(lease, key_time, now)) suspects.lost = true;
+    if (Covered(lease, row_sent, now)) continue;
+    suspects.to_ask.push_back(host);
+  }
+  return suspects;
+}
+
+bool Coverage::Remembers(absl::Time knows_since,
+                         std::optional<absl::Time> key_time,
+                         absl::Time now) const {
+  if (now > knows_since + options_.key_window) return true;
+  return key_time && *key_time > knows_since + options_.clock_skew;
+}
+
+bool Coverage::AnyLost(std::optional<absl::Time> key_time,
+                       absl::Time now) const {
+  return std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
+    return Lost(entry.second, key_time, now);
+  });
+}
+
+std::vector<EntryHostId> Coverage::Members() const {
+  std::vector<EntryHostId> members;
+  for (const auto& [host, lease] : others_) members.push_back(host);
+  return members;
+}
+
+Incarnation Coverage::IncarnationOf(const EntryHostId& host) const {
+  auto found = others_.find(host);
+  return found == others_.end() ? 0 : found->second.incarnation;
+}
+
+bool Coverage::CleanStart(absl::Time now) const {
+  return clean_start_ || now > started_ + options_.key_window;
+}
+
+}  // namespace gentianlb::claim
--- /dev/null
+++ b/src/claim/coverage.h
@@ -0,0 +1,117 @@
+// Coverage leases: which entry hosts may have run keys without a row in the
+// table. No network, thread or clock.
+//
+// A host that has lost the table may run first attempts without a row, but only
+// after its lease has lapsed; it renews the lease only when all it ran so has
+// its row. So whoever finds no row for a key, and sees another host's lease
+// current, knows that this host hasn't run the key and won't without a row.
+
+#ifndef GENTIANLB_CLAIM_COVERAGE_H_
+#define GENTIANLB_CLAIM_COVERAGE_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/ids.h"
+#include "claim/rows.h"
+#include "platform/messages.h"
+
+namespace gentianlb::claim {
+
+struct CoverageOptions {
+  // A host that loses the table refuses keyed work until its lease lapses, so
+  // this is short; three renewals may fail before it lapses for no reason.
+  absl::Duration lease = absl::Seconds(15);
+  absl::Duration renew_every = absl::Seconds(4);
+  // Bound of the difference of any two hosts' or callers' clocks. Kept by any
+  // time service; a larger one could let two hosts run one key.
+  absl::Duration clock_skew = absl::Seconds(1);
+  // A caller re-sends a key within this time after its last sending.
+  absl::Duration key_window = absl::Minutes(10);
+  bool operator==(const CoverageOptions&) const = default;
+};
+
+// Who may have run a key without a row.
+struct Suspects {
+  std::vector<EntryHostId> to_ask;
+  bool lost = false;  // Someone may have, who is gone with its memory.
+  bool operator==(const Suspects&) const = default;
+};
+
+class Coverage {
+ public:
+  Coverage(CoverageOptions options, EntryHostId self, Incarnation incarnation,
+           absl::Time started);
+
+  // Takes a scan of all leases that was sent at `sent`.
+  void OnScan(const std::vector<platform::Row>& rows, absl::Time sent,
+              absl::Time now);
+
+  // The commit that takes or renews this host's lease. Only right after a scan,
+  // and only when all keys run without a row have theirs.
+  platform::Transaction Renew(absl::Time now);
+  void OnRenewed(const platform::CommitResult& result);
+
+  bool registered() const { return registered_; }
+  // Another incarnation has taken this host's name: run no key any more.
+  bool superseded() const { return superseded_; }
+  bool Lapsed(absl::Time now) const;
+  // When Lapsed() becomes true unless renewed.
+  absl::Time LapseTime() const { return until_ + options_.clock_skew; }
+  absl::Time until() const { return until_; }
+
+  // Whether the last scan is fresh enough for FindSuspects().
+  bool FreshScan(absl::Time now) const;
+
+  // Who may have run, without a row, a key whose own row was sent at
+  // `row_sent`. `key_time` is when the key was made, if known.
+  Suspects FindSuspects(absl::Time row_sent, std::optional<absl::Time> key_time,
+                        absl::Time now) const;
+
+  // Whether a peer's memory that begins at `knows_since` covers the key.
+  bool Remembers(absl::Time knows_since, std::optional<absl::Time> key_time,
+                 absl::Time now) const;
+
+  // Whether some host is gone that may have run the key without a row.
+  bool AnyLost(std::optional<absl::Time> key_time, absl::Time now) const;
+
+  // The hosts with a lease row, without this one.
+  std::vector<EntryHostId> Members() const;
+  // The incarnation that holds `host`'s lease row; 0 when there is none.
+  Incarnation IncarnationOf(const EntryHostId& host) const;
+
+  // At this host's start everyone was covered: nothing that it has forgotten
+  // can matter.
+  bool CleanStart(absl::Time now) const;
+
+  std::string Describe() const;
+
+ private:
+  bool Covered(const LeaseRow& lease, absl::Time row_sent,
+               absl::Time now) const;
+  bool Lost(const LeaseRow& lease, std::optional<absl::Time> key_time,
+            absl::Time now) const;
+  void OnOwnRow(const LeaseRow& row, platform::RowVersion version);
+
+  CoverageOptions options_;
+  EntryHostId self_;
+  Incarnation incarnation_;
+  absl::Time started_;
+  std::map<EntryHostId, LeaseRow> others_;
+  absl::Time scan_sent_ = absl::InfinitePast();
+  bool scanned_once_ = false;
+  bool clean_start_ = false;
+  bool registered_ = false;
+  bool superseded_ = false;
+  platform::RowVersion version_ = 0;
+  absl::Time since_ = absl::InfinitePast();
+  absl::Time until_ = absl::InfinitePast();  // The latest ever sent.
+  absl::Time lost_until_ = absl::UnixEpoch();
+};
+
+}  // namespace gentianlb::claim
+
+#endif  // GENTIANLB_CLAIM_COVERAGE_H_
--- /dev/null
+++ b/src/claim/describe.cc
@@ -0,0 +1,72 @@
+// The state of the claim machine as text.
+
+#include <sstream>
+
+#include "claim/claim_machine.h"
+
+namespace gentianlb::claim {
+namespace {
+
+std::int64_t Millis(absl::Time time) { return absl::ToUnixMillis(time); }
+
+}  // namespace
+
+std::string KeyMemory::Describe() const {
+  std::ostringstream out;
+  for (const auto& [key, promise] : promises_) {
+    out << "promise " << key << ' ' << promise.asker << ' '
+        << Millis(promise.made) << '\n';
+  }
+  for (const auto& [key, ended] : ended_) {
+    out << "ended " << key << ' ' << ended.server << ' ' << Millis(ended.ended)
+        << '\n';
+  }
+  for (const auto& [token, time] : abandoned_) {
+    out << "abandoned " << token << ' ' << Millis(time) << '\n';
+  }
+  return out.str();
+}
+
+std::string Coverage::Describe() const {
+  std::ostringstream out;
+  out << "lease registered=" << registered_ << " superseded=" << superseded_
+      << " version=" << version_ << " since=" << Millis(since_)
+      << " until=" << Millis(until_) << " scan=" << Millis(scan_sent_)
+      << " clean=" << clean_start_ << '\n';
+  for (const auto& [host, lease] : others_) out << Encode(lease) << '\n';
+  return out.str();
+}
+
+std::string ClaimMachine::Describe() const {
+  std::ostringstream out;
+  out << "host " << options_.self << ' ' << options_.incarnation
+      << " table=" << table_up_ << " scanning=" << scanning_
+      << " renewing=" << renewing_ << " awake=" << Millis(awake_since_)
+      << " calls=" << next_call_ << " tokens=" << next_token_ << '\n';
+  for (const auto& [id, claim] : claims_) {
+    out << "claim " << id << ' ' << claim.request.key << ' ' << claim.token
+        << " phase=" << static_cast<int>(claim.phase) << " base=" << claim.base
+        << " version=" << claim.version << " maybe=" << claim.maybe_row
+        << " without=" << claim.without_table << " doubt=" << claim.doubt
+        << " failed=" << claim.attach_failed
+        << " opened=" << Millis(claim.opened)
+        << " row_sent=" << Millis(claim.row_sent) << " server=" << claim.server;
+    if (claim.other) out << " other=" << claim.other->version;
+    if (claim.promised) out << " promised=" << Millis(*claim.promised);
+    for (const auto& [call, peer] : claim.asked) out << ' ' << call << peer;
+    out << '\n';
+  }
+  for (const auto& [token, closing] : closings_) {
+    out << "closing " << token << " busy=" << closing.busy << '\n';
+  }
+  for (const auto& [token, late] : late_) {
+    out << "late " << token << " busy=" << late.busy << ' ' << Encode(late.row)
+        << '\n';
+  }
+  for (const auto& [id, call] : calls_) {
+    out << "call " << id << ' ' << static_cast<int>(call.purpose) << '\n';
+  }
+  return out.str() + memory_.Describe() + coverage_.Describe();
+}
+
+}  // namespace gentianlb::claim
--- /dev/null
+++ b/src/claim/key_memory.cc
@@ -0,0 +1,46 @@
+#include "claim/key_memory.h"
+
+#include <utility>
+
+namespace gentianlb::claim {
+
+bool KeyMemory::AddPromise(const ClaimKey& key, const EntryHostId& asker,
+                           absl::Time now) {
+  bool known = promises_.contains(key);
+  if (!known && promises_.size() >= kMaxEntries) return false;
+  promises_[key] = {asker, now};
+  return true;
+}
+
+std::optional<Promise> KeyMemory::FindPromise(const ClaimKey& key) const {
+  auto found = promises_.find(key);
+  if (found == promises_.end()) return std::nullopt;
+  return found->second;
+}
+
+void KeyMemory::AddEnded(const ClaimKey& key, EndedKey ended) {
+  ended_[key] = std::move(ended);
+}
+
+std::optional<EndedKey> KeyMemory::FindEnded(const ClaimKey& key) const {
+  auto found = ended_.find(key);
+  if (found == ended_.end()) return std::nullopt;
+  return found->second;
+}
+
+void KeyMemory::AddAbandoned(const std::string& token, absl::Time now) {
+  // Forgetting one only leaves its key in doubt, which is safe.
+  if (abandoned_.size() < kMaxEntries) abandoned_[token] = now;
+}
+
+bool KeyMemory::IsAbandoned(const std::string& token) const {
+  return abandoned_.contains(token);
+}
+
+void KeyMemory::ForgetBefore(absl::Time time) {
+  std::erase_if(promises_, [&](const auto& e) { return e.second.made < time; });
+  std::erase_if(ended_, [&](const auto& e) { return e.second.ended < time; });
+  std::erase_if(abandoned_, [&](const auto& e) { return e.second < time; });
+}
+
+}  // namespace gentianlb::claim
--- /dev/null
+++ b/src/claim/key_memory.h
@@ -0,0 +1,64 @@
+// What one entry host remembers of keys that it doesn't hold (any more), to
+// answer its peers truly. Everything is kept for the key window at least.
+
+#ifndef GENTIANLB_CLAIM_KEY_MEMORY_H_
+#define GENTIANLB_CLAIM_KEY_MEMORY_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "absl/time/time.h"
+#include "base/ids.h"
+#include "claim/messages.h"
+
+namespace gentianlb::claim {
+
+// This host told `asker` that it hasn't got the key, and won't run it without a
+// row in the table.
+struct Promise {
+  EntryHostId asker;
+  absl::Time made;
+  bool operator==(const Promise&) const = default;
+};
+
+// A key that ran here.
+struct EndedKey {
+  ServerId server;
+  std::string body_digest;
+  absl::Time ended;
+  bool operator==(const EndedKey&) const = default;
+};
+
+class KeyMemory {
+ public:
+  // At 30 keyed requests a second and ten minutes, 18,000 entries of each kind
+  // are used; the bound keeps a flood within some tens of megabytes.
+  static constexpr std::size_t kMaxEntries = 100'000;
+
+  // False when there is no room: then nothing is promised.
+  bool AddPromise(const ClaimKey& key, const EntryHostId& asker,
+                  absl::Time now);
+  std::optional<Promise> FindPromise(const ClaimKey& key) const;
+
+  void AddEnded(const ClaimKey& key, EndedKey ended);
+  std::optional<EndedKey> FindEnded(const ClaimKey& key) const;
+
+  // A claim's token under which nothing will ever be dispatched.
+  void AddAbandoned(const std::string& token, absl::Time now);
+  bool IsAbandoned(const std::string& token) const;
+
+  void ForgetBefore(absl::Time time);
+
+  std::string Describe() const;
+
+ private:
+  std::map<ClaimKey, Promise> promises_;
+  std::map<ClaimKey, EndedKey> ended_;
+  std::map<std::string, absl::Time> abandoned_;
+};
+
+}  // namespace gentianlb::claim
+
+#endif  // GENTIANLB_CLAIM_KEY_MEMORY_H_
--- /dev/null
+++ b/src/claim/rows.cc
@@ -0,0 +1,118 @@
+#include "claim/rows.h"
+
+#include <json/json.h>
+
+#include <memory>
+
+namespace gentianlb::claim {
+namespace {
+
+constexpr std::string_view kClaimPrefix = "claim/";
+
+std::string ToText(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+std::optional<Json::Value> ParseObject(std::string_view text) {
+  Json::CharReaderBuilder builder;
+  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  bool parsed =
+      reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
+  if (!parsed || !value.isObject()) return std::nullopt;
+  return value;
+}
+
+bool AllStrings(const Json::Value& json,
+                std::initializer_list<const char*> names) {
+  for (const char* name : names) {
+    if (!json[name].isString()) return false;
+  }
+  return true;
+}
+
+bool AllIntegers(const Json::Value& json,
+                 std::initializer_list<const char*> names) {
+  for (const char* name : names) {
+    if (!json[name].isInt64()) return false;
+  }
+  return true;
+}
+
+Json::Value Micros(absl::Time time) {
+  return Json::Int64{absl::ToUnixMicros(time)};
+}
+
+absl::Time ToTime(const Json::Value& json) {
+  return absl::FromUnixMicros(json.asInt64());
+}
+
+}  // namespace
+
+std::string RowKey(const ClaimKey& key) {
+  return std::string(kClaimPrefix) + key.str();
+}
+
+std::string LeaseKey(const EntryHostId& host) {
+  return std::string(kLeasePrefix) + host.str();
+}
+
+std::string Encode(const ClaimRow& row) {
+  Json::Value json;
+  json["owner"] = row.owner.str();
+  json["incarnation"] = Json::Int64{row.incarnation};
+  json["state"] = static_cast<int>(row.state);
+  json["body"] = row.body_digest;
+  json["token"] = row.token;
+  json["server"] = row.server.str();
+  json["fenced"] = row.fenced;
+  json["written"] = Micros(row.written);
+  return ToText(json);
+}
+
+std::string Encode(const LeaseRow& row) {
+  Json::Value json;
+  json["host"] = row.host.str();
+  json["incarnation"] = Json::Int64{row.incarnation};
+  json["since"] = Micros(row.since);
+  json["until"] = Micros(row.until);
+  json["lost_until"] = Micros(row.lost_until);
+  return ToText(json);
+}
+
+std::optional<ClaimRow> DecodeClaim(std::string_view value) {
+  std::optional<Json::Value> json = ParseObject(value);
+  if (!json) return std::nullopt;
+  bool whole = AllStrings(*json, {"owner", "body", "token", "server"}) &&
+               AllIntegers(*json, {"incarnation", "state", "written"}) &&
+               (*json)["fenced"].isBool();
+  if (!whole) return std::nullopt;
+  int state = (*json)["state"].asInt();
+  if (state < 0 || state > static_cast<int>(RowState::kDone)) {
+    return std::nullopt;
+  }
+  return ClaimRow{EntryHostId((*json)["owner"].asString()),
+                  (*json)["incarnation"].asInt64(),
+                  static_cast<RowState>(state),
+                  (*json)["body"].asString(),
+                  (*json)["token"].asString(),
+                  ServerId((*json)["server"].asString()),
+                  (*json)["fenced"].asBool(),
+                  ToTime((*json)["written"])};
+}
+
+std::optional<LeaseRow> DecodeLease(std::string_view value) {
+  std::optional<Json::Value> json = ParseObject(value);
+  if (!json) return std::nullopt;
+  bool whole =
+      AllStrings(*json, {"host"}) &&
+      AllIntegers(*json, {"incarnation", "since", "until", "lost_until"});
+  if (!whole) return std::nullopt;
+  return LeaseRow{EntryHostId((*json)["host"].asString()),
+                  (*json)["incarnation"].asInt64(), ToTime((*json)["since"]),
+                  ToTime((*json)["until"]), ToTime((*json)["lost_until"])};
+}
+
+}  // namespace gentianlb::claim
