--- a/src/gentianctl/check.cc
+++ b/src/gentianctl/check.cc
@@ -44,14 +44,14 @@
 }
 
 Exit Check(const CheckOptions& options) {
-  static const std::map<std::string, FileKind> kKinds = {
+  static const std::map<std::string, FileKind> kinds = {
       {"detect", FileKind::kDetect},
       {"settings", FileKind::kSettings},
       {"intent", FileKind::kIntent}};
   std::vector<FileReport> reports;
   bool good = true;
   for (const std::string& file : options.files) {
-    reports.push_back(config::CheckFile(file, kKinds.at(options.kind)));
+    reports.push_back(config::CheckFile(file, kinds.at(options.kind)));
     good = good && reports.back().problems.empty();
   }
   if (options.format == "json") {
--- a/src/settings/document.cc
+++ b/src/settings/document.cc
@@ -31,7 +31,7 @@
 
 // The library's limits are process-wide variables; they are set once.
 void ConfigureLibrary() {
-  static const bool kDone = [] {
+  static const bool done = [] {
     ini_use_stack = false;
     ini_allow_realloc = false;
     ini_max_line = kMaxLine;
@@ -40,7 +40,7 @@
     ini_allow_multiline = false;
     return true;
   }();
-  static_cast<void>(kDone);
+  static_cast<void>(done);
 }
 
 std::string_view Strip(std::string_view text) {
--- a/src/settings/host_settings.cc
+++ b/src/settings/host_settings.cc
@@ -228,8 +228,8 @@
     }
     if (!settings_.metrics || settings_.metrics->port == 0) return;
     int port = settings_.metrics->port;
-    if (port != settings_.callers.port && port != settings_.control.port)
-      return;
+    bool clear = port != settings_.callers.port;
+    if (clear && port != settings_.control.port) return;
     Note(Line("metrics"), Code::kContradiction,
          "[metrics] has the port of another section");
   }
--- a/src/settings/units.cc
+++ b/src/settings/units.cc
@@ -124,8 +124,8 @@
   std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return wrong;
   std::string_view ip = text.substr(0, colon);
-  if (ip.starts_with('[') && ip.ends_with(']'))
-    ip = ip.substr(1, ip.size() - 2);
+  bool brackets = ip.starts_with('[') && ip.ends_with(']');
+  if (brackets) ip = ip.substr(1, ip.size() - 2);
   auto port = ParseInteger(text.substr(colon + 1));
   if (!IsIp(ip) || !port.ok()) return wrong;
   if (port.value() < 0 || port.value() > 65535) {
