Entry host: the whole path from caller to backend server

A request waits at its domain's dispatcher and for its claim at the same time; the later of the two lets it go; it is sent once and only its stream is taken up again. Refusals of a keyed request wait for the claim's verdict, since only that tells whether 'not run' is true. Ruled out: refusing a re-send by the queue's state alone, which would have said 'not run' of a request that runs elsewhere. Decisions are unchanged.

--- a/src/entry/answer_log.h
+++ b/src/entry/answer_log.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
@@ -83,6 +84,22 @@
   std::optional<GivenUp> given_up_ ABSL_GUARDED_BY(mutex_);
 };
 
+// A reader that passes an answer on into another log: how a re-send of a key
+// reads the answer to the sending that runs.
+class LogReader : public AnswerReader {
+ public:
+  explicit LogReader(std::shared_ptr<AnswerLog> log) : log_(std::move(log)) {}
+  void OnChunk(const StreamChunk& chunk) override { log_->Publish(chunk); }
+  void OnWhole(const WholeAnswer& answer) override {
+    log_->PublishWhole(answer);
+  }
+  void OnEnd(const AnswerEnd& end) override { log_->Finish(end); }
+  void OnGivenUp(const GivenUp& why) override { log_->GiveUp(why); }
+
+ private:
+  const std::shared_ptr<AnswerLog> log_;
+};
+
 // What every answer to a caller says of its origin.
 struct AnswerOrigin {
   RequestId request;
--- a/src/entry/answer_relay.h
+++ b/src/entry/answer_relay.h
@@ -50,6 +50,9 @@
   // The sink of the next transfer.
   http::TransferSink MakeSink();
 
+  // Where a resumed transfer goes on; not while one is under way.
+  int next_offset() const { return next_offset_; }
+
  private:
   void OnHead(int status, std::vector<http::Header> headers);
   void OnData(std::string_view bytes);
--- /dev/null
+++ b/src/entry/claims.cc
@@ -0,0 +1,91 @@
+#include "entry/claims.h"
+
+#include <utility>
+
+namespace gentianlb::entry {
+namespace {
+
+constexpr char kAskMethod[] = "claim.ask";
+
+// A living peer answers in milliseconds; a claim waits for the slowest.
+constexpr absl::Duration kAskTimeout = absl::Milliseconds(500);
+
+Json::Value ToJson(const claim::PeerQuestion& question) {
+  Json::Value json;
+  json["key"] = question.key.str();
+  json["asker"] = question.asker.str();
+  json["token"] = question.token;
+  json["durable"] = question.durable;
+  return json;
+}
+
+Result<claim::PeerQuestion> QuestionFromJson(const Json::Value& json) {
+  if (!json["key"].isString() || !json["asker"].isString() ||
+      !json["token"].isString() || !json["durable"].isBool()) {
+    return Fail(Code::kMalformedRpc, "question");
+  }
+  return claim::PeerQuestion{claim::ClaimKey(json["key"].asString()),
+                             EntryHostId(json["asker"].asString()),
+                             json["token"].asString(),
+                             json["durable"].asBool()};
+}
+
+Json::Value ToJson(const claim::PeerAnswer& answer) {
+  Json::Value json;
+  json["state"] = static_cast<int>(answer.state);
+  json["incarnation"] = Json::Int64{answer.incarnation};
+  json["knows_since"] = Json::Int64{absl::ToUnixMicros(answer.knows_since)};
+  json["server"] = answer.server.str();
+  return json;
+}
+
+std::optional<claim::PeerAnswer> AnswerFromJson(const Json::Value& json) {
+  if (!json.isObject() || !json["state"].isInt() ||
+      !json["incarnation"].isInt64() || !json["knows_since"].isInt64() ||
+      !json["server"].isString()) {
+    return std::nullopt;
+  }
+  int state = json["state"].asInt();
+  if (state < 0 || state > static_cast<int>(claim::PeerState::kNoPromise)) {
+    return std::nullopt;
+  }
+  claim::PeerAnswer answer;
+  answer.state = static_cast<claim::PeerState>(state);
+  answer.incarnation = json["incarnation"].asInt64();
+  answer.knows_since = absl::FromUnixMicros(json["knows_since"].asInt64());
+  answer.server = ServerId(json["server"].asString());
+  return answer;
+}
+
+}  // namespace
+
+void PeerAsker::Ask(
+    const EntryHostId& peer, const claim::PeerQuestion& question,
+    std::function<void(std::optional<claim::PeerAnswer>)> done) {
+  peers_->Call(peer, kAskMethod, ToJson(question), kAskTimeout,
+               [done = std::move(done)](std::optional<Json::Value> json) {
+                 if (!json.has_value()) {
+                   done(std::nullopt);
+                   return;
+                 }
+                 done(AnswerFromJson(*json));
+               });
+}
+
+void RegisterClaims(rpc::AsyncMethodTable* methods, Claims* claims) {
+  methods->AddMethod(
+      kAskMethod, [claims](const Json::Value& params,
+                           const rpc::AsyncMethodTable::Done& done) {
+        auto question = Capture([&] { return QuestionFromJson(params); });
+        if (!question.ok()) {
+          done(rpc::RpcError{static_cast<int>(Code::kMalformedRpc),
+                             question.error().detail},
+               Json::Value());
+          return;
+        }
+        done(rpc::RpcError{0, ""},
+             ToJson(claims->HandleQuestion(question.value())));
+      });
+}
+
+}  // namespace gentianlb::entry
--- a/src/entry/control_loop.cc
+++ b/src/entry/control_loop.cc
@@ -7,20 +7,13 @@
 
 namespace gentianlb::entry {
 
-namespace {
-
-// The wall clock at the start, moved on by the monotonic clock: a wall clock
-// that is set back or forward must neither stop the timers nor let a lease
-// seem to last longer.
-absl::Time MonotonicNow() {
+absl::Time ControlLoop::MonotonicNow() {
   using Steady = std::chrono::steady_clock;
   static const absl::Time wall_start = absl::Now();
   static const Steady::time_point steady_start = Steady::now();
   return wall_start + absl::FromChrono(Steady::now() - steady_start);
 }
 
-}  // namespace
-
 void ControlLoop::Start() {
   now_ = MonotonicNow();
   thread_ = std::thread([this] { Run(); });
--- a/src/entry/control_loop.h
+++ b/src/entry/control_loop.h
@@ -30,6 +30,11 @@
   // Thread-safe.
   void Post(Closure closure);
 
+  // The wall clock at the start of the process, moved on by the monotonic
+  // clock: a wall clock that is set must neither stop the timers nor make a
+  // lease seem to last longer. Thread-safe.
+  static absl::Time MonotonicNow();
+
   // For the control thread only.
   TimerService& timers() { return timers_; }
 
--- a/src/entry/dispatch_board.cc
+++ b/src/entry/dispatch_board.cc
@@ -93,24 +93,22 @@
 void DispatchBoard::Tell(const Domain& domain, DispatchEvent event,
                          absl::Time now) {
   EntryHostId holder = HolderOf(domain);
-  if (holder.empty()) return;
-  if (holder == self_) {
-    Take(domain, Widen(event), now);
-  } else {
-    hooks_.send(holder, std::move(event));
-  }
+  if (!holder.empty()) TellHost(holder, std::move(event), now);
 }
 
-void DispatchBoard::OnEvent(const EntryHostId& sender, DispatchEvent event,
-                            absl::Time now) {
-  if (locals_.contains(event.domain)) {
+void DispatchBoard::TellHost(const EntryHostId& host, DispatchEvent event,
+                             absl::Time now) {
+  if (host != self_) {
+    hooks_.send(host, std::move(event));
+  } else if (locals_.contains(event.domain)) {
     Take(event.domain, Widen(event), now);
-    return;
   }
-  // The sender takes this host for the dispatcher before this host does, or
-  // still does. It will announce its requests again when it learns better; only
-  // a new request must not be left without an answer until then.
-  (void)sender;
+}
+
+void DispatchBoard::OnEvent(const DispatchEvent& event, absl::Time now) {
+  // A sender that still takes this host for the dispatcher learns better from
+  // membership, and announces its requests again then.
+  if (locals_.contains(event.domain)) Take(event.domain, Widen(event), now);
 }
 
 void DispatchBoard::OnServer(const Domain& domain, const schedule::Event& event,
--- a/src/entry/dispatch_board.h
+++ b/src/entry/dispatch_board.h
@@ -54,8 +54,11 @@
   // dispatcher: the request is announced once it has.
   void Tell(const Domain& domain, DispatchEvent event, absl::Time now);
 
+  // The same, to the host that is known to have decided on the request.
+  void TellHost(const EntryHostId& host, DispatchEvent event, absl::Time now);
+
   // An event of another host's request, for a dispatcher that should be here.
-  void OnEvent(const EntryHostId& sender, DispatchEvent event, absl::Time now);
+  void OnEvent(const DispatchEvent& event, absl::Time now);
 
   // What the watch of a server brings; for domains held here.
   void OnServer(const Domain& domain, const schedule::Event& event,
--- /dev/null
+++ b/src/entry/metrics.cc
@@ -0,0 +1,94 @@
+#include "entry/metrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace gentianlb::entry {
+namespace {
+
+// Seconds; 1.1 s is the bound that 95 in 100 first tokens must keep.
+const prometheus::Histogram::BucketBoundaries& FirstTokenBuckets() {
+  static const auto& bounds = *new prometheus::Histogram::BucketBoundaries{
+      0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.1, 2.5, 5, 10, 30, 120};
+  return bounds;
+}
+
+prometheus::Labels TierLabel(Tier tier) {
+  return {{"tier", std::to_string(tier.rank)}};
+}
+
+std::string CodeLabel(Code code) {
+  return std::to_string(static_cast<int>(code));
+}
+
+}  // namespace
+
+Metrics::Metrics()
+    : registry_(std::make_shared<prometheus::Registry>()),
+      accepted_(AddCounter("gentianlb_requests_accepted_total",
+                           "Requests that were scheduled")),
+      answered_(AddCounter("gentianlb_requests_answered_total",
+                           "Whole answers, by whether the deadline was kept")),
+      refused_(AddCounter("gentianlb_requests_refused_total",
+                          "Final refusals, by result code")),
+      malformed_(AddCounter("gentianlb_messages_malformed_total",
+                            "Messages refused before scheduling")),
+      resumed_(AddCounter("gentianlb_streams_resumed_total",
+                          "Broken streams that were taken up again")),
+      cancelled_(AddCounter("gentianlb_requests_cancelled_total",
+                            "Running requests that were stopped")),
+      first_token_(prometheus::BuildHistogram()
+                       .Name("gentianlb_first_token_seconds")
+                       .Help("From the arrival to the first token")
+                       .Register(*registry_)) {}
+
+prometheus::Family<prometheus::Counter>& Metrics::AddCounter(
+    const std::string& name, const std::string& help) {
+  return prometheus::BuildCounter().Name(name).Help(help).Register(*registry_);
+}
+
+void Metrics::CountAccepted(Tier tier) {
+  accepted_.Add(TierLabel(tier)).Increment();
+}
+
+void Metrics::CountAnswered(Tier tier, bool in_time) {
+  prometheus::Labels labels = TierLabel(tier);
+  labels["in_time"] = in_time ? "yes" : "no";
+  answered_.Add(labels).Increment();
+}
+
+void Metrics::CountRefused(Tier tier, Code code) {
+  prometheus::Labels labels = TierLabel(tier);
+  labels["code"] = CodeLabel(code);
+  refused_.Add(labels).Increment();
+}
+
+void Metrics::CountMalformed(Code code) {
+  malformed_.Add({{"code", CodeLabel(code)}}).Increment();
+}
+
+void Metrics::CountResumed() { resumed_.Add({}).Increment(); }
+
+void Metrics::CountCancelled(Code code) {
+  cancelled_.Add({{"code", CodeLabel(code)}}).Increment();
+}
+
+void Metrics::ObserveFirstToken(Tier tier, absl::Duration since_arrival) {
+  first_token_.Add(TierLabel(tier), FirstTokenBuckets())
+      .Observe(absl::ToDoubleSeconds(since_arrival));
+}
+
+void Metrics::Set(const std::string& name, const std::string& help,
+                  const prometheus::Labels& labels, double value) {
+  prometheus::BuildGauge()
+      .Name(name)
+      .Help(help)
+      .Register(*registry_)
+      .Add(labels)
+      .Set(value);
+}
+
+std::string Metrics::Text() const {
+  return prometheus::TextSerializer().Serialize(registry_->Collect());
+}
+
+}  // namespace gentianlb::entry
--- /dev/null
+++ b/src/entry/metrics.h
@@ -0,0 +1,60 @@
+// The counters and gauges that /metrics shows, by prometheus-cpp. Thread-safe.
+
+#ifndef GENTIANLB_ENTRY_METRICS_H_
+#define GENTIANLB_ENTRY_METRICS_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
+
+#include "absl/time/time.h"
+#include "base/ids.h"
+#include "base/result.h"
+
+namespace gentianlb::entry {
+
+class Metrics {
+ public:
+  Metrics();
+
+  void CountAccepted(Tier tier);
+
+  // A whole answer; `in_time` when it came before the deadline.
+  void CountAnswered(Tier tier, bool in_time);
+  void CountRefused(Tier tier, Code code);
+
+  // Refused before anything of it was scheduled.
+  void CountMalformed(Code code);
+  void CountResumed();
+  void CountCancelled(Code code);
+  void ObserveFirstToken(Tier tier, absl::Duration since_arrival);
+
+  // Gauges and totals that others keep; set when /metrics is read.
+  void Set(const std::string& name, const std::string& help,
+           const prometheus::Labels& labels, double value);
+
+  // The text form of all.
+  std::string Text() const;
+
+ private:
+  prometheus::Family<prometheus::Counter>& AddCounter(const std::string& name,
+                                                      const std::string& help);
+
+  const std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Family<prometheus::Counter>& accepted_;
+  prometheus::Family<prometheus::Counter>& answered_;
+  prometheus::Family<prometheus::Counter>& refused_;
+  prometheus::Family<prometheus::Counter>& malformed_;
+  prometheus::Family<prometheus::Counter>& resumed_;
+  prometheus::Family<prometheus::Counter>& cancelled_;
+  prometheus::Family<prometheus::Histogram>& first_token_;
+};
+
+}  // namespace gentianlb::entry
+
+#endif  // GENTIANLB_ENTRY_METRICS_H_
--- a/src/entry/peers.cc
+++ b/src/entry/peers.cc
@@ -64,7 +64,9 @@
   std::vector<member::MemberChange> changes;
   membership_.Tick(loop_->now(), &out, &changes);
   Act(std::move(out), std::move(changes));
-  UpdateRoles();
+  // Vacant roles are judged by time; all else only when something has changed.
+  bool due = membership_.changes() != judged_changes_ || roles_.AnyVacant();
+  if (due) UpdateRoles();
 }
 
 void Peers::Act(std::vector<member::Envelope> out,
@@ -80,10 +82,14 @@
     }
     hooks_.on_member(change);
   }
-  if (!changes.empty()) UpdateRoles();
+  if (membership_.newest_config() > told_config_) {
+    told_config_ = membership_.newest_config();
+    hooks_.on_config_news(told_config_, membership_.newest_config_host());
+  }
 }
 
 void Peers::UpdateRoles() {
+  judged_changes_ = membership_.changes();
   std::vector<member::RoleBoard::Change> changes =
       roles_.Update(membership_.self(), membership_.Others(), loop_->now());
   membership_.SetRoles(roles_.Held());
--- a/src/entry/peers.h
+++ b/src/entry/peers.h
@@ -27,6 +27,9 @@
   std::function<void(const EntryHostId& sender, PeerItem item)> on_item;
   std::function<void(const member::MemberChange& change)> on_member;
   std::function<void(const member::RoleBoard::Change& change)> on_role;
+  // A peer has a newer configuration than any that was heard of.
+  std::function<void(std::int64_t version, const EntryHostId& peer)>
+      on_config_news;
 };
 
 struct PeerOptions {
@@ -51,6 +54,9 @@
   void SetRoles(std::vector<member::RoleSpec> roles);
   void SetConfigVersion(std::int64_t version);
 
+  // A host that the platform's list names.
+  void AddSeed(const member::Seed& seed) { membership_.AddSeed(seed); }
+
   // Tells all that this host is leaving, and hands its roles over.
   void Leave();
 
@@ -68,6 +74,8 @@
   const member::Membership& membership() const { return membership_; }
   const member::RoleBoard& roles() const { return roles_; }
 
+  const std::string& key() const { return options_.key; }
+
   // http:// or https://, IP and port of a member's control interface.
   std::string UrlOf(const EntryHostId& host) const;
 
@@ -101,6 +109,8 @@
   member::RoleBoard roles_;
   std::map<EntryHostId, Link> links_;
   PeerInbox inbox_;
+  std::uint64_t judged_changes_ = 0;
+  std::int64_t told_config_ = 0;
   TimerId tick_ = 0;
 };
 
--- a/src/member/membership.cc
+++ b/src/member/membership.cc
@@ -35,16 +35,18 @@
 }  // namespace
 
 Membership::Membership(Member self, const MembershipOptions& options,
-                       std::vector<Seed> seeds)
+                       const std::vector<Seed>& seeds)
     : self_(std::move(self)), options_(options), random_(options.seed) {
-  for (Seed& seed : seeds) {
-    if (seed.id == self_.id) continue;
-    Entry entry;
-    entry.member.id = seed.id;
-    entry.member.address = std::move(seed.address);
-    entry.member.state = MemberState::kDead;
-    members_.emplace(entry.member.id, std::move(entry));
-  }
+  for (const Seed& seed : seeds) AddSeed(seed);
+}
+
+void Membership::AddSeed(const Seed& seed) {
+  if (seed.id == self_.id || members_.contains(seed.id)) return;
+  Entry entry;
+  entry.member.id = seed.id;
+  entry.member.address = seed.address;
+  entry.member.state = MemberState::kDead;
+  members_.emplace(seed.id, std::move(entry));
 }
 
 void Membership::Tick(absl::Time now, std::vector<Envelope>* out,
@@ -225,6 +227,11 @@
   if (same_start) entry.member.revision = revision;
   entry.heard = true;
   entry.news_left = NewsRounds();
+  ++changes_;
+  if (news.config_version > newest_config_) {
+    newest_config_ = news.config_version;
+    newest_config_host_ = news.id;
+  }
   if (before != news.state || first) {
     entry.since = now;
     changes->push_back({entry.member, before, first});
@@ -246,6 +253,7 @@
                           std::vector<MemberChange>* changes) {
   MemberState before = entry.member.state;
   entry.member.state = state;
+  ++changes_;
   entry.since = now;
   entry.news_left = NewsRounds();
   changes->push_back({entry.member, before, false});
--- a/src/member/membership.h
+++ b/src/member/membership.h
@@ -48,7 +48,7 @@
 class Membership {
  public:
   Membership(Member self, const MembershipOptions& options,
-             std::vector<Seed> seeds);
+             const std::vector<Seed>& seeds);
 
   // Moves on to `now`; appends what is to be sent and what has changed.
   void Tick(absl::Time now, std::vector<Envelope>* out,
@@ -59,6 +59,9 @@
   void Receive(const Envelope& envelope, absl::Time now,
                std::vector<Envelope>* out, std::vector<MemberChange>* changes);
 
+  // The platform's list names a host that the settings don't.
+  void AddSeed(const Seed& seed);
+
   // A message to `host` failed; it is probed next instead of in its turn.
   void ProbeSoon(const EntryHostId& host);
 
@@ -75,6 +78,13 @@
   // All that are known but this host, by id.
   std::vector<Member> Others() const;
 
+  // Raised whenever anything that is known of a member has changed.
+  std::uint64_t changes() const { return changes_; }
+
+  // The highest configuration version that a member has told of, and who.
+  std::int64_t newest_config() const { return newest_config_; }
+  const EntryHostId& newest_config_host() const { return newest_config_host_; }
+
   // When Tick() is due.
   absl::Time NextTick() const;
 
@@ -126,6 +136,9 @@
   std::map<std::uint64_t, Errand> errands_;
   std::uint64_t next_number_ = 1;
   std::uint64_t probes_ = 0;
+  std::uint64_t changes_ = 0;
+  std::int64_t newest_config_ = 0;
+  EntryHostId newest_config_host_;
   absl::Time next_probe_ = absl::InfinitePast();
   std::mt19937_64 random_;
 };
--- a/src/member/roles.cc
+++ b/src/member/roles.cc
@@ -118,6 +118,12 @@
   return found == states_.end() ? EntryHostId() : found->second.holder.host;
 }
 
+bool RoleBoard::AnyVacant() const {
+  return std::any_of(states_.begin(), states_.end(), [](const auto& state) {
+    return state.second.holder.host.empty();
+  });
+}
+
 std::vector<HeldRole> RoleBoard::Held() const {
   std::vector<HeldRole> held;
   for (const auto& [role, state] : states_) {
--- a/src/member/roles.h
+++ b/src/member/roles.h
@@ -59,6 +59,9 @@
   // Empty when nobody is known to hold it.
   EntryHostId HolderOf(const std::string& role) const;
 
+  // Whether a role has no known holder, so that time alone may change it.
+  bool AnyVacant() const;
+
   // What this host holds, to be announced.
   std::vector<HeldRole> Held() const;
 
