--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -194,7 +194,9 @@
 
 std::string Deployment::Intent() const {
   std::string text = kWorkspaces;
-  for (const std::string& zone : shape_.zones) text += Section("zone", zone);
+  for (const std::string& zone : shape_.zones) {
+    text += Section("zone", zone) + Line("power_floor", "2kW");
+  }
   for (std::size_t i = 0; i < engines_.size(); ++i) {
     const EngineShape& engine = shape_.engines[i];
     text += Section("server", engines_[i].name);
