--- a/src/gentianctl/main.cc
+++ b/src/gentianctl/main.cc
@@ -3,8 +3,10 @@
 
 #include <CLI/CLI.hpp>
 
+#include "gentianctl/change.h"
 #include "gentianctl/check.h"
 #include "gentianctl/command.h"
+#include "gentianctl/look.h"
 
 namespace {
 
@@ -13,6 +15,13 @@
 
 void AddCommands(CLI::App* app, Action* action) {
   gentianlb::ctl::AddCheck(app, action);
+  gentianlb::ctl::AddPlan(app, action);
+  gentianlb::ctl::AddConfirm(app, action);
+  gentianlb::ctl::AddAbandon(app, action);
+  gentianlb::ctl::AddHistory(app, action);
+  gentianlb::ctl::AddShow(app, action);
+  gentianlb::ctl::AddStatus(app, action);
+  gentianlb::ctl::AddTimeline(app, action);
   // `replay` and `bench` come from replay/command.h.
 }
 
