--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -308,9 +308,21 @@
 }
 
 Finished Deployment::Operate(std::vector<std::string> arguments) {
+  arguments.insert(arguments.end(), {"--host", hosts_.at(0).control});
+  return RunGentianctl(std::move(arguments));
+}
+
+Finished Deployment::Timeline(std::vector<std::string> arguments) {
+  arguments.insert(arguments.begin(), "timeline");
+  for (const Member& host : hosts_) {
+    arguments.insert(arguments.end(), {"--host", host.control});
+  }
+  return RunGentianctl(std::move(arguments));
+}
+
+Finished Deployment::RunGentianctl(std::vector<std::string> arguments) {
   arguments.insert(arguments.end(),
-                   {"--host", hosts_.at(0).control, "--key-file",
-                    folder_.Write("operator.key", kOperatorKey)});
+                   {"--key-file", folder_.Write("operator.key", kOperatorKey)});
   return RunToEnd(Program("src/gentianctl/gentianctl"), arguments,
                   folder_.Path("gentianctl"));
 }
@@ -324,7 +336,7 @@
   });
   auto plan = standins::ParseObject(planned.output);
   if (!plan.has_value()) throw std::runtime_error(planned.output);
-  Finished confirmed = Operate({"confirm", (*plan)["plan"].asString()});
+  Finished confirmed = Operate({"confirm", (*plan)["plan"]["id"].asString()});
   if (confirmed.status != 0) throw std::runtime_error(confirmed.errors);
 }
 
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -88,6 +88,8 @@
 
   // Runs gentianctl against entry host 0.
   Finished Operate(std::vector<std::string> arguments);
+  // The merged time line of all entry hosts.
+  Finished Timeline(std::vector<std::string> arguments = {});
   // Plans and confirms an intent file.
   void Confirm(const std::string& intent_file);
 
@@ -99,6 +101,7 @@
   void StartEngine(const EngineShape& shape);
   void StartPortal(const std::string& zone);
   void PlaceHosts();
+  Finished RunGentianctl(std::vector<std::string> arguments);
   std::string Settings(std::size_t i);
   std::string Intent() const;
   std::string ThroughRelay(const std::string& name, const std::string& target);
--- a/tests/process/programs/demo.cc
+++ b/tests/process/programs/demo.cc
@@ -7,7 +7,6 @@
 #include <exception>
 #include <string>
 
-#include "absl/strings/str_cat.h"
 #include "process/deployment.h"
 
 namespace {
@@ -16,6 +15,7 @@
 using gentianlb::process::Answer;
 using gentianlb::process::Caller;
 using gentianlb::process::Deployment;
+using gentianlb::process::Finished;
 using gentianlb::process::Key;
 using gentianlb::process::Shape;
 
@@ -95,7 +95,7 @@
 
 bool ShowTimeline(Deployment& site) {
   Heading("The merged time line of all entry hosts");
-  auto timeline = site.Operate({"timeline"});
+  Finished timeline = site.Timeline();
   std::printf("%s%s", timeline.output.c_str(), timeline.errors.c_str());
   return timeline.status == 0;
 }
