Answer a re-send at the holding host from the kept answer

Cause: a re-send that reached the host which had just run its key was refused as already run, although the answer is kept there for a minute. Change: the kept answer is read first; another body under the key is refused. Decisions are unchanged.

--- a/src/entry/calls.cc
+++ b/src/entry/calls.cc
@@ -81,6 +81,11 @@
                         " service=" + call->request.service.str() +
                         " tier=" + std::to_string(call->request.tier.rank) +
                         (keyed ? " key=" + call->engine_request : ""));
+  if (keyed) {
+    call->body_digest = claim::DigestBody(
+        call->request.method + " " + call->request.path, call->request.body);
+    if (AnswerFromKept(call)) return;
+  }
   call->domains = DomainsFor(call->request);
   if (call->domains.empty()) {
     GiveUp(call, {{Code::kNoServer, "no zone has one"}, kComeBackSoon});
--- a/src/entry/calls.h
+++ b/src/entry/calls.h
@@ -42,6 +42,7 @@
   RequestId id;
   CallerRequest request;
   std::string engine_request;  // X-Request-Id at the server.
+  std::string body_digest;     // Of a keyed request.
   std::shared_ptr<AnswerOrigin> origin;
   std::shared_ptr<AnswerLog> log;
   std::shared_ptr<AnswerRelay> relay;
@@ -109,6 +110,13 @@
   std::vector<RequestId> OpenIds() const;
 
  private:
+  // Answers of keys, for re-sends; from the acceptance on.
+  struct Kept {
+    std::shared_ptr<AnswerLog> log;
+    std::shared_ptr<AnswerOrigin> origin;
+    std::string body_digest;
+  };
+
   // calls.cc: acceptance, waiting, decisions.
   std::vector<Domain> DomainsFor(const CallerRequest& request) const;
   void ChooseDomain(Call& call);
@@ -126,6 +134,8 @@
   void Remove(const CallPtr& call);
 
   // calls_claim.cc: claims, and answers that another sending made.
+  bool AnswerFromKept(const CallPtr& call);
+  void ReadKept(const CallPtr& call, const Kept& kept);
   void OpenClaim(const CallPtr& call);
   void OnVerdict(const CallPtr& call, const claim::ClaimVerdict& verdict);
   void Attach(const CallPtr& call, const EntryHostId& owner);
@@ -164,11 +174,6 @@
   std::uint64_t next_id_ = 1;
   std::map<RequestId, CallPtr> calls_;
 
-  // Answers of keys, for re-sends; from the acceptance on.
-  struct Kept {
-    std::shared_ptr<AnswerLog> log;
-    std::shared_ptr<AnswerOrigin> origin;
-  };
   std::map<std::string, Kept> answers_;
 
   // Ended ones in the order of their end, to be forgotten.
--- a/src/entry/calls_claim.cc
+++ b/src/entry/calls_claim.cc
@@ -21,11 +21,35 @@
 
 }  // namespace
 
+// A re-send that reaches the host which holds the key, or has just run it:
+// nobody else needs to be asked.
+bool Calls::AnswerFromKept(const CallPtr& call) {
+  auto found = answers_.find(call->engine_request);
+  if (found == answers_.end()) return false;
+  if (found->second.body_digest != call->body_digest) {
+    call->judged = true;
+    GiveUp(call, {{Code::kKeyReused, "another body"}, absl::ZeroDuration()});
+    return true;
+  }
+  ReadKept(call, found->second);
+  return true;
+}
+
+void Calls::ReadKept(const CallPtr& call, const Kept& kept) {
+  recorder_->Record(
+      EventKind::kRequestResumed, call->id.str(),
+      "key=" + call->engine_request + " owner=" + options_.host.str());
+  call->origin->server = kept.origin->server;
+  call->phase = Call::Phase::kReading;
+  kept.log->Attach(std::make_shared<LogReader>(call->log));
+  if (call->claim != 0) claims_->Abandon(call->claim);
+  Remove(call);
+}
+
 void Calls::OpenClaim(const CallPtr& call) {
   claim::ClaimRequest request;
   request.key = claim::ClaimKey(call->engine_request);
-  request.body_digest = claim::DigestBody(
-      call->request.method + " " + call->request.path, call->request.body);
+  request.body_digest = call->body_digest;
   request.idempotent = call->request.idempotent;
   request.attempt = call->request.attempt;
   if (call->request.keys_carry_time) {
@@ -46,7 +70,8 @@
   call->judged = true;
   if (std::holds_alternative<claim::Proceed>(verdict)) {
     call->claimed = true;
-    answers_[call->engine_request] = {call->log, call->origin};
+    answers_[call->engine_request] = {call->log, call->origin,
+                                      call->body_digest};
     recorder_->Record(EventKind::kRequestClaimed, call->id.str(),
                       "key=" + call->engine_request);
     if (call->refusal.has_value()) {
@@ -84,9 +109,9 @@
 }
 
 void Calls::Attach(const CallPtr& call, const EntryHostId& owner) {
-  recorder_->Record(EventKind::kRequestResumed, call->id.str(),
-                    "key=" + call->engine_request + " owner=" + owner.str());
   if (owner != options_.host) {
+    recorder_->Record(EventKind::kRequestResumed, call->id.str(),
+                      "key=" + call->engine_request + " owner=" + owner.str());
     // The owner serves its log in the engine's form, from its start.
     http::ClientRequest request;
     request.url = peers_->UrlOf(owner) + "/answers/" + call->engine_request;
@@ -99,11 +124,7 @@
     AttachFailed(call);
     return;
   }
-  // From here on the reader is fed by the log of the sending that runs.
-  found->second.log->Attach(std::make_shared<LogReader>(call->log));
-  call->origin->server = found->second.origin->server;
-  claims_->Abandon(call->claim);
-  Remove(call);
+  ReadKept(call, found->second);
 }
 
 void Calls::AttachFailed(const CallPtr& call) {
