--- a/src/config/answers.cc
+++ b/src/config/answers.cc
@@ -62,9 +62,9 @@
   return there ? params["version"].asInt64() : 0;
 }
 
-Json::Value TextAnswer(std::string text) {
+Json::Value TextAnswer(const std::string& text) {
   Json::Value answer;
-  answer["text"] = std::move(text);
+  answer["text"] = text;
   return answer;
 }
 
@@ -91,7 +91,7 @@
     absl::StrAppend(&text, EntryToText(entry.value()), "\n");
     list.append(EntryToJson(entry.value()));
   }
-  Json::Value answer = TextAnswer(std::move(text));
+  Json::Value answer = TextAnswer(text);
   answer["history"] = std::move(list);
   return answer;
 }
@@ -111,7 +111,7 @@
   ShowParts("workspace", configuration.workspaces, &parts, &text);
   answer["version"] = static_cast<Json::Int64>(configuration.version);
   answer["parts"] = std::move(parts);
-  answer["text"] = std::move(text);
+  answer["text"] = text;
   return answer;
 }
 
--- a/src/config/answers.h
+++ b/src/config/answers.h
@@ -24,7 +24,7 @@
 std::size_t LimitOf(const Json::Value& params);
 Version VersionOf(const Json::Value& params);
 
-Json::Value TextAnswer(std::string text);
+Json::Value TextAnswer(const std::string& text);
 Json::Value PlanAnswer(const Plan& plan);
 Json::Value ConfirmAnswer(const HistoryEntry& entry);
 
--- a/src/config/diff.cc
+++ b/src/config/diff.cc
@@ -63,9 +63,10 @@
     std::string before;
     if (found != parts_.end()) before = WriteJson(ToJson(found->second));
     if (before != change.before) {
-      *error = {Code::kPlanConflict,
-                absl::StrCat(std::string(PartName(kind_)), " ", change.name,
-                             " is not as the plan found it")};
+      std::string kind(PartName(kind_));
+      *error = {
+          Code::kPlanConflict,
+          absl::StrCat(kind, " ", change.name, " is not as the plan found it")};
       return;
     }
     if (found != parts_.end()) parts_.erase(found);
--- a/src/config/follow.h
+++ b/src/config/follow.h
@@ -230,9 +230,7 @@
   void ReadShards(absl::Time now) {
     std::vector<std::string>& missing = fetch_->missing;
     if (missing.empty()) return Apply();
-    std::size_t some = std::min(missing.size(), options_.rows_per_read);
-    std::vector<std::string> keys(missing.end() - some, missing.end());
-    missing.resize(missing.size() - some);
+    auto keys = TakeLast(&missing, options_.rows_per_read);
     expected_ = keys.size();
     ReadRows(std::move(keys), &Follower::TakeShards, now);
   }
--- a/src/config/rows.cc
+++ b/src/config/rows.cc
@@ -175,6 +175,15 @@
       });
 }
 
+std::vector<std::string> TakeLast(std::vector<std::string>* keys,
+                                  std::size_t most) {
+  std::vector<std::string> taken;
+  for (; !keys->empty() && taken.size() < most; keys->pop_back()) {
+    taken.push_back(std::move(keys->back()));
+  }
+  return taken;
+}
+
 // The parts of one shard; the lists of other kinds are empty.
 struct Assembler::Shard {
   std::vector<SiteConfig> sites;
@@ -199,7 +208,8 @@
         AppendParts(json["workspaces"], &shard->parts.workspaces);
       });
   if (!read.ok()) return read.error();
-  return ShardPtr(std::make_shared<const Shard>(std::move(read.value())));
+  ShardPtr shard = std::make_shared<const Shard>(std::move(read.value()));
+  return shard;
 }
 
 Outcome<Configuration> Assembler::Assemble(Version version,
--- a/src/config/rows.h
+++ b/src/config/rows.h
@@ -83,6 +83,10 @@
 // The shards that an index lists, in order.
 Outcome<std::vector<std::string>> DecodeIndex(std::string_view text);
 
+// Takes up to `most` keys off the end of the list: the next ones to read.
+std::vector<std::string> TakeLast(std::vector<std::string>* keys,
+                                  std::size_t most);
+
 // Puts versions together; keeps what it read of the last one, so that a change
 // of one shard reads one. Refuses whole what lacks a row or has a corrupt one.
 class Assembler {
--- a/src/config/service.h
+++ b/src/config/service.h
@@ -160,9 +160,7 @@
 
   void ReadShards(Version version, std::vector<std::string> keys,
                   std::shared_ptr<Snapshot> snapshot, Done done) {
-    std::size_t some = std::min(keys.size(), kShardsPerRead);
-    std::vector<std::string> now(keys.end() - some, keys.end());
-    keys.resize(keys.size() - some);
+    std::vector<std::string> now = TakeLast(&keys, kShardsPerRead);
     table_.Read(now, [=, this](platform::ReadResult rows) {
       if (!rows.ok()) return done(rows.error());
       for (const platform::Row& row : rows.value()) {
