--- a/src/config/intent_test.cc
+++ b/src/config/intent_test.cc
@@ -1,10 +1,13 @@
 #include "config/intent.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <fstream>
 
 #include "config/check_file.h"
+#include "settings/field_reader.h"
+#include "settings/host_settings.h"
 
 namespace gentianlb::config {
 namespace {
@@ -95,6 +98,44 @@
   BOOST_TEST(files == 17);
 }
 
+// The keys that a page documents, as a file that sets each to nonsense.
+std::string DocumentedKeys(const std::string& page) {
+  std::ifstream file(std::string(GENTIANLB_SOURCE_DIR "/docs/") + page);
+  std::string text;
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with("| `[")) {
+      text += line.substr(3, line.find('`', 3) - 3) + "\n";
+    } else if (!line.starts_with("| | `")) {
+      continue;
+    }
+    std::string keys = line.substr(line.find('|', 1));
+    keys = keys.substr(1, keys.find('|', 1) - 1);
+    for (std::string key : settings::SplitList(keys)) {
+      if (key.starts_with('`'))
+        text += key.substr(1, key.size() - 2) + " = ?\n";
+    }
+  }
+  return text;
+}
+
+// An operator copies a key out of the page and is told that it is unknown.
+BOOST_AUTO_TEST_CASE(EveryDocumentedKeyIsKnown) {
+  settings::Problems problems;
+  std::string text = DocumentedKeys("INTENT.md");
+  BOOST_TEST(std::count(text.begin(), text.end(), '=') == 39);
+  ReadIntent(settings::ParseDocument("INTENT.md", text, &problems), &problems);
+  text = DocumentedKeys("SETTINGS.md");
+  BOOST_TEST(std::count(text.begin(), text.end(), '=') == 33);
+  settings::Document document =
+      settings::ParseDocument("SETTINGS.md", text, &problems);
+  settings::ReadHostSettings(document, ".", &problems);
+  for (const settings::Problem& problem : problems) {
+    bool unknown = problem.code == Code::kUnknownSection ||
+                   problem.code == Code::kUnknownSetting;
+    BOOST_TEST(!unknown, settings::Format(problem));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AFileThatCannotBeReadIsAProblemOfItsOwn) {
   FileReport report = CheckFile("/no/such/file", FileKind::kDetect);
   BOOST_TEST(settings::Format(report.problems) ==
--- a/src/config/rows.h
+++ b/src/config/rows.h
@@ -27,11 +27,11 @@
 inline constexpr char kHistoryPrefix[] = "config/history/";
 inline constexpr char kPlanPrefix[] = "config/plan/";
 
-// A shard ends after a part whose name hashes to one of these; on average after
-// so many parts. The cut depends on names alone, so a new part changes one
-// shard and not all that follow it. At 250 bytes a workspace a shard has about
-// 48 KB: smaller ones make the index, which every change rewrites, the larger
-// cost; docs/design/configuration.md has the figures.
+// A shard ends after a part whose name hashes to a multiple of this; on average
+// after so many parts. The cut depends on names alone, so a new part changes
+// one shard and not all that follow it. Smaller shards would make a change
+// cheaper and the index longer, with more rows to read for a host that starts;
+// docs/design/configuration.md has the figures.
 inline constexpr std::uint64_t kPartsPerShard = 192;
 
 // A longer shard is cut anyway, far below the table's 1 MiB.
