--- /dev/null
+++ b/src/schedule/answers.cc
@@ -0,0 +1,248 @@
+#include "schedule/answers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "schedule/intake.h"
+#include "schedule/work.h"
+
+namespace gentianlb::schedule {
+namespace {
+
+// A first token is slow beyond this many times its prediction and a quarter of
+// a second, which covers the jitter of a network and of a batch step.
+constexpr double kSlowFactor = 3;
+constexpr double kSlowSeconds = 0.25;
+
+void CutWindow(State& state, Server& server) {
+  if (server.window.Slow(state.now)) ++state.counters.window_cuts;
+}
+
+// Good or slow, by one answer and by what the server's answers are together.
+void Judge(State& state, Server& server, bool slow) {
+  if (slow || server.pace.straggling()) return CutWindow(state, server);
+  const bool full = server.running() >= server.window.streams();
+  const int before = server.window.streams();
+  server.window.Good(state.now, full);
+  state.room_changed |= server.window.streams() != before;
+}
+
+void FirstToken(State& state, RunIndex index) {
+  const Running& running = state.running.Get(index);
+  Server& server = state.fleet.at(running.server);
+  const double seconds = absl::ToDoubleSeconds(state.now - running.granted);
+  bool slow = false;
+  if (!running.taken_over) {
+    server.pace.AddFirstToken(seconds, running.expected_first);
+    slow = seconds > kSlowFactor * running.predicted_first + kSlowSeconds;
+  }
+  // Its prompt is computed: prompt room and watts are free for others.
+  server.FirstToken(running.demand, state.now);
+  state.power.FirstToken(running.server, running.cancelled.has_value());
+  state.running.SetFirstToken(index);
+  state.room_changed = true;
+  Judge(state, server, slow);
+}
+
+void MoreTokens(State& state, RunIndex index, int tokens) {
+  const Running& running = state.running.Get(index);
+  Server& server = state.fleet.at(running.server);
+  const int more = tokens - running.output_tokens;
+  if (more <= 0) return;  // Overtaken on the way.
+  const double seconds = absl::ToDoubleSeconds(state.now - running.reported);
+  server.pace.AddTokens(seconds / more, server.running());
+  Judge(state, server, /*slow=*/false);
+}
+
+// An answer that outgrows its estimate needs more memory than was reserved.
+void CorrectMemory(State& state, RunIndex index, int tokens) {
+  const Running& running = state.running.Get(index);
+  if (tokens < running.origin.output.high || running.demand.plain) return;
+  const Request& request = running.origin.request;
+  const OutputEstimate output =
+      Corrected(running.origin.output, tokens, request.max_output_tokens);
+  const std::int64_t needed = request.prompt_tokens + output.high;
+  if (needed <= running.demand.kv_tokens) return;
+  state.fleet.at(running.server).AddMemory(needed - running.demand.kv_tokens);
+  Demand demand = running.demand;
+  demand.kv_tokens = needed;
+  state.running.SetDemand(index, demand);
+}
+
+// Frees what `running` held, whatever its end.
+void Release(State& state, const Running& running) {
+  Server& server = state.fleet.at(running.server);
+  server.End(running.demand, running.first_token, state.now);
+  state.power.End(running.server, !running.first_token,
+                  running.cancelled.has_value());
+  state.limits.RunsNoMore(running.origin.workspace);
+  if (running.cancelled == WasteCause::kPreempted) --state.preempting;
+  state.room_changed = true;
+}
+
+void LearnFromAnswer(State& state, const Running& running,
+                     const RequestEnded& event) {
+  const Waiting& origin = running.origin;
+  Server& server = state.fleet.at(running.server);
+  state.retries.Success();
+  if (running.demand.plain) {
+    if (running.taken_over) return;
+    server.pace.AddCall(absl::ToDoubleSeconds(state.now - running.granted));
+    return Judge(state, server, /*slow=*/false);
+  }
+  state.estimator.Learn(origin.request, origin.workspace, event.output_tokens);
+  // Engines that don't report cached tokens say 0: nothing to learn from.
+  if (event.cached_prompt_tokens > 0) {
+    state.cache.Reported(running.server, running.cached_tokens,
+                         event.cached_prompt_tokens);
+  }
+  // The workspace pays for what it got, not for what was expected.
+  const double actual =
+      WorkOf(origin.request.prompt_tokens, event.output_tokens);
+  state.queue.Correct({origin.request.tier, origin.pool}, origin.workspace,
+                      origin.weight, actual - origin.work);
+  state.limits.Charge(origin.workspace,
+                      event.output_tokens - origin.output.median);
+}
+
+double PrefillOf(const Running& running, const RequestEnded& event,
+                 absl::Time now) {
+  if (event.kind != EndKind::kComplete) return ComputedPrefill(running, now);
+  if (event.cached_prompt_tokens <= 0) return running.demand.prefill_tokens;
+  return std::max(
+      0, running.origin.request.prompt_tokens - event.cached_prompt_tokens);
+}
+
+void CountPrefill(State& state, const Running& running,
+                  const RequestEnded& event) {
+  const double prefill = PrefillOf(running, event, state.now);
+  state.counters.prefill_computed += prefill;
+  if (event.kind == EndKind::kComplete) return;
+  const WasteCause unasked = event.kind == EndKind::kBroken
+                                 ? WasteCause::kServerBroke
+                                 : WasteCause::kCallerGone;
+  const WasteCause cause = running.cancelled.value_or(unasked);
+  state.counters.prefill_wasted[static_cast<std::size_t>(cause)] += prefill;
+}
+
+}  // namespace
+
+void TakeOver(State& state, const RequestRunning& event) {
+  const Request& request = event.request;
+  const ServerIndex server = state.fleet.Find(event.server);
+  if (server == kNoIndex) return;
+  if (state.running.Find(request.id) != kNoIndex) return;
+  // It was granted before this dispatcher heard of it as waiting.
+  const auto waits = state.waiting_by_id.find(request.id);
+  if (waits != state.waiting_by_id.end()) {
+    RemoveWaiting(state, waits->second);
+  }
+  const PoolIndex pool = state.fleet.FindPool(request.model);
+  if (pool == kNoIndex) return;
+  const WorkspaceIndex workspace = state.limits.Number(request.workspace);
+
+  Running running;
+  running.origin = Describe(state, request, workspace, pool);
+  running.server = server;
+  running.demand.plain = request.model.empty();
+  running.demand.output_tokens = running.origin.output.median;
+  running.demand.kv_tokens = request.prompt_tokens + running.origin.output.high;
+  running.first_token = event.output_tokens > 0;
+  running.demand.prefill_tokens = request.prompt_tokens;
+  running.output_tokens = event.output_tokens;
+  running.granted = state.now;
+  running.reported = state.now;
+  running.overdue = absl::InfiniteFuture();
+  running.taken_over = true;
+
+  Server& target = state.fleet.at(server);
+  target.Begin(running.demand, state.now);
+  state.power.Begin(server, /*prefilling=*/true);
+  if (running.first_token) {
+    target.FirstToken(running.demand, state.now);
+    state.power.FirstToken(server, /*cancelling=*/false);
+  }
+  state.limits.Runs(workspace);
+  state.cache.Granted(server, running.origin.marks, 0, state.now);
+  state.running.Add(std::move(running));
+  state.fleet.Reindex(server, state.now);
+}
+
+void Streamed(State& state, const TokensStreamed& event) {
+  const RunIndex index = state.running.Find(event.id);
+  if (index == kNoIndex) return;
+  const Running& running = state.running.Get(index);
+  if (!running.first_token) {
+    FirstToken(state, index);
+  } else {
+    MoreTokens(state, index, event.output_tokens);
+  }
+  CorrectMemory(state, index, event.output_tokens);
+  const int tokens = std::max(running.output_tokens, event.output_tokens);
+  state.running.SetStreamed(index, tokens, state.now);
+  state.fleet.Reindex(running.server, state.now);
+}
+
+void Ended(State& state, const RequestEnded& event) {
+  const RunIndex index = state.running.Find(event.id);
+  if (index == kNoIndex) return;
+  Running running = state.running.Remove(index);
+  const ServerIndex index_of_server = running.server;
+  Server& server = state.fleet.at(index_of_server);
+  Release(state, running);
+  switch (event.kind) {
+    case EndKind::kComplete:
+      ++state.counters.completed;
+      CountPrefill(state, running, event);
+      LearnFromAnswer(state, running, event);
+      break;
+    case EndKind::kBroken:
+      CountPrefill(state, running, event);
+      // A server that breaks everything at once looks idle and would draw all
+      // work to itself.
+      if (running.first_token) {
+        CutWindow(state, server);
+      } else {
+        server.window.Unreachable(state.now);
+      }
+      break;
+    case EndKind::kCancelled:
+      ++state.counters.cancelled;
+      CountPrefill(state, running, event);
+      break;
+    case EndKind::kNotSent:
+      server.window.Unreachable(state.now);
+      // A cancel was its final answer already.
+      if (!running.cancelled) {
+        Retry(state, std::move(running.origin), index_of_server);
+      } else {
+        ++state.counters.cancelled;
+      }
+      break;
+  }
+  state.fleet.Reindex(index_of_server, state.now);
+}
+
+void NoticeSilence(State& state) {
+  while (true) {
+    const RunIndex index = state.running.Overdue(state.now);
+    if (index == kNoIndex) return;
+    const Running& running = state.running.Get(index);
+    Server& server = state.fleet.at(running.server);
+    ++state.counters.silences;
+    // It has taken at least this long.
+    const absl::Duration silent = state.now - running.granted;
+    const double seconds = absl::ToDoubleSeconds(silent);
+    if (running.demand.plain) {
+      server.pace.AddCall(seconds);
+    } else {
+      server.pace.AddFirstToken(seconds, running.expected_first);
+    }
+    CutWindow(state, server);
+    // Noticed again when it has been silent for twice as long.
+    state.running.SetOverdue(index, state.now + silent);
+    state.fleet.Reindex(running.server, state.now);
+  }
+}
+
+}  // namespace gentianlb::schedule
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -3,151 +3,171 @@
 #include <algorithm>
 #include <variant>
 
+#include "schedule/answers.h"
+#include "schedule/give_way.h"
+#include "schedule/grant.h"
+#include "schedule/intake.h"
+#include "schedule/state.h"
+
 namespace gentianlb::schedule {
 namespace {
 
-absl::Duration ServiceTime(const ServerSpec& spec, int running,
-                           const Request& request) {
-  const double prefill =
-      request.prompt_tokens / std::max(1.0, spec.prefill_tokens_per_second);
-  const double decode = request.max_output_tokens * (1.0 + 0.1 * running) /
-                        std::max(1.0, spec.decode_tokens_per_second);
-  return absl::Seconds(prefill + decode);
+// Takes a change of the servers into every module that keeps one by one.
+void ConfigureServers(State& state, const std::vector<ServerSpec>& specs) {
+  state.fleet.Configure(specs, state.now);
+  for (ServerIndex i = 0; i < state.fleet.size(); ++i) {
+    const Server& server = state.fleet.at(i);
+    state.power.SetServer(i, server.spec, server.configured);
+    state.cache.SetServer(i, server.spec);
+  }
+  state.drains.resize(state.fleet.pools());
+  state.room_changed = true;
+  RefuseUnserved(state);
 }
 
-bool Serves(const ServerSpec& spec, const ModelId& model) {
-  return model.empty() || std::find(spec.models.begin(), spec.models.end(),
-                                    model) != spec.models.end();
+void ChangeHealth(State& state, const ServerHealthChanged& event) {
+  const ServerIndex server = state.fleet.Find(event.server);
+  if (server == kNoIndex) return;
+  const ServerHealth before = state.fleet.at(server).health;
+  if (before == event.health) return;
+  // What comes back from the dead was started anew, with an empty cache.
+  if (before == ServerHealth::kDead) state.cache.Clear(server, state.now);
+  state.fleet.SetHealth(server, event.health, state.now);
+  state.room_changed = true;
+  RefuseUnserved(state);
 }
 
-template <typename... F>
-struct Overloaded : F... {
-  using F::operator()...;
-};
-template <typename... F>
-Overloaded(F...) -> Overloaded<F...>;
-
-}  // namespace
-
-Dispatcher::Dispatcher(const DispatcherOptions& options) : options_(options) {}
+void LeaveCaller(State& state, const CallerGone& event) {
+  const auto waits = state.waiting_by_id.find(event.id);
+  if (waits != state.waiting_by_id.end()) {
+    RefuseWaiting(state, waits->second, Code::kCallerGone,
+                  absl::ZeroDuration());
+    return;
+  }
+  const RunIndex index = state.running.Find(event.id);
+  if (index == kNoIndex) return;
+  const Running& running = state.running.Get(index);
+  // A begun call of a plain service can't be stopped; it runs to its end.
+  if (running.cancelled || running.demand.plain) return;
+  CancelRunning(state, index, WasteCause::kCallerGone);
+}
 
-void Dispatcher::Handle(const Event& event, absl::Time now,
-                        std::vector<Decision>* decisions) {
-  std::visit(
-      Overloaded{
-          [&](const RequestArrived& e) { Arrive(e.request, now, decisions); },
-          [&](const CallerGone& e) { Gone(e.id, decisions); },
-          [&](const RequestRunning& e) {
-            running_[e.request.id] = {e.request, e.server};
-            ++servers_[e.server].running;
-          },
-          [&](const RequestEnded& e) {
-            const auto found = running_.find(e.id);
-            if (found == running_.end()) return;
-            --servers_[found->second.server].running;
-            const Request request = found->second.request;
-            running_.erase(found);
-            if (e.kind == EndKind::kNotSent) Arrive(request, now, decisions);
-          },
-          [&](const ServerHealthChanged& e) {
-            servers_[e.server].health = e.health;
-          },
-          [&](const ServersConfigured& e) { Configure(e.servers); },
-          [](const auto&) {},
-      },
-      event);
-  GrantWaiting(now, decisions);
+void ReportLoad(State& state, const LoadReported& event) {
+  const ServerIndex server = state.fleet.Find(event.server);
+  if (server == kNoIndex) return;
+  state.fleet.at(server).Report(event, state.now);
+  state.fleet.Reindex(server, state.now);
+  state.room_changed = true;
 }
 
-void Dispatcher::Arrive(const Request& request, absl::Time now,
-                        std::vector<Decision>* decisions) {
-  if (waiting_by_id_.contains(request.id) || running_.contains(request.id)) {
-    return;
+struct EventHandler {
+  State& state;
+
+  void operator()(const RequestArrived& event) { Arrive(state, event.request); }
+  void operator()(const CallerGone& event) { LeaveCaller(state, event); }
+  void operator()(const RequestRunning& event) { TakeOver(state, event); }
+  void operator()(const TokensStreamed& event) { Streamed(state, event); }
+  void operator()(const RequestEnded& event) { Ended(state, event); }
+  void operator()(const LoadReported& event) { ReportLoad(state, event); }
+  void operator()(const CacheChanged& event) {
+    const ServerIndex server = state.fleet.Find(event.server);
+    if (server != kNoIndex) state.cache.Changed(server, event, state.now);
   }
-  bool reachable = false;
-  bool served = false;
-  for (const auto& [id, server] : servers_) {
-    if (!server.configured || !Serves(server.spec, request.model)) continue;
-    served = true;
-    reachable |= now + ServiceTime(server.spec, 0, request) <= request.deadline;
+  void operator()(const ServerHealthChanged& event) {
+    ChangeHealth(state, event);
   }
-  if (!reachable) {
-    decisions->push_back(
-        Refuse{request.id, request.host,
-               served ? Code::kDeadlineUnreachable : Code::kNoServer,
-               absl::Seconds(1)});
-    return;
+  void operator()(const ServersConfigured& event) {
+    ConfigureServers(state, event.servers);
   }
-  const WaitKey key{{request.tier.rank, request.deadline}, next_sequence_++};
-  waiting_.emplace(key, request);
-  waiting_by_id_.emplace(request.id, key);
-}
-
-void Dispatcher::Gone(const RequestId& id, std::vector<Decision>* decisions) {
-  if (const auto found = waiting_by_id_.find(id);
-      found != waiting_by_id_.end()) {
-    const Request& request = waiting_.at(found->second);
-    decisions->push_back(Refuse{id, request.host, Code::kCallerGone, {}});
-    waiting_.erase(found->second);
-    waiting_by_id_.erase(found);
-  } else if (const auto run = running_.find(id); run != running_.end()) {
-    decisions->push_back(
-        Cancel{id, run->second.request.host, Code::kCallerGone, {}});
+  void operator()(const WorkspacesConfigured& event) {
+    state.limits.Configure(event.workspaces, state.now);
   }
-}
+  void operator()(const PowerShareChanged& event) {
+    state.power.SetShare(event.watts);
+    state.room_changed = true;
+  }
+  void operator()(const TimePassed&) {}
+};
 
-void Dispatcher::Configure(const std::vector<ServerSpec>& specs) {
-  for (auto& [id, server] : servers_) server.configured = false;
-  for (const ServerSpec& spec : specs) {
-    Server& server = servers_[spec.id];
-    server.spec = spec;
-    server.configured = true;
+void AdvanceDrains(State& state) {
+  for (PoolIndex pool = 0; pool < state.drains.size(); ++pool) {
+    state.drains[pool].Advance(state.now, state.queue.PoolWork(pool) > 0);
   }
 }
 
-void Dispatcher::GrantWaiting(absl::Time now,
-                              std::vector<Decision>* decisions) {
-  for (auto it = waiting_.begin(); it != waiting_.end();) {
-    const Request& request = it->second;
-    Server* server = Choose(request);
-    if (request.deadline <= now) {
-      decisions->push_back(Refuse{request.id, request.host,
-                                  Code::kDeadlinePassed, absl::Seconds(1)});
-    } else if (server != nullptr) {
-      decisions->push_back(Grant{request.id, request.host, server->spec.id});
-      ++server->running;
-      running_[request.id] = {request, server->spec.id};
-    } else {
-      ++it;
-      continue;
-    }
-    waiting_by_id_.erase(request.id);
-    it = waiting_.erase(it);
+// The next time at which a head of a lane becomes urgent.
+absl::Time NextUrgent(const State& state) {
+  absl::Time next = absl::InfiniteFuture();
+  std::vector<WaitIndex> heads;
+  for (const LaneKey& lane : state.queue.Lanes()) {
+    heads.clear();
+    state.queue.Heads(lane, 1, &heads);
+    const absl::Time urgent = UrgentAt(state.queue.Get(heads[0]));
+    if (urgent > state.now) next = std::min(next, urgent);
   }
+  return next;
 }
 
-Dispatcher::Server* Dispatcher::Choose(const Request& request) {
-  Server* best = nullptr;
-  absl::Duration best_time = absl::InfiniteDuration();
-  for (auto& [id, server] : servers_) {
-    if (!server.configured || server.health != ServerHealth::kAlive) continue;
-    if (server.running >= server.spec.max_streams) continue;
-    if (!Serves(server.spec, request.model)) continue;
-    const auto time = ServiceTime(server.spec, server.running, request);
-    if (time < best_time) {
-      best = &server;
-      best_time = time;
-    }
-  }
-  return best;
+}  // namespace
+
+Dispatcher::Dispatcher(const DispatcherOptions& options)
+    : state_(std::make_unique<State>(options)) {}
+Dispatcher::~Dispatcher() = default;
+Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
+Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
+
+void Dispatcher::Handle(const Event& event, absl::Time now,
+                        std::vector<Decision>* decisions) {
+  State& state = *state_;
+  state.now = std::max(state.now, now);
+  state.out = decisions;
+  ++state.counters.events;
+  AdvanceDrains(state);
+
+  std::visit(EventHandler{state}, event);
+
+  // What the time alone brings about.
+  NoticeSilence(state);
+  state.room_changed |= state.fleet.Reopen(state.now);
+  state.room_changed |= state.now >= state.urgent_at;
+  EnforceShare(state);
+  CancelLate(state);
+
+  GrantWaiting(state);
+  // Whoever could not be granted at the last moment is told at once.
+  ExpireWaiting(state);
+  AdvanceDrains(state);
+  state.urgent_at = NextUrgent(state);
+  state.out = nullptr;
 }
 
 absl::Time Dispatcher::NextWakeup() const {
-  absl::Time next = absl::InfiniteFuture();
-  for (const auto& [key, request] : waiting_) {
-    next = std::min(next, request.deadline);
-  }
-  return next;
+  const State& state = *state_;
+  const absl::Time silence = state.running.NextOverdue();
+  if (state.queue.empty()) return silence;
+  absl::Time next = std::min(silence, state.queue.FirstExpiry());
+  next = std::min(next, state.fleet.NextReopening());
+  next = std::min(next, state.urgent_at);
+  const RunIndex late = state.running.EarliestDeadline();
+  if (late == kNoIndex) return next;
+  return std::min(next, state.running.Get(late).origin.request.deadline);
+}
+
+const Counters& Dispatcher::counters() const { return state_->counters; }
+
+std::uint64_t Dispatcher::signature() const {
+  return state_->signature.value();
+}
+
+double Dispatcher::worst_watts() const { return state_->power.watts(); }
+double Dispatcher::share_watts() const { return state_->power.share(); }
+
+std::size_t Dispatcher::waiting() const { return state_->queue.size(); }
+std::size_t Dispatcher::running() const { return state_->running.size(); }
+
+int Dispatcher::window(const ServerId& server) const {
+  const ServerIndex index = state_->fleet.Find(server);
+  return index == kNoIndex ? 0 : state_->fleet.at(index).window.streams();
 }
 
 }  // namespace gentianlb::schedule
--- a/src/schedule/dispatcher.h
+++ b/src/schedule/dispatcher.h
@@ -5,26 +5,25 @@
 #define GENTIANLB_SCHEDULE_DISPATCHER_H_
 
 #include <cstdint>
-#include <map>
-#include <utility>
+#include <memory>
 #include <vector>
 
 #include "absl/time/time.h"
+#include "schedule/counters.h"
 #include "schedule/messages.h"
+#include "schedule/options.h"
 
 namespace gentianlb::schedule {
 
-// What does not change while a dispatcher lives.
-struct DispatcherOptions {
-  Weights weights;
-  std::uint64_t seed = 1;  // Spreads the come-back times.
-  bool operator==(const DispatcherOptions&) const = default;
-};
+struct State;
 
 // Not thread-safe: owned by one thread.
 class Dispatcher {
  public:
   explicit Dispatcher(const DispatcherOptions& options);
+  ~Dispatcher();
+  Dispatcher(Dispatcher&&) noexcept;
+  Dispatcher& operator=(Dispatcher&&) noexcept;
 
   // Takes one event at `now`, which never goes back, and appends what it leads
   // to. Events about an unknown request or server are ignored: they come late.
@@ -34,33 +33,23 @@
   // When TimePassed is due at the latest.
   absl::Time NextWakeup() const;
 
+  const Counters& counters() const;
+
+  // Hash over all decisions so far.
+  std::uint64_t signature() const;
+
+  // What all servers may draw at worst, and the share it must stay within.
+  double worst_watts() const;
+  double share_watts() const;
+
+  std::size_t waiting() const;
+  std::size_t running() const;
+
+  // Streams that a server may hold, as learnt; 0 when it is unknown.
+  int window(const ServerId& server) const;
+
  private:
-  struct Server {
-    ServerSpec spec;
-    ServerHealth health = ServerHealth::kAlive;
-    bool configured = false;
-    int running = 0;
-  };
-  struct Running {
-    Request request;
-    ServerId server;
-  };
-  // Tier, deadline, order of arrival.
-  using WaitKey = std::pair<std::pair<int, absl::Time>, std::uint64_t>;
-
-  void Arrive(const Request& request, absl::Time now,
-              std::vector<Decision>* decisions);
-  void Gone(const RequestId& id, std::vector<Decision>* decisions);
-  void Configure(const std::vector<ServerSpec>& specs);
-  void GrantWaiting(absl::Time now, std::vector<Decision>* decisions);
-  Server* Choose(const Request& request);
-
-  DispatcherOptions options_;
-  std::map<ServerId, Server> servers_;
-  std::map<WaitKey, Request> waiting_;
-  std::map<RequestId, WaitKey> waiting_by_id_;
-  std::map<RequestId, Running> running_;
-  std::uint64_t next_sequence_ = 0;
+  std::unique_ptr<State> state_;
 };
 
 }  // namespace gentianlb::schedule
--- /dev/null
+++ b/src/schedule/grant.h
@@ -0,0 +1,22 @@
+// Grants what waits while there is room: strictly by tier, and within a lane in
+// the queue's order, of which only a few heads are tried, so that one that does
+// not fit holds up nobody who does.
+
+#ifndef GENTIANLB_SCHEDULE_GRANT_H_
+#define GENTIANLB_SCHEDULE_GRANT_H_
+
+#include "schedule/place.h"
+#include "schedule/state.h"
+
+namespace gentianlb::schedule {
+
+// Does nothing unless something changed that may have made room.
+void GrantWaiting(State& state);
+
+// Room that a request must leave for shorter and more urgent ones that are
+// likely to come.
+Reserves ReservesFor(const State& state, const Waiting& waiting);
+
+}  // namespace gentianlb::schedule
+
+#endif  // GENTIANLB_SCHEDULE_GRANT_H_
--- /dev/null
+++ b/src/schedule/limits.cc
@@ -0,0 +1,110 @@
+#include "schedule/limits.h"
+
+#include <algorithm>
+
+namespace gentianlb::schedule {
+namespace {
+
+// A workspace may use ten seconds of its rate at once: bursts of a form being
+// sent are let through, a loop is not.
+constexpr double kBurstSeconds = 10;
+
+// One retry for ten successes adds at most a tenth to the load, a usual figure
+// for retry budgets; the capacity lets a quiet system ride over one failed
+// server.
+constexpr double kRetriesPerSuccess = 0.1;
+
+// Weights come from operators; zero would stop a workspace for ever.
+constexpr double kMinWeight = 0.001;
+
+}  // namespace
+
+void TokenBucket::SetRate(double per_second, double capacity, absl::Time now) {
+  // A new rate starts with a full bucket; the same one keeps its debt.
+  if (per_second == rate_ && capacity == capacity_) return;
+  rate_ = per_second;
+  capacity_ = capacity;
+  level_ = capacity;
+  filled_ = now;
+}
+
+bool TokenBucket::Empty(absl::Time now) {
+  const double earned = rate_ * absl::ToDoubleSeconds(now - filled_);
+  level_ = std::min(capacity_, level_ + earned);
+  filled_ = now;
+  return level_ <= 0;
+}
+
+absl::Duration TokenBucket::UntilFilled() const {
+  if (level_ > 0 || rate_ <= 0) return absl::ZeroDuration();
+  return absl::Seconds(-level_ / rate_);
+}
+
+WorkspaceIndex WorkspaceLimits::Number(const WorkspaceId& id) {
+  const WorkspaceIndex index = numbers_.Number(id);
+  if (index == states_.size()) {
+    states_.emplace_back();
+    states_[index].spec.id = id;
+  }
+  return index;
+}
+
+void WorkspaceLimits::Configure(const std::vector<WorkspaceSpec>& specs,
+                                absl::Time now) {
+  for (const WorkspaceSpec& spec : specs) {
+    State& state = states_[Number(spec.id)];
+    state.spec = spec;
+    state.tokens.SetRate(spec.tokens_per_second,
+                         spec.tokens_per_second * kBurstSeconds, now);
+  }
+}
+
+double WorkspaceLimits::weight(WorkspaceIndex workspace) const {
+  return std::max(kMinWeight, states_[workspace].spec.weight);
+}
+
+std::optional<LimitBreach> WorkspaceLimits::Check(WorkspaceIndex workspace,
+                                                  const Request& request,
+                                                  absl::Time now) {
+  State& state = states_[workspace];
+  const WorkspaceSpec& spec = state.spec;
+  if (spec.tokens_per_second > 0 && state.tokens.Empty(now)) {
+    return LimitBreach{Code::kRateLimited, state.tokens.UntilFilled()};
+  }
+  const int in_flight = state.waiting + state.running;
+  if (spec.max_concurrent > 0 && in_flight >= spec.max_concurrent) {
+    return LimitBreach{Code::kRateLimited, absl::ZeroDuration()};
+  }
+  if (state.waiting >= spec.max_waiting ||
+      state.waiting_bytes + request.body_bytes > spec.max_waiting_bytes) {
+    return LimitBreach{Code::kWorkspaceQueueFull, absl::ZeroDuration()};
+  }
+  return std::nullopt;
+}
+
+void WorkspaceLimits::Waits(WorkspaceIndex workspace, const Request& request) {
+  ++states_[workspace].waiting;
+  states_[workspace].waiting_bytes += request.body_bytes;
+}
+
+void WorkspaceLimits::WaitsNoMore(WorkspaceIndex workspace,
+                                  const Request& request) {
+  --states_[workspace].waiting;
+  states_[workspace].waiting_bytes -= request.body_bytes;
+}
+
+void WorkspaceLimits::Charge(WorkspaceIndex workspace, double tokens) {
+  states_[workspace].tokens.Take(tokens);
+}
+
+void RetryBudget::Success() {
+  level_ = std::min(kCapacity, level_ + kRetriesPerSuccess);
+}
+
+bool RetryBudget::Take() {
+  if (level_ < 1) return false;
+  level_ -= 1;
+  return true;
+}
+
+}  // namespace gentianlb::schedule
--- /dev/null
+++ b/src/schedule/options.h
@@ -0,0 +1,28 @@
+// What does not change while a dispatcher lives.
+
+#ifndef GENTIANLB_SCHEDULE_OPTIONS_H_
+#define GENTIANLB_SCHEDULE_OPTIONS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+
+#include "schedule/messages.h"
+
+namespace gentianlb::schedule {
+
+struct DispatcherOptions {
+  Weights weights;
+  std::uint64_t seed = 1;  // Spreads the come-back times.
+  // Bound of the whole queue. A request without its body takes about a
+  // kilobyte here, so this many stay well below the 128 MB of control.
+  std::size_t max_waiting = 20000;
+  // The share until the first PowerShareChanged. Where a cap is to be kept from
+  // the start, set it to 0, and nothing that draws power is granted before.
+  double initial_watts = std::numeric_limits<double>::infinity();
+  bool operator==(const DispatcherOptions&) const = default;
+};
+
+}  // namespace gentianlb::schedule
+
+#endif  // GENTIANLB_SCHEDULE_OPTIONS_H_
--- /dev/null
+++ b/src/schedule/pace.cc
@@ -0,0 +1,107 @@
+#include "schedule/pace.h"
+
+#include <algorithm>
+
+namespace gentianlb::schedule {
+namespace {
+
+// Three samples carry two thirds of the quick average: a straggler that gives
+// a few answers a second is known within two or three seconds.
+constexpr double kQuickWeight = 0.3;
+
+// The normal follows within some hundred samples, and a straggler moves it ten
+// times more slowly, so that it stays a straggler until it is well.
+constexpr double kNormalWeight = 0.02;
+constexpr double kStragglerWeight = 0.002;
+
+// A loaded batch stretches up to about twice; beyond three it is a fault.
+constexpr double kStragglerStretch = 3;
+
+// No engine is so far off its configuration; a larger sample is a pause.
+constexpr double kMaxSample = 100;
+constexpr double kMinSample = 0.05;
+
+// Each further stream of a batch costs some per cent of the step time; the
+// stretch learns what this first guess misses.
+constexpr double kBatchSlope = 0.02;
+
+// Two hops of about a millisecond each way, and the engine's own queue.
+constexpr double kRoundTripSeconds = 0.005;
+
+// For a server without a configured speed.
+constexpr double kDefaultPrefillSpeed = 5000;
+constexpr double kDefaultDecodeSpeed = 50;
+
+// A lookup of a plain service; learnt from the first calls on.
+constexpr double kCallSeconds = 0.02;
+
+double SecondsEach(double speed, double fallback) {
+  return 1 / (speed > 0 ? speed : fallback);
+}
+
+}  // namespace
+
+void Stretch::Add(double sample) {
+  sample = std::clamp(sample, kMinSample, kMaxSample);
+  const bool usual = sample < normal_ * kStragglerStretch;
+  quick_ += kQuickWeight * (sample - quick_);
+  normal_ += (usual ? kNormalWeight : kStragglerWeight) * (sample - normal_);
+}
+
+bool Stretch::straggling() const {
+  return quick_ > kStragglerStretch * std::max(1.0, normal_);
+}
+
+void Stretch::Forget() {
+  if (quick_ > normal_) quick_ = (quick_ + normal_) / 2;
+}
+
+Pace::Pace(const ServerSpec& spec)
+    : prefill_token_(
+          SecondsEach(spec.prefill_tokens_per_second, kDefaultPrefillSpeed)),
+      decode_token_(
+          SecondsEach(spec.decode_tokens_per_second, kDefaultDecodeSpeed)) {}
+
+double Pace::PrefillSeconds(double tokens) const {
+  return tokens * prefill_token_ * prefill_.quick();
+}
+
+double Pace::TokenSeconds(int streams) const {
+  const double batch = 1 + kBatchSlope * std::max(0, streams - 1);
+  return decode_token_ * batch * decode_.quick();
+}
+
+double Pace::CallSeconds() const { return kCallSeconds * call_.quick(); }
+
+double Pace::ExpectedFirstToken(double prefill_tokens, int streams) const {
+  const double batch = 1 + kBatchSlope * std::max(0, streams - 1);
+  return kRoundTripSeconds + prefill_tokens * prefill_token_ +
+         decode_token_ * batch;
+}
+
+void Pace::AddFirstToken(double seconds, double expected) {
+  prefill_.Add(seconds / expected);
+}
+
+void Pace::AddTokens(double seconds_each, int streams) {
+  const double batch = 1 + kBatchSlope * std::max(0, streams - 1);
+  decode_.Add(seconds_each / (decode_token_ * batch));
+}
+
+void Pace::AddCall(double seconds) { call_.Add(seconds / kCallSeconds); }
+
+void Pace::Forget() {
+  prefill_.Forget();
+  decode_.Forget();
+  call_.Forget();
+}
+
+bool Pace::straggling() const {
+  return prefill_.straggling() || decode_.straggling() || call_.straggling();
+}
+
+double Pace::prefill_speed() const {
+  return 1 / (prefill_token_ * prefill_.quick());
+}
+
+}  // namespace gentianlb::schedule
--- /dev/null
+++ b/src/schedule/place.cc
@@ -0,0 +1,185 @@
+#include "schedule/place.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace gentianlb::schedule {
+namespace {
+
+// The front of the index and the deepest holders. Two random candidates already
+// come close to the best (power of two choices); eight of the best leave little
+// to gain and cost under a microsecond.
+constexpr std::size_t kQuickest = 8;
+constexpr std::size_t kHolders = 4;
+constexpr std::size_t kPrefilling = 4;
+
+// When no better server comes free, a request is started where it finishes if
+// its answer turns out half as long as expected.
+constexpr double kHopefulOutput = 0.5;
+
+// So close to the last start there is nothing left to wait for.
+constexpr absl::Duration kLastChance = absl::Milliseconds(500);
+constexpr double kLastChancePart = 0.25;
+
+// A probe must not cost a request its deadline: it may take twice as long as
+// predicted.
+constexpr double kProbeMargin = 2;
+
+void AddFront(const absl::btree_set<std::pair<double, ServerIndex>>& from,
+              std::size_t limit, std::vector<ServerIndex>* candidates) {
+  for (const auto& [key, server] : from) {
+    if (limit-- == 0) return;
+    candidates->push_back(server);
+  }
+}
+
+bool Contains(const std::vector<ServerIndex>& servers, ServerIndex server) {
+  return std::find(servers.begin(), servers.end(), server) != servers.end();
+}
+
+void Prefer(Hindrance hindrance, Placement* best) {
+  if (best->hindrance == Hindrance::kNone) return;
+  best->hindrance = std::max(best->hindrance, hindrance);
+}
+
+}  // namespace
+
+// An engine in a special role does the other half of the work at the cost of
+// what it is meant for; that half counts twice.
+double MisfitSeconds(const Server& server, const Demand& demand) {
+  switch (server.spec.role) {
+    case ServerRole::kMixed:
+      return 0;
+    case ServerRole::kPrefill:
+      return demand.output_tokens *
+             server.pace.TokenSeconds(server.running() + 1);
+    case ServerRole::kDecode:
+      return server.pace.PrefillSeconds(demand.prefill_tokens);
+  }
+  return 0;
+}
+
+// What all candidates of one request are judged by.
+struct Placer::Choice {
+  const Waiting& waiting;
+  const Reserves& reserves;
+  const Closed& closed;
+  const PrefixCache::Lookup& lookup;
+  absl::Time now;
+  double seconds_left = 0;
+  double output = 0;  // Tokens by which lateness is judged.
+  bool last_chance = false;
+
+  bool IsClosed(const Fleet& fleet, ServerIndex server) const {
+    if (server == waiting.avoid && fleet.pool(waiting.pool).usable > 1) {
+      return true;
+    }
+    if (Contains(*closed.held, server)) return true;
+    const std::vector<PoolIndex>& pools = fleet.at(server).pools;
+    return std::any_of(pools.begin(), pools.end(), [this](PoolIndex pool) {
+      return (*closed.pools)[pool];
+    });
+  }
+};
+
+void Placer::Collect(const Waiting& waiting,
+                     const PrefixCache::Lookup& lookup) {
+  const Pool& pool = fleet_.pool(waiting.pool);
+  candidates_.clear();
+  AddFront(pool.open, kQuickest, &candidates_);
+  // With little power left, those that compute prompts already may be the only
+  // ones that fit.
+  AddFront(pool.open_prefilling, kPrefilling, &candidates_);
+  lookup.DeepestHolders(kHolders, &candidates_);
+}
+
+Placement Placer::Place(const Waiting& waiting, const Reserves& reserves,
+                        const Closed& closed, absl::Time now) {
+  Placement best;
+  if (fleet_.pool(waiting.pool).open.empty()) return best;
+  const PrefixCache::Lookup lookup = cache_.Find(waiting.marks);
+  const absl::Duration last_chance =
+      std::max(kLastChance, kLastChancePart * waiting.best_service);
+  // Where thrown away prompts weigh more, work is begun with a margin.
+  const bool careful = weights_.wasted_prefill > weights_.goodput;
+  const Choice choice{
+      .waiting = waiting,
+      .reserves = reserves,
+      .closed = closed,
+      .lookup = lookup,
+      .now = now,
+      .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
+      .output = static_cast<double>(careful ? waiting.output.high
+                                            : waiting.output.median),
+      .last_chance = waiting.latest_start - now < last_chance};
+  Collect(waiting, lookup);
+  double best_score = std::numeric_limits<double>::infinity();
+  for (const ServerIndex server : candidates_) {
+    Consider(server, choice, &best, &best_score);
+  }
+  return best;
+}
+
+void Placer::Consider(ServerIndex index, const Choice& choice, Placement* best,
+                      double* best_score) const {
+  const Server& server = fleet_.at(index);
+  const Waiting& waiting = choice.waiting;
+  const auto& pools = server.pools;
+  if (std::find(pools.begin(), pools.end(), waiting.pool) == pools.end()) {
+    return;  // Holds the prefix for another model.
+  }
+  if (!server.Open(choice.now) || choice.IsClosed(fleet_, index)) return;
+
+  const double cached =
+      std::min<double>(waiting.request.prompt_tokens,
+                       choice.lookup.CachedTokens(index, choice.now));
+  Demand demand;
+  demand.prefill_tokens = waiting.request.prompt_tokens - cached;
+  demand.output_tokens = choice.output;
+  demand.kv_tokens = waiting.request.prompt_tokens + waiting.output.high;
+  demand.plain = waiting.request.model.empty();
+
+  // Room: first the engine's, then what is kept for others.
+  const int kept =
+      static_cast<int>(choice.reserves.streams * server.window.streams());
+  if (server.FreeStreams(choice.now) <= kept && server.running() > 0) {
+    return Prefer(Hindrance::kReserved, best);
+  }
+  if (!server.MemoryFits(demand.kv_tokens) ||
+      !server.PrefillFits(demand.prefill_tokens)) {
+    const bool first = best->server == kNoIndex;
+    const bool roomier =
+        first || server.FreeMemory() > fleet_.at(best->server).FreeMemory();
+    if (best->hindrance != Hindrance::kNone && roomier) best->server = index;
+    return Prefer(Hindrance::kTooLarge, best);
+  }
+  if (!power_.Fits(index, choice.reserves.power)) {
+    return Prefer(Hindrance::kNoPower, best);
+  }
+
+  // Time: not where it would be late.
+  double finish = server.FinishSeconds(demand, choice.now);
+  if (choice.last_chance) {
+    Demand hopeful = demand;
+    hopeful.output_tokens = waiting.output.median * kHopefulOutput;
+    finish = server.FinishSeconds(hopeful, choice.now);
+  }
+  const bool probe = server.window.probing();
+  const double margin = probe ? kProbeMargin : 1;
+  if (finish * margin > choice.seconds_left) {
+    return Prefer(Hindrance::kTooSlow, best);
+  }
+
+  finish += MisfitSeconds(server, demand);
+  const double uncached = server.pace.PrefillSeconds(demand.prefill_tokens);
+  // A probe is for finding out: whoever can bear it takes it.
+  const double score =
+      probe ? 0
+            : weights_.goodput * finish + weights_.wasted_prefill * uncached;
+  if (best->hindrance == Hindrance::kNone && score >= *best_score) return;
+  *best_score = score;
+  *best = {Hindrance::kNone, index, demand, cached};
+}
+
+}  // namespace gentianlb::schedule
--- /dev/null
+++ b/src/schedule/refuse.cc
@@ -0,0 +1,67 @@
+#include "schedule/refuse.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gentianlb::schedule {
+namespace {
+
+// The drain rate forgets over this time: long against the gaps between grants,
+// short against how long an overload or a power drop lasts.
+constexpr double kMemorySeconds = 10;
+
+// The first guess weighs like this much measuring.
+constexpr double kGuessSeconds = 2;
+
+// Estimates of the backlog err both ways. Up to this much over, the request is
+// let wait: it is refused later if need be, while a refused one is lost.
+constexpr double kBenefitOfDoubt = 1.25;
+
+// Sooner than a second no caller should be back, and later than ten minutes the
+// estimate says nothing.
+constexpr double kMinComeBack = 1;
+constexpr double kMaxComeBack = 600;
+
+// Callers return over half as long again as the backlog needs.
+constexpr double kSpread = 0.5;
+
+}  // namespace
+
+void DrainRate::Granted(double work) {
+  if (backlog_) work_ += work;
+}
+
+void DrainRate::Advance(absl::Time now, bool backlog) {
+  const double passed = absl::ToDoubleSeconds(now - last_);
+  if (backlog_ && passed > 0) {
+    const double kept = std::exp(-passed / kMemorySeconds);
+    work_ *= kept;
+    busy_ = busy_ * kept + passed;
+  }
+  last_ = now;
+  backlog_ = backlog;
+}
+
+double DrainRate::PerSecond(double capacity) const {
+  const double work = work_ + capacity * kGuessSeconds;
+  return std::max(1e-3, work / (busy_ + kGuessSeconds));
+}
+
+bool Unreachable(const Outlook& outlook) {
+  return outlook.service > outlook.deadline;
+}
+
+bool Overloaded(const Outlook& outlook) {
+  return outlook.wait > 0 &&
+         outlook.wait + outlook.service > outlook.deadline * kBenefitOfDoubt;
+}
+
+absl::Duration ComeBack::After(double seconds) {
+  // 53 random bits make a number in [0, 1).
+  const double uniform = static_cast<double>(random_() >> 11) * 0x1.0p-53;
+  const double base = std::clamp(seconds, kMinComeBack, kMaxComeBack);
+  const double spread = base * (1 + kSpread * uniform);
+  return absl::Milliseconds(std::llround(spread * 1000));
+}
+
+}  // namespace gentianlb::schedule
--- /dev/null
+++ b/src/schedule/refuse.h
@@ -0,0 +1,71 @@
+// When a request is refused at once, and when its caller may come back.
+//
+// Load pattern: overload. A queue that takes everything makes everyone late: by
+// the time a request's turn comes its caller is gone, and the work is wasted. A
+// refusal at once costs little and tells the caller the truth. Without spread
+// come-back times all that were refused return in the same second and make the
+// next burst.
+//
+// The wait is the work ahead over the drain rate: what was granted in a second
+// while requests waited, measured, with the configured capacity as the first
+// guess. Ahead is only what the order puts ahead: higher tiers, and of the same
+// tier what fair queueing serves first. Work of lower tiers never counts.
+
+#ifndef GENTIANLB_SCHEDULE_REFUSE_H_
+#define GENTIANLB_SCHEDULE_REFUSE_H_
+
+#include <cstdint>
+#include <random>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "schedule/index.h"
+
+namespace gentianlb::schedule {
+
+// Work that a pool takes in a second while there is a backlog.
+class DrainRate {
+ public:
+  void Granted(double work);
+  // Time passes with or without a backlog.
+  void Advance(absl::Time now, bool backlog);
+  // `capacity` is the first guess.
+  double PerSecond(double capacity) const;
+
+ private:
+  double work_ = 0;
+  double busy_ = 0;  // Seconds.
+  bool backlog_ = false;
+  absl::Time last_;
+};
+
+// What the decision rests on, in seconds from now.
+struct Outlook {
+  double wait = 0;     // Until its turn, by the backlog.
+  double service = 0;  // On the fastest server, alone.
+  double deadline = 0;
+  auto operator<=>(const Outlook&) const = default;
+};
+
+// Not even an empty system makes it.
+bool Unreachable(const Outlook& outlook);
+
+// The backlog can't carry it.
+bool Overloaded(const Outlook& outlook);
+
+// Spreads what would otherwise return together. The same seed gives the same
+// times on each run and machine, which the library's distributions don't.
+class ComeBack {
+ public:
+  explicit ComeBack(std::uint64_t seed) : random_(seed) {}
+
+  // For a backlog of `seconds`.
+  absl::Duration After(double seconds);
+
+ private:
+  std::mt19937_64 random_;
+};
+
+}  // namespace gentianlb::schedule
+
+#endif  // GENTIANLB_SCHEDULE_REFUSE_H_
--- /dev/null
+++ b/src/schedule/running.cc
@@ -0,0 +1,105 @@
+#include "schedule/running.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianlb::schedule {
+
+RunningTable::GiveWayKey RunningTable::GiveWay(const Running& running,
+                                               RunIndex index) {
+  const int thrown =
+      running.first_token ? static_cast<int>(running.demand.prefill_tokens) : 0;
+  return {-running.origin.request.tier.rank, thrown, index};
+}
+
+RunIndex RunningTable::Add(Running running) {
+  const RequestId id = running.origin.request.id;
+  const RunIndex index = running_.Add(std::move(running));
+  const Running& added = running_[index];
+  by_id_.emplace(id, index);
+  // A begun call of a plain service can't be stopped.
+  if (!added.demand.plain) {
+    give_way_.insert(GiveWay(added, index));
+    deadlines_.insert({added.origin.request.deadline, index});
+  }
+  if (!added.first_token) overdue_.insert({added.overdue, index});
+  return index;
+}
+
+Running RunningTable::Remove(RunIndex index) {
+  const Running& leaving = running_[index];
+  by_id_.erase(leaving.origin.request.id);
+  give_way_.erase(GiveWay(leaving, index));
+  deadlines_.erase({leaving.origin.request.deadline, index});
+  overdue_.erase({leaving.overdue, index});
+  return running_.Remove(index);
+}
+
+RunIndex RunningTable::Find(const RequestId& id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? kNoIndex : found->second;
+}
+
+void RunningTable::SetFirstToken(RunIndex index) {
+  Running& running = running_[index];
+  const bool listed = give_way_.erase(GiveWay(running, index)) > 0;
+  overdue_.erase({running.overdue, index});
+  running.first_token = true;
+  if (listed) give_way_.insert(GiveWay(running, index));
+}
+
+void RunningTable::SetStreamed(RunIndex index, int tokens, absl::Time now) {
+  running_[index].output_tokens = tokens;
+  running_[index].reported = now;
+}
+
+void RunningTable::SetDemand(RunIndex index, const Demand& demand) {
+  Running& running = running_[index];
+  const bool listed = give_way_.erase(GiveWay(running, index)) > 0;
+  running.demand = demand;
+  if (listed) give_way_.insert(GiveWay(running, index));
+}
+
+void RunningTable::SetOverdue(RunIndex index, absl::Time overdue) {
+  Running& running = running_[index];
+  overdue_.erase({running.overdue, index});
+  running.overdue = overdue;
+  overdue_.insert({overdue, index});
+}
+
+void RunningTable::LetRun(RunIndex index) {
+  deadlines_.erase({running_[index].origin.request.deadline, index});
+}
+
+void RunningTable::SetCancelled(RunIndex index, WasteCause cause) {
+  Running& running = running_[index];
+  give_way_.erase(GiveWay(running, index));
+  deadlines_.erase({running.origin.request.deadline, index});
+  overdue_.erase({running.overdue, index});
+  running.cancelled = cause;
+}
+
+RunIndex RunningTable::Overdue(absl::Time now) const {
+  if (overdue_.empty() || overdue_.begin()->first > now) return kNoIndex;
+  return overdue_.begin()->second;
+}
+
+absl::Time RunningTable::NextOverdue() const {
+  if (overdue_.empty()) return absl::InfiniteFuture();
+  return overdue_.begin()->first;
+}
+
+RunIndex RunningTable::EarliestDeadline() const {
+  return deadlines_.empty() ? kNoIndex : deadlines_.begin()->second;
+}
+
+double ComputedPrefill(const Running& running, absl::Time now) {
+  const double all = running.demand.prefill_tokens;
+  if (running.first_token) return all;
+  // In the middle of the prompt: in proportion to the time it takes.
+  const double elapsed = absl::ToDoubleSeconds(now - running.granted);
+  const double predicted = std::max(0.001, running.predicted_first);
+  return all * std::clamp(elapsed / predicted, 0.0, 1.0);
+}
+
+}  // namespace gentianlb::schedule
--- /dev/null
+++ b/src/schedule/signature.h
@@ -0,0 +1,24 @@
+// A running hash over all decisions, so that two runs, hosts or builds can be
+// compared by one number: equal signatures mean equal decisions.
+
+#ifndef GENTIANLB_SCHEDULE_SIGNATURE_H_
+#define GENTIANLB_SCHEDULE_SIGNATURE_H_
+
+#include <cstdint>
+
+#include "schedule/messages.h"
+
+namespace gentianlb::schedule {
+
+class Signature {
+ public:
+  void Add(const Decision& decision);
+  std::uint64_t value() const { return value_; }
+
+ private:
+  std::uint64_t value_ = 0;
+};
+
+}  // namespace gentianlb::schedule
+
+#endif  // GENTIANLB_SCHEDULE_SIGNATURE_H_
--- /dev/null
+++ b/src/schedule/state.cc
@@ -0,0 +1,83 @@
+#include "schedule/state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianlb::schedule {
+namespace {
+
+// Cancelling a running request and getting its room takes a few milliseconds;
+// half a second leaves time for several attempts. Long requests have more to
+// lose and begin sooner.
+constexpr absl::Duration kUrgentBefore = absl::Milliseconds(500);
+constexpr double kUrgentPart = 0.25;
+
+// Refusals that say there is no room or power. None of them may hit a tier
+// while a lower one waits.
+bool ForWantOfRoom(Code code) {
+  return code == Code::kQueueFull || code == Code::kPowerShort ||
+         code == Code::kShedForHigherTier;
+}
+
+}  // namespace
+
+void Emit(State& state, Decision decision) {
+  ++state.counters.decisions;
+  state.signature.Add(decision);
+  state.out->push_back(std::move(decision));
+}
+
+void AddWaiting(State& state, Waiting waiting) {
+  state.limits.Waits(waiting.workspace, waiting.request);
+  const RequestId id = waiting.request.id;
+  state.waiting_by_id[id] = state.queue.Add(std::move(waiting));
+  state.room_changed = true;
+}
+
+Waiting RemoveWaiting(State& state, WaitIndex index) {
+  Waiting waiting = state.queue.Remove(index);
+  state.waiting_by_id.erase(waiting.request.id);
+  state.limits.WaitsNoMore(waiting.workspace, waiting.request);
+  return waiting;
+}
+
+void RefuseWaiting(State& state, WaitIndex index, Code code,
+                   absl::Duration retry_after) {
+  const Waiting waiting = RemoveWaiting(state, index);
+  RefuseRequest(state, waiting.request, code, retry_after);
+}
+
+void RefuseRequest(State& state, const Request& request, Code code,
+                   absl::Duration retry_after) {
+  const int rank = request.tier.rank;
+  ++state.counters.refused[{rank, code}];
+  const bool lower_waits = state.queue.LowestTier().rank > rank;
+  if (ForWantOfRoom(code) && lower_waits) ++state.counters.inversions;
+  Emit(state, Refuse{request.id, request.host, code, retry_after});
+}
+
+void CancelRunning(State& state, RunIndex index, WasteCause cause) {
+  const Running& running = state.running.Get(index);
+  const Request& request = running.origin.request;
+  const LaneKey lane{request.tier, running.origin.pool};
+  state.power.Cancelling(running.server, !running.first_token);
+  state.running.SetCancelled(index, cause);
+  if (cause == WasteCause::kPreempted) ++state.preempting;
+  Emit(state, Cancel{request.id, request.host, Code::kCancelledRunning,
+                     ComeBackAfter(state, lane)});
+}
+
+absl::Duration ComeBackAfter(State& state, const LaneKey& lane) {
+  const double ahead =
+      state.queue.WorkAbove(lane.tier, lane.pool) + state.queue.LaneWork(lane);
+  const double capacity = state.fleet.pool(lane.pool).capacity;
+  return state.come_back.After(ahead /
+                               state.drains[lane.pool].PerSecond(capacity));
+}
+
+absl::Time UrgentAt(const Waiting& waiting) {
+  return waiting.latest_start -
+         std::max(kUrgentBefore, kUrgentPart * waiting.best_service);
+}
+
+}  // namespace gentianlb::schedule
--- /dev/null
+++ b/src/schedule/state.h
@@ -0,0 +1,94 @@
+// All that one dispatcher knows, shared by the steps that act on it: intake,
+// grants, giving way and answers. Each module inside keeps its own rules; what
+// spans several of them is done by the functions here.
+
+#ifndef GENTIANLB_SCHEDULE_STATE_H_
+#define GENTIANLB_SCHEDULE_STATE_H_
+
+#include <map>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "schedule/counters.h"
+#include "schedule/estimate.h"
+#include "schedule/fleet.h"
+#include "schedule/index.h"
+#include "schedule/limits.h"
+#include "schedule/messages.h"
+#include "schedule/options.h"
+#include "schedule/order.h"
+#include "schedule/power.h"
+#include "schedule/prefix_cache.h"
+#include "schedule/refuse.h"
+#include "schedule/running.h"
+#include "schedule/signature.h"
+
+namespace gentianlb::schedule {
+
+// When requests of one tier came last.
+struct Activity {
+  absl::Time last = absl::InfinitePast();
+  absl::Time last_short = absl::InfinitePast();
+};
+
+struct State {
+  explicit State(const DispatcherOptions& chosen)
+      : options(chosen), come_back(chosen.seed) {
+    power.SetShare(chosen.initial_watts);
+  }
+
+  DispatcherOptions options;
+  absl::Time now;
+  std::vector<Decision>* out = nullptr;  // During one event.
+
+  WaitingQueue queue;
+  RunningTable running;
+  Fleet fleet;
+  PowerLedger power;
+  PrefixCache cache;
+  WorkspaceLimits limits;
+  OutputEstimator estimator;
+  RetryBudget retries;
+  ComeBack come_back;
+  std::vector<DrainRate> drains;  // By pool.
+
+  absl::flat_hash_map<RequestId, WaitIndex> waiting_by_id;
+  std::map<int, Activity> activity;  // By rank of the tier.
+  std::uint64_t next_sequence = 0;
+  bool room_changed = false;  // A waiting request may fit now.
+  bool power_short = false;   // The last search for room ended for power.
+  int preempting = 0;         // Cancelled for a higher tier, not yet ended.
+  absl::Time urgent_at = absl::InfiniteFuture();  // Of a waiting head.
+
+  Counters counters;
+  Signature signature;
+};
+
+// Appends a decision and counts it.
+void Emit(State& state, Decision decision);
+
+void AddWaiting(State& state, Waiting waiting);
+Waiting RemoveWaiting(State& state, WaitIndex index);
+
+// Takes a waiting request out of the queue and refuses it.
+void RefuseWaiting(State& state, WaitIndex index, Code code,
+                   absl::Duration retry_after);
+
+// Refuses a request that is not in the queue.
+void RefuseRequest(State& state, const Request& request, Code code,
+                   absl::Duration retry_after);
+
+// Asks the entry host to stop a running request. It has begun, so the code says
+// that it may have run, whatever the cause.
+void CancelRunning(State& state, RunIndex index, WasteCause cause);
+
+// When a caller of this lane may come back: when its backlog has drained.
+absl::Duration ComeBackAfter(State& state, const LaneKey& lane);
+
+// So close to its last start a waiting request may cost others something.
+absl::Time UrgentAt(const Waiting& waiting);
+
+}  // namespace gentianlb::schedule
+
+#endif  // GENTIANLB_SCHEDULE_STATE_H_
