--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -12,6 +12,9 @@
 constexpr char kPeerKey[] = "peer-key-of-the-tests-0123456789";
 constexpr char kOperatorKey[] = "operator-key-of-the-tests-0123456789";
 
+// gentianctl's exit code for what no repetition can mend.
+constexpr int kInvalid = 2;
+
 // Shorter than at a real site, so that a test sees a change soon.
 constexpr char kPeriods[] = R"(
 [membership]
@@ -332,6 +335,7 @@
   // A host that has only just started refuses at first.
   WaitUntil("a plan of the intent", [&] {
     planned = Operate({"plan", intent_file, "--format", "json"});
+    if (planned.status == kInvalid) throw std::runtime_error(planned.errors);
     return planned.status == 0;
   });
   auto plan = standins::ParseObject(planned.output);
