--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -42,7 +42,8 @@
       entries_.emplace_back();
     }
     servers_[server].Configure(spec);
-    Join(server, ModelId());
+    // A plain service has no models.
+    if (spec.models.empty()) Join(server, ModelId());
     for (const ModelId& model : spec.models) Join(server, model);
     configured.push_back(server);
   }
--- a/src/schedule/fleet.h
+++ b/src/schedule/fleet.h
@@ -21,7 +21,8 @@
 
 namespace gentianlb::schedule {
 
-// The servers that hold one model; the pool of the empty model holds all.
+// The servers that hold one model. Those of a plain service, which list none,
+// make the pool of the empty model.
 struct Pool {
   ModelId model;
   std::vector<ServerIndex> servers;  // Configured.
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -153,6 +153,8 @@
       case Hindrance::kReserved:
         block_.pool = true;
         Preempt(state_, index, /*for_power=*/false);
+        // What is kept from a short one is kept from all behind it.
+        if (!waiting.is_long) return false;
         break;
       case Hindrance::kTooLarge:
         Hold(index, placement);
--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -94,6 +94,7 @@
                         const Closed& closed, absl::Time now) {
   Placement best;
   if (fleet_.pool(waiting.pool).open.empty()) return best;
+  if ((*closed.pools)[waiting.pool]) return best;
   const PrefixCache::Lookup lookup = cache_.Find(waiting.marks);
   // Where thrown away prompts weigh more, work is begun with a margin.
   const bool careful = weights_.wasted_prefill > weights_.goodput;
