Dispatcher: no hopeful starts while others wait

Cause: under overload a request close to its last start was begun where it would finish only if its answer came out half as long as expected. Most did not, and took the room of others that would have been in time. Change: the hopeful start is for a pool in which nobody else waits.

--- a/src/schedule/dispatcher_test.cc
+++ b/src/schedule/dispatcher_test.cc
@@ -1,6 +1,7 @@
 #include "schedule/dispatcher.h"
 
 #include <boost/test/unit_test.hpp>
+#include <cstddef>
 #include <set>
 
 #include "schedule/fake_site_test.h"
@@ -8,7 +9,7 @@
 namespace gentianlb::schedule {
 namespace {
 
-using Kind = Outcome::Kind;
+using Kind = CallerOutcome::Kind;
 
 // A form is sent out and hundreds of chat questions arrive within a second,
 // many times what the engines hold. Users either get their answer in time or
@@ -89,7 +90,7 @@
   BOOST_TEST(site.dispatcher.window(slow) == 1);
   const std::size_t before = site.grants.size();
   load(10);
-  const auto since = site.grants.begin() + static_cast<long>(before);
+  const auto since = site.grants.begin() + static_cast<std::ptrdiff_t>(before);
   const auto to_slow = std::count_if(
       since, site.grants.end(),
       [&slow](const auto& grant) { return grant.second == slow; });
--- a/src/schedule/fake_site_test.h
+++ b/src/schedule/fake_site_test.h
@@ -18,7 +18,7 @@
 namespace gentianlb::schedule {
 
 // How one request ended for its caller.
-struct Outcome {
+struct CallerOutcome {
   enum class Kind { kComplete, kRefused, kCancelled, kBroken };
   Kind kind = Kind::kComplete;
   absl::Time when;
@@ -97,7 +97,7 @@
     for (const absl::Time end = now + span; now < end;) Step();
   }
 
-  int Count(Outcome::Kind kind, int tier) const {
+  int Count(CallerOutcome::Kind kind, int tier) const {
     return static_cast<int>(
         std::count_if(outcomes.begin(), outcomes.end(), [&](const auto& entry) {
           return entry.second.kind == kind &&
@@ -110,7 +110,7 @@
     return static_cast<int>(
         std::count_if(outcomes.begin(), outcomes.end(), [&](const auto& entry) {
           const Request& request = requests.at(entry.first);
-          return entry.second.kind == Outcome::Kind::kComplete &&
+          return entry.second.kind == CallerOutcome::Kind::kComplete &&
                  request.workspace == WorkspaceId(workspace) &&
                  entry.second.when <= request.deadline;
         }));
@@ -128,7 +128,7 @@
   absl::Time now = absl::FromUnixSeconds(1000);
   std::vector<ServerSpec> specs;
   std::map<RequestId, Request> requests;
-  std::map<RequestId, Outcome> outcomes;
+  std::map<RequestId, CallerOutcome> outcomes;
   std::vector<std::pair<RequestId, ServerId>> grants;
   std::map<ServerId, double> slowness;  // 0: it hangs.
   std::map<ServerId, EndKind> failing;  // How grants there end at once.
@@ -149,7 +149,7 @@
     std::optional<EndKind> ending;
   };
 
-  void Finish(const RequestId& id, Outcome outcome) {
+  void Finish(const RequestId& id, CallerOutcome outcome) {
     outcome.when = now;
     if (!outcomes.emplace(id, outcome).second) ++ended_twice;
   }
@@ -165,7 +165,7 @@
       if (fails != failing.end()) stream.ending = fails->second;
       streams_.push_back(stream);
     } else if (const auto* refuse = std::get_if<Refuse>(&decision)) {
-      Finish(refuse->id, {.kind = Outcome::Kind::kRefused,
+      Finish(refuse->id, {.kind = CallerOutcome::Kind::kRefused,
                           .code = refuse->code,
                           .retry_after = refuse->retry_after});
     } else if (const auto* cancel = std::get_if<Cancel>(&decision)) {
@@ -181,7 +181,8 @@
     const EndKind ending = stream->ending.value_or(EndKind::kNotSent);
     if (ending != EndKind::kNotSent) return;
     stream->ending = EndKind::kCancelled;
-    Finish(cancel.id, {.kind = Outcome::Kind::kCancelled, .code = cancel.code});
+    Finish(cancel.id,
+           {.kind = CallerOutcome::Kind::kCancelled, .code = cancel.code});
   }
 
   // Work of one stream in one step; prompts of a server go one by one.
@@ -239,7 +240,7 @@
     std::erase_if(streams_, [](const Stream& s) { return s.ending; });
     for (const Stream& stream : ending_) {
       if (stream.ending == EndKind::kBroken) {
-        Finish(stream.id, {.kind = Outcome::Kind::kBroken});
+        Finish(stream.id, {.kind = CallerOutcome::Kind::kBroken});
       }
       Tell(RequestEnded{.id = stream.id,
                         .kind = *stream.ending,
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -1,6 +1,7 @@
 #include "schedule/grant.h"
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 #include <vector>
 
@@ -43,7 +44,9 @@
         first, lanes.end(),
         [&](const LaneKey& lane) { return lane.tier != first->tier; });
     const auto count = static_cast<std::uint64_t>(last - first);
-    std::rotate(first, first + static_cast<long>(state.rotation % count), last);
+    std::rotate(first,
+                first + static_cast<std::ptrdiff_t>(state.rotation % count),
+                last);
     first = last;
   }
   return lanes;
@@ -135,8 +138,9 @@
   const Closed closed{.pools = &closed_pools_, .held = &held_};
   for (const WaitIndex index : heads_) {
     const Waiting& waiting = state_.queue.Get(index);
-    const Placement placement = placer_.Place(
-        waiting, ReservesFor(state_, waiting), closed, state_.now);
+    const Placement placement =
+        placer_.Place(waiting, ReservesFor(state_, waiting), closed,
+                      state_.queue.PoolSize(lane.pool) > 1, state_.now);
     switch (placement.hindrance) {
       case Hindrance::kNone:
         Grant(index, placement);
--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -14,8 +14,9 @@
 constexpr std::size_t kHolders = 4;
 constexpr std::size_t kPrefilling = 4;
 
-// When no better server comes free, a request is started where it finishes if
-// its answer turns out half as long as expected.
+// When no better server comes free and nobody else waits, a request is started
+// where it finishes if its answer turns out half as long as expected. With
+// others waiting it would only take their room and be late itself.
 constexpr double kHopefulOutput = 0.5;
 
 // A probe must not cost a request its deadline: it may take twice as long as
@@ -91,7 +92,7 @@
 }
 
 Placement Placer::Place(const Waiting& waiting, const Reserves& reserves,
-                        const Closed& closed, absl::Time now) {
+                        const Closed& closed, bool contended, absl::Time now) {
   Placement best;
   if (fleet_.pool(waiting.pool).open.empty()) return best;
   if ((*closed.pools)[waiting.pool]) return best;
@@ -107,7 +108,7 @@
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
       .output = static_cast<double>(careful ? waiting.output.high
                                             : waiting.output.median),
-      .last_chance = now >= waiting.urgent_at};
+      .last_chance = now >= waiting.urgent_at && !contended};
   Collect(waiting, lookup);
   double best_score = std::numeric_limits<double>::infinity();
   for (const ServerIndex server : candidates_) {
--- a/src/schedule/place.h
+++ b/src/schedule/place.h
@@ -61,8 +61,9 @@
          const PrefixCache& cache)
       : weights_(weights), fleet_(fleet), power_(power), cache_(cache) {}
 
+  // `contended`: others wait for the same servers.
   Placement Place(const Waiting& waiting, const Reserves& reserves,
-                  const Closed& closed, absl::Time now);
+                  const Closed& closed, bool contended, absl::Time now);
 
  private:
   struct Choice;
