--- a/src/schedule/fake_site_test.h
+++ b/src/schedule/fake_site_test.h
@@ -18,7 +18,7 @@
 namespace gentianlb::schedule {
 
 // How one request ended for its caller.
-struct Outcome {
+struct CallerOutcome {
   enum class Kind { kComplete, kRefused, kCancelled, kBroken };
   Kind kind = Kind::kComplete;
   absl::Time when;
@@ -97,7 +97,7 @@
     for (const absl::Time end = now + span; now < end;) Step();
   }
 
-  int Count(Outcome::Kind kind, int tier) const {
+  int Count(CallerOutcome::Kind kind, int tier) const {
     return static_cast<int>(
         std::count_if(outcomes.begin(), outcomes.end(), [&](const auto& entry) {
           return entry.second.kind == kind &&
@@ -110,7 +110,7 @@
     return static_cast<int>(
         std::count_if(outcomes.begin(), outcomes.end(), [&](const auto& entry) {
           const Request& request = requests.at(entry.first);
-          return entry.second.kind == Outcome::Kind::kComplete &&
+          return entry.second.kind == CallerOutcome::Kind::kComplete &&
                  request.workspace == WorkspaceId(workspace) &&
                  entry.second.when <= request.deadline;
         }));
@@ -128,7 +128,7 @@
   absl::Time now = absl::FromUnixSeconds(1000);
   std::vector<ServerSpec> specs;
   std::map<RequestId, Request> requests;
-  std::map<RequestId, Outcome> outcomes;
+  std::map<RequestId, CallerOutcome> outcomes;
   std::vector<std::pair<RequestId, ServerId>> grants;
   std::map<ServerId, double> slowness;  // 0: it hangs.
   std::map<ServerId, EndKind> failing;  // How grants there end at once.
@@ -149,7 +149,7 @@
     std::optional<EndKind> ending;
   };
 
-  void Finish(const RequestId& id, Outcome outcome) {
+  void Finish(const RequestId& id, CallerOutcome outcome) {
     outcome.when = now;
     if (!outcomes.emplace(id, outcome).second) ++ended_twice;
   }
@@ -165,24 +165,26 @@
       if (fails != failing.end()) stream.ending = fails->second;
       streams_.push_back(stream);
     } else if (const auto* refuse = std::get_if<Refuse>(&decision)) {
-      Finish(refuse->id, {.kind = Outcome::Kind::kRefused,
+      Finish(refuse->id, {.kind = CallerOutcome::Kind::kRefused,
                           .code = refuse->code,
                           .retry_after = refuse->retry_after});
     } else if (const auto* cancel = std::get_if<Cancel>(&decision)) {
-      for (Stream& stream : streams_) {
-        if (stream.id != cancel->id) continue;
-        // It may have ended already: the two crossed on the way. What was not
-        // sent is not tried again after a cancel, so that is its end.
-        if (stream.ending.value_or(EndKind::kNotSent) != EndKind::kNotSent) {
-          continue;
-        }
-        stream.ending = EndKind::kCancelled;
-        Finish(cancel->id,
-               {.kind = Outcome::Kind::kCancelled, .code = cancel->code});
-      }
+      for (Stream& stream : streams_) Stop(*cancel, &stream);
+      for (Stream& stream : ending_) Stop(*cancel, &stream);
     }
   }
 
+  void Stop(const Cancel& cancel, Stream* stream) {
+    if (stream->id != cancel.id) return;
+    // It may have ended already: the two crossed on the way. What was not sent
+    // is not tried again after a cancel, so that is its end.
+    const EndKind ending = stream->ending.value_or(EndKind::kNotSent);
+    if (ending != EndKind::kNotSent) return;
+    stream->ending = EndKind::kCancelled;
+    Finish(cancel.id,
+           {.kind = CallerOutcome::Kind::kCancelled, .code = cancel.code});
+  }
+
   // Work of one stream in one step; prompts of a server go one by one.
   void Work(Stream* stream, std::map<ServerId, bool>* prefilling) {
     const auto slow = slowness.find(stream->server);
@@ -231,14 +233,14 @@
   }
 
   void EndStreams() {
-    std::vector<Stream> ended;
+    ending_.clear();
     for (const Stream& stream : streams_) {
-      if (stream.ending) ended.push_back(stream);
+      if (stream.ending) ending_.push_back(stream);
     }
     std::erase_if(streams_, [](const Stream& s) { return s.ending; });
-    for (const Stream& stream : ended) {
+    for (const Stream& stream : ending_) {
       if (stream.ending == EndKind::kBroken) {
-        Finish(stream.id, {.kind = Outcome::Kind::kBroken});
+        Finish(stream.id, {.kind = CallerOutcome::Kind::kBroken});
       }
       Tell(RequestEnded{.id = stream.id,
                         .kind = *stream.ending,
@@ -259,6 +261,7 @@
   std::map<ServerId, std::set<PrefixHash>> caches_;
   std::map<RequestId, int> outputs_;
   std::vector<Stream> streams_;
+  std::vector<Stream> ending_;  // Told of in this step.
   int next_id_ = 0;
 };
 
--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -14,14 +14,11 @@
 constexpr std::size_t kHolders = 4;
 constexpr std::size_t kPrefilling = 4;
 
-// When no better server comes free, a request is started where it finishes if
-// its answer turns out half as long as expected.
+// When no better server comes free and nobody else waits, a request is started
+// where it finishes if its answer turns out half as long as expected. With
+// others waiting it would only take their room and be late itself.
 constexpr double kHopefulOutput = 0.5;
 
-// So close to the last start there is nothing left to wait for.
-constexpr absl::Duration kLastChance = absl::Milliseconds(500);
-constexpr double kLastChancePart = 0.25;
-
 // A probe must not cost a request its deadline: it may take twice as long as
 // predicted.
 constexpr double kProbeMargin = 2;
@@ -95,12 +92,11 @@
 }
 
 Placement Placer::Place(const Waiting& waiting, const Reserves& reserves,
-                        const Closed& closed, absl::Time now) {
+                        const Closed& closed, bool contended, absl::Time now) {
   Placement best;
   if (fleet_.pool(waiting.pool).open.empty()) return best;
+  if ((*closed.pools)[waiting.pool]) return best;
   const PrefixCache::Lookup lookup = cache_.Find(waiting.marks);
-  const absl::Duration last_chance =
-      std::max(kLastChance, kLastChancePart * waiting.best_service);
   // Where thrown away prompts weigh more, work is begun with a margin.
   const bool careful = weights_.wasted_prefill > weights_.goodput;
   const Choice choice{
@@ -112,7 +108,7 @@
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
       .output = static_cast<double>(careful ? waiting.output.high
                                             : waiting.output.median),
-      .last_chance = waiting.latest_start - now < last_chance};
+      .last_chance = now >= waiting.urgent_at && !contended};
   Collect(waiting, lookup);
   double best_score = std::numeric_limits<double>::infinity();
   for (const ServerIndex server : candidates_) {
@@ -129,7 +125,13 @@
   if (std::find(pools.begin(), pools.end(), waiting.pool) == pools.end()) {
     return;  // Holds the prefix for another model.
   }
-  if (!server.Open(choice.now) || choice.IsClosed(fleet_, index)) return;
+  if (!server.Open(choice.now)) return;
+  const int kept =
+      static_cast<int>(choice.reserves.streams * server.window.streams());
+  if (server.FreeStreams(choice.now) <= kept && server.running() > 0) {
+    return Prefer(Hindrance::kReserved, best);
+  }
+  if (choice.IsClosed(fleet_, index)) return;
 
   const double cached =
       std::min<double>(waiting.request.prompt_tokens,
@@ -140,12 +142,6 @@
   demand.kv_tokens = waiting.request.prompt_tokens + waiting.output.high;
   demand.plain = waiting.request.model.empty();
 
-  // Room: first the engine's, then what is kept for others.
-  const int kept =
-      static_cast<int>(choice.reserves.streams * server.window.streams());
-  if (server.FreeStreams(choice.now) <= kept && server.running() > 0) {
-    return Prefer(Hindrance::kReserved, best);
-  }
   if (!server.MemoryFits(demand.kv_tokens) ||
       !server.PrefillFits(demand.prefill_tokens)) {
     const bool first = best->server == kNoIndex;
