Replay: whole seconds as the bound's steps

With steps of 3.2 s the edge of a step could round into the step before, and the supply was then added in empty pieces for ever: the bound of a trace longer than 300 s never ended. Whole seconds have no such edges.

--- a/src/replay/bound.cc
+++ b/src/replay/bound.cc
@@ -1,6 +1,7 @@
 #include "replay/bound.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <map>
 #include <set>
@@ -204,7 +205,8 @@
   double last = 0;
   for (const Job& job : *jobs) last = std::max(last, job.to);
   Grid grid;
-  grid.step_seconds = std::max(kLeastStepSeconds, last / kMostSteps);
+  // Whole seconds, of which sums are exact: the edge of a step is always one.
+  grid.step_seconds = std::ceil(std::max(kLeastStepSeconds, last / kMostSteps));
   grid.steps = static_cast<std::size_t>(last / grid.step_seconds) + 1;
   for (Job& job : *jobs) {
     job.first_step = static_cast<int>(job.from / grid.step_seconds);
