Replay: result codes of refusals, a scale run at the servers' pace

The scale run told first tokens only when an answer ended and let streams of a large site run at 8 tokens a second: the dispatcher rightly saw stragglers, cut its windows and decided less than was asked. Answers now take 8 s at either size, at the configured speeds.

--- a/src/replay/figures.h
+++ b/src/replay/figures.h
@@ -4,11 +4,13 @@
 #define GENTIANLB_REPLAY_FIGURES_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
 #include "absl/time/time.h"
 #include "base/ids.h"
+#include "base/result.h"
 
 namespace gentianlb::replay {
 
@@ -32,7 +34,8 @@
   int doubtful_refusals = 0;
   absl::Duration first_token_median;
   absl::Duration first_token_p99;
-  double fairness = 1;  // Jain's index over workspaces.
+  double fairness = 1;        // Jain's index over workspaces.
+  std::map<Code, int> codes;  // Of refusals and cancels by the policy.
   bool operator==(const TierFigures&) const = default;
 };
 
--- a/src/replay/ledger.cc
+++ b/src/replay/ledger.cc
@@ -107,6 +107,7 @@
     if (IsForRoomOrPower(code)) ++tier.inversions;
     if (IsForTime(code) && could_finish) ++tier.doubtful_refusals;
   }
+  ++tier.codes[code];
   Move(index, Phase::kRefused);
   return true;
 }
@@ -121,6 +122,7 @@
   // It may have ended, or come back unsent, while the decision was on its way.
   if (record.phase != Phase::kRunning || record.cancel_sent) return false;
   record.cancel_sent = true;
+  ++tiers_[record.trace.tier].codes[code];
   if (IsForRoomOrPower(code) && LowerTierRuns(record.trace.tier)) {
     ++tiers_[record.trace.tier].cancel_inversions;
   }
@@ -190,6 +192,7 @@
     row.inversions = tiers_.at(tier).inversions;
     row.cancel_inversions = tiers_.at(tier).cancel_inversions;
     row.doubtful_refusals = tiers_.at(tier).doubtful_refusals;
+    row.codes = tiers_.at(tier).codes;
     row.first_token_median = Quantile(first_tokens[tier], 0.5);
     row.first_token_p99 = Quantile(first_tokens[tier], 0.99);
     row.fairness = Fairness(work[tier], workspaces);
--- a/src/replay/ledger.h
+++ b/src/replay/ledger.h
@@ -5,6 +5,7 @@
 #ifndef GENTIANLB_REPLAY_LEDGER_H_
 #define GENTIANLB_REPLAY_LEDGER_H_
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -90,6 +91,7 @@
     int inversions = 0;
     int cancel_inversions = 0;
     int doubtful_refusals = 0;
+    std::map<Code, int> codes;
   };
 
   void Move(StreamIndex index, Phase phase);
--- a/src/replay/report.cc
+++ b/src/replay/report.cc
@@ -26,6 +26,10 @@
   value["first_token_median_s"] = Seconds(tier.first_token_median);
   value["first_token_p99_s"] = Seconds(tier.first_token_p99);
   value["fairness"] = tier.fairness;
+  value["codes"] = Json::Value(Json::objectValue);
+  for (const auto& [code, count] : tier.codes) {
+    value["codes"][std::to_string(static_cast<int>(code))] = count;
+  }
   return value;
 }
 
@@ -71,16 +75,29 @@
   return value;
 }
 
+std::string CodesToText(const std::map<Code, int>& codes) {
+  if (codes.empty()) return "";
+  std::string text = "          by code:";
+  for (const auto& [code, count] : codes) {
+    absl::StrAppend(&text, " ", static_cast<int>(code), " x ", count);
+  }
+  return text + "\n";
+}
+
 std::string TierToText(const TierFigures& tier, double bound) {
   return absl::StrFormat(
-      "  tier %d: offered %5d  in time %5d  bound %7.1f  late %4d  refused "
-      "%5d  cancelled %4d  broken %3d  left %3d  inversions %d+%d  doubtful "
-      "%d\n          first token median %.2f s, p99 %.2f s  fairness %.3f\n",
-      tier.tier.rank, tier.offered, tier.in_time, bound, tier.late,
-      tier.refused, tier.cancelled, tier.broken, tier.abandoned,
-      tier.inversions, tier.cancel_inversions, tier.doubtful_refusals,
-      Seconds(tier.first_token_median), Seconds(tier.first_token_p99),
-      tier.fairness);
+             "  tier %d: offered %5d  in time %5d  bound %7.1f  late %4d  "
+             "refused "
+             "%5d  cancelled %4d  broken %3d  left %3d  inversions %d+%d  "
+             "doubtful "
+             "%d\n          first token median %.2f s, p99 %.2f s  fairness "
+             "%.3f\n",
+             tier.tier.rank, tier.offered, tier.in_time, bound, tier.late,
+             tier.refused, tier.cancelled, tier.broken, tier.abandoned,
+             tier.inversions, tier.cancel_inversions, tier.doubtful_refusals,
+             Seconds(tier.first_token_median), Seconds(tier.first_token_p99),
+             tier.fairness) +
+         CodesToText(tier.codes);
 }
 
 double Percent(double part, double whole) {
--- a/src/replay/scale.cc
+++ b/src/replay/scale.cc
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/str_cat.h"
 #include "replay/bench.h"
 #include "replay/random.h"
@@ -21,6 +22,14 @@
 // Enough finished answers for a mean that repeats within a few in 100.
 constexpr int kAnswers = 20'000;
 
+// Answers take as long, and come as fast, as the servers are configured for;
+// a slower pace would be measured as a site of stragglers.
+constexpr double kAnswerSeconds = 8;
+constexpr double kFirstTokenSeconds = 0.4;
+constexpr double kFullBatchSlowdown = 1.6;
+constexpr double kDecodeSpeed = 15;  // Of the oldest generation.
+
+constexpr int kGenerations = 4;
 constexpr int kStreamsPerServer = 16;
 constexpr int kWorkspaces = 50;
 constexpr int kTiers = 4;
@@ -32,10 +41,10 @@
   for (int i = 0; i < count; ++i) {
     schedule::ServerSpec spec;
     spec.id = ServerId(absl::StrCat("server-", i));
-    spec.generation = 1 + i % 4;
+    spec.generation = 1 + i % kGenerations;
     spec.models = {ModelId("model")};
     spec.prefill_tokens_per_second = 4000.0 * spec.generation;
-    spec.decode_tokens_per_second = 15.0 * spec.generation;
+    spec.decode_tokens_per_second = kDecodeSpeed * spec.generation;
     spec.max_streams = kStreamsPerServer;
     spec.kv_tokens = 1'000'000;
     spec.cache_tokens = 200'000;
@@ -64,18 +73,19 @@
     Handle(Workspaces());
     Handle(Servers(servers));
     Handle(schedule::PowerShareChanged{1e9});
-    // One more than runs at once has to wait for each place.
+    for (int i = 0; i < servers; ++i) {
+      generation_[ServerId(absl::StrCat("server-", i))] = 1 + i % kGenerations;
+    }
     int all = servers * kStreamsPerServer + waiting;
     for (int i = 0; i < all; ++i) Arrive();
+    // Warm up: all that runs now was granted at one moment.
+    for (int i = 0; i < 2 * all; ++i) Turn();
     decisions_ = 0;
     spent_ = {};
   }
 
   ScaleFigures Measure(int servers) {
-    for (int i = 0; i < kAnswers && !running_.empty(); ++i) {
-      FinishOldest();
-      while (waiting_ < waiting_target_) Arrive();
-    }
+    for (int i = 0; i < kAnswers; ++i) Turn();
     std::chrono::duration<double, std::nano> spent = spent_;
     double each = spent.count() /
                   static_cast<double>(std::max<std::int64_t>(1, decisions_));
@@ -83,6 +93,12 @@
   }
 
  private:
+  struct Running {
+    RequestId id;
+    absl::Time granted;
+    int generation = 1;
+  };
+
   void Arrive() {
     schedule::Request request;
     request.id = RequestId(absl::StrCat("request-", ++count_));
@@ -104,12 +120,30 @@
     Handle(schedule::RequestArrived{std::move(request)});
   }
 
+  // An answer ends, another request takes its place, and a third comes in.
+  void Turn() {
+    if (!running_.empty()) {
+      now_ += absl::Seconds(kAnswerSeconds) / running_.size();
+      FinishOldest();
+    }
+    while (!no_token_yet_.empty() &&
+           no_token_yet_.front().granted + absl::Seconds(kFirstTokenSeconds) <=
+               now_) {
+      RequestId id = no_token_yet_.front().id;
+      no_token_yet_.pop_front();
+      Handle(schedule::TokensStreamed{id, 1});
+    }
+    while (waiting_ < waiting_target_) Arrive();
+  }
+
   void FinishOldest() {
-    RequestId id = running_.front();
+    const Running oldest = running_.front();
     running_.pop_front();
-    now_ += absl::Milliseconds(1);
-    Handle(schedule::TokensStreamed{id, 1});
-    Handle(schedule::RequestEnded{id, schedule::EndKind::kComplete, 128, 0});
+    double seconds = absl::ToDoubleSeconds(now_ - oldest.granted);
+    double tokens = std::max(0.0, seconds - kFirstTokenSeconds) * kDecodeSpeed *
+                    oldest.generation / kFullBatchSlowdown;
+    Handle(schedule::RequestEnded{oldest.id, schedule::EndKind::kComplete,
+                                  1 + static_cast<int>(tokens), 0});
   }
 
   void Handle(const Event& event) {
@@ -121,7 +155,9 @@
       ++decisions_;
       --waiting_;
       const auto* grant = std::get_if<schedule::Grant>(&decision);
-      if (grant != nullptr) running_.push_back(grant->id);
+      if (grant == nullptr) continue;
+      running_.push_back({grant->id, now_, generation_[grant->server]});
+      no_token_yet_.push_back(running_.back());
     }
   }
 
@@ -129,7 +165,9 @@
   Random random_;
   schedule::Dispatcher dispatcher_;
   absl::Time now_ = absl::UnixEpoch();
-  std::deque<RequestId> running_;
+  absl::flat_hash_map<ServerId, int> generation_;
+  std::deque<Running> running_;
+  std::deque<Running> no_token_yet_;
   int waiting_ = 0;
   int count_ = 0;
   std::int64_t decisions_ = 0;
