--- a/src/replay/baseline.cc
+++ b/src/replay/baseline.cc
@@ -24,7 +24,8 @@
 
 }  // namespace
 
-int RoundRobin::Pick(const std::vector<BaselineServer>& servers,
+int RoundRobin::Pick(const schedule::Request&,
+                     const std::vector<BaselineServer>& servers,
                      const std::vector<int>& usable) {
   // The next in order that may be used.
   for (std::size_t i = 0; i < servers.size(); ++i) {
@@ -36,20 +37,44 @@
   return usable.front();
 }
 
-int LeastOutstanding::Pick(const std::vector<BaselineServer>& servers,
+int LeastOutstanding::Pick(const schedule::Request&,
+                           const std::vector<BaselineServer>& servers,
                            const std::vector<int>& usable) {
   return *std::min_element(usable.begin(), usable.end(), [&](int a, int b) {
     return servers[a].outstanding < servers[b].outstanding;
   });
 }
 
-int TwoChoices::Pick(const std::vector<BaselineServer>& servers,
+int TwoChoices::Pick(const schedule::Request&,
+                     const std::vector<BaselineServer>& servers,
                      const std::vector<int>& usable) {
   int a = usable[random_() % usable.size()];
   int b = usable[random_() % usable.size()];
   return servers[b].reported < servers[a].reported ? b : a;
 }
 
+int PrefixAffinity::Pick(const schedule::Request& request,
+                         const std::vector<BaselineServer>& servers,
+                         const std::vector<int>& usable) {
+  int picked = LeastOutstanding().Pick(request, servers, usable);
+  // The longest part that somebody has got counts. A short one, such as the
+  // instructions that all prompts share, would bring all to one server.
+  const std::size_t least = request.prefix.size() / 2;
+  for (std::size_t i = request.prefix.size(); i-- > least;) {
+    auto found = last_server_.find(request.prefix[i]);
+    if (found == last_server_.end()) continue;
+    const int holder = found->second;
+    bool free = servers[holder].outstanding < servers[holder].spec.max_streams;
+    bool may = std::binary_search(usable.begin(), usable.end(), holder);
+    if (free && may) picked = holder;
+    break;
+  }
+  for (schedule::PrefixHash block : request.prefix) {
+    last_server_[block] = picked;
+  }
+  return picked;
+}
+
 void BaselineState::Take(const schedule::Event& event, absl::Time now,
                          std::vector<Decision>* decisions) {
   std::visit([this](const auto& it) { On(it); }, event);
--- a/src/replay/baseline.h
+++ b/src/replay/baseline.h
@@ -28,18 +28,20 @@
   int reported = 0;     // Running and queued, by its last report.
 };
 
-// Picks one of `usable`, which is not empty and holds indices of `servers`.
+// Picks one of `usable`, which is not empty and holds indices of `servers`, in
+// their order.
 template <typename C>
-concept ServerChoice = requires(C choice,
+concept ServerChoice = requires(C choice, const schedule::Request& request,
                                 const std::vector<BaselineServer>& servers,
                                 const std::vector<int>& usable) {
-  { choice.Pick(servers, usable) } -> std::same_as<int>;
+  { choice.Pick(request, servers, usable) } -> std::same_as<int>;
 };
 
 // One after the other.
 class RoundRobin {
  public:
-  int Pick(const std::vector<BaselineServer>& servers,
+  int Pick(const schedule::Request& request,
+           const std::vector<BaselineServer>& servers,
            const std::vector<int>& usable);
 
  private:
@@ -49,7 +51,8 @@
 // The one with the fewest requests outstanding.
 class LeastOutstanding {
  public:
-  int Pick(const std::vector<BaselineServer>& servers,
+  int Pick(const schedule::Request& request,
+           const std::vector<BaselineServer>& servers,
            const std::vector<int>& usable);
 };
 
@@ -57,13 +60,27 @@
 class TwoChoices {
  public:
   explicit TwoChoices(std::uint64_t seed) : random_(seed) {}
-  int Pick(const std::vector<BaselineServer>& servers,
+  int Pick(const schedule::Request& request,
+           const std::vector<BaselineServer>& servers,
            const std::vector<int>& usable);
 
  private:
   std::mt19937_64 random_;
 };
 
+// The one that last got the longest part of the prompt's head, if that is half
+// of the prompt and the server has a free slot, else the one with the fewest
+// outstanding. Knows nothing of what caches forget.
+class PrefixAffinity {
+ public:
+  int Pick(const schedule::Request& request,
+           const std::vector<BaselineServer>& servers,
+           const std::vector<int>& usable);
+
+ private:
+  absl::flat_hash_map<schedule::PrefixHash, int> last_server_;
+};
+
 // The balancer around a choice; not thread-safe.
 class BaselineState {
  public:
@@ -73,6 +90,9 @@
 
   const std::vector<BaselineServer>& servers() const { return servers_; }
 
+  // The request that is next; there must be one.
+  const schedule::Request& head() const { return queue_.front(); }
+
   // Servers that may get the request at the head of the queue now; empty when
   // there is none, or it has to wait.
   std::vector<int> UsableForHead() const;
@@ -128,7 +148,8 @@
     state_.Take(event, now, decisions);
     for (std::vector<int> usable = state_.UsableForHead(); !usable.empty();
          usable = state_.UsableForHead()) {
-      state_.GrantHead(choice_.Pick(state_.servers(), usable), decisions);
+      int server = choice_.Pick(state_.head(), state_.servers(), usable);
+      state_.GrantHead(server, decisions);
     }
   }
 
--- a/src/replay/bench.cc
+++ b/src/replay/bench.cc
@@ -84,6 +84,13 @@
   return computed > 0 ? service.prefill.wasted() / computed : 0;
 }
 
+// Without what was computed a second time for another server.
+double ThrownAwayPart(const ServiceFigures& service) {
+  const PrefillFigures& prefill = service.prefill;
+  double thrown = prefill.wasted() - prefill.misplaced;
+  return prefill.computed > 0 ? thrown / prefill.computed : 0;
+}
+
 double Ratio(double part, double whole) { return whole > 0 ? part / whole : 1; }
 
 // One line of the table.
@@ -100,13 +107,15 @@
   int top_in_time = product.tiers.empty() ? 0 : product.tiers.front().in_time;
   int in_time = InTime(product);
   return absl::StrFormat(
-      "%-11s %-16s %-13s %6d %6d %6.3f %6.3f %6.3f %6.2f %7.2f %7.2f %5d %5d "
+      "%-11s %-16s %-13s %6d %6d %6.3f %6.3f %6.3f %6.2f %7.2f %7.2f %7.2f %5d "
+      "%5d "
       "%6.0f %6.0f\n",
       row.deployment, row.scenario, product.service.str(), Offered(product),
       in_time, Ratio(top_in_time, top), Ratio(in_time, bound.tiers_total),
       Ratio(in_time, bound.total), Ratio(in_time, best),
-      100 * WastedPart(product), 100 * least_waste, Inversions(product),
-      Doubtful(product), product.watts_above_cap, product.ns_per_decision);
+      100 * WastedPart(product), 100 * ThrownAwayPart(product),
+      100 * least_waste, Inversions(product), Doubtful(product),
+      product.watts_above_cap, product.ns_per_decision);
 }
 
 void FindViolations(const Case& it, std::uint64_t seed,
@@ -145,9 +154,10 @@
 
 std::string ToText(const BenchFigures& figures) {
   std::string text = absl::StrFormat(
-      "%-11s %-16s %-13s %6s %6s %6s %6s %6s %6s %7s %7s %5s %5s %6s %6s\n",
+      "%-11s %-16s %-13s %6s %6s %6s %6s %6s %6s %7s %7s %7s %5s %5s %6s %6s\n",
       "deployment", "scenario", "service", "offer", "intime", "top", "tiers",
-      "all", "xbase", "waste%", "base%", "inv", "doubt", "W over", "ns");
+      "all", "xbase", "waste%", "thrown%", "base%", "inv", "doubt", "W over",
+      "ns");
   for (const BenchRow& row : figures.rows) {
     for (std::size_t i = 0; i < row.product.services.size(); ++i) {
       text += LineOf(row, i);
--- a/src/replay/policies.cc
+++ b/src/replay/policies.cc
@@ -71,6 +71,9 @@
   if (name == "two-choices") {
     return ReplayBaseline(deployment, trace, seed, TwoChoices(seed));
   }
+  if (name == "prefix-affinity") {
+    return ReplayBaseline(deployment, trace, seed, PrefixAffinity());
+  }
   return Fail(Code::kUsage,
               absl::StrCat("no policy named ", std::string(name)));
 }
@@ -78,12 +81,13 @@
 }  // namespace
 
 std::vector<std::string> PolicyNames() {
-  return {std::string(kProductPolicy), "round-robin", "least-outstanding",
-          "two-choices", std::string(kBoundPolicy)};
+  return {std::string(kProductPolicy), "round-robin",
+          "least-outstanding",         "two-choices",
+          "prefix-affinity",           std::string(kBoundPolicy)};
 }
 
 std::vector<std::string> BaselineNames() {
-  return {"round-robin", "least-outstanding", "two-choices"};
+  return {"round-robin", "least-outstanding", "two-choices", "prefix-affinity"};
 }
 
 Result<ReplayFigures> ReplayUnder(std::string_view name,
