--- a/src/replay/figures.h
+++ b/src/replay/figures.h
@@ -68,6 +68,7 @@
   std::vector<TierFigures> tiers;
   PrefillFigures prefill;
   double peak_watts = 0;
+  double mean_watts = 0;  // From the first arrival to the last end.
   double lowest_cap_watts = 0;
   double watts_above_cap = 0;  // The worst moment; 0 when never above.
   std::int64_t events = 0;
--- a/src/replay/report.cc
+++ b/src/replay/report.cc
@@ -65,6 +65,7 @@
   }
   value["prefill"] = PrefillToJson(service.prefill);
   value["peak_watts"] = service.peak_watts;
+  value["mean_watts"] = service.mean_watts;
   value["lowest_cap_watts"] = service.lowest_cap_watts;
   value["watts_above_cap"] = service.watts_above_cap;
   value["events"] = Json::Int64{service.events};
@@ -120,9 +121,11 @@
       prefill.computed, percent(prefill.wasted()), percent(prefill.cancelled),
       percent(prefill.broken), percent(prefill.late), percent(prefill.evicted),
       percent(prefill.misplaced));
-  absl::StrAppendFormat(
-      &text, "  power: peak %.0f W, lowest cap %.0f W, above the cap %.0f W\n",
-      service.peak_watts, service.lowest_cap_watts, service.watts_above_cap);
+  absl::StrAppendFormat(&text,
+                        "  power: peak %.0f W, mean %.0f W, lowest cap %.0f W, "
+                        "above the cap %.0f W\n",
+                        service.peak_watts, service.mean_watts,
+                        service.lowest_cap_watts, service.watts_above_cap);
   absl::StrAppendFormat(
       &text, "  decisions: %d in %d events, %.0f ns each, signature %s\n",
       service.decisions, service.events, service.ns_per_decision,
--- a/src/replay/site.cc
+++ b/src/replay/site.cc
@@ -46,7 +46,8 @@
       random_(seed),
       now_(Start()),
       horizon_(LastDeadline(trace) + kForgottenAfter),
-      cache_sequence_(service.servers.size(), 0) {
+      cache_sequence_(service.servers.size(), 0),
+      metered_(Start()) {
   for (const schedule::ServerSpec& spec : service.servers) {
     server_index_[spec.id] = static_cast<int>(servers_.size());
     servers_.emplace_back(spec, Start());
@@ -90,6 +91,9 @@
 void Site::MeterPower() {
   double watts = 0;
   for (const ServerFake& server : servers_) watts += server.Watts();
+  joules_ += watts_ * absl::ToDoubleSeconds(now_ - metered_);
+  metered_ = now_;
+  watts_ = watts;
   peak_watts_ = std::max(peak_watts_, watts);
   double above = watts - cap_watts_;
   if (above > kWattsSlack) {
@@ -116,6 +120,8 @@
   figures.tiers = ledger_.Tiers(deployment_.workspaces);
   figures.prefill = ledger_.Prefill();
   figures.peak_watts = peak_watts_;
+  double seconds = absl::ToDoubleSeconds(metered_ - Start());
+  figures.mean_watts = seconds > 0 ? joules_ / seconds : 0;
   figures.lowest_cap_watts = lowest_cap_watts_;
   figures.watts_above_cap = watts_above_cap_;
   return figures;
--- a/src/replay/site.h
+++ b/src/replay/site.h
@@ -167,6 +167,9 @@
   double cap_watts_ = 0;
   double lowest_cap_watts_ = 0;
   double peak_watts_ = 0;
+  double watts_ = 0;  // At the last reading.
+  double joules_ = 0;
+  absl::Time metered_;
   double watts_above_cap_ = 0;
 };
 
