--- a/src/replay/report.cc
+++ b/src/replay/report.cc
@@ -26,6 +26,10 @@
   value["first_token_median_s"] = Seconds(tier.first_token_median);
   value["first_token_p99_s"] = Seconds(tier.first_token_p99);
   value["fairness"] = tier.fairness;
+  value["codes"] = Json::Value(Json::objectValue);
+  for (const auto& [code, count] : tier.codes) {
+    value["codes"][std::to_string(static_cast<int>(code))] = count;
+  }
   return value;
 }
 
@@ -61,6 +65,7 @@
   }
   value["prefill"] = PrefillToJson(service.prefill);
   value["peak_watts"] = service.peak_watts;
+  value["mean_watts"] = service.mean_watts;
   value["lowest_cap_watts"] = service.lowest_cap_watts;
   value["watts_above_cap"] = service.watts_above_cap;
   value["events"] = Json::Int64{service.events};
@@ -71,16 +76,29 @@
   return value;
 }
 
+std::string CodesToText(const std::map<Code, int>& codes) {
+  if (codes.empty()) return "";
+  std::string text = "          by code:";
+  for (const auto& [code, count] : codes) {
+    absl::StrAppend(&text, " ", static_cast<int>(code), " x ", count);
+  }
+  return text + "\n";
+}
+
 std::string TierToText(const TierFigures& tier, double bound) {
   return absl::StrFormat(
-      "  tier %d: offered %5d  in time %5d  bound %7.1f  late %4d  refused "
-      "%5d  cancelled %4d  broken %3d  left %3d  inversions %d+%d  doubtful "
-      "%d\n          first token median %.2f s, p99 %.2f s  fairness %.3f\n",
-      tier.tier.rank, tier.offered, tier.in_time, bound, tier.late,
-      tier.refused, tier.cancelled, tier.broken, tier.abandoned,
-      tier.inversions, tier.cancel_inversions, tier.doubtful_refusals,
-      Seconds(tier.first_token_median), Seconds(tier.first_token_p99),
-      tier.fairness);
+             "  tier %d: offered %5d  in time %5d  bound %7.1f  late %4d  "
+             "refused "
+             "%5d  cancelled %4d  broken %3d  left %3d  inversions %d+%d  "
+             "doubtful "
+             "%d\n          first token median %.2f s, p99 %.2f s  fairness "
+             "%.3f\n",
+             tier.tier.rank, tier.offered, tier.in_time, bound, tier.late,
+             tier.refused, tier.cancelled, tier.broken, tier.abandoned,
+             tier.inversions, tier.cancel_inversions, tier.doubtful_refusals,
+             Seconds(tier.first_token_median), Seconds(tier.first_token_p99),
+             tier.fairness) +
+         CodesToText(tier.codes);
 }
 
 double Percent(double part, double whole) {
@@ -103,9 +121,11 @@
       prefill.computed, percent(prefill.wasted()), percent(prefill.cancelled),
       percent(prefill.broken), percent(prefill.late), percent(prefill.evicted),
       percent(prefill.misplaced));
-  absl::StrAppendFormat(
-      &text, "  power: peak %.0f W, lowest cap %.0f W, above the cap %.0f W\n",
-      service.peak_watts, service.lowest_cap_watts, service.watts_above_cap);
+  absl::StrAppendFormat(&text,
+                        "  power: peak %.0f W, mean %.0f W, lowest cap %.0f W, "
+                        "above the cap %.0f W\n",
+                        service.peak_watts, service.mean_watts,
+                        service.lowest_cap_watts, service.watts_above_cap);
   absl::StrAppendFormat(
       &text, "  decisions: %d in %d events, %.0f ns each, signature %s\n",
       service.decisions, service.events, service.ns_per_decision,
