--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -26,13 +26,13 @@
       started_(now),
       now_(now),
       next_scan_(now),
+      paused_from_(now),
       awake_since_(now) {}
 
 void ClaimMachine::Handle(const Event& event, absl::Time now,
                           std::vector<Action>* actions) {
   actions_ = actions;
-  if (now - now_ > options_.pause_gap) awake_since_ = now;
-  now_ = now;
+  MoveTime(now);
   std::visit([this](const auto& one) { On(one); }, event);
   actions_ = nullptr;
 }
@@ -47,6 +47,29 @@
   return scanning_ ? now_ + kTick : next;
 }
 
+void ClaimMachine::MoveTime(absl::Time now) {
+  if (now - now_ > options_.pause_gap) {
+    bool apart = now_ - awake_since_ > options_.max_transit;
+    if (apart) paused_from_ = now_;
+    awake_since_ = now;
+  }
+  now_ = now;
+}
+
+// A message that arrives now was not sent before this: the HTTP server bounds
+// its way, except that it may have waited in a socket while we were paused.
+absl::Time ClaimMachine::SentAfter() const {
+  absl::Time usual = now_ - options_.max_transit;
+  return usual < awake_since_ ? paused_from_ - options_.max_transit : usual;
+}
+
+absl::Time ClaimMachine::FirstSent(const ClaimRequest& request) const {
+  absl::Time bound = SentAfter();
+  if (request.attempt != 1) bound -= options_.coverage.key_window;
+  if (!request.key_time) return bound;
+  return std::max(bound, *request.key_time - options_.coverage.clock_skew);
+}
+
 // --- Events -----------------------------------------------------------------
 
 void ClaimMachine::On(const Opened& event) {
@@ -54,7 +77,7 @@
   Claim& claim = claims_[event.id];
   claim.id = event.id;
   claim.request = event.request;
-  claim.opened = now_;
+  claim.first_sent = FirstSent(event.request);
   Begin(claim);
 }
 
@@ -65,7 +88,7 @@
   Claim again;
   again.id = claim->id;
   again.request = claim->request;
-  again.opened = claim->opened;
+  again.first_sent = claim->first_sent;
   again.attach_failed = true;
   *claim = std::move(again);
   Begin(*claim);
@@ -268,7 +291,8 @@
 // a row; a marked first sending rules that out, and so do current leases.
 void ClaimMachine::AskAboutUnwritten(Claim& claim) {
   const ClaimRequest& request = claim.request;
-  bool unmarked_but_sure = request.attempt == 0 && coverage_.CleanStart(now_);
+  bool unmarked_but_sure =
+      request.attempt == 0 && coverage_.KnowsAll(claim.first_sent);
   bool first_sending = request.attempt == 1 || unmarked_but_sure;
   bool may_have_run = claim.attach_failed || !first_sending;
   // A call that may not be repeated is never run without a row, by anyone.
@@ -283,7 +307,7 @@
       StartScan();
       return;
     }
-    suspects = coverage_.FindSuspects(claim.row_sent, request.key_time, now_);
+    suspects = coverage_.FindSuspects(claim.row_sent, claim.first_sent, now_);
   }
   // Whoever asked us about the key may be running it.
   std::set<EntryHostId> ask(suspects.to_ask.begin(), suspects.to_ask.end());
@@ -326,11 +350,8 @@
 bool ClaimMachine::RulesOut(const Claim& claim, const EntryHostId& peer,
                             const std::optional<PeerAnswer>& answer) const {
   if (!answer || answer->state != PeerState::kNotHeld) return false;
-  if (claim.request.attempt == 1 && !claim.promised) return true;
   // A restarted peer has forgotten what its earlier incarnation ran.
-  if (coverage_.Remembers(answer->knows_since, claim.request.key_time, now_)) {
-    return true;
-  }
+  if (coverage_.Remembers(answer->knows_since, claim.first_sent)) return true;
   if (claim.phase != Phase::kAskingPeers) return false;
   bool knows_promise =
       !claim.promised || answer->knows_since <= *claim.promised;
@@ -352,16 +373,11 @@
 void ClaimMachine::RunWithoutTable(Claim& claim) {
   bool first =
       claim.request.attempt == 1 && !claim.promised && !claim.attach_failed;
-  // The key was first sent after our lease lapsed, so whoever gets a re-send
-  // sees the lapse and asks us. A pause may have kept the message waiting in a
-  // socket for longer than the server allows.
-  absl::Time received = claim.opened - options_.max_transit;
-  bool awake = awake_since_ <= received;
-  bool sent_since = awake && received > coverage_.LapseTime();
-  bool made_since = claim.request.key_time &&
-                    *claim.request.key_time >
-                        coverage_.LapseTime() + options_.coverage.clock_skew;
-  if (first && (sent_since || made_since)) {
+  // The key was first sent after our lease had lapsed, so whoever gets a
+  // re-send sees the lapse and asks us.
+  bool after_lapse =
+      coverage_.Remembers(coverage_.LapseTime(), claim.first_sent);
+  if (first && after_lapse) {
     GiveProceed(claim);
   } else {
     AskAll(claim);
@@ -370,12 +386,9 @@
 
 void ClaimMachine::AskAll(Claim& claim) {
   claim.phase = Phase::kAskingAll;
-  const ClaimRequest& request = claim.request;
-  bool may_be_resend = request.attempt != 1 || claim.attach_failed;
-  if (may_be_resend) {
-    claim.doubt = !coverage_.Remembers(started_, request.key_time, now_) ||
-                  coverage_.AnyLost(request.key_time, now_);
-  }
+  // What this host, or one that is gone, ran and forgot can't be asked.
+  claim.doubt = !coverage_.Remembers(started_, claim.first_sent) ||
+                coverage_.AnyLost(claim.first_sent);
   if (!claim.doubt) {
     for (const EntryHostId& peer : AllOthers()) Ask(claim, peer, "");
   }
@@ -448,8 +461,7 @@
                                         absl::Time now,
                                         std::vector<Action>* actions) {
   actions_ = actions;
-  if (now - now_ > options_.pause_gap) awake_since_ = now;
-  now_ = now;
+  MoveTime(now);
   peers_.insert(question.asker);
   PeerAnswer answer{PeerState::kNoPromise, options_.incarnation, started_, {}};
   AnswerQuestion(question, &answer);
--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -95,7 +95,6 @@
     ClaimRequest request;
     std::string token;
     Phase phase = Phase::kQueued;
-    absl::Time opened;
     absl::Time row_sent;
     platform::RowVersion base = 0;     // What the next write replaces.
     platform::RowVersion version = 0;  // Of the own row; 0: not durable.
@@ -107,6 +106,7 @@
     std::optional<platform::Row> other;  // Another's row, while asking.
     std::map<CallId, EntryHostId> asked;
     std::optional<absl::Time> promised;  // When this host promised not to run.
+    absl::Time first_sent;               // The key was never sent before this.
   };
 
   // A row to delete: nothing will be dispatched under its token.
@@ -186,6 +186,9 @@
   void GiveRefusal(Claim& claim, Code code, std::string detail);
   void LetGo(Claim& claim);
   Code DownCode(const Claim& claim) const;
+  void MoveTime(absl::Time now);
+  absl::Time SentAfter() const;
+  absl::Time FirstSent(const ClaimRequest& request) const;
   void AnswerQuestion(const PeerQuestion& question, PeerAnswer* answer);
   bool Yields(const Claim& holder, const PeerQuestion& question) const;
 
@@ -237,7 +240,9 @@
   bool scanning_ = false;
   bool renewing_ = false;
   absl::Time next_scan_;
-  absl::Time awake_since_;  // Since the last pause of the process.
+  // The last pause of the process, or several in short succession.
+  absl::Time paused_from_;
+  absl::Time awake_since_;
   CallId next_call_ = 1;
   std::uint64_t next_token_ = 1;
   std::map<ClaimId, Claim> claims_;
--- a/src/claim/claim_upkeep.cc
+++ b/src/claim/claim_upkeep.cc
@@ -247,7 +247,8 @@
 
 void ClaimMachine::OnScanned(const Call& call,
                              const std::vector<platform::Row>& rows) {
-  memory_.ForgetBefore(now_ - options_.coverage.key_window);
+  // The last sending of a key may still wait at a peer when its window is over.
+  memory_.ForgetBefore(now_ - 2 * options_.coverage.key_window);
   coverage_.OnScan(rows, call.sent, now_);
   for (auto& [token, late] : late_) StepLate(late);
   RenewIfClean();
--- a/src/claim/coverage.cc
+++ b/src/claim/coverage.cc
@@ -32,7 +32,7 @@
   scanned_once_ = true;
   clean_start_ = std::all_of(others_.begin(), others_.end(), [&](auto& entry) {
     return now + options_.clock_skew < entry.second.until &&
-           !Lost(entry.second, std::nullopt, now);
+           !Lost(entry.second, now - options_.key_window);
   });
 }
 
@@ -88,36 +88,28 @@
   return current && flushed;
 }
 
-bool Coverage::Lost(const LeaseRow& lease, std::optional<absl::Time> key_time,
-                    absl::Time now) const {
-  if (now > lease.lost_until + options_.key_window) return false;
-  bool younger = key_time && *key_time > lease.lost_until + options_.clock_skew;
-  return !younger;
+bool Coverage::Lost(const LeaseRow& lease, absl::Time first_sent) const {
+  return !Remembers(lease.lost_until, first_sent);
 }
 
-Suspects Coverage::FindSuspects(absl::Time row_sent,
-                                std::optional<absl::Time> key_time,
+Suspects Coverage::FindSuspects(absl::Time row_sent, absl::Time first_sent,
                                 absl::Time now) const {
   Suspects suspects;
   for (const auto& [host, lease] : others_) {
-    if (Lost(lease, key_time, now)) suspects.lost = true;
+    if (Lost(lease, first_sent)) suspects.lost = true;
     if (Covered(lease, row_sent, now)) continue;
     suspects.to_ask.push_back(host);
   }
   return suspects;
 }
 
-bool Coverage::Remembers(absl::Time knows_since,
-                         std::optional<absl::Time> key_time,
-                         absl::Time now) const {
-  if (now > knows_since + options_.key_window) return true;
-  return key_time && *key_time > knows_since + options_.clock_skew;
+bool Coverage::Remembers(absl::Time knows_since, absl::Time first_sent) const {
+  return first_sent > knows_since + options_.clock_skew;
 }
 
-bool Coverage::AnyLost(std::optional<absl::Time> key_time,
-                       absl::Time now) const {
+bool Coverage::AnyLost(absl::Time first_sent) const {
   return std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
-    return Lost(entry.second, key_time, now);
+    return Lost(entry.second, first_sent);
   });
 }
 
@@ -132,8 +124,8 @@
   return found == others_.end() ? 0 : found->second.incarnation;
 }
 
-bool Coverage::CleanStart(absl::Time now) const {
-  return clean_start_ || now > started_ + options_.key_window;
+bool Coverage::KnowsAll(absl::Time first_sent) const {
+  return clean_start_ || Remembers(started_, first_sent);
 }
 
 }  // namespace gentianlb::claim
--- a/src/claim/coverage.h
+++ b/src/claim/coverage.h
@@ -10,7 +10,6 @@
 #define GENTIANLB_CLAIM_COVERAGE_H_
 
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,7 +28,7 @@
   // Bound of the difference of any two hosts' or callers' clocks. Kept by any
   // time service; a larger one could let two hosts run one key.
   absl::Duration clock_skew = absl::Seconds(1);
-  // A caller re-sends a key within this time after its last sending.
+  // All sendings of a key come within this time after the first.
   absl::Duration key_window = absl::Minutes(10);
   bool operator==(const CoverageOptions&) const = default;
 };
@@ -67,33 +66,32 @@
   bool FreshScan(absl::Time now) const;
 
   // Who may have run, without a row, a key whose own row was sent at
-  // `row_sent`. `key_time` is when the key was made, if known.
-  Suspects FindSuspects(absl::Time row_sent, std::optional<absl::Time> key_time,
+  // `row_sent`. The key was never sent before `first_sent`.
+  Suspects FindSuspects(absl::Time row_sent, absl::Time first_sent,
                         absl::Time now) const;
 
-  // Whether a peer's memory that begins at `knows_since` covers the key.
-  bool Remembers(absl::Time knows_since, std::optional<absl::Time> key_time,
-                 absl::Time now) const;
+  // Whether a memory that begins at `knows_since` covers the whole life of a
+  // key that was never sent before `first_sent`.
+  bool Remembers(absl::Time knows_since, absl::Time first_sent) const;
 
   // Whether some host is gone that may have run the key without a row.
-  bool AnyLost(std::optional<absl::Time> key_time, absl::Time now) const;
+  bool AnyLost(absl::Time first_sent) const;
 
   // The hosts with a lease row, without this one.
   std::vector<EntryHostId> Members() const;
   // The incarnation that holds `host`'s lease row; 0 when there is none.
   Incarnation IncarnationOf(const EntryHostId& host) const;
 
-  // At this host's start everyone was covered: nothing that it has forgotten
-  // can matter.
-  bool CleanStart(absl::Time now) const;
+  // Nothing that this host forgot when it started can matter to the key: the
+  // key is younger, or everyone was covered then.
+  bool KnowsAll(absl::Time first_sent) const;
 
   std::string Describe() const;
 
  private:
   bool Covered(const LeaseRow& lease, absl::Time row_sent,
                absl::Time now) const;
-  bool Lost(const LeaseRow& lease, std::optional<absl::Time> key_time,
-            absl::Time now) const;
+  bool Lost(const LeaseRow& lease, absl::Time first_sent) const;
   void OnOwnRow(const LeaseRow& row, platform::RowVersion version);
 
   CoverageOptions options_;
--- a/src/claim/describe.cc
+++ b/src/claim/describe.cc
@@ -42,14 +42,15 @@
   out << "host " << options_.self << ' ' << options_.incarnation
       << " table=" << table_up_ << " scanning=" << scanning_
       << " renewing=" << renewing_ << " awake=" << Millis(awake_since_)
-      << " calls=" << next_call_ << " tokens=" << next_token_ << '\n';
+      << " paused=" << Millis(paused_from_) << " calls=" << next_call_
+      << " tokens=" << next_token_ << '\n';
   for (const auto& [id, claim] : claims_) {
     out << "claim " << id << ' ' << claim.request.key << ' ' << claim.token
         << " phase=" << static_cast<int>(claim.phase) << " base=" << claim.base
         << " version=" << claim.version << " maybe=" << claim.maybe_row
         << " without=" << claim.without_table << " doubt=" << claim.doubt
         << " failed=" << claim.attach_failed
-        << " opened=" << Millis(claim.opened)
+        << " first_sent=" << Millis(claim.first_sent)
         << " row_sent=" << Millis(claim.row_sent) << " server=" << claim.server;
     if (claim.other) out << " other=" << claim.other->version;
     if (claim.promised) out << " promised=" << Millis(*claim.promised);
--- a/src/claim/rows.cc
+++ b/src/claim/rows.cc
@@ -10,13 +10,17 @@
 constexpr std::string_view kClaimPrefix = "claim/";
 
 std::string ToText(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
+  // Building it costs more than writing a row.
+  static const auto& builder = *[] {
+    auto* made = new Json::StreamWriterBuilder;
+    (*made)["indentation"] = "";
+    return made;
+  }();
   return Json::writeString(builder, value);
 }
 
 std::optional<Json::Value> ParseObject(std::string_view text) {
-  Json::CharReaderBuilder builder;
+  static const auto& builder = *new Json::CharReaderBuilder;
   std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value value;
   bool parsed =
