--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -149,9 +149,7 @@
   holders_[request.key] = claim.id;
   claim.token = absl::StrCat(options_.self.str(), "/", options_.incarnation,
                              "/", next_token_++);
-  if (auto promise = memory_.FindPromise(request.key)) {
-    claim.promised = promise->made;
-  }
+  claim.promised = memory_.FindPromises(request.key);
   if (table_up_) {
     WriteRow(claim);
   } else {
@@ -311,9 +309,7 @@
   }
   // Whoever asked us about the key may be running it.
   std::set<EntryHostId> ask(suspects.to_ask.begin(), suspects.to_ask.end());
-  if (auto promise = memory_.FindPromise(request.key)) {
-    ask.insert(promise->asker);
-  }
+  for (const Promise& promise : claim.promised) ask.insert(promise.asker);
   claim.phase = Phase::kAskingPeers;
   claim.doubt = suspects.lost;
   if (!claim.doubt) {
@@ -327,8 +323,8 @@
   ++counters_.questions;
   CallId call = NewCall(Purpose::kQuestion, claim.id, claim.token);
   claim.asked[call] = peer;
-  PeerQuestion question{claim.request.key, options_.self, std::move(token),
-                        claim.version != 0};
+  PeerQuestion question{claim.request.key, options_.self, options_.incarnation,
+                        std::move(token), claim.version != 0};
   actions_->push_back(AskCall{call, peer, std::move(question)});
 }
 
@@ -353,9 +349,16 @@
   // A restarted peer has forgotten what its earlier incarnation ran.
   if (coverage_.Remembers(answer->knows_since, claim.first_sent)) return true;
   if (claim.phase != Phase::kAskingPeers) return false;
-  bool knows_promise =
-      !claim.promised || answer->knows_since <= *claim.promised;
-  return knows_promise && answer->incarnation == coverage_.IncarnationOf(peer);
+  // The very incarnation that the lease, or our promise, is about.
+  bool matches = true;
+  bool promised = false;
+  for (const Promise& promise : claim.promised) {
+    if (promise.asker != peer) continue;
+    promised = true;
+    matches = matches && promise.incarnation == answer->incarnation;
+  }
+  if (promised) return matches;
+  return answer->incarnation == coverage_.IncarnationOf(peer);
 }
 
 void ClaimMachine::OnAllAsked(Claim& claim) {
@@ -371,8 +374,8 @@
 // --- Without the table ------------------------------------------------------
 
 void ClaimMachine::RunWithoutTable(Claim& claim) {
-  bool first =
-      claim.request.attempt == 1 && !claim.promised && !claim.attach_failed;
+  bool first = claim.request.attempt == 1 && claim.promised.empty() &&
+               !claim.attach_failed;
   // The key was first sent after our lease had lapsed, so whoever gets a
   // re-send sees the lapse and asks us.
   bool after_lapse =
@@ -450,7 +453,8 @@
 // run under an earlier claim.
 Code ClaimMachine::DownCode(const Claim& claim) const {
   bool earlier =
-      claim.request.attempt > 1 || claim.promised || claim.attach_failed ||
+      claim.request.attempt > 1 || !claim.promised.empty() ||
+      claim.attach_failed ||
       (claim.phase == Phase::kAskingAll && claim.request.attempt != 1);
   return earlier ? Code::kClaimInDoubt : Code::kClaimStoreDown;
 }
@@ -484,7 +488,8 @@
     answer->server = ended->server;
   } else if (memory_.IsAbandoned(question.token)) {
     answer->state = PeerState::kAbandoned;
-  } else if (memory_.AddPromise(question.key, question.asker, now_)) {
+  } else if (memory_.AddPromise(question.key,
+                                {question.asker, question.incarnation, now_})) {
     answer->state = PeerState::kNotHeld;
   }
 }
--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -105,8 +105,8 @@
     ServerId server;
     std::optional<platform::Row> other;  // Another's row, while asking.
     std::map<CallId, EntryHostId> asked;
-    std::optional<absl::Time> promised;  // When this host promised not to run.
-    absl::Time first_sent;               // The key was never sent before this.
+    std::vector<Promise> promised;  // Given to peers before it was opened.
+    absl::Time first_sent;          // The key was never sent before this.
   };
 
   // A row to delete: nothing will be dispatched under its token.
--- a/src/claim/describe.cc
+++ b/src/claim/describe.cc
@@ -13,9 +13,11 @@
 
 std::string KeyMemory::Describe() const {
   std::ostringstream out;
-  for (const auto& [key, promise] : promises_) {
-    out << "promise " << key << ' ' << promise.asker << ' '
-        << Millis(promise.made) << '\n';
+  for (const auto& [key, askers] : promises_) {
+    for (const Promise& promise : askers) {
+      out << "promise " << key << ' ' << promise.asker << ' '
+          << promise.incarnation << ' ' << Millis(promise.made) << '\n';
+    }
   }
   for (const auto& [key, ended] : ended_) {
     out << "ended " << key << ' ' << ended.server << ' ' << Millis(ended.ended)
@@ -33,7 +35,10 @@
       << " version=" << version_ << " since=" << Millis(since_)
       << " until=" << Millis(until_) << " scan=" << Millis(scan_sent_)
       << " clean=" << clean_start_ << '\n';
-  for (const auto& [host, lease] : others_) out << Encode(lease) << '\n';
+  for (const auto& [host, lease] : others_) {
+    out << host << ' ' << lease.incarnation << ' ' << Millis(lease.since) << ' '
+        << Millis(lease.until) << ' ' << Millis(lease.lost_until) << '\n';
+  }
   return out.str();
 }
 
@@ -53,7 +58,9 @@
         << " first_sent=" << Millis(claim.first_sent)
         << " row_sent=" << Millis(claim.row_sent) << " server=" << claim.server;
     if (claim.other) out << " other=" << claim.other->version;
-    if (claim.promised) out << " promised=" << Millis(*claim.promised);
+    for (const Promise& promise : claim.promised) {
+      out << " promised=" << promise.asker << promise.incarnation;
+    }
     for (const auto& [call, peer] : claim.asked) out << ' ' << call << peer;
     out << '\n';
   }
@@ -61,8 +68,8 @@
     out << "closing " << token << " busy=" << closing.busy << '\n';
   }
   for (const auto& [token, late] : late_) {
-    out << "late " << token << " busy=" << late.busy << ' ' << Encode(late.row)
-        << '\n';
+    out << "late " << token << " busy=" << late.busy << ' '
+        << static_cast<int>(late.row.state) << '\n';
   }
   for (const auto& [id, call] : calls_) {
     out << "call " << id << ' ' << static_cast<int>(call.purpose) << '\n';
--- a/src/claim/key_memory.cc
+++ b/src/claim/key_memory.cc
@@ -4,18 +4,21 @@
 
 namespace gentianlb::claim {
 
-bool KeyMemory::AddPromise(const ClaimKey& key, const EntryHostId& asker,
-                           absl::Time now) {
+bool KeyMemory::AddPromise(const ClaimKey& key, Promise promise) {
   bool known = promises_.contains(key);
   if (!known && promises_.size() >= kMaxEntries) return false;
-  promises_[key] = {asker, now};
+  std::vector<Promise>& askers = promises_[key];
+  std::erase_if(askers, [&](const Promise& earlier) {
+    return earlier.asker == promise.asker &&
+           earlier.incarnation == promise.incarnation;
+  });
+  askers.push_back(std::move(promise));
   return true;
 }
 
-std::optional<Promise> KeyMemory::FindPromise(const ClaimKey& key) const {
+std::vector<Promise> KeyMemory::FindPromises(const ClaimKey& key) const {
   auto found = promises_.find(key);
-  if (found == promises_.end()) return std::nullopt;
-  return found->second;
+  return found == promises_.end() ? std::vector<Promise>() : found->second;
 }
 
 void KeyMemory::AddEnded(const ClaimKey& key, EndedKey ended) {
@@ -38,7 +41,9 @@
 }
 
 void KeyMemory::ForgetBefore(absl::Time time) {
-  std::erase_if(promises_, [&](const auto& e) { return e.second.made < time; });
+  std::erase_if(promises_, [&](const auto& entry) {
+    return entry.second.back().made < time;
+  });
   std::erase_if(ended_, [&](const auto& e) { return e.second.ended < time; });
   std::erase_if(abandoned_, [&](const auto& e) { return e.second < time; });
 }
--- a/src/claim/key_memory.h
+++ b/src/claim/key_memory.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "base/ids.h"
@@ -19,6 +20,7 @@
 // row in the table.
 struct Promise {
   EntryHostId asker;
+  Incarnation incarnation = 0;  // Of the asker.
   absl::Time made;
   bool operator==(const Promise&) const = default;
 };
@@ -38,9 +40,10 @@
   static constexpr std::size_t kMaxEntries = 100'000;
 
   // False when there is no room: then nothing is promised.
-  bool AddPromise(const ClaimKey& key, const EntryHostId& asker,
-                  absl::Time now);
-  std::optional<Promise> FindPromise(const ClaimKey& key) const;
+  bool AddPromise(const ClaimKey& key, Promise promise);
+  // To everyone who asked: only one of them may run the key, but not
+  // necessarily the last.
+  std::vector<Promise> FindPromises(const ClaimKey& key) const;
 
   void AddEnded(const ClaimKey& key, EndedKey ended);
   std::optional<EndedKey> FindEnded(const ClaimKey& key) const;
@@ -54,7 +57,7 @@
   std::string Describe() const;
 
  private:
-  std::map<ClaimKey, Promise> promises_;
+  std::map<ClaimKey, std::vector<Promise>> promises_;
   std::map<ClaimKey, EndedKey> ended_;
   std::map<std::string, absl::Time> abandoned_;
 };
--- a/src/claim/messages.h
+++ b/src/claim/messages.h
@@ -89,6 +89,7 @@
 struct PeerQuestion {
   ClaimKey key;
   EntryHostId asker;
+  Incarnation incarnation = 0;  // Of the asker.
   std::string token;     // Of the row found, if any: the claim asked for.
   bool durable = false;  // The asker has its own row in the table.
   bool operator==(const PeerQuestion&) const = default;
