--- /dev/null
+++ b/src/claim/claim_machine_test.cc
@@ -0,0 +1,144 @@
+#include "claim/claim_machine.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "claim/claim_table.h"
+
+namespace gentianlb::claim {
+namespace {
+
+absl::Time At(int seconds) {
+  return absl::FromUnixSeconds(1'000'000 + seconds);
+}
+
+// One machine, with the answers of the table given by hand.
+class Driver {
+ public:
+  Driver() : machine_({.self = EntryHostId("b"), .incarnation = 1}, At(0)) {}
+
+  // Takes the actions of the last event that are of type T.
+  template <typename T>
+  std::vector<T> Taken() const {
+    std::vector<T> taken;
+    for (const Action& action : actions_) {
+      if (const T* one = std::get_if<T>(&action)) taken.push_back(*one);
+    }
+    return taken;
+  }
+
+  void Tell(const Event& event, absl::Time now) {
+    actions_.clear();
+    machine_.Handle(event, now, &actions_);
+  }
+  PeerAnswer Ask(const std::string& asker, Incarnation incarnation,
+                 absl::Time now) {
+    return machine_.HandleQuestion(
+        {ClaimKey("key"), EntryHostId(asker), incarnation, "", false}, now,
+        &actions_);
+  }
+  void Scan(const std::vector<LeaseRow>& leases, absl::Time now) {
+    std::vector<platform::Row> rows;
+    for (const LeaseRow& lease : leases) {
+      rows.push_back({LeaseKey(lease.host), Encode(lease), 1});
+    }
+    Tell(ReadAnswered{Taken<ScanCall>().at(0).call, rows}, now);
+  }
+  void CommitLast(absl::Time now) {
+    CommitCall call = Taken<CommitCall>().at(0);
+    std::string key = call.transaction.writes[0].key;
+    Tell(
+        CommitAnswered{call.call,
+                       {platform::CommitState::kCommitted, {}, {{key, "", 1}}}},
+        now);
+  }
+  void Open(int attempt, absl::Time now) {
+    Tell(Opened{1, {.key = ClaimKey("key"), .attempt = attempt}}, now);
+  }
+
+ private:
+  ClaimMachine machine_;
+  std::vector<Action> actions_;
+};
+
+LeaseRow Lease(const std::string& host, absl::Time since, absl::Time until) {
+  return {EntryHostId(host), 1, since, until};
+}
+
+// Host a ran a key while it had lost the table, and writes its row just after
+// a re-send at host b got a row there. When b looks at the leases, a is covered
+// again; b would run the key a second time if it didn't see that a's cover
+// began after its own row.
+BOOST_AUTO_TEST_CASE(ACoverThatBeganAfterTheRowProvesNothing) {
+  for (bool earlier : {false, true}) {
+    Driver host;
+    host.Tell(TimePassed{}, At(0));
+    host.Scan({Lease("a", At(-60), At(10))}, At(0));
+    host.CommitLast(At(0));
+    host.Open(2, At(20));
+    host.CommitLast(At(20));
+    absl::Time since = earlier ? At(-60) : At(25);
+    host.Scan({Lease("a", since, At(40))}, At(28));
+    BOOST_TEST(host.Taken<AskCall>().size() == (earlier ? 0u : 1u));
+    BOOST_TEST(host.Taken<VerdictGiven>().size() == (earlier ? 1u : 0u));
+  }
+}
+
+// Two hosts without the table ask this one about the same key, and one of them
+// runs it. A re-send that arrives here must be asked of both.
+BOOST_AUTO_TEST_CASE(EveryAskerIsRemembered) {
+  Driver host;
+  host.Tell(TimePassed{}, At(0));
+  host.Scan({}, At(0));
+  host.CommitLast(At(0));
+  BOOST_TEST((host.Ask("a", 1, At(1)).state == PeerState::kNotHeld));
+  BOOST_TEST((host.Ask("c", 1, At(1)).state == PeerState::kNotHeld));
+  host.Open(0, At(2));
+  host.CommitLast(At(2));
+  BOOST_TEST(host.Taken<AskCall>().size() == 2u);
+  BOOST_TEST(host.Taken<VerdictGiven>().empty());
+}
+
+// The table refuses a refund's claim. The caller has to hear at once that it
+// was not run, and when to come back.
+BOOST_AUTO_TEST_CASE(ANonIdempotentCallWithoutTheTableIsRefusedAtOnce) {
+  Driver host;
+  host.Tell(Opened{1, {.key = ClaimKey("key"), .idempotent = false}}, At(0));
+  CallId call = host.Taken<CommitCall>().at(0).call;
+  host.Tell(CommitAnswered{call, {platform::CommitState::kNotApplied, {}, {}}},
+            At(0));
+  auto verdicts = host.Taken<VerdictGiven>();
+  BOOST_REQUIRE(verdicts.size() == 1u);
+  const auto& refusal = std::get<Refuse>(verdicts[0].verdict);
+  BOOST_TEST((refusal.error.code == Code::kClaimStoreDown));
+  BOOST_TEST((refusal.retry_after > absl::ZeroDuration()));
+}
+
+BOOST_AUTO_TEST_CASE(KeysAndBodiesAreToldApart) {
+  ClaimKey key = DigestKey(WorkspaceId("w"), IdempotencyKey("k"));
+  BOOST_TEST(key.str().size() == 32u);
+  BOOST_TEST(key != DigestKey(WorkspaceId("wk"), IdempotencyKey("")));
+  BOOST_TEST(DigestBody("POST /a", "b") != DigestBody("POST /ab", ""));
+  auto time = TimeOfKey(IdempotencyKey("017F22E2-79B0-7CC3-98C4-DC0C0C07398F"));
+  BOOST_REQUIRE(time.has_value());
+  BOOST_TEST(absl::ToUnixMillis(*time) == 1645557742000);
+  BOOST_TEST(!TimeOfKey(IdempotencyKey("order-7")).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RowsSurviveTheirText) {
+  ClaimRow row{EntryHostId("a"),
+               7,
+               RowState::kDispatched,
+               "body",
+               "a/7/1",
+               ServerId("s"),
+               true,
+               At(0)};
+  BOOST_TEST((DecodeClaim(Encode(row)) == row));
+  LeaseRow lease{EntryHostId("a"), 7, At(1), At(2), At(3)};
+  BOOST_TEST((DecodeLease(Encode(lease)) == lease));
+  BOOST_TEST(!DecodeClaim(Encode(lease)).has_value());
+  BOOST_TEST(!DecodeLease("{").has_value());
+}
+
+}  // namespace
+}  // namespace gentianlb::claim
