--- /dev/null
+++ b/src/schedule/dispatcher.cc
@@ -0,0 +1,173 @@
+#include "schedule/dispatcher.h"
+
+#include <algorithm>
+#include <variant>
+
+#include "schedule/answers.h"
+#include "schedule/give_way.h"
+#include "schedule/grant.h"
+#include "schedule/intake.h"
+#include "schedule/state.h"
+
+namespace gentianlb::schedule {
+namespace {
+
+// Takes a change of the servers into every module that keeps one by one.
+void ConfigureServers(State& state, const std::vector<ServerSpec>& specs) {
+  state.fleet.Configure(specs, state.now);
+  for (ServerIndex i = 0; i < state.fleet.size(); ++i) {
+    const Server& server = state.fleet.at(i);
+    state.power.SetServer(i, server.spec, server.configured);
+    state.cache.SetServer(i, server.spec);
+  }
+  state.drains.resize(state.fleet.pools());
+  state.room_changed = true;
+  RefuseUnserved(state);
+}
+
+void ChangeHealth(State& state, const ServerHealthChanged& event) {
+  const ServerIndex server = state.fleet.Find(event.server);
+  if (server == kNoIndex) return;
+  const ServerHealth before = state.fleet.at(server).health;
+  if (before == event.health) return;
+  // What comes back from the dead was started anew, with an empty cache.
+  if (before == ServerHealth::kDead) state.cache.Clear(server, state.now);
+  state.fleet.SetHealth(server, event.health, state.now);
+  state.room_changed = true;
+  RefuseUnserved(state);
+}
+
+void LeaveCaller(State& state, const CallerGone& event) {
+  const auto waits = state.waiting_by_id.find(event.id);
+  if (waits != state.waiting_by_id.end()) {
+    RefuseWaiting(state, waits->second, Code::kCallerGone,
+                  absl::ZeroDuration());
+    return;
+  }
+  const RunIndex index = state.running.Find(event.id);
+  if (index == kNoIndex) return;
+  const Running& running = state.running.Get(index);
+  // A begun call of a plain service can't be stopped; it runs to its end.
+  if (running.cancelled || running.demand.plain) return;
+  CancelRunning(state, index, WasteCause::kCallerGone);
+}
+
+void ReportLoad(State& state, const LoadReported& event) {
+  const ServerIndex server = state.fleet.Find(event.server);
+  if (server == kNoIndex) return;
+  state.fleet.at(server).Report(event, state.now);
+  state.fleet.Reindex(server, state.now);
+  state.room_changed = true;
+}
+
+struct EventHandler {
+  State& state;
+
+  void operator()(const RequestArrived& event) { Arrive(state, event.request); }
+  void operator()(const CallerGone& event) { LeaveCaller(state, event); }
+  void operator()(const RequestRunning& event) { TakeOver(state, event); }
+  void operator()(const TokensStreamed& event) { Streamed(state, event); }
+  void operator()(const RequestEnded& event) { Ended(state, event); }
+  void operator()(const LoadReported& event) { ReportLoad(state, event); }
+  void operator()(const CacheChanged& event) {
+    const ServerIndex server = state.fleet.Find(event.server);
+    if (server != kNoIndex) state.cache.Changed(server, event, state.now);
+  }
+  void operator()(const ServerHealthChanged& event) {
+    ChangeHealth(state, event);
+  }
+  void operator()(const ServersConfigured& event) {
+    ConfigureServers(state, event.servers);
+  }
+  void operator()(const WorkspacesConfigured& event) {
+    state.limits.Configure(event.workspaces, state.now);
+  }
+  void operator()(const PowerShareChanged& event) {
+    state.power.SetShare(event.watts);
+    state.room_changed = true;
+  }
+  void operator()(const TimePassed&) {}
+};
+
+void AdvanceDrains(State& state) {
+  for (PoolIndex pool = 0; pool < state.drains.size(); ++pool) {
+    state.drains[pool].Advance(state.now, state.queue.PoolWork(pool) > 0);
+  }
+}
+
+// The next time at which a head of a lane becomes urgent.
+absl::Time NextUrgent(const State& state) {
+  absl::Time next = absl::InfiniteFuture();
+  std::vector<WaitIndex> heads;
+  for (const LaneKey& lane : state.queue.Lanes()) {
+    heads.clear();
+    state.queue.Heads(lane, 1, &heads);
+    const absl::Time urgent = UrgentAt(state.queue.Get(heads[0]));
+    if (urgent > state.now) next = std::min(next, urgent);
+  }
+  return next;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(const DispatcherOptions& options)
+    : state_(std::make_unique<State>(options)) {}
+Dispatcher::~Dispatcher() = default;
+Dispatcher::Dispatcher(Dispatcher&&) noexcept = default;
+Dispatcher& Dispatcher::operator=(Dispatcher&&) noexcept = default;
+
+void Dispatcher::Handle(const Event& event, absl::Time now,
+                        std::vector<Decision>* decisions) {
+  State& state = *state_;
+  state.now = std::max(state.now, now);
+  state.out = decisions;
+  ++state.counters.events;
+  AdvanceDrains(state);
+
+  std::visit(EventHandler{state}, event);
+
+  // What the time alone brings about.
+  NoticeSilence(state);
+  state.room_changed |= state.fleet.Reopen(state.now);
+  state.room_changed |= state.now >= state.urgent_at;
+  EnforceShare(state);
+  CancelLate(state);
+
+  GrantWaiting(state);
+  // Whoever could not be granted at the last moment is told at once.
+  ExpireWaiting(state);
+  AdvanceDrains(state);
+  state.urgent_at = NextUrgent(state);
+  state.out = nullptr;
+}
+
+absl::Time Dispatcher::NextWakeup() const {
+  const State& state = *state_;
+  const absl::Time silence = state.running.NextOverdue();
+  if (state.queue.empty()) return silence;
+  absl::Time next = std::min(silence, state.queue.FirstExpiry());
+  next = std::min(next, state.fleet.NextReopening());
+  next = std::min(next, state.urgent_at);
+  const RunIndex late = state.running.EarliestDeadline();
+  if (late == kNoIndex) return next;
+  return std::min(next, state.running.Get(late).origin.request.deadline);
+}
+
+const Counters& Dispatcher::counters() const { return state_->counters; }
+
+std::uint64_t Dispatcher::signature() const {
+  return state_->signature.value();
+}
+
+double Dispatcher::worst_watts() const { return state_->power.watts(); }
+double Dispatcher::share_watts() const { return state_->power.share(); }
+
+std::size_t Dispatcher::waiting() const { return state_->queue.size(); }
+std::size_t Dispatcher::running() const { return state_->running.size(); }
+
+int Dispatcher::window(const ServerId& server) const {
+  const ServerIndex index = state_->fleet.Find(server);
+  return index == kNoIndex ? 0 : state_->fleet.at(index).window.streams();
+}
+
+}  // namespace gentianlb::schedule
