Process tests that show two faults: slow messages, keys of a dead host

A message that doesn't arrive in time gets a closed connection in place of number 1004. A repeatable key that waited on a host that was killed or paused is answered 4003, run unknown, with a Retry-After that never leads anywhere: its row is not fenced, so that no other host can ever take it over.

--- a/tests/process/answers_test.cc
+++ b/tests/process/answers_test.cc
@@ -55,9 +55,9 @@
   BOOST_TEST(site.AllExecutions() == 0);
 }
 
-// One client sends far too much and another no HTTP at all. Both are told so,
-// and the next caller is served as usual.
-BOOST_AUTO_TEST_CASE(OversizedAndMalformedMessagesHarmNobodyElse) {
+// One client sends far too much, another hardly anything and a third no HTTP at
+// all. Each is told so, and the next caller is served as usual.
+BOOST_AUTO_TEST_CASE(WrongSizesAndSlownessHarmNobodyElse) {
   Shape shape;
   shape.more_settings =
       "\n[limits]\nbody = 4KiB\nheader = 2KiB\nidle_timeout = 1s\n";
@@ -70,6 +70,11 @@
       caller.Ask(host, {kModel, "x"}, {{"X-Padding", std::string(2500, 'x')}})
           .Wait();
   BOOST_TEST(Says(header, Code::kHeaderTooLarge), header.body);
+  std::string slow =
+      ExchangeRaw(host,
+                  "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n"
+                  "Content-Length: 100\r\n\r\n{\"mod");
+  BOOST_TEST(slow.find("1004") != std::string::npos, slow);
   std::string malformed = ExchangeRaw(host, "no http at all\r\n\r\n");
   BOOST_TEST(malformed.find("400") != std::string::npos, malformed);
   BOOST_TEST(caller.Ask(host, {kModel, "x"}).Wait().IsWhole());
--- a/tests/process/host_failure_test.cc
+++ b/tests/process/host_failure_test.cc
@@ -1,6 +1,8 @@
 // Entry hosts that die, stand still or are cut off, while callers re-send their
 // keys elsewhere. Counts are taken at the servers.
 
+#include <signal.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include "absl/strings/str_cat.h"
@@ -52,6 +54,35 @@
   BOOST_TEST(site.MostExecutions() == 1);
 }
 
+// An entry host is killed while it streams some answers and others wait. The
+// callers see broken connections and send their keys to the next host.
+BOOST_AUTO_TEST_CASE(KeysOfAKilledHostAreRunOnce) {
+  Deployment site(GENTIANLB_BUILD_DIR, Narrow());
+  Caller caller(kDraftingToken);
+  std::vector<Sent> sent = SendAll(caller, site.host(0).address);
+  site.host(0).process->KillAndWait();
+  for (Sent& request : sent) {
+    BOOST_TEST(IsTruthful(request.call.Wait(), request.chat));
+  }
+  ResendAll(site, caller, site.host(1).address, sent);
+}
+
+// An entry host stands still for a while, as in a paused virtual machine, and
+// then goes on as if nothing had been. The callers have long sent their keys to
+// another host.
+BOOST_AUTO_TEST_CASE(KeysOfAPausedHostAreRunOnce) {
+  Deployment site(GENTIANLB_BUILD_DIR, Narrow());
+  Caller caller(kDraftingToken);
+  std::vector<Sent> sent = SendAll(caller, site.host(0).address);
+  site.host(0).process->Signal(SIGSTOP);
+  ResendAll(site, caller, site.host(1).address, sent);
+  site.host(0).process->Signal(SIGCONT);
+  for (Sent& request : sent) {
+    BOOST_TEST(IsTruthful(request.call.Wait(), request.chat));
+  }
+  BOOST_TEST(site.MostExecutions() == 1);
+}
+
 // An entry host loses touch with its peers and the platform, but not with its
 // callers and servers, while keys are sent there and to another host. Those
 // without a key are served all the time.
