--- a/src/gentianctl/main.cc
+++ b/src/gentianctl/main.cc
@@ -7,6 +7,7 @@
 #include "gentianctl/check.h"
 #include "gentianctl/command.h"
 #include "gentianctl/look.h"
+#include "replay/command.h"
 
 namespace {
 
@@ -22,7 +23,6 @@
   gentianlb::ctl::AddShow(app, action);
   gentianlb::ctl::AddStatus(app, action);
   gentianlb::ctl::AddTimeline(app, action);
-  // `replay` and `bench` come from replay/command.h.
 }
 
 }  // namespace
@@ -34,6 +34,9 @@
   Action action;
   app.require_subcommand(1);
   AddCommands(&app, &action);
+  int replay_exit = 0;
+  gentianlb::replay::AddReplayCommand(&app, &replay_exit);
+  gentianlb::replay::AddBenchCommand(&app, &replay_exit);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
@@ -41,5 +44,7 @@
     bool help = app.exit(error) == 0;
     return static_cast<int>(help ? Exit::kDone : Exit::kInvalid);
   }
+  // Replay and bench ran while they were parsed.
+  if (!action) return replay_exit;
   return static_cast<int>(action());
 }
