--- a/src/entry/claims.cc
+++ b/src/entry/claims.cc
@@ -14,6 +14,7 @@
   Json::Value json;
   json["key"] = question.key.str();
   json["asker"] = question.asker.str();
+  json["incarnation"] = Json::Int64{question.incarnation};
   json["token"] = question.token;
   json["durable"] = question.durable;
   return json;
@@ -21,13 +22,17 @@
 
 Result<claim::PeerQuestion> QuestionFromJson(const Json::Value& json) {
   if (!json["key"].isString() || !json["asker"].isString() ||
-      !json["token"].isString() || !json["durable"].isBool()) {
+      !json["incarnation"].isInt64() || !json["token"].isString() ||
+      !json["durable"].isBool()) {
     return Fail(Code::kMalformedRpc, "question");
   }
-  return claim::PeerQuestion{claim::ClaimKey(json["key"].asString()),
-                             EntryHostId(json["asker"].asString()),
-                             json["token"].asString(),
-                             json["durable"].asBool()};
+  claim::PeerQuestion question;
+  question.key = claim::ClaimKey(json["key"].asString());
+  question.asker = EntryHostId(json["asker"].asString());
+  question.incarnation = json["incarnation"].asInt64();
+  question.token = json["token"].asString();
+  question.durable = json["durable"].asBool();
+  return question;
 }
 
 Json::Value ToJson(const claim::PeerAnswer& answer) {
