--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -112,6 +112,7 @@
   if (claim == nullptr) return;
   auto asked = claim->asked.extract(event.call);
   if (asked.empty()) return;
+  if (event.answer) introduced_.insert(asked.mapped());
   if (claim->phase == Phase::kAskingOwner) {
     OnOwnerAnswered(*claim, event.answer);
   } else {
@@ -298,18 +299,27 @@
     GiveProceed(claim);
     return;
   }
+  bool look = may_have_run || coverage_.new_name();
+  if (!coverage_.registered() || (look && !coverage_.FreshScan(now_))) {
+    claim.phase = Phase::kAwaitingScan;
+    StartScan();
+    return;
+  }
   Suspects suspects;
   if (may_have_run) {
-    if (!coverage_.FreshScan(now_)) {
-      claim.phase = Phase::kAwaitingScan;
-      StartScan();
-      return;
-    }
     suspects = coverage_.FindSuspects(claim.row_sent, claim.first_sent, now_);
   }
-  // Whoever asked us about the key may be running it.
   std::set<EntryHostId> ask(suspects.to_ask.begin(), suspects.to_ask.end());
+  // Whoever asked us about the key may be running it.
   for (const Promise& promise : claim.promised) ask.insert(promise.asker);
+  // Whoever doesn't know us could run a re-send of what we run, and may have
+  // done so and be gone.
+  if (coverage_.new_name() && coverage_.AnyLost(claim.first_sent)) {
+    suspects.lost = true;
+  }
+  for (const EntryHostId& host : coverage_.Unaware()) {
+    if (!introduced_.contains(host)) ask.insert(host);
+  }
   claim.phase = Phase::kAskingPeers;
   claim.doubt = suspects.lost;
   if (!claim.doubt) {
--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -218,6 +218,7 @@
   void OnTableAnswer(bool answered);
   void ResumeQueued();
   void RenewIfClean();
+  void ResumeAwaiting();
   void StartScan();
 
   CallId NewCall(Purpose purpose, ClaimId claim, std::string token);
@@ -251,6 +252,7 @@
   std::map<std::string, Late> late_;         // By token.
   std::map<CallId, Call> calls_;
   std::set<EntryHostId> peers_;
+  std::set<EntryHostId> introduced_;  // Peers that certainly know this host.
   ClaimCounters counters_;
 };
 
--- a/src/claim/claim_machine_test.cc
+++ b/src/claim/claim_machine_test.cc
@@ -38,6 +38,7 @@
   }
   void Scan(const std::vector<LeaseRow>& leases, absl::Time now) {
     std::vector<platform::Row> rows;
+    rows.reserve(leases.size());
     for (const LeaseRow& lease : leases) {
       rows.push_back({LeaseKey(lease.host), Encode(lease), 1});
     }
--- a/src/claim/claim_table.h
+++ b/src/claim/claim_table.h
@@ -110,7 +110,7 @@
   void Do(CommitCall one) {
     table_->Commit(std::move(one.transaction),
                    [this, call = one.call](platform::CommitResult result) {
-                     Run(CommitAnswered{call, std::move(result)});
+                     this->Run(CommitAnswered{call, std::move(result)});
                    });
   }
 
@@ -123,7 +123,7 @@
   void Do(AskCall one) {
     peers_->Ask(std::move(one.peer), std::move(one.question),
                 [this, call = one.call](std::optional<PeerAnswer> answer) {
-                  Run(PeerAnswered{call, std::move(answer)});
+                  this->Run(PeerAnswered{call, std::move(answer)});
                 });
   }
 
@@ -141,7 +141,7 @@
     return [this, call](platform::ReadResult result) {
       ReadAnswered answer{call, std::nullopt};
       if (result.ok()) answer.rows = std::move(result.value());
-      Run(std::move(answer));
+      this->Run(std::move(answer));
     };
   }
 
--- a/src/claim/claim_upkeep.cc
+++ b/src/claim/claim_upkeep.cc
@@ -47,7 +47,8 @@
       break;
     case Purpose::kRenew:
       renewing_ = false;
-      coverage_.OnRenewed(event.result);
+      coverage_.OnRenewed(event.result, now_);
+      ResumeAwaiting();
       break;
     default:
       break;
@@ -252,6 +253,11 @@
   coverage_.OnScan(rows, call.sent, now_);
   for (auto& [token, late] : late_) StepLate(late);
   RenewIfClean();
+  ResumeAwaiting();
+}
+
+void ClaimMachine::ResumeAwaiting() {
+  if (!coverage_.registered()) return;
   std::vector<ClaimId> waiting;
   for (const auto& [id, claim] : claims_) {
     if (claim.phase == Phase::kAwaitingScan) waiting.push_back(id);
--- a/src/claim/coverage.cc
+++ b/src/claim/coverage.cc
@@ -25,21 +25,23 @@
       continue;
     }
     own_row = true;
-    OnOwnRow(*lease, row.version);
+    OnOwnRow(*lease, row.version, now);
   }
   if (!own_row) version_ = 0;
   if (scanned_once_) return;
   scanned_once_ = true;
+  new_name_ = !own_row;
   clean_start_ = std::all_of(others_.begin(), others_.end(), [&](auto& entry) {
     return now + options_.clock_skew < entry.second.until &&
            !Lost(entry.second, now - options_.key_window);
   });
 }
 
-void Coverage::OnOwnRow(const LeaseRow& row, platform::RowVersion version) {
+void Coverage::OnOwnRow(const LeaseRow& row, platform::RowVersion version,
+                        absl::Time now) {
   version_ = version;
   if (row.incarnation == incarnation_) {
-    registered_ = true;  // Also when the answer to Renew() was lost.
+    Register(now);  // Also when the answer to Renew() was lost.
     return;
   }
   // A paused incarnation that wakes after its successor has registered must
@@ -51,20 +53,26 @@
   lost_until_ = lapsed ? started_ : row.lost_until;
 }
 
+void Coverage::Register(absl::Time now) {
+  if (!registered_) registered_at_ = now;
+  registered_ = true;
+}
+
 platform::Transaction Coverage::Renew(absl::Time now) {
   bool continuous = registered_ && now < until_;
   if (!continuous) since_ = now;
   // An answer may be lost after the write took effect: from here on this host
   // counts as covered until the new time, whatever comes back.
-  until_ = now + options_.lease;
+  // Counted from the scan: the lease tells how old this host's picture is.
+  until_ = std::max(until_, scan_sent_ + options_.lease);
   LeaseRow row{self_, incarnation_, since_, until_, lost_until_};
   std::string key = LeaseKey(self_);
   return {"", {{key, version_}}, {{key, Encode(row)}}};
 }
 
-void Coverage::OnRenewed(const platform::CommitResult& result) {
+void Coverage::OnRenewed(const platform::CommitResult& result, absl::Time now) {
   if (result.state != platform::CommitState::kCommitted) return;
-  registered_ = true;
+  Register(now);
   for (const platform::Row& row : result.versions) version_ = row.version;
 }
 
@@ -113,6 +121,17 @@
   });
 }
 
+std::vector<EntryHostId> Coverage::Unaware() const {
+  std::vector<EntryHostId> unaware;
+  if (!new_name_) return unaware;
+  for (const auto& [host, lease] : others_) {
+    absl::Time scanned = lease.until - options_.lease;
+    bool aware = scanned > registered_at_ + options_.clock_skew;
+    if (!aware) unaware.push_back(host);
+  }
+  return unaware;
+}
+
 std::vector<EntryHostId> Coverage::Members() const {
   std::vector<EntryHostId> members;
   for (const auto& [host, lease] : others_) members.push_back(host);
--- a/src/claim/coverage.h
+++ b/src/claim/coverage.h
@@ -52,7 +52,7 @@
   // The commit that takes or renews this host's lease. Only right after a scan,
   // and only when all keys run without a row have theirs.
   platform::Transaction Renew(absl::Time now);
-  void OnRenewed(const platform::CommitResult& result);
+  void OnRenewed(const platform::CommitResult& result, absl::Time now);
 
   bool registered() const { return registered_; }
   // Another incarnation has taken this host's name: run no key any more.
@@ -77,6 +77,12 @@
   // Whether some host is gone that may have run the key without a row.
   bool AnyLost(absl::Time first_sent) const;
 
+  // Hosts that may not have seen this host's lease row yet. One of them that
+  // loses the table would not know to ask us before it runs a key. Only a host
+  // whose name is new can be unknown.
+  std::vector<EntryHostId> Unaware() const;
+  bool new_name() const { return new_name_; }
+
   // The hosts with a lease row, without this one.
   std::vector<EntryHostId> Members() const;
   // The incarnation that holds `host`'s lease row; 0 when there is none.
@@ -92,7 +98,9 @@
   bool Covered(const LeaseRow& lease, absl::Time row_sent,
                absl::Time now) const;
   bool Lost(const LeaseRow& lease, absl::Time first_sent) const;
-  void OnOwnRow(const LeaseRow& row, platform::RowVersion version);
+  void OnOwnRow(const LeaseRow& row, platform::RowVersion version,
+                absl::Time now);
+  void Register(absl::Time now);
 
   CoverageOptions options_;
   EntryHostId self_;
@@ -102,7 +110,9 @@
   absl::Time scan_sent_ = absl::InfinitePast();
   bool scanned_once_ = false;
   bool clean_start_ = false;
+  bool new_name_ = false;
   bool registered_ = false;
+  absl::Time registered_at_ = absl::InfiniteFuture();
   bool superseded_ = false;
   platform::RowVersion version_ = 0;
   absl::Time since_ = absl::InfinitePast();
