--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -299,8 +299,7 @@
     GiveProceed(claim);
     return;
   }
-  bool look = may_have_run || coverage_.new_name();
-  if (!coverage_.registered() || (look && !coverage_.FreshScan(now_))) {
+  if (!coverage_.registered() || !coverage_.FreshScan(now_)) {
     claim.phase = Phase::kAwaitingScan;
     StartScan();
     return;
@@ -314,9 +313,7 @@
   for (const Promise& promise : claim.promised) ask.insert(promise.asker);
   // Whoever doesn't know us could run a re-send of what we run, and may have
   // done so and be gone.
-  if (coverage_.new_name() && coverage_.AnyLost(claim.first_sent)) {
-    suspects.lost = true;
-  }
+  if (coverage_.LostUnaware(claim.first_sent)) suspects.lost = true;
   for (const EntryHostId& host : coverage_.Unaware()) {
     if (!introduced_.contains(host)) ask.insert(host);
   }
--- a/src/claim/claim_machine_test.cc
+++ b/src/claim/claim_machine_test.cc
@@ -62,7 +62,12 @@
 };
 
 LeaseRow Lease(const std::string& host, absl::Time since, absl::Time until) {
-  return {EntryHostId(host), 1, since, until};
+  LeaseRow lease;
+  lease.host = EntryHostId(host);
+  lease.incarnation = 1;
+  lease.since = since;
+  lease.until = until;
+  return lease;
 }
 
 // Host a ran a key while it had lost the table, and writes its row just after
@@ -78,7 +83,7 @@
     host.Open(2, At(20));
     host.CommitLast(At(20));
     absl::Time since = earlier ? At(-60) : At(25);
-    host.Scan({Lease("a", since, At(40))}, At(28));
+    host.Scan({Lease("a", since, At(40)), Lease("b", At(0), At(15))}, At(28));
     BOOST_TEST(host.Taken<AskCall>().size() == (earlier ? 0u : 1u));
     BOOST_TEST(host.Taken<VerdictGiven>().size() == (earlier ? 1u : 0u));
   }
@@ -135,7 +140,7 @@
                true,
                At(0)};
   BOOST_TEST((DecodeClaim(Encode(row)) == row));
-  LeaseRow lease{EntryHostId("a"), 7, At(1), At(2), At(3)};
+  LeaseRow lease{EntryHostId("a"), 7, At(1), At(2), At(3), At(4), At(5)};
   BOOST_TEST((DecodeLease(Encode(lease)) == lease));
   BOOST_TEST(!DecodeClaim(Encode(lease)).has_value());
   BOOST_TEST(!DecodeLease("{").has_value());
--- a/src/claim/coverage.cc
+++ b/src/claim/coverage.cc
@@ -30,7 +30,6 @@
   if (!own_row) version_ = 0;
   if (scanned_once_) return;
   scanned_once_ = true;
-  new_name_ = !own_row;
   clean_start_ = std::all_of(others_.begin(), others_.end(), [&](auto& entry) {
     return now + options_.clock_skew < entry.second.until &&
            !Lost(entry.second, now - options_.key_window);
@@ -40,6 +39,7 @@
 void Coverage::OnOwnRow(const LeaseRow& row, platform::RowVersion version,
                         absl::Time now) {
   version_ = version;
+  named_ = row.named;
   if (row.incarnation == incarnation_) {
     Register(now);  // Also when the answer to Renew() was lost.
     return;
@@ -50,11 +50,15 @@
   // The earlier incarnation ended before this one started. If its lease had
   // lapsed by then, it may have run keys whose rows died with it.
   bool lapsed = row.until < started_;
+  bool lost_before = row.lost_until > absl::UnixEpoch();
+  lost_from_ = lost_before ? row.lost_from : row.until;
   lost_until_ = lapsed ? started_ : row.lost_until;
 }
 
 void Coverage::Register(absl::Time now) {
-  if (!registered_) registered_at_ = now;
+  // A name that was taken later than its row says is taken once more.
+  if (naming_ && now > named_) return;
+  naming_ = false;
   registered_ = true;
 }
 
@@ -65,7 +69,18 @@
   // counts as covered until the new time, whatever comes back.
   // Counted from the scan: the lease tells how old this host's picture is.
   until_ = std::max(until_, scan_sent_ + options_.lease);
-  LeaseRow row{self_, incarnation_, since_, until_, lost_until_};
+  LeaseRow row;
+  row.host = self_;
+  row.incarnation = incarnation_;
+  row.since = since_;
+  row.until = until_;
+  row.lost_from = lost_from_;
+  row.lost_until = lost_until_;
+  // Whoever scans later than `named` sees the row; Register() makes sure that
+  // it was there by then.
+  naming_ = naming_ || version_ == 0;
+  if (naming_) named_ = now + options_.lease;
+  row.named = named_;
   std::string key = LeaseKey(self_);
   return {"", {{key, version_}}, {{key, Encode(row)}}};
 }
@@ -121,17 +136,26 @@
   });
 }
 
+bool Coverage::Aware(absl::Time until) const {
+  absl::Time scanned = until - options_.lease;
+  return scanned > named_ + options_.clock_skew;
+}
+
 std::vector<EntryHostId> Coverage::Unaware() const {
   std::vector<EntryHostId> unaware;
-  if (!new_name_) return unaware;
   for (const auto& [host, lease] : others_) {
-    absl::Time scanned = lease.until - options_.lease;
-    bool aware = scanned > registered_at_ + options_.clock_skew;
-    if (!aware) unaware.push_back(host);
+    if (!Aware(lease.until)) unaware.push_back(host);
   }
   return unaware;
 }
 
+bool Coverage::LostUnaware(absl::Time first_sent) const {
+  return std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
+    const LeaseRow& lease = entry.second;
+    return Lost(lease, first_sent) && !Aware(lease.lost_from);
+  });
+}
+
 std::vector<EntryHostId> Coverage::Members() const {
   std::vector<EntryHostId> members;
   for (const auto& [host, lease] : others_) members.push_back(host);
--- a/src/claim/coverage.h
+++ b/src/claim/coverage.h
@@ -77,11 +77,12 @@
   // Whether some host is gone that may have run the key without a row.
   bool AnyLost(absl::Time first_sent) const;
 
-  // Hosts that may not have seen this host's lease row yet. One of them that
-  // loses the table would not know to ask us before it runs a key. Only a host
-  // whose name is new can be unknown.
+  // Hosts that may not have seen this host's name yet. One of them that loses
+  // the table would not know to ask us before it runs a key.
   std::vector<EntryHostId> Unaware() const;
-  bool new_name() const { return new_name_; }
+
+  // Whether one of them may have run the key so, and is gone.
+  bool LostUnaware(absl::Time first_sent) const;
 
   // The hosts with a lease row, without this one.
   std::vector<EntryHostId> Members() const;
@@ -101,6 +102,8 @@
   void OnOwnRow(const LeaseRow& row, platform::RowVersion version,
                 absl::Time now);
   void Register(absl::Time now);
+  // Whether a host whose lease ended at `until` had scanned our name by then.
+  bool Aware(absl::Time until) const;
 
   CoverageOptions options_;
   EntryHostId self_;
@@ -110,14 +113,15 @@
   absl::Time scan_sent_ = absl::InfinitePast();
   bool scanned_once_ = false;
   bool clean_start_ = false;
-  bool new_name_ = false;
   bool registered_ = false;
-  absl::Time registered_at_ = absl::InfiniteFuture();
   bool superseded_ = false;
   platform::RowVersion version_ = 0;
   absl::Time since_ = absl::InfinitePast();
   absl::Time until_ = absl::InfinitePast();  // The latest ever sent.
+  absl::Time lost_from_ = absl::UnixEpoch();
   absl::Time lost_until_ = absl::UnixEpoch();
+  absl::Time named_ = absl::InfiniteFuture();
+  bool naming_ = false;  // The row that first takes the name is on its way.
 };
 
 }  // namespace gentianlb::claim
--- a/src/claim/rows.cc
+++ b/src/claim/rows.cc
@@ -82,7 +82,9 @@
   json["incarnation"] = Json::Int64{row.incarnation};
   json["since"] = Micros(row.since);
   json["until"] = Micros(row.until);
+  json["lost_from"] = Micros(row.lost_from);
   json["lost_until"] = Micros(row.lost_until);
+  json["named"] = Micros(row.named);
   return ToText(json);
 }
 
@@ -110,13 +112,19 @@
 std::optional<LeaseRow> DecodeLease(std::string_view value) {
   std::optional<Json::Value> json = ParseObject(value);
   if (!json) return std::nullopt;
-  bool whole =
-      AllStrings(*json, {"host"}) &&
-      AllIntegers(*json, {"incarnation", "since", "until", "lost_until"});
+  bool whole = AllStrings(*json, {"host"}) &&
+               AllIntegers(*json, {"incarnation", "since", "until", "lost_from",
+                                   "lost_until", "named"});
   if (!whole) return std::nullopt;
-  return LeaseRow{EntryHostId((*json)["host"].asString()),
-                  (*json)["incarnation"].asInt64(), ToTime((*json)["since"]),
-                  ToTime((*json)["until"]), ToTime((*json)["lost_until"])};
+  LeaseRow row;
+  row.host = EntryHostId((*json)["host"].asString());
+  row.incarnation = (*json)["incarnation"].asInt64();
+  row.since = ToTime((*json)["since"]);
+  row.until = ToTime((*json)["until"]);
+  row.lost_from = ToTime((*json)["lost_from"]);
+  row.lost_until = ToTime((*json)["lost_until"]);
+  row.named = ToTime((*json)["named"]);
+  return row;
 }
 
 }  // namespace gentianlb::claim
--- a/src/claim/rows.h
+++ b/src/claim/rows.h
@@ -40,8 +40,11 @@
   Incarnation incarnation = 0;
   absl::Time since;  // All it ran without a row before this has its row now.
   absl::Time until;
-  // An earlier incarnation may have run keys without rows up to this time.
+  // An earlier incarnation, whose lease lapsed at the first time, may have run
+  // keys without rows up to the second.
+  absl::Time lost_from = absl::UnixEpoch();
   absl::Time lost_until = absl::UnixEpoch();
+  absl::Time named = absl::UnixEpoch();  // When the name was first taken.
   bool operator==(const LeaseRow&) const = default;
 };
 
