--- a/src/claim/coverage.h
+++ b/src/claim/coverage.h
@@ -52,7 +52,7 @@
   // The commit that takes or renews this host's lease. Only right after a scan,
   // and only when all keys run without a row have theirs.
   platform::Transaction Renew(absl::Time now);
-  void OnRenewed(const platform::CommitResult& result);
+  void OnRenewed(const platform::CommitResult& result, absl::Time now);
 
   bool registered() const { return registered_; }
   // Another incarnation has taken this host's name: run no key any more.
@@ -77,6 +77,13 @@
   // Whether some host is gone that may have run the key without a row.
   bool AnyLost(absl::Time first_sent) const;
 
+  // Hosts that may not have seen this host's name yet. One of them that loses
+  // the table would not know to ask us before it runs a key.
+  std::vector<EntryHostId> Unaware() const;
+
+  // Whether one of them may have run the key so, and is gone.
+  bool LostUnaware(absl::Time first_sent) const;
+
   // The hosts with a lease row, without this one.
   std::vector<EntryHostId> Members() const;
   // The incarnation that holds `host`'s lease row; 0 when there is none.
@@ -92,7 +99,11 @@
   bool Covered(const LeaseRow& lease, absl::Time row_sent,
                absl::Time now) const;
   bool Lost(const LeaseRow& lease, absl::Time first_sent) const;
-  void OnOwnRow(const LeaseRow& row, platform::RowVersion version);
+  void OnOwnRow(const LeaseRow& row, platform::RowVersion version,
+                absl::Time now);
+  void Register(absl::Time now);
+  // Whether a host whose lease ended at `until` had scanned our name by then.
+  bool Aware(absl::Time until) const;
 
   CoverageOptions options_;
   EntryHostId self_;
@@ -107,7 +118,10 @@
   platform::RowVersion version_ = 0;
   absl::Time since_ = absl::InfinitePast();
   absl::Time until_ = absl::InfinitePast();  // The latest ever sent.
+  absl::Time lost_from_ = absl::UnixEpoch();
   absl::Time lost_until_ = absl::UnixEpoch();
+  absl::Time named_ = absl::InfiniteFuture();
+  bool naming_ = false;  // The row that first takes the name is on its way.
 };
 
 }  // namespace gentianlb::claim
