Claims: fence repeatable keys too, so that a dead host's keys run elsewhere

Cause: the row of a repeatable key was not fenced, so nobody could take it over from a host that died or was paused while the request waited; its callers were answered 4003 for ever (process tests KeysOfAKilledHostAreRunOnce and KeysOfAPausedHostAreRunOnce failed). Ruled out: asking the engines for the stream and taking 'none' as proof, since an engine that was restarted has forgotten what it received. Change: every row written while the table is up is replaced by its owner, with the server's name, before the first byte leaves; that write was made before as well, but not waited for. A claim made without the table stays unfenced. Decisions are unchanged.

--- a/src/claim/claim_dispatch.cc
+++ b/src/claim/claim_dispatch.cc
@@ -20,10 +20,10 @@
     return;
   }
   claim->server = event.server;
-  if (claim->request.idempotent) {
-    AllowDispatch(*claim);
-  } else {
+  if (IsFenced(*claim)) {
     WriteFence(*claim);
+  } else {
+    AllowDispatch(*claim);
   }
 }
 
@@ -91,10 +91,6 @@
   auto late = late_.find(claim.token);
   if (late != late_.end()) {
     late->second.row = RowOf(claim, RowState::kDispatched);
-  } else if (claim.request.idempotent && claim.version != 0) {
-    // Tells a host that resumes the answer where to look first. Nobody waits
-    // for this write, and nothing depends on it.
-    WriteProgress(claim, RowState::kDispatched);
   }
   actions_->push_back(DispatchAnswered{claim.id, std::nullopt});
 }
@@ -117,6 +113,15 @@
   claims_.erase(claim.id);
 }
 
+// A host dies, or is paused, while requests wait on it. Their rows would stand
+// for ever, and their callers would hear for ever that it isn't known whether
+// they ran. A fenced row is replaced by the owner itself before the first byte
+// leaves; whoever replaces it first, another host or the owner, may dispatch,
+// and the other one can't. A claim made without the table has no row to fence.
+bool ClaimMachine::IsFenced(const Claim& claim) const {
+  return !late_.contains(claim.token);
+}
+
 ClaimRow ClaimMachine::RowOf(const Claim& claim, RowState state) const {
   ClaimRow row;
   row.owner = options_.self;
@@ -125,7 +130,7 @@
   row.body_digest = claim.request.body_digest;
   row.token = claim.token;
   row.server = claim.server;
-  row.fenced = !claim.request.idempotent;
+  row.fenced = IsFenced(claim);
   row.written = now_;
   return row;
 }
--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -413,7 +413,9 @@
   claim.without_table = claim.version == 0;
   if (claim.without_table) {
     ++counters_.proceeded_without_table;
-    late_[claim.token] = {claim.request.key, RowOf(claim, RowState::kClaimed)};
+    // Known as late first: the row must say that no fence will be written.
+    Late& late = late_[claim.token];
+    late = {claim.request.key, RowOf(claim, RowState::kClaimed)};
   }
   actions_->push_back(VerdictGiven{claim.id, Proceed{}});
 }
--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -193,6 +193,7 @@
   bool Yields(const Claim& holder, const PeerQuestion& question) const;
 
   // Around the dispatch, claim_dispatch.cc.
+  bool IsFenced(const Claim& claim) const;
   void WriteFence(Claim& claim);
   void OnFenceWritten(Claim& claim, const platform::CommitResult& result);
   void OnFenceRead(Claim& claim, const platform::Row* row);
