A message that does not arrive in time gets its number

Cause: libmicrohttpd closes such a connection without a word (process test WrongSizesAndSlownessHarmNobodyElse failed). Ruled out: answering from the access handler, which isn't called for a message that stays incomplete. Change: the refusal is written as the last answer before the close, but not over TLS. Decisions are unchanged.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -382,11 +382,39 @@
   return exchange.release();
 }
 
-void OnCompleted(void* /*closure*/, MHD_Connection* /*connection*/, void** slot,
+// libmicrohttpd closes a connection whose message did not arrive in time
+// without a word, and the client could not tell that from a crash. Its socket
+// is still open here and nothing was written to it yet, so that the refusal can
+// be sent as a last, whole answer. Not over TLS, where the library owns the
+// stream: there the connection just closes.
+void RefuseSlowMessage(MHD_Connection* connection) {
+  if (MHD_get_connection_info(connection, MHD_CONNECTION_INFO_GNUTLS_SESSION) !=
+      nullptr) {
+    return;
+  }
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  if (info == nullptr) return;
+  std::string body =
+      ProblemBody({Code::kRequestTooSlow, "the message is not complete"});
+  std::string answer =
+      "HTTP/1.1 408 Request Timeout\r\n"
+      "Content-Type: application/problem+json\r\n"
+      "Connection: close\r\n"
+      "Content-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  send(info->connect_fd, answer.data(), answer.size(),
+       MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
+void OnCompleted(void* /*closure*/, MHD_Connection* connection, void** slot,
                  MHD_RequestTerminationCode why) {
   std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*slot));
   *slot = nullptr;
-  if (exchange == nullptr || exchange->answer == nullptr) return;
+  if (exchange == nullptr) return;
+  bool slow = why == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED;
+  if (slow && !exchange->handed_over) RefuseSlowMessage(connection);
+  if (exchange->answer == nullptr) return;
   exchange->answer->Close(why == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 }
 
