--- a/src/claim/claim_table.h
+++ b/src/claim/claim_table.h
@@ -103,7 +103,7 @@
 
   void Perform(std::vector<Action> actions) {
     for (Action& action : actions) {
-      std::visit([this](auto& one) { Do(std::move(one)); }, action);
+      std::visit([this](auto& one) { this->Do(std::move(one)); }, action);
     }
   }
 
