Claims without the platform in one zone: carry transactions through a peer

A zone that lost only the platform refused every non-idempotent call for the length of the cut, although the zones next to it could write its rows. FallbackTable sends what certainly took no effect through a second table service, which an entry host fills with a peer's client. A lost answer isn't sent there: the caller reads its row back instead. Ruled out: peers' votes in place of rows, which would be a second authority for one key.

The peers' side of the call is the entry host's and isn't built yet.

--- /dev/null
+++ b/src/platform/fallback_table.h
@@ -0,0 +1,64 @@
+// A table service that asks a second way when the first is certainly out of
+// reach: the platform itself, and then a peer that still reaches it.
+
+#ifndef GENTIANLB_PLATFORM_FALLBACK_TABLE_H_
+#define GENTIANLB_PLATFORM_FALLBACK_TABLE_H_
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/messages.h"
+
+namespace gentianlb::platform {
+
+// A zone that is cut off from the platform, but not from the other zones, would
+// refuse all that needs a row, for as long as the cut lasts. One would notice
+// that its callers get 4002 while everybody else is served. The rows are the
+// same whoever carries the transaction, so nothing is decided differently.
+//
+// Only what certainly took no effect goes the second way: after a lost answer
+// the caller reads its rows back. A peer answers what comes to it by its own
+// first way, never by a third host.
+template <TableService First, TableService Second>
+class FallbackTable {
+ public:
+  // Both outlive this object and every call.
+  FallbackTable(First* first, Second* second)
+      : first_(first), second_(second) {}
+
+  void Commit(Transaction transaction, std::function<void(CommitResult)> done) {
+    auto answered = [this, transaction,
+                     done = std::move(done)](CommitResult result) {
+      if (result.state != CommitState::kNotApplied) return done(result);
+      second_->Commit(transaction, done);
+    };
+    first_->Commit(std::move(transaction), std::move(answered));
+  }
+
+  void Read(std::vector<std::string> keys,
+            std::function<void(ReadResult)> done) {
+    auto answered = [this, keys, done = std::move(done)](ReadResult result) {
+      if (result.ok()) return done(std::move(result));
+      second_->Read(keys, done);
+    };
+    first_->Read(std::move(keys), std::move(answered));
+  }
+
+  void Scan(std::string prefix, std::function<void(ReadResult)> done) {
+    auto answered = [this, prefix, done = std::move(done)](ReadResult result) {
+      if (result.ok()) return done(std::move(result));
+      second_->Scan(prefix, done);
+    };
+    first_->Scan(std::move(prefix), std::move(answered));
+  }
+
+ private:
+  First* first_;
+  Second* second_;
+};
+
+}  // namespace gentianlb::platform
+
+#endif  // GENTIANLB_PLATFORM_FALLBACK_TABLE_H_
--- a/src/platform/policy_test.cc
+++ b/src/platform/policy_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "platform/call_gate.h"
+#include "platform/fallback_table.h"
 #include "platform/transaction_group.h"
 
 namespace gentianlb::platform {
@@ -111,5 +112,50 @@
   BOOST_TEST(group.Take(At(1))->members.size() == 1u);
 }
 
+// Answers every call in the same way, and counts them.
+struct FixedTable {
+  CommitState state = CommitState::kCommitted;
+  int calls = 0;
+
+  void Commit(const Transaction& /*transaction*/,
+              const std::function<void(CommitResult)>& done) {
+    ++calls;
+    done({state, {}, {}});
+  }
+  void Read(const std::vector<std::string>& /*keys*/,
+            const std::function<void(ReadResult)>& done) {
+    ++calls;
+    if (state == CommitState::kCommitted) return done(std::vector<Row>());
+    done(Error{Code::kPlatformUnavailable, ""});
+  }
+  void Scan(const std::string& /*prefix*/,
+            const std::function<void(ReadResult)>& done) {
+    Read({}, done);
+  }
+};
+
+// A zone has lost the platform and its peers haven't. What certainly took no
+// effect goes through a peer; a lost answer must not, since the caller would
+// take the peer's conflict with its own row for somebody else's claim.
+BOOST_AUTO_TEST_CASE(OnlyWhatTookNoEffectGoesThroughAPeer) {
+  for (CommitState state : {CommitState::kCommitted, CommitState::kConflict,
+                            CommitState::kNotApplied, CommitState::kUnknown}) {
+    FixedTable own{state};
+    FixedTable peer;
+    FallbackTable<FixedTable, FixedTable> table(&own, &peer);
+    CommitState got = CommitState::kUnknown;
+    table.Commit(Insert("a"), [&](auto result) { got = result.state; });
+    bool relayed = state == CommitState::kNotApplied;
+    BOOST_TEST(peer.calls == (relayed ? 1 : 0));
+    BOOST_TEST((got == (relayed ? CommitState::kCommitted : state)));
+  }
+  FixedTable own{CommitState::kNotApplied};
+  FixedTable peer;
+  FallbackTable<FixedTable, FixedTable> table(&own, &peer);
+  bool read = false;
+  table.Scan("", [&](const ReadResult& rows) { read = rows.ok(); });
+  BOOST_TEST(read);
+}
+
 }  // namespace
 }  // namespace gentianlb::platform
--- a/tests/claims/claim_outage.cc
+++ b/tests/claims/claim_outage.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "claim/claim_table.h"
+#include "platform/fallback_table.h"
 
 namespace gentianlb::claim {
 namespace {
@@ -37,6 +38,7 @@
   bool zone_loses_table = false;  // Zone 0.
   bool zone_loses_peers = false;
   bool host_dies = false;  // Host 7, ten minutes into the outage.
+  bool relayed = false;    // Peers pass on what a host can't reach.
 };
 
 struct Count {
@@ -143,10 +145,40 @@
            std::function<void(std::optional<PeerAnswer>)> done);
 };
 
-using Claims = ClaimTable<FakeTable, FakePeers, std::function<absl::Time()>>;
+// The table through a host of another zone.
+struct PeerTable {
+  Site* site;
+  int self;
+  FakeTable* Carrier();
+  void Commit(platform::Transaction transaction,
+              std::function<void(platform::CommitResult)> done) {
+    FakeTable* carrier = Carrier();
+    if (carrier == nullptr) {
+      return done({platform::CommitState::kNotApplied, {}, {}});
+    }
+    carrier->Commit(std::move(transaction), std::move(done));
+  }
+  void Read(std::vector<std::string> keys,
+            std::function<void(platform::ReadResult)> done) {
+    FakeTable* carrier = Carrier();
+    if (carrier == nullptr) return done(Error{Code::kPeerUnreachable, ""});
+    carrier->Read(std::move(keys), std::move(done));
+  }
+  void Scan(std::string prefix,
+            std::function<void(platform::ReadResult)> done) {
+    FakeTable* carrier = Carrier();
+    if (carrier == nullptr) return done(Error{Code::kPeerUnreachable, ""});
+    carrier->Scan(std::move(prefix), std::move(done));
+  }
+};
+
+using Table = platform::FallbackTable<FakeTable, PeerTable>;
+using Claims = ClaimTable<Table, FakePeers, std::function<absl::Time()>>;
 
 struct Host {
   std::unique_ptr<FakeTable> table;
+  std::unique_ptr<PeerTable> peer_table;
+  std::unique_ptr<Table> either_table;
   std::unique_ptr<FakePeers> peers;
   std::unique_ptr<Claims> claims;
   bool dead = false;
@@ -160,6 +192,7 @@
   FakeTable::Rows rows;
   std::vector<Host> hosts = std::vector<Host>(kHosts);
   bool zone_alone = false;
+  bool relayed = false;
   std::map<std::string, int> executions;
   int doubles = 0;
   std::map<std::pair<Period, Class>, Count> counts;
@@ -172,13 +205,16 @@
     for (int h = 0; h < kHosts; ++h) {
       Host& host = hosts[static_cast<std::size_t>(h)];
       host.table = std::make_unique<FakeTable>(&agenda, &rows);
+      host.peer_table = std::make_unique<PeerTable>(PeerTable{this, h});
+      host.either_table =
+          std::make_unique<Table>(host.table.get(), host.peer_table.get());
       host.peers = std::make_unique<FakePeers>(FakePeers{this, h});
       ClaimOptions options;
       options.self = Name(h);
       options.incarnation = 1;
-      host.claims =
-          std::make_unique<Claims>(options, host.table.get(), host.peers.get(),
-                                   [this] { return agenda.now(); });
+      host.claims = std::make_unique<Claims>(options, host.either_table.get(),
+                                             host.peers.get(),
+                                             [this] { return agenda.now(); });
       std::vector<EntryHostId> others;
       for (int o = 0; o < kHosts; ++o) {
         if (o != h) others.push_back(Name(o));
@@ -261,6 +297,7 @@
 
   void SetFault(const Fault& fault, bool on) {
     zone_alone = on && fault.zone_loses_peers;
+    relayed = fault.relayed;
     for (int h = 0; h < kHosts; ++h) {
       bool cut =
           fault.all_lose_table || (fault.zone_loses_table && ZoneOf(h) == 0);
@@ -269,6 +306,12 @@
   }
 };
 
+FakeTable* PeerTable::Carrier() {
+  int other = (self + 1) % kHosts;
+  bool reachable = site->relayed && site->Linked(self, other);
+  return reachable ? site->At(other).table.get() : nullptr;
+}
+
 void FakePeers::Ask(const EntryHostId& peer, const PeerQuestion& question,
                     std::function<void(std::optional<PeerAnswer>)> done) {
   int to = std::stoi(peer.str());
@@ -325,6 +368,9 @@
            .host_dies = true});
   Measure({.name = "one host dies", .host_dies = true});
   Measure({.name = "zone cut from the platform", .zone_loses_table = true});
+  Measure({.name = "zone cut from the platform, relayed",
+           .zone_loses_table = true,
+           .relayed = true});
   Measure({.name = "zone cut from the zones", .zone_loses_peers = true});
   Measure({.name = "zone cut from both",
            .zone_loses_table = true,
