--- a/src/config/intent.cc
+++ b/src/config/intent.cc
@@ -78,12 +78,17 @@
             {"workspace", &IntentReader::ReadWorkspace},
             {"server", &IntentReader::ReadServer}};
     auto found = functions.find(section.kind);
+    if (found == functions.end()) {
+      return Note(
+          section, Code::kUnknownSection,
+          absl::StrCat("[", section.kind, "] is not a section of an intent"));
+    }
     // Of all, only [site] is there once and has no name.
     bool named = section.kind != "site";
-    if (found == functions.end() || named == section.name.empty()) {
+    if (named == section.name.empty()) {
       return Note(section, Code::kUnknownSection,
-                  absl::StrCat("[", section.kind, named ? " NAME" : "",
-                               "] is not a section of an intent"));
+                  absl::StrCat("[", section.kind,
+                               named ? "] needs a name" : "] takes no name"));
     }
     if (named && !settings::IsName(section.name)) {
       return Note(section, Code::kOutOfRange, section.name + " is no name");
--- a/src/config/plan.cc
+++ b/src/config/plan.cc
@@ -134,7 +134,9 @@
       const schedule::PowerModel& power = server.spec.power;
       plan_.cost.idle_watts += power.idle_watts;
       plan_.cost.full_watts +=
-          power.idle_watts + power.watts_per_stream * server.spec.max_streams;
+          power.idle_watts + power.watts_per_stream * server.spec.max_streams +
+          power.joules_per_prefill_token *
+              server.spec.prefill_tokens_per_second;
     }
   }
 
--- a/src/gentianctl/main.cc
+++ b/src/gentianctl/main.cc
@@ -6,6 +6,7 @@
 #include "gentianctl/change.h"
 #include "gentianctl/check.h"
 #include "gentianctl/command.h"
+#include "gentianctl/deployment_file.h"
 #include "gentianctl/look.h"
 #include "replay/command.h"
 
@@ -35,7 +36,8 @@
   app.require_subcommand(1);
   AddCommands(&app, &action);
   int replay_exit = 0;
-  gentianlb::replay::AddReplayCommand(&app, &replay_exit);
+  gentianlb::replay::AddReplayCommand(&app, &replay_exit,
+                                      gentianlb::ctl::ReadDeployment);
   gentianlb::replay::AddBenchCommand(&app, &replay_exit);
   try {
     app.parse(argc, argv);
