--- a/src/config/intent_test.cc
+++ b/src/config/intent_test.cc
@@ -110,9 +110,9 @@
     }
     std::string keys = line.substr(line.find('|', 1));
     keys = keys.substr(1, keys.find('|', 1) - 1);
-    for (std::string key : settings::SplitList(keys)) {
-      if (key.starts_with('`'))
-        text += key.substr(1, key.size() - 2) + " = ?\n";
+    for (const std::string& key : settings::SplitList(keys)) {
+      bool quoted = key.starts_with('`');
+      if (quoted) text += key.substr(1, key.size() - 2) + " = ?\n";
     }
   }
   return text;
--- a/src/gentianctl/remote_test.cc
+++ b/src/gentianctl/remote_test.cc
@@ -10,7 +10,8 @@
 namespace gentianlb::ctl {
 namespace {
 
-const char kKeyFile[] = GENTIANLB_SOURCE_DIR "/etc/almaty/keys/operator.key";
+constexpr char kKeyFile[] =
+    GENTIANLB_SOURCE_DIR "/etc/almaty/keys/operator.key";
 
 // An entry host's control port, as far as these calls need it.
 class FakeHost {
