--- a/src/config/answers.cc
+++ b/src/config/answers.cc
@@ -122,13 +122,11 @@
 }
 
 std::optional<HistoryEntry> FindConfirmed(
-    const std::vector<platform::Row>& rows, const std::string& plan,
-    const std::string& token) {
+    const std::vector<platform::Row>& rows, const std::string& plan) {
   for (const platform::Row& row : rows) {
     auto entry = DecodeHistory(row.value);
     if (!entry.ok()) continue;
-    bool found = entry.value().plan == plan && entry.value().token == token;
-    if (found) return entry.value();
+    if (entry.value().plan == plan) return entry.value();
   }
   return std::nullopt;
 }
--- a/src/config/answers.h
+++ b/src/config/answers.h
@@ -37,10 +37,9 @@
 
 Error NoVersion(Version version);
 
-// The entry of the confirm of `plan` by `token`, if there was one.
+// The entry of the confirm of `plan`, if there was one.
 std::optional<HistoryEntry> FindConfirmed(
-    const std::vector<platform::Row>& rows, const std::string& plan,
-    const std::string& token);
+    const std::vector<platform::Row>& rows, const std::string& plan);
 
 }  // namespace gentianlb::config
 
--- a/src/config/plan.cc
+++ b/src/config/plan.cc
@@ -107,6 +107,9 @@
     absl::flat_hash_set<ServerId> ordered;
     for (const PlannedOrder& order : plan_.orders) {
       plan_.cost.weight_store += order.duration;
+      bool unknown = order.kind == OrderKind::kLoad &&
+                     order.duration == absl::ZeroDuration();
+      if (unknown) ++plan_.cost.unknown_loads;
       if (order.kind == OrderKind::kUnload) continue;
       if (!ordered.insert(order.server).second) continue;
       plan_.cost.out_of_service.push_back(order.server);
@@ -257,6 +260,7 @@
 Json::Value CostToJson(const PlanCost& cost) {
   Json::Value json;
   json["weight_store_seconds"] = absl::ToDoubleSeconds(cost.weight_store);
+  json["unknown_loads"] = cost.unknown_loads;
   json["out_of_service"] = Json::Value(Json::arrayValue);
   for (const ServerId& server : cost.out_of_service) {
     json["out_of_service"].append(server.str());
@@ -281,10 +285,12 @@
 
 std::string CostToText(const PlanCost& cost) {
   std::string text = absl::StrFormat(
-      "cost\n  weight store %s; %d servers out of service, one at a time\n"
+      "cost\n  weight store %s, and %d loads of unknown size; %d servers out "
+      "of service, one at a time\n"
       "  watts: cap %.0f, idle %.0f, full load %.0f\n",
-      absl::FormatDuration(cost.weight_store), cost.out_of_service.size(),
-      cost.cap_watts, cost.idle_watts, cost.full_watts);
+      absl::FormatDuration(cost.weight_store), cost.unknown_loads,
+      cost.out_of_service.size(), cost.cap_watts, cost.idle_watts,
+      cost.full_watts);
   for (const TierRoom& room : cost.rooms) {
     absl::StrAppendFormat(
         &text,
@@ -378,9 +384,11 @@
                        absl::UTCTimeZone()));
   absl::StrAppend(&text, ChangesToText(plan.changes));
   for (const PlannedOrder& order : plan.orders) {
+    bool timed = order.duration > absl::ZeroDuration();
     absl::StrAppend(&text, "order: ", std::string(OrderName(order.kind)), " ",
-                    ObjectOf(order), " on ", order.server.str(), ", ",
-                    absl::FormatDuration(order.duration), "\n");
+                    ObjectOf(order), " on ", order.server.str(),
+                    timed ? ", " + absl::FormatDuration(order.duration) : "",
+                    "\n");
   }
   for (const PlannedShare& share : plan.shares) {
     absl::StrAppendFormat(&text, "power: zone %s %.0fW -> %.0fW\n",
--- a/src/config/plan.h
+++ b/src/config/plan.h
@@ -75,7 +75,8 @@
 };
 
 struct PlanCost {
-  absl::Duration weight_store;           // All loads, one after the other.
+  int unknown_loads = 0;        // Whose size the weight store did not tell.
+  absl::Duration weight_store;  // All loads, one after the other.
   std::vector<ServerId> out_of_service;  // Each in turn, while it is ordered.
   double cap_watts = 0;
   double idle_watts = 0;  // All servers on, without work.
--- a/src/config/service.h
+++ b/src/config/service.h
@@ -133,9 +133,10 @@
     if (error.code != Code::kUnknownPlan) return done(error);
     table_.Scan(kHistoryPrefix, [=](platform::ReadResult rows) {
       if (!rows.ok()) return done(rows.error());
-      auto entry = FindConfirmed(rows.value(), id, request.token);
+      auto entry = FindConfirmed(rows.value(), id);
       if (!entry) return done(error);
-      done(ConfirmAnswer(*entry));
+      bool own = entry->token == request.token;
+      return own ? done(ConfirmAnswer(*entry)) : done(ConflictWith(*entry));
     });
   }
 
--- a/src/config/versions_test.cc
+++ b/src/config/versions_test.cc
@@ -263,7 +263,8 @@
   BOOST_TEST(again.value()["entry"]["when_us"].asInt64() ==
              absl::ToUnixMicros(At(12)));
   // Another operator with the same plan did not confirm it.
-  BOOST_TEST(!site.b.Confirm(plan, "omar", 13).ok());
+  auto other = site.b.Confirm(plan, "omar", 13);
+  BOOST_TEST((other.error().code == Code::kPlanConflict));
 }
 
 // The answer is lost and the platform then refuses everything, so that nothing
--- a/src/timeline/render.cc
+++ b/src/timeline/render.cc
@@ -37,7 +37,7 @@
 constexpr int kLeft = 150;
 constexpr int kRight = 30;
 constexpr int kWidth = 1400;
-constexpr int kTicks = 8;
+constexpr int kMaxTicks = 10;
 constexpr int kDot = 5;
 
 // Dots of one lane closer than this are put in rows above each other.
@@ -166,31 +166,29 @@
     }
   }
 
+  // At round steps, so that a reader need not add up odd figures.
   std::string Ticks() const {
     std::string svg;
-    for (int i = 0; i <= kTicks; ++i) {
-      std::int64_t micros = first_ + span_ * i / kTicks;
-      double x = X(micros);
+    std::int64_t step = TickStep();
+    for (std::int64_t offset = 0; offset <= span_; offset += step) {
+      double x = X(first_ + offset);
       absl::StrAppendFormat(&svg,
                             "<line class=\"tick\" x1=\"%.1f\" x2=\"%.1f\" "
                             "y1=\"%d\" y2=\"%d\"/><text x=\"%.1f\" y=\"18\" "
                             "text-anchor=\"middle\">+%s</text>\n",
-                            x, x, kTop - 8, height_, x, Offset(micros));
+                            x, x, kTop - 8, height_, x,
+                            absl::FormatDuration(absl::Microseconds(offset)));
     }
     return svg;
   }
 
-  std::string Offset(std::int64_t micros) const {
-    return absl::FormatDuration(
-        absl::Trunc(absl::Microseconds(micros - first_), Grain()));
-  }
-
-  // Fine enough to part two ticks, and no finer.
-  absl::Duration Grain() const {
-    absl::Duration step = absl::Microseconds(span_ / kTicks);
-    if (step > absl::Seconds(10)) return absl::Seconds(1);
-    if (step > absl::Milliseconds(10)) return absl::Milliseconds(1);
-    return absl::Microseconds(1);
+  // The smallest of 1, 2 and 5 times a power of ten that needs few ticks.
+  std::int64_t TickStep() const {
+    for (std::int64_t power = 1;; power *= 10) {
+      for (std::int64_t digit : {1, 2, 5}) {
+        if (span_ / (digit * power) <= kMaxTicks) return digit * power;
+      }
+    }
   }
 
   std::string Lanes() const {
