--- a/src/config/service.h
+++ b/src/config/service.h
@@ -133,9 +133,10 @@
     if (error.code != Code::kUnknownPlan) return done(error);
     table_.Scan(kHistoryPrefix, [=](platform::ReadResult rows) {
       if (!rows.ok()) return done(rows.error());
-      auto entry = FindConfirmed(rows.value(), id, request.token);
+      auto entry = FindConfirmed(rows.value(), id);
       if (!entry) return done(error);
-      done(ConfirmAnswer(*entry));
+      bool own = entry->token == request.token;
+      return own ? done(ConfirmAnswer(*entry)) : done(ConflictWith(*entry));
     });
   }
 
@@ -154,7 +155,7 @@
       snapshot->rows.emplace(entry.index, rows.value()[0].value);
       auto keys = DecodeIndex(rows.value()[0].value);
       if (!keys.ok()) return done(keys.error());
-      ReadShards(entry.version, keys.value(), snapshot, done);
+      ReadShards(entry.version, keys.value().shards, snapshot, done);
     });
   }
 
--- a/src/config/versions_test.cc
+++ b/src/config/versions_test.cc
@@ -12,6 +12,7 @@
 #include "absl/strings/str_format.h"
 #include "config/follow.h"
 #include "config/service.h"
+#include "config/snapshot_writer.h"
 #include "settings/document.h"
 
 namespace gentianlb::config {
@@ -135,13 +136,13 @@
 
 using TestFollower = Follower<FakeTable, FakePeers>;
 
-std::string IntentText(double weight, double cap_kilowatts = 12) {
+std::string IntentText(double weight, double cap_kilowatts = 5.8) {
   std::ifstream file(GENTIANLB_SOURCE_DIR "/etc/association/intent.ini");
   std::string text((std::istreambuf_iterator<char>(file)), {});
   std::size_t at = text.find("weight = 4\nmax_waiting");
   text.replace(at, 10, absl::StrCat("weight = ", weight));
-  at = text.find("power_cap = 12kW");
-  return text.replace(at, 16,
+  at = text.find("power_cap = 5.8kW");
+  return text.replace(at, 17,
                       absl::StrCat("power_cap = ", cap_kilowatts, "kW"));
 }
 
@@ -160,7 +161,7 @@
     table.Run();
   }
 
-  std::string Plan(double weight, double seconds, double cap = 12) {
+  std::string Plan(double weight, double seconds, double cap = 5.8) {
     Json::Value params;
     params["intent"] = IntentText(weight, cap);
     params["who"] = "lina";
@@ -263,7 +264,8 @@
   BOOST_TEST(again.value()["entry"]["when_us"].asInt64() ==
              absl::ToUnixMicros(At(12)));
   // Another operator with the same plan did not confirm it.
-  BOOST_TEST(!site.b.Confirm(plan, "omar", 13).ok());
+  auto other = site.b.Confirm(plan, "omar", 13);
+  BOOST_TEST((other.error().code == Code::kPlanConflict));
 }
 
 // The answer is lost and the platform then refuses everything, so that nothing
@@ -397,7 +399,7 @@
     double now = 100 + 20 * i;
     // The weight comes back for good after one change, so that a dropped shard
     // is used again and long after the version that dropped it is forgotten.
-    std::string plan = site.a.Plan(i == 1 ? 6 : 5, now, 12 + i * 0.01);
+    std::string plan = site.a.Plan(i == 1 ? 6 : 5, now, 6 + i * 0.01);
     BOOST_REQUIRE(site.a.Confirm(plan, "lina", now).ok());
     site.FollowBoth(now + 10);
   }
@@ -579,6 +581,10 @@
   BOOST_TEST(next.value().staged.empty());
   // Its shard and the index.
   BOOST_TEST(next.value().entry.added.size() == 2u);
+  // What was taken from the base is what would have been written.
+  changed.workspaces.erase(changed.workspaces.begin() + 30000);
+  changed.tiers.pop_back();
+  BOOST_TEST((EncodeSnapshot(changed, *base) == EncodeSnapshot(changed)));
   std::size_t snapshot_bytes = 0;
   std::size_t largest = 0;
   for (const auto& [key, text] : base->snapshot.rows) {
