--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -1,6 +1,7 @@
 #include "schedule/fleet.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "schedule/work.h"
 
@@ -19,6 +20,10 @@
 // learnt is believed half as much after each of these intervals.
 constexpr absl::Duration kForgetInterval = absl::Seconds(1);
 
+// Most news changes the key by less than this, and the order hardly at all; the
+// candidates are compared exactly.
+constexpr double kKeyTolerance = 0.02;
+
 bool Usable(const Server& server) {
   return server.configured && (server.health == ServerHealth::kAlive ||
                                server.health == ServerHealth::kSuspect);
@@ -110,6 +115,14 @@
 
 void Fleet::Reindex(ServerIndex index, absl::Time now) {
   const Server& server = servers_[index];
+  const bool probing = server.window.probing();
+  const bool open = server.Open(now);
+  // A probe that is due goes to the front, or a server that once was slow
+  // would never be asked again while others have room.
+  double key = 0;
+  if (open && !probing) key = server.FinishSeconds(kTypical, now);
+  if (open && !probing && StaysInPlace(index, key)) return;
+
   Unindex(index);
   IndexEntry& entry = entries_[index];
   if (!server.window.OpenAt(now)) {
@@ -117,14 +130,12 @@
     reopenings_.insert({entry.reopening, index});
     return;
   }
-  if (!server.Open(now)) return;
-  // A probe that is due goes to the front, or a server that once was slow
-  // would never be asked again while others have room.
-  entry.key = server.window.probing() ? 0 : server.FinishSeconds(kTypical, now);
+  if (!open) return;
+  entry.key = key;
   entry.open = true;
   entry.prefilling = server.prefilling() > 0;
   const bool unasked = server.running() == 0 && server.pace.stretched();
-  if (server.window.probing() || unasked) {
+  if (probing || unasked) {
     entry.reopening = now + kForgetInterval;
     reopenings_.insert({entry.reopening, index});
   }
@@ -136,6 +147,15 @@
   }
 }
 
+bool Fleet::StaysInPlace(ServerIndex index, double key) const {
+  const IndexEntry& entry = entries_[index];
+  const Server& server = servers_[index];
+  return entry.open && entry.reopening == absl::InfiniteFuture() &&
+         server.running() > 0 &&
+         entry.prefilling == (server.prefilling() > 0) &&
+         std::abs(key - entry.key) <= kKeyTolerance * entry.key;
+}
+
 absl::Time Fleet::NextReopening() const {
   if (reopenings_.empty()) return absl::InfiniteFuture();
   return reopenings_.begin()->first;
--- a/src/schedule/fleet.h
+++ b/src/schedule/fleet.h
@@ -76,6 +76,8 @@
   void Join(ServerIndex server, const ModelId& model);
   void SummarizePools();
   void Unindex(ServerIndex server);
+  // Whether the entry is still right but for a little.
+  bool StaysInPlace(ServerIndex server, double key) const;
 
   Numbering<ServerId> numbers_;
   Numbering<ModelId> models_;
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -105,7 +105,7 @@
       state_.power_short_at = lane;
       break;
     }
-    const LaneBlock& block = state_.blocks[lane];
+    const LaneBlock& block = state_.blocks.at(lane);
     if (block.pool) closed_pools_[lane.pool] = true;
     held_.insert(held_.end(), block.held.begin(), block.held.end());
   }
--- a/src/schedule/modules_test.cc
+++ b/src/schedule/modules_test.cc
@@ -121,9 +121,9 @@
 
 // --- Prefix cache ------------------------------------------------------------
 
-std::vector<PrefixHash> Chain(int blocks) {
+std::vector<PrefixHash> Chain(PrefixHash blocks) {
   std::vector<PrefixHash> chain;
-  for (int i = 1; i <= blocks; ++i) chain.push_back(i * 1000);
+  for (PrefixHash i = 1; i <= blocks; ++i) chain.push_back(i * 1000);
   return chain;
 }
 
