Dispatcher: heads that were tried look only at the servers that changed

Cause: after each end of a request every blocked lane searched the front of the index again, though only one server could have got room.

--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -66,6 +66,9 @@
   // Whether the lane may fare otherwise than when it was tried last.
   bool Affected(const LaneKey& lane) const;
 
+  // Whether its heads were not tried since all of it changed.
+  bool IsNew(const LaneKey& lane) const;
+
   // Tries one lane until nothing more fits, and notes what it waits for.
   void GrantLane(const LaneKey& lane);
 
@@ -84,6 +87,7 @@
   std::vector<ServerIndex> held_;  // Kept from everybody behind.
   std::vector<WaitIndex> heads_;
   LaneBlock block_;  // Of the lane that is tried.
+  const std::vector<ServerIndex>* only_ = nullptr;  // See Search.
   bool no_room_ = false;
   bool power_out_ = false;
 };
@@ -113,21 +117,31 @@
 }
 
 bool Round::Affected(const LaneKey& lane) const {
-  const Changes& changes = state_.changes;
+  const std::vector<PoolIndex>& pools = state_.changes.pools;
+  return IsNew(lane) ||
+         std::find(pools.begin(), pools.end(), lane.pool) != pools.end();
+}
+
+bool Round::IsNew(const LaneKey& lane) const {
+  const std::vector<LaneKey>& lanes = state_.changes.lanes;
   return all_ || !state_.blocks.contains(lane) ||
-         std::find(changes.pools.begin(), changes.pools.end(), lane.pool) !=
-             changes.pools.end() ||
-         std::find(changes.lanes.begin(), changes.lanes.end(), lane) !=
-             changes.lanes.end();
+         std::find(lanes.begin(), lanes.end(), lane) != lanes.end();
 }
 
 void Round::GrantLane(const LaneKey& lane) {
   no_room_ = false;
   const std::size_t held = held_.size();
-  while (!no_room_ && !power_out_ && GrantOne(lane)) {
+  // Heads that were tried before only look at what has changed.
+  only_ = IsNew(lane) ? nullptr : &state_.changes.servers;
+  const bool granted = GrantOne(lane);
+  const bool same_block = only_ != nullptr && !granted;
+  only_ = nullptr;
+  if (granted) {
+    while (!no_room_ && !power_out_ && GrantOne(lane)) {
+    }
   }
   held_.resize(held);
-  state_.blocks[lane] = block_;
+  if (!same_block) state_.blocks[lane] = block_;
 }
 
 bool Round::GrantOne(const LaneKey& lane) {
@@ -135,12 +149,14 @@
   block_ = {};
   if (state_.queue.LaneEmpty(lane)) return false;
   state_.queue.Heads(lane, kHeadsTried, &heads_);
-  const Closed closed{.pools = &closed_pools_, .held = &held_};
+  const Search search{.closed_pools = &closed_pools_,
+                      .held = &held_,
+                      .only = only_,
+                      .contended = state_.queue.PoolSize(lane.pool) > 1};
   for (const WaitIndex index : heads_) {
     const Waiting& waiting = state_.queue.Get(index);
-    const Placement placement =
-        placer_.Place(waiting, ReservesFor(state_, waiting), closed,
-                      state_.queue.PoolSize(lane.pool) > 1, state_.now);
+    const Placement placement = placer_.Place(
+        waiting, ReservesFor(state_, waiting), search, state_.now);
     switch (placement.hindrance) {
       case Hindrance::kNone:
         Grant(index, placement);
--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -61,7 +61,7 @@
 struct Placer::Choice {
   const Waiting& waiting;
   const Reserves& reserves;
-  const Closed& closed;
+  const Search& search;
   const PrefixCache::Lookup& lookup;
   absl::Time now;
   double seconds_left = 0;
@@ -72,16 +72,20 @@
     if (server == waiting.avoid && fleet.pool(waiting.pool).usable > 1) {
       return true;
     }
-    if (Contains(*closed.held, server)) return true;
+    if (Contains(*search.held, server)) return true;
     const std::vector<PoolIndex>& pools = fleet.at(server).pools;
     return std::any_of(pools.begin(), pools.end(), [this](PoolIndex pool) {
-      return (*closed.pools)[pool];
+      return (*search.closed_pools)[pool];
     });
   }
 };
 
-void Placer::Collect(const Waiting& waiting,
+void Placer::Collect(const Waiting& waiting, const Search& search,
                      const PrefixCache::Lookup& lookup) {
+  if (search.only != nullptr) {
+    candidates_ = *search.only;
+    return;
+  }
   const Pool& pool = fleet_.pool(waiting.pool);
   candidates_.clear();
   AddFront(pool.open, kQuickest, &candidates_);
@@ -92,24 +96,24 @@
 }
 
 Placement Placer::Place(const Waiting& waiting, const Reserves& reserves,
-                        const Closed& closed, bool contended, absl::Time now) {
+                        const Search& search, absl::Time now) {
   Placement best;
   if (fleet_.pool(waiting.pool).open.empty()) return best;
-  if ((*closed.pools)[waiting.pool]) return best;
+  if ((*search.closed_pools)[waiting.pool]) return best;
   const PrefixCache::Lookup lookup = cache_.Find(waiting.marks);
   // Where thrown away prompts weigh more, work is begun with a margin.
   const bool careful = weights_.wasted_prefill > weights_.goodput;
   const Choice choice{
       .waiting = waiting,
       .reserves = reserves,
-      .closed = closed,
+      .search = search,
       .lookup = lookup,
       .now = now,
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
       .output = static_cast<double>(careful ? waiting.output.high
                                             : waiting.output.median),
-      .last_chance = now >= waiting.urgent_at && !contended};
-  Collect(waiting, lookup);
+      .last_chance = now >= waiting.urgent_at && !search.contended};
+  Collect(waiting, search, lookup);
   double best_score = std::numeric_limits<double>::infinity();
   for (const ServerIndex server : candidates_) {
     Consider(server, choice, &best, &best_score);
--- a/src/schedule/place.h
+++ b/src/schedule/place.h
@@ -47,12 +47,15 @@
   double power = 0;    // As a part of the share above idle.
 };
 
-// Which servers are closed to a request, beyond their own state.
-struct Closed {
+// Where to look for one request.
+struct Search {
   // Pools for which a higher tier waits.
-  const std::vector<bool>* pools;
+  const std::vector<bool>* closed_pools = nullptr;
   // Servers that are kept for a large request to fit in.
-  const std::vector<ServerIndex>* held;
+  const std::vector<ServerIndex>* held = nullptr;
+  // If set, only these: all others were tried and nothing changed there.
+  const std::vector<ServerIndex>* only = nullptr;
+  bool contended = false;  // Others wait for the same servers.
 };
 
 class Placer {
@@ -61,14 +64,14 @@
          const PrefixCache& cache)
       : weights_(weights), fleet_(fleet), power_(power), cache_(cache) {}
 
-  // `contended`: others wait for the same servers.
   Placement Place(const Waiting& waiting, const Reserves& reserves,
-                  const Closed& closed, bool contended, absl::Time now);
+                  const Search& search, absl::Time now);
 
  private:
   struct Choice;
 
-  void Collect(const Waiting& waiting, const PrefixCache::Lookup& lookup);
+  void Collect(const Waiting& waiting, const Search& search,
+               const PrefixCache::Lookup& lookup);
   void Consider(ServerIndex server, const Choice& choice, Placement* best,
                 double* best_score) const;
 
--- a/src/schedule/state.cc
+++ b/src/schedule/state.cc
@@ -81,6 +81,7 @@
 void RoomOn(State& state, ServerIndex server) {
   state.fleet.Reindex(server, state.now);
   const std::vector<PoolIndex>& pools = state.fleet.at(server).pools;
+  state.changes.servers.push_back(server);
   state.changes.pools.insert(state.changes.pools.end(), pools.begin(),
                              pools.end());
 }
--- a/src/schedule/state.h
+++ b/src/schedule/state.h
@@ -36,6 +36,7 @@
 // Whatever is not touched by a change is blocked as it was before.
 struct Changes {
   bool all = false;
+  std::vector<ServerIndex> servers;
   std::vector<PoolIndex> pools;  // Their servers may have room.
   std::vector<LaneKey> lanes;    // Something came into them.
 };
