Dispatcher: judge lateness by more than the median while others wait

Cause: learning the pace from the last stretch of a stream as well made the predictions truer and bolder, and under overload too many were begun with an even chance to be late; the waste weights then gave the higher goodput. Change: while others wait, a quarter of the way from the median to the ninth decile; a test that the two weights trade goodput for waste.

--- a/src/schedule/answers.cc
+++ b/src/schedule/answers.cc
@@ -96,6 +96,13 @@
     server.pace.AddCall(absl::ToDoubleSeconds(state.now - running.granted));
     return Judge(state, server, /*slow=*/false);
   }
+  // The last stretch of the stream, or all of it where reports are few.
+  const int more = event.output_tokens - running.output_tokens;
+  if (running.first_token && more > 0) {
+    const double seconds = absl::ToDoubleSeconds(state.now - running.reported);
+    server.pace.AddTokens(seconds / more, server.running() + 1);
+    Judge(state, server, /*slow=*/false);
+  }
   state.estimator.Learn(origin.request, origin.workspace, event.output_tokens);
   // Engines that don't report cached tokens say 0: nothing to learn from.
   if (event.cached_prompt_tokens > 0) {
--- a/src/schedule/dispatcher_test.cc
+++ b/src/schedule/dispatcher_test.cc
@@ -321,6 +321,34 @@
              1000);
 }
 
+// What two deployments weigh differently shows in what they throw away and in
+// what they finish, on the same overload.
+BOOST_AUTO_TEST_CASE(WeightsTradeGoodputForWaste) {
+  const auto play = [](const Weights& weights) {
+    DispatcherOptions options;
+    options.weights = weights;
+    FakeSite site(options);
+    site.AddServers(2);
+    for (int i = 0; i < 600; ++i) {
+      const int length = 100 + (i * 37) % 700;
+      site.Send("batch", 1, absl::Seconds(40), 2000, length);
+      if (i % 3 == 0) site.Send("chat", 0, absl::Seconds(8), 200, 60);
+      site.Run(absl::Milliseconds(200));
+    }
+    site.Run(absl::Minutes(2));
+    const Counters& counters = site.dispatcher.counters();
+    const double wasted = counters.Wasted(WasteCause::kDeadlineMissed) +
+                          counters.Wasted(WasteCause::kPreempted);
+    return std::pair(site.InTime("batch") + site.InTime("chat"),
+                     wasted / counters.prefill_computed);
+  };
+  const auto [goodput, waste] = play({.goodput = 1, .wasted_prefill = 0.2});
+  const auto [less, spared] = play({.goodput = 0.2, .wasted_prefill = 1});
+  BOOST_TEST(goodput >= less);
+  BOOST_TEST(spared <= waste);
+  BOOST_TEST(spared < 0.02);
+}
+
 // Questions about the same letter go to the engine that has it in its cache,
 // as long as that is not slower than computing it anew.
 BOOST_AUTO_TEST_CASE(SharedPrefixGoesWhereItIsCached) {
--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -19,6 +19,11 @@
 // others waiting it would only take their room and be late itself.
 constexpr double kHopefulOutput = 0.5;
 
+// How far between the median and the ninth decile an answer is judged while
+// others wait: an even chance to be late is too little then, as the room would
+// serve another. Where thrown away prompts weigh more it is the ninth decile.
+constexpr double kContendedSpread = 0.25;
+
 // A probe must not cost a request its deadline: it may take twice as long as
 // predicted.
 constexpr double kProbeMargin = 2;
@@ -80,6 +85,13 @@
   }
 };
 
+double Placer::JudgedOutput(const Waiting& waiting, bool contended) const {
+  const double median = waiting.output.median;
+  const double spread = waiting.output.high - median;
+  if (weights_.wasted_prefill > weights_.goodput) return median + spread;
+  return contended ? median + kContendedSpread * spread : median;
+}
+
 void Placer::Collect(const Waiting& waiting, const Search& search,
                      const PrefixCache::Lookup& lookup) {
   if (search.only != nullptr) {
@@ -101,8 +113,6 @@
   if (fleet_.pool(waiting.pool).open.empty()) return best;
   if ((*search.closed_pools)[waiting.pool]) return best;
   const PrefixCache::Lookup lookup = cache_.Find(waiting.marks);
-  // Where thrown away prompts weigh more, work is begun with a margin.
-  const bool careful = weights_.wasted_prefill > weights_.goodput;
   const Choice choice{
       .waiting = waiting,
       .reserves = reserves,
@@ -110,8 +120,7 @@
       .lookup = lookup,
       .now = now,
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
-      .output = static_cast<double>(careful ? waiting.output.high
-                                            : waiting.output.median),
+      .output = JudgedOutput(waiting, search.contended),
       .last_chance = now >= waiting.urgent_at && !search.contended};
   Collect(waiting, search, lookup);
   double best_score = std::numeric_limits<double>::infinity();
--- a/src/schedule/place.h
+++ b/src/schedule/place.h
@@ -70,6 +70,8 @@
  private:
   struct Choice;
 
+  // Tokens of the answer by which lateness is judged.
+  double JudgedOutput(const Waiting& waiting, bool contended) const;
   void Collect(const Waiting& waiting, const Search& search,
                const PrefixCache::Lookup& lookup);
   void Consider(ServerIndex server, const Choice& choice, Placement* best,
