--- a/src/schedule/dispatcher_property_test.cc
+++ b/src/schedule/dispatcher_property_test.cc
@@ -77,6 +77,7 @@
     BOOST_TEST_CONTEXT("seed " << seed) {
       BOOST_TEST(site.dispatcher.counters().inversions == 0);
       BOOST_TEST(!site.overdrawn);
+      BOOST_TEST(!site.spinning);
       BOOST_TEST(site.ended_twice == 0);
       BOOST_TEST(site.outcomes.size() == site.requests.size());
       BOOST_TEST(site.dispatcher.waiting() == 0);
--- a/src/schedule/fake_site_test.h
+++ b/src/schedule/fake_site_test.h
@@ -85,6 +85,8 @@
         decisions.begin(), decisions.end(),
         [](const auto& d) { return std::holds_alternative<Grant>(d); });
     overdrawn |= granted && dispatcher.worst_watts() > share;
+    // A timer that is due at once, for ever, would spin its owner.
+    spinning |= dispatcher.NextWakeup() <= now;
     for (const Decision& decision : decisions) Carry(decision);
   }
 
@@ -134,6 +136,7 @@
   std::map<ServerId, EndKind> failing;  // How grants there end at once.
   double share = std::numeric_limits<double>::infinity();
   bool overdrawn = false;
+  bool spinning = false;
   int ended_twice = 0;
 
  private:
