--- a/src/replay/bench.cc
+++ b/src/replay/bench.cc
@@ -118,6 +118,14 @@
       product.watts_above_cap, product.ns_per_decision);
 }
 
+Result<ReplayFigures> ReplayWithWeightsOf(std::string_view name, const Case& it,
+                                          const Trace& trace) {
+  BOOST_LEAF_AUTO(other, FindDeployment(name));
+  Deployment deployment = it.deployment;
+  deployment.weights = other.weights;
+  return ReplayUnder(kProductPolicy, deployment, trace, kBenchSeed);
+}
+
 void FindViolations(const Case& it, std::uint64_t seed,
                     const ReplayFigures& figures,
                     std::vector<Violation>* violations) {
@@ -211,6 +219,37 @@
   return text;
 }
 
+Result<std::vector<WeightsRow>> RunWeights(const BenchFilter& filter) {
+  BOOST_LEAF_AUTO(cases, Cases(filter));
+  std::vector<WeightsRow> rows;
+  for (const Case& it : cases) {
+    BOOST_LEAF_AUTO(trace,
+                    MakeScenario(it.deployment, it.scenario, kBenchSeed));
+    WeightsRow row{it.deployment.name, it.scenario, {}, {}};
+    BOOST_LEAF_ASSIGN(row.association,
+                      ReplayWithWeightsOf("association", it, trace));
+    BOOST_LEAF_ASSIGN(row.almaty, ReplayWithWeightsOf("almaty", it, trace));
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::string ToText(const std::vector<WeightsRow>& rows) {
+  std::string text =
+      absl::StrFormat("%-11s %-16s %14s %8s %14s %8s\n", "trace of", "scenario",
+                      "association: in", "waste%", "almaty: in", "waste%");
+  for (const WeightsRow& row : rows) {
+    // Plain services have no prompts to waste.
+    const ServiceFigures& goodput = row.association.services.front();
+    const ServiceFigures& waste = row.almaty.services.front();
+    absl::StrAppendFormat(&text, "%-11s %-16s %14d %8.2f %14d %8.2f\n",
+                          row.deployment, row.scenario, InTime(goodput),
+                          100 * WastedPart(goodput), InTime(waste),
+                          100 * WastedPart(waste));
+  }
+  return text;
+}
+
 std::string ToText(const std::vector<ScaleFigures>& figures) {
   std::string text;
   for (const ScaleFigures& row : figures) {
--- a/src/replay/bench.h
+++ b/src/replay/bench.h
@@ -59,6 +59,19 @@
 
 std::string ToText(const SweepFigures& figures);
 
+// The product on one trace under the weights of both deployments.
+struct WeightsRow {
+  std::string deployment;
+  std::string scenario;
+  ReplayFigures association;
+  ReplayFigures almaty;
+};
+
+// Runs each scenario, with seed 1, under both.
+Result<std::vector<WeightsRow>> RunWeights(const BenchFilter& filter);
+
+std::string ToText(const std::vector<WeightsRow>& rows);
+
 // What one decision costs with so many servers and requests waiting.
 struct ScaleFigures {
   int servers = 0;
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -113,6 +113,12 @@
     return kExitDone;
   }
   if (arguments.seeds > 0) return Sweep(arguments);
+  if (arguments.weights) {
+    BOOST_LEAF_AUTO(rows,
+                    RunWeights({arguments.deployment, arguments.scenario}));
+    std::cout << ToText(rows);
+    return kExitDone;
+  }
   BOOST_LEAF_AUTO(figures,
                   RunBench({arguments.deployment, arguments.scenario}));
   bool json = arguments.format == "json";
@@ -162,6 +168,8 @@
                       "Look for broken promises over so many seeds instead");
   command->add_flag("--scale", arguments->scale,
                     "Measure the cost of a decision at two sizes instead");
+  command->add_flag("--weights", arguments->weights,
+                    "Compare the weights of both deployments instead");
   command->add_option("--format", arguments->format, "text or json")
       ->check(Formats());
   command->callback(
--- a/src/replay/command.h
+++ b/src/replay/command.h
@@ -34,6 +34,7 @@
   std::string scenario;
   std::uint64_t seeds = 0;  // 0: no sweep.
   bool scale = false;
+  bool weights = false;
   std::string format = "text";
 };
 
