Replay: a trace is checked against the deployment it is replayed on

The reader looked the header's name up among the built-in deployments, so a trace of an operators' own site would have been checked against the wrong servers. The deployment is now handed in, and workspaces' limits of a configuration are taken over with its servers.

--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -54,7 +54,7 @@
 Result<Trace> Load(const ReplayArguments& arguments,
                    const Deployment& deployment) {
   if (!arguments.trace_file.empty()) {
-    return ReadTraceFile(arguments.trace_file);
+    return ReadTraceFile(arguments.trace_file, deployment);
   }
   if (arguments.first_seconds > 0) {
     return MakeShortScenario(deployment, arguments.scenario, arguments.seed,
@@ -78,10 +78,6 @@
   }
   BOOST_LEAF_AUTO(deployment, Resolve(arguments.deployment, reader));
   BOOST_LEAF_AUTO(trace, Load(arguments, deployment));
-  if (trace.deployment != deployment.name) {
-    return Fail(Code::kUsage,
-                absl::StrCat("the trace is of ", trace.deployment));
-  }
   if (!arguments.write_trace.empty()) {
     BOOST_LEAF_CHECK(Save(trace, arguments.write_trace));
     return kExitDone;
--- a/src/replay/deployment.cc
+++ b/src/replay/deployment.cc
@@ -261,6 +261,11 @@
     }
     if (!servers.empty()) service.servers = std::move(servers);
   }
+  for (const config::WorkspaceConfig& workspace : configuration.workspaces) {
+    for (WorkspaceLoad& load : result.workspaces) {
+      if (load.spec.id == workspace.limits.id) load.spec = workspace.limits;
+    }
+  }
   return result;
 }
 
--- a/src/replay/deployment.h
+++ b/src/replay/deployment.h
@@ -74,8 +74,8 @@
 // The names that FindDeployment knows.
 std::vector<std::string> DeploymentNames();
 
-// `built_in` with the servers, cap and weights of `configuration`. A service
-// that the configuration does not have keeps its built-in servers.
+// `built_in` with the servers, cap, weights and workspaces' limits of
+// `configuration`. What the configuration does not have stays built in.
 Deployment WithConfiguration(const Deployment& built_in,
                              const config::Configuration& configuration);
 
--- a/src/replay/trace.cc
+++ b/src/replay/trace.cc
@@ -14,7 +14,6 @@
 
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
-#include "replay/deployment.h"
 
 namespace gentianlb::replay {
 namespace {
@@ -95,6 +94,9 @@
 // Parses a trace line by line and checks each against those before.
 class TraceParser {
  public:
+  explicit TraceParser(const Deployment& deployment)
+      : deployment_(deployment) {}
+
   Result<void> Line(const std::string& text) {
     ++line_;
     BOOST_LEAF_AUTO(object, Parse(text));
@@ -137,10 +139,9 @@
     BOOST_LEAF_CHECK(fields.Integer("version", kTraceVersion, kTraceVersion));
     BOOST_LEAF_ASSIGN(trace_.deployment, fields.Text("deployment"));
     BOOST_LEAF_ASSIGN(trace_.note, fields.Text("note"));
-    Outcome<Deployment> found =
-        Capture([&] { return FindDeployment(trace_.deployment); });
-    if (!found.ok()) return fields.Bad("deployment", "is not known");
-    deployment_ = found.value();
+    if (trace_.deployment != deployment_.name) {
+      return fields.Bad("deployment", "is another one");
+    }
     return {};
   }
 
@@ -260,7 +261,7 @@
 
   std::size_t line_ = 0;
   std::int64_t last_at_ = 0;
-  Deployment deployment_;
+  const Deployment& deployment_;
   absl::flat_hash_set<RequestId> ids_;
   Trace trace_;
 };
@@ -329,18 +330,19 @@
 
 }  // namespace
 
-Result<Trace> ReadTrace(std::istream& input) {
-  TraceParser parser;
+Result<Trace> ReadTrace(std::istream& input, const Deployment& deployment) {
+  TraceParser parser(deployment);
   for (std::string line; std::getline(input, line);) {
     BOOST_LEAF_CHECK(parser.Line(line));
   }
   return parser.Finish();
 }
 
-Result<Trace> ReadTraceFile(const std::string& path) {
+Result<Trace> ReadTraceFile(const std::string& path,
+                            const Deployment& deployment) {
   std::ifstream file(path);
   if (!file) return Fail(Code::kFileUnreadable, path);
-  return ReadTrace(file);
+  return ReadTrace(file, deployment);
 }
 
 void WriteTrace(const Trace& trace, std::ostream& output) {
--- a/src/replay/trace.h
+++ b/src/replay/trace.h
@@ -15,6 +15,7 @@
 #include "absl/time/time.h"
 #include "base/ids.h"
 #include "base/result.h"
+#include "replay/deployment.h"
 #include "schedule/messages.h"
 
 namespace gentianlb::replay {
@@ -87,11 +88,13 @@
   bool operator==(const Trace&) const = default;
 };
 
-// Reads a whole trace, or fails with kBadTrace and the number of the line.
-Result<Trace> ReadTrace(std::istream& input);
+// Reads a whole trace of `deployment`, whose services, servers and workspaces
+// are the ones it may name, or fails with kBadTrace and the number of the line.
+Result<Trace> ReadTrace(std::istream& input, const Deployment& deployment);
 
 // Reads the file at `path`; kFileUnreadable when there is none.
-Result<Trace> ReadTraceFile(const std::string& path);
+Result<Trace> ReadTraceFile(const std::string& path,
+                            const Deployment& deployment);
 
 void WriteTrace(const Trace& trace, std::ostream& output);
 
--- a/src/replay/trace_test.cc
+++ b/src/replay/trace_test.cc
@@ -1,7 +1,6 @@
 #include "replay/trace.h"
 
 #include <boost/test/unit_test.hpp>
-#include <filesystem>
 #include <sstream>
 #include <string>
 
@@ -19,9 +18,14 @@
     R"("prompt_tokens":200,"prefix":[{"name":"head","tokens":64}],)"
     R"("max_output_tokens":50,"output_tokens":20})";
 
-Outcome<Trace> Read(const std::string& text) {
+Deployment BuiltIn(const std::string& name) {
+  return Capture([&] { return FindDeployment(name); }).value();
+}
+
+Outcome<Trace> Read(const std::string& text,
+                    const std::string& deployment = "almaty") {
   std::istringstream input(text);
-  return Capture([&] { return ReadTrace(input); });
+  return Capture([&] { return ReadTrace(input, BuiltIn(deployment)); });
 }
 
 Outcome<Trace> ReadSecondLine(const std::string& line) {
@@ -50,7 +54,7 @@
       BOOST_REQUIRE(made.ok());
       std::stringstream file;
       WriteTrace(made.value(), file);
-      Outcome<Trace> read = Read(file.str());
+      Outcome<Trace> read = Read(file.str(), name);
       BOOST_REQUIRE(read.ok());
       BOOST_TEST((read.value() == made.value()));
     }
@@ -63,6 +67,7 @@
 BOOST_AUTO_TEST_CASE(WhatIsNotUnderstoodIsAnErrorWithTheLine) {
   BOOST_TEST(ReadSecondLine(kRequest).ok());
   CheckBad(Read(""), "line 0: the header is missing");
+  CheckBad(Read(kHeader, "association"), "line 1: deployment is another one");
   CheckBad(Read(kRequest), "line 1: the first line must be the header");
   CheckBad(ReadSecondLine("{"), "line 2: not valid JSON");
   CheckBad(ReadSecondLine("[]"), "line 2: not a JSON object");
@@ -121,15 +126,36 @@
 }
 
 BOOST_AUTO_TEST_CASE(TheCommittedTracesAreValid) {
-  int files = 0;
-  for (const auto& entry :
-       std::filesystem::directory_iterator(GENTIANLB_SOURCE_DIR "/traces")) {
-    std::string path = entry.path().string();
-    Outcome<Trace> trace = Capture([&] { return ReadTraceFile(path); });
-    BOOST_TEST(trace.ok(), path);
-    ++files;
+  for (const std::string& name : DeploymentNames()) {
+    for (const char* kind : {"steady", "burst", "mixed"}) {
+      std::string path = std::string(GENTIANLB_SOURCE_DIR "/traces/") + name +
+                         "-" + kind + ".jsonl";
+      Outcome<Trace> trace =
+          Capture([&] { return ReadTraceFile(path, BuiltIn(name)); });
+      BOOST_TEST(trace.ok(), path);
+    }
   }
-  BOOST_TEST(files > 0);
+}
+
+BOOST_AUTO_TEST_CASE(AConfigurationTakesThePlaceOfBuiltInServers) {
+  const Deployment built_in = BuiltIn("almaty");
+  config::Configuration configuration;
+  configuration.power_cap_watts = 1000;
+  configuration.weights = {2, 3};
+  config::ServerConfig server;
+  server.service = ServiceId("sock-llm");
+  server.spec = built_in.services.front().servers.front();
+  configuration.servers = {server};
+  config::WorkspaceConfig schools;
+  schools.limits.id = WorkspaceId("schools");
+  schools.limits.weight = 7;
+  configuration.workspaces = {schools};
+  const Deployment result = WithConfiguration(built_in, configuration);
+  BOOST_TEST(result.power_cap_watts == 1000);
+  BOOST_TEST((result.weights == schedule::Weights{2, 3}));
+  BOOST_TEST(result.services[0].servers.size() == 1U);
+  BOOST_TEST((result.services[1] == built_in.services[1]));
+  BOOST_TEST(result.workspaces[1].spec.weight == 7);
 }
 
 }  // namespace
