Replay: a plain service answers as a whole

The site reported a first token for plain services, which have none; their first token is now the end. A dispatcher must not learn from news that no plain service sends.

--- a/src/replay/site.cc
+++ b/src/replay/site.cc
@@ -156,12 +156,14 @@
       CountRecomputed(server, change);
       return;
     case StreamChange::Kind::kFirstToken:
+      if (plain()) return;
       ledger_.FirstToken(change.index, now_ + kHop);
       computed_.insert(record.request.prefix.begin(),
                        record.request.prefix.end());
       Tell(schedule::TokensStreamed{record.trace.id, 1}, kHop);
       return;
     case StreamChange::Kind::kFinished:
+      if (plain()) ledger_.FirstToken(change.index, now_ + kHop);
       ledger_.Finished(change.index, now_ + kHop);
       Tell(schedule::RequestEnded{record.trace.id, EndKind::kComplete,
                                   record.trace.output_tokens,
@@ -238,7 +240,7 @@
   if (action.kind == TickKind::kLoad && server.alive()) {
     Tell(server.Load(now_), kLoadLag);
   }
-  if (action.kind == TickKind::kProgress) {
+  if (action.kind == TickKind::kProgress && !plain()) {
     period = kProgressPeriod;
     for (const auto& [index, tokens] : server.Progress()) {
       Tell(schedule::TokensStreamed{ledger_.record(index).trace.id, tokens},
--- a/src/replay/site.h
+++ b/src/replay/site.h
@@ -124,6 +124,9 @@
   void CountRecomputed(int server, const StreamChange& change);
   void EndStopped(const StreamRemains& remains, Phase phase,
                   schedule::EndKind kind);
+  // A plain service answers as a whole: nothing streams before the end.
+  bool plain() const { return service_.model.empty(); }
+
   int ServerIndex(const ServerId& id) const;
   double SecondsOnIdleServer(const Record& record) const;
 
