--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -104,6 +104,8 @@
   Finished RunGentianctl(std::vector<std::string> arguments);
   std::string Settings(std::size_t i);
   std::string Intent() const;
+  // The environment that leads a host's calls of its peers over relays.
+  std::vector<std::string> RoutesOf(const Member& host);
   std::string ThroughRelay(const std::string& name, const std::string& target);
 
   const std::string build_;
--- a/tests/process/host_failure_test.cc
+++ b/tests/process/host_failure_test.cc
@@ -109,6 +109,52 @@
   ResendAll(site, caller, site.host(2).address, sent);
 }
 
+// An entry host is killed, or stands still, in the middle of its streams. The
+// callers' re-sends at the next host get the whole answers, from the engine
+// that has them, and nothing is made twice.
+BOOST_AUTO_TEST_CASE(AnswersBegunAtALostHostAreResumed) {
+  for (int signal : {SIGKILL, SIGSTOP}) {
+    Shape wide = Narrow();
+    wide.engines[0].max_streams = kRequests;
+    Deployment site(GENTIANLB_BUILD_DIR, wide);
+    Caller caller(kDraftingToken);
+    std::vector<Sent> sent = SendAll(caller, site.host(0).address);
+    for (Sent& request : sent) request.call.WaitForBytes(1);
+    site.host(0).process->Signal(signal);
+    for (const Sent& request : sent) {
+      Answer answer = AskUntilFinal(caller, site.host(1).address, request.chat,
+                                    request.key, 2);
+      BOOST_TEST(answer.Text() == ExpectedText(request.chat), answer.body);
+    }
+    BOOST_TEST(site.MostExecutions() == 1);
+    BOOST_TEST(site.AllExecutions() == kRequests);
+  }
+}
+
+// An entry host is killed while a permit check runs for it. Nobody can know
+// whether it took effect, so that no host may run it again.
+BOOST_AUTO_TEST_CASE(APermitCheckOfAKilledHostIsNotRepeated) {
+  Deployment site(GENTIANLB_BUILD_DIR, Narrow());
+  Caller caller(kPermitToken);
+  Json::Value slow;
+  slow["work_ms"] = 1000;
+  SetControl(site.portal(0).address, slow);
+  auto send = [&](std::size_t host) {
+    return caller.Send(site.host(host).address, "POST",
+                       "/member-portal/permits/check", "{}", {Key("p")});
+  };
+  Call first = send(0);
+  WaitUntil("the check runs", [&] { return site.Executions()["p"] == 1; });
+  site.host(0).process->KillAndWait();
+  BOOST_TEST(!first.Wait().IsWhole());
+  for (std::size_t host : {1, 2}) {
+    Answer again = send(host).Wait();
+    BOOST_TEST(!again.IsWhole());
+    BOOST_TEST(again.Run() == "unknown", again.body);
+  }
+  BOOST_TEST(site.Executions()["p"] == 1);
+}
+
 // Members press the button again and again: one permit check reaches all entry
 // hosts at once. It is run by one of them.
 BOOST_AUTO_TEST_CASE(APermitCheckSentEverywhereIsRunOnce) {
--- a/tests/process/platform_failure_test.cc
+++ b/tests/process/platform_failure_test.cc
@@ -83,5 +83,24 @@
   BOOST_TEST(counters["answers_lost"].asInt64() > 0);
 }
 
+// The platform takes long for every call. Everything still gets its answer.
+BOOST_AUTO_TEST_CASE(ASlowPlatformOnlyCostsTime) {
+  Deployment site(GENTIANLB_BUILD_DIR, OneZone());
+  SetControl(site.platform().address, Switch("delay_ms", 200));
+  Caller drafting(kDraftingToken);
+  Caller permits(kPermitToken);
+  for (int i = 0; i < 5; ++i) {
+    std::string key = absl::StrCat("slow-", i);
+    Chat chat{kModel, key, 40};
+    Answer draft = AskUntilFinal(drafting, site.host(i % 2).address, chat, key);
+    BOOST_TEST(draft.Text() == ExpectedText(chat), draft.body);
+    Answer check =
+        permits.Send(site.host(i % 2).address, "POST", kCheck, "{}", {Key(key)})
+            .Wait();
+    BOOST_TEST(check.IsWhole(), check.body);
+  }
+  BOOST_TEST(site.MostExecutions() == 1);
+}
+
 }  // namespace
 }  // namespace gentianlb::process
--- a/tests/process/start_and_drain_test.cc
+++ b/tests/process/start_and_drain_test.cc
@@ -59,5 +59,29 @@
   BOOST_TEST(site.host(0).process->Wait() == 0);
 }
 
+// The operator can't wait for the last streams and sends the signal again. The
+// process ends at once and its log names each request that it cut.
+BOOST_AUTO_TEST_CASE(ASecondSignalCutsAndSaysWhat) {
+  Shape shape;
+  shape.engines = {{.zone = "abdali", .decode_rate = 20}};
+  Deployment site(GENTIANLB_BUILD_DIR, shape);
+  Caller caller(kDraftingToken);
+  Call call = caller.Ask(site.host(0).address, {kModel, "long", 600});
+  call.WaitForBytes(1);
+  Member& host = site.host(0);
+  host.process->Signal(SIGTERM);
+  WaitUntil("the host isn't ready any more", [&] {
+    return caller.Send(host.address, "GET", "/readyz").Wait().status != 200;
+  });
+  host.process->Signal(SIGTERM);
+  BOOST_TEST(host.process->Wait() != 0);
+  BOOST_TEST(!call.Wait().IsWhole());
+  std::string request(
+      http::FindHeader(call.SoFar().headers, "Gentian-Request"));
+  std::string log = host.process->Errors();
+  BOOST_TEST(!request.empty(), call.SoFar().body);
+  BOOST_TEST(log.find("request=" + request) != std::string::npos, log);
+}
+
 }  // namespace
 }  // namespace gentianlb::process
