Process test that shows a fault: one key sent everywhere at once

A re-send that finds the owner's row before the owner has got its Proceed is told kHeld, asks for the answer, gets a 404 since nothing is kept yet, and ends as 4003 in place of attaching.

--- a/tests/process/host_failure_test.cc
+++ b/tests/process/host_failure_test.cc
@@ -155,6 +155,26 @@
   BOOST_TEST(site.Executions()["p"] == 1);
 }
 
+// Impatient clients send one key to all entry hosts at once. All get the whole
+// answer, and it is made once.
+BOOST_AUTO_TEST_CASE(ADraftSentEverywhereIsMadeOnce) {
+  Deployment site(GENTIANLB_BUILD_DIR, Narrow());
+  Caller caller(kDraftingToken);
+  Chat chat{kModel, "the same draft", 200};
+  std::vector<Call> calls;
+  for (int i = 0; i < 2; ++i) {
+    for (std::size_t host = 0; host < site.host_count(); ++host) {
+      calls.push_back(
+          caller.Ask(site.host(host).address, chat, Sending("same", i + 1)));
+    }
+  }
+  for (Call& call : calls) {
+    Answer answer = call.Wait();
+    BOOST_TEST(answer.Text() == ExpectedText(chat), answer.body);
+  }
+  BOOST_TEST(site.AllExecutions() == 1);
+}
+
 // Members press the button again and again: one permit check reaches all entry
 // hosts at once. It is run by one of them.
 BOOST_AUTO_TEST_CASE(APermitCheckSentEverywhereIsRunOnce) {
