--- a/src/claim/coverage.cc
+++ b/src/claim/coverage.cc
@@ -25,7 +25,7 @@
       continue;
     }
     own_row = true;
-    OnOwnRow(*lease, row.version);
+    OnOwnRow(*lease, row.version, now);
   }
   if (!own_row) version_ = 0;
   if (scanned_once_) return;
@@ -36,10 +36,12 @@
   });
 }
 
-void Coverage::OnOwnRow(const LeaseRow& row, platform::RowVersion version) {
+void Coverage::OnOwnRow(const LeaseRow& row, platform::RowVersion version,
+                        absl::Time now) {
   version_ = version;
+  named_ = row.named;
   if (row.incarnation == incarnation_) {
-    registered_ = true;  // Also when the answer to Renew() was lost.
+    Register(now);  // Also when the answer to Renew() was lost.
     return;
   }
   // A paused incarnation that wakes after its successor has registered must
@@ -48,23 +50,44 @@
   // The earlier incarnation ended before this one started. If its lease had
   // lapsed by then, it may have run keys whose rows died with it.
   bool lapsed = row.until < started_;
+  bool lost_before = row.lost_until > absl::UnixEpoch();
+  lost_from_ = lost_before ? row.lost_from : row.until;
   lost_until_ = lapsed ? started_ : row.lost_until;
 }
 
+void Coverage::Register(absl::Time now) {
+  // A name that was taken later than its row says is taken once more.
+  if (naming_ && now > named_) return;
+  naming_ = false;
+  registered_ = true;
+}
+
 platform::Transaction Coverage::Renew(absl::Time now) {
   bool continuous = registered_ && now < until_;
   if (!continuous) since_ = now;
   // An answer may be lost after the write took effect: from here on this host
   // counts as covered until the new time, whatever comes back.
-  until_ = now + options_.lease;
-  LeaseRow row{self_, incarnation_, since_, until_, lost_until_};
+  // Counted from the scan: the lease tells how old this host's picture is.
+  until_ = std::max(until_, scan_sent_ + options_.lease);
+  LeaseRow row;
+  row.host = self_;
+  row.incarnation = incarnation_;
+  row.since = since_;
+  row.until = until_;
+  row.lost_from = lost_from_;
+  row.lost_until = lost_until_;
+  // Whoever scans later than `named` sees the row; Register() makes sure that
+  // it was there by then.
+  naming_ = naming_ || version_ == 0;
+  if (naming_) named_ = now + options_.lease;
+  row.named = named_;
   std::string key = LeaseKey(self_);
   return {"", {{key, version_}}, {{key, Encode(row)}}};
 }
 
-void Coverage::OnRenewed(const platform::CommitResult& result) {
+void Coverage::OnRenewed(const platform::CommitResult& result, absl::Time now) {
   if (result.state != platform::CommitState::kCommitted) return;
-  registered_ = true;
+  Register(now);
   for (const platform::Row& row : result.versions) version_ = row.version;
 }
 
@@ -113,6 +136,26 @@
   });
 }
 
+bool Coverage::Aware(absl::Time until) const {
+  absl::Time scanned = until - options_.lease;
+  return scanned > named_ + options_.clock_skew;
+}
+
+std::vector<EntryHostId> Coverage::Unaware() const {
+  std::vector<EntryHostId> unaware;
+  for (const auto& [host, lease] : others_) {
+    if (!Aware(lease.until)) unaware.push_back(host);
+  }
+  return unaware;
+}
+
+bool Coverage::LostUnaware(absl::Time first_sent) const {
+  return std::any_of(others_.begin(), others_.end(), [&](const auto& entry) {
+    const LeaseRow& lease = entry.second;
+    return Lost(lease, first_sent) && !Aware(lease.lost_from);
+  });
+}
+
 std::vector<EntryHostId> Coverage::Members() const {
   std::vector<EntryHostId> members;
   for (const auto& [host, lease] : others_) members.push_back(host);
