Claims: the owner of a replaced row need not be asked

Cause: a key that waited on a dead host stayed in doubt once that host's lease had lapsed, since the host that took its row over still wanted its word. Ruled out: waiting for the host's replacement, which can take minutes. Change: who had claimed the key by the row that ours replaced can't dispatch it, so it isn't asked. The explorer's nine models find no violation. Decisions are unchanged.

--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -317,6 +317,14 @@
   for (const EntryHostId& host : coverage_.Unaware()) {
     if (!introduced_.contains(host)) ask.insert(host);
   }
+  // The owner of the row that ours replaced had claimed the key by that row, so
+  // it must replace it before it dispatches, and can't any more. Asking it
+  // would keep a key that waited on a dead host in doubt until the host is
+  // replaced.
+  if (claim.base != 0 && claim.other.has_value()) {
+    std::optional<ClaimRow> replaced = DecodeClaim(claim.other->value);
+    if (replaced.has_value()) ask.erase(replaced->owner);
+  }
   claim.phase = Phase::kAskingPeers;
   claim.doubt = suspects.lost;
   if (!claim.doubt) {
