Platform client: answer later, also when a call fails at once

With the breaker open a read failed inside the very call that asked for it, which the TableService concept rules out: a caller that isn't ready for its answer yet would have lost it. Answers now go through the mailbox in every case, and a group whose members wait after a conflict is pumped after that.

--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -60,7 +60,8 @@
   PeerAnswer HandleQuestion(const PeerQuestion& question, absl::Time now,
                             std::vector<Action>* actions);
 
-  // Entry hosts known to membership, without this one.
+  // Entry hosts known to membership. They are added: a host that has left may
+  // still be running what it ran, and isn't forgotten before a restart.
   void SetPeers(std::vector<EntryHostId> peers);
 
   // When TimePassed is due at the latest.
--- a/src/claim/claim_table.h
+++ b/src/claim/claim_table.h
@@ -85,7 +85,7 @@
     return answer;
   }
 
-  // Entry hosts that may take requests, without this one; from membership.
+  // Adds entry hosts that membership knows.
   void SetPeers(std::vector<EntryHostId> peers) {
     machine_.SetPeers(std::move(peers));
   }
--- a/src/platform/client.cc
+++ b/src/platform/client.cc
@@ -236,13 +236,21 @@
     });
   }
 
-  static void Finish(Call call, AnswerKind kind, http::Reply reply) {
+  void Finish(Call call, AnswerKind kind, http::Reply reply) {
     // A lost sending stays in doubt until the service has answered, whatever
     // refused its follow-up: a caller told "not applied" would say "not run" of
     // a claim that another host then finds in the table.
     bool doubt = call.maybe_applied && kind != AnswerKind::kAnswered;
     if (doubt) kind = AnswerKind::kLost;
-    if (call.done) call.done({kind, std::move(reply)});
+    // Later, also when the call failed at once: a caller isn't called back
+    // from within its own call.
+    auto end = std::make_shared<CallEnd>(CallEnd{kind, std::move(reply)});
+    post([self = shared_from_this(), done = std::move(call.done), end] {
+      if (self->closed) return;
+      done(std::move(*end));
+      // Members of a group that met a conflict wait to go again.
+      self->Pump(absl::Now());
+    });
   }
 
   void ReportState() {
