Two sendings of a key at one host share one claim; no call stays unanswered

Cause: a second sending of a key that reached the same host before the first one's claim was judged was told to attach to this host, found no answer there, failed the attach and was refused 4001; another hung for ever (process test ADraftSentEverywhereIsMadeOnce failed). Ruled out: serving an unclaimed answer to peers, since two hosts could then read from each other for ever. Change: an answer is known from the acceptance on; peers that ask for it wait until the claim is judged; a call whose deadline has passed without a word from anyone gets its final answer. Broken answers aren't kept, so that a re-send looks for the stream at the server. Decisions are unchanged.

--- a/src/entry/answer_log.cc
+++ b/src/entry/answer_log.cc
@@ -160,6 +160,11 @@
   return EndedLocked();
 }
 
+bool AnswerLog::whole() const {
+  absl::MutexLock lock(&mutex_);
+  return whole_.has_value() || end_.has_value();
+}
+
 std::size_t AnswerLog::kept_bytes() const {
   absl::MutexLock lock(&mutex_);
   return kept_bytes_;
--- a/src/entry/answer_log.h
+++ b/src/entry/answer_log.h
@@ -68,6 +68,9 @@
 
   bool ended() const;
 
+  // Ended with the whole answer.
+  bool whole() const;
+
   // Bytes that are kept for late readers.
   std::size_t kept_bytes() const;
 
@@ -84,13 +87,29 @@
   std::optional<GivenUp> given_up_ ABSL_GUARDED_BY(mutex_);
 };
 
+// What every answer to a caller says of its origin.
+struct AnswerOrigin {
+  RequestId request;
+  ServerId server;
+  ModelId model;
+  bool operator==(const AnswerOrigin&) const = default;
+};
+
 // A reader that passes an answer on into another log: how a re-send of a key
 // reads the answer to the sending that runs.
 class LogReader : public AnswerReader {
  public:
-  explicit LogReader(std::shared_ptr<AnswerLog> log) : log_(std::move(log)) {}
-  void OnChunk(const StreamChunk& chunk) override { log_->Publish(chunk); }
+  LogReader(std::shared_ptr<AnswerLog> log,
+            std::shared_ptr<const AnswerOrigin> from,
+            std::shared_ptr<AnswerOrigin> to)
+      : log_(std::move(log)), from_(std::move(from)), to_(std::move(to)) {}
+
+  void OnChunk(const StreamChunk& chunk) override {
+    to_->server = from_->server;
+    log_->Publish(chunk);
+  }
   void OnWhole(const WholeAnswer& answer) override {
+    to_->server = from_->server;
     log_->PublishWhole(answer);
   }
   void OnEnd(const AnswerEnd& end) override { log_->Finish(end); }
@@ -98,14 +117,8 @@
 
  private:
   const std::shared_ptr<AnswerLog> log_;
-};
-
-// What every answer to a caller says of its origin.
-struct AnswerOrigin {
-  RequestId request;
-  ServerId server;
-  ModelId model;
-  bool operator==(const AnswerOrigin&) const = default;
+  const std::shared_ptr<const AnswerOrigin> from_;
+  const std::shared_ptr<AnswerOrigin> to_;
 };
 
 // A reader that sends server-sent events to a caller, in the chat-completions
--- a/src/entry/calls.cc
+++ b/src/entry/calls.cc
@@ -16,6 +16,11 @@
 // come again: the balancer has taken this host out by then, or a role moved.
 constexpr absl::Duration kComeBackSoon = absl::Seconds(2);
 
+// The dispatcher refuses what can't meet its deadline; this is for what no
+// dispatcher or claim has answered by then, because a message was lost with the
+// host that had it. The caller would wait for an answer that never comes.
+constexpr absl::Duration kOverdueGrace = absl::Seconds(1);
+
 // Whether another zone may still be able to serve what one has refused.
 bool MaySpill(Code code) {
   switch (code) {
@@ -95,6 +100,9 @@
   call->unserved_timer =
       loop_->timers().At(loop_->now() + kUnservedLimit,
                          [this, id = call->id](absl::Time) { OnUnserved(id); });
+  call->deadline_timer =
+      loop_->timers().At(call->deadline + kOverdueGrace,
+                         [this, id = call->id](absl::Time) { OnOverdue(id); });
   if (keyed) OpenClaim(call);
   Announce(call);
 }
@@ -240,6 +248,19 @@
   GiveUp(call, {{Code::kNoServer, "no dispatcher is known"}, kComeBackSoon});
 }
 
+void Calls::OnOverdue(const RequestId& id) {
+  CallPtr call = Find(id);
+  if (call == nullptr) return;
+  call->deadline_timer = 0;
+  bool stuck = call->phase != Call::Phase::kRunning && call->transfer == 0;
+  if (!stuck) return;
+  if (call->phase != Call::Phase::kReading) {
+    Tell(*call, schedule::CallerGone{id});
+  }
+  GiveUp(call, {{Code::kDeadlinePassed, "nobody has answered for it"},
+                kComeBackSoon});
+}
+
 // Without a key nobody can ask for the answer again, so its work is stopped.
 // With one the caller is likely to send it again; it keeps its place.
 void Calls::OnCallerGone(const RequestId& id) {
@@ -275,6 +296,7 @@
 
 void Calls::Remove(const CallPtr& call) {
   loop_->timers().Cancel(call->unserved_timer);
+  loop_->timers().Cancel(call->deadline_timer);
   calls_.erase(call->id);
   KeepAnswer(*call);
 }
--- a/src/entry/calls.h
+++ b/src/entry/calls.h
@@ -68,6 +68,7 @@
   bool search_ended = false;     // The claim says that it ran to its end.
   std::optional<GivenUp> stop;   // Why it is being stopped.
   TimerId unserved_timer = 0;
+  TimerId deadline_timer = 0;
 };
 
 using CallPtr = std::shared_ptr<Call>;
@@ -115,6 +116,9 @@
     std::shared_ptr<AnswerLog> log;
     std::shared_ptr<AnswerOrigin> origin;
     std::string body_digest;
+    bool claimed = false;  // This host holds the key, or held it.
+    // Peers that wait for the claim to be judged.
+    std::vector<std::shared_ptr<http::Responder>> readers;
   };
 
   // calls.cc: acceptance, waiting, decisions.
@@ -129,6 +133,7 @@
   void OnCancel(const CallPtr& call, const schedule::Cancel& cancel);
   void OnCallerGone(const RequestId& id);
   void OnUnserved(const RequestId& id);
+  void OnOverdue(const RequestId& id);
   CallPtr Find(const RequestId& id) const;
   void GiveUp(const CallPtr& call, GivenUp why);
   void Remove(const CallPtr& call);
@@ -143,6 +148,8 @@
   void ReadElsewhere(const CallPtr& call, const claim::Resume& resume);
   void SearchNext(const CallPtr& call);
   void LeaveQueue(const CallPtr& call);
+  void OnClaimed(const std::string& key);
+  void DropAnswer(const std::string& key);
   void KeepAnswer(const Call& call);
   void ForgetAnswers();
 
--- a/src/entry/calls_claim.cc
+++ b/src/entry/calls_claim.cc
@@ -39,14 +39,19 @@
   recorder_->Record(
       EventKind::kRequestResumed, call->id.str(),
       "key=" + call->engine_request + " owner=" + options_.host.str());
-  call->origin->server = kept.origin->server;
   call->phase = Call::Phase::kReading;
-  kept.log->Attach(std::make_shared<LogReader>(call->log));
+  kept.log->Attach(
+      std::make_shared<LogReader>(call->log, kept.origin, call->origin));
   if (call->claim != 0) claims_->Abandon(call->claim);
   Remove(call);
 }
 
 void Calls::OpenClaim(const CallPtr& call) {
+  // Known from here on: of two sendings that reach this host together only one
+  // asks for the claim, and the other one reads its answer.
+  answers_[call->engine_request] = {call->log, call->origin, call->body_digest,
+                                    /*claimed=*/false,
+                                    /*readers=*/{}};
   claim::ClaimRequest request;
   request.key = claim::ClaimKey(call->engine_request);
   request.body_digest = call->body_digest;
@@ -70,8 +75,7 @@
   call->judged = true;
   if (std::holds_alternative<claim::Proceed>(verdict)) {
     call->claimed = true;
-    answers_[call->engine_request] = {call->log, call->origin,
-                                      call->body_digest};
+    OnClaimed(call->engine_request);
     recorder_->Record(EventKind::kRequestClaimed, call->id.str(),
                       "key=" + call->engine_request);
     if (call->refusal.has_value()) {
@@ -97,6 +101,11 @@
 
 // Another sending of the key does the work; this one takes no room.
 void Calls::LeaveQueue(const CallPtr& call) {
+  // Peers that wait to read here are sent on to the one that has the claim.
+  auto own = answers_.find(call->engine_request);
+  if (own != answers_.end() && own->second.log == call->log) {
+    DropAnswer(call->engine_request);
+  }
   if (call->phase == Call::Phase::kReading) return;
   if (call->phase == Call::Phase::kWaiting) {
     Tell(*call, schedule::CallerGone{call->id});
@@ -120,7 +129,8 @@
     return;
   }
   auto found = answers_.find(call->engine_request);
-  if (found == answers_.end()) {
+  // Reading its own log it would wait for itself.
+  if (found == answers_.end() || found->second.log == call->log) {
     AttachFailed(call);
     return;
   }
@@ -192,19 +202,42 @@
   auto found = answers_.find(key);
   if (found == answers_.end()) {
     http::RespondProblem(*responder, {Code::kAnswerGone, key});
-    return;
+  } else if (found->second.claimed) {
+    found->second.log->Attach(
+        MakeStreamReader(std::move(responder), found->second.origin));
+  } else {
+    // Until the claim is judged, this host may come to read from the one that
+    // asks, and both would wait for ever.
+    found->second.readers.push_back(std::move(responder));
+  }
+}
+
+void Calls::OnClaimed(const std::string& key) {
+  Kept& kept = answers_[key];
+  kept.claimed = true;
+  for (auto& responder : kept.readers) {
+    kept.log->Attach(MakeStreamReader(std::move(responder), kept.origin));
+  }
+  kept.readers.clear();
+}
+
+// The answer will not be made here, or is no longer had here.
+void Calls::DropAnswer(const std::string& key) {
+  auto node = answers_.extract(key);
+  if (node.empty()) return;
+  for (auto& responder : node.mapped().readers) {
+    http::RespondProblem(*responder, {Code::kAnswerGone, key});
   }
-  found->second.log->Attach(
-      MakeStreamReader(std::move(responder), found->second.origin));
 }
 
 void Calls::KeepAnswer(const Call& call) {
   auto found = answers_.find(call.engine_request);
   bool own = found != answers_.end() && found->second.log == call.log;
   if (!own) return;
-  // What was given up before it was sent may be sent anew under this key.
-  if (call.phase != Call::Phase::kRunning) {
-    answers_.erase(found);
+  // What was given up before it was sent may be sent anew under this key; what
+  // broke off may still be read at its server.
+  if (call.phase != Call::Phase::kRunning || !call.log->whole()) {
+    DropAnswer(call.engine_request);
     return;
   }
   std::size_t bytes = call.log->kept_bytes();
@@ -220,7 +253,7 @@
     if (!old && kept_bytes_ <= kKeepBytes) return;
     auto found = answers_.find(oldest.key);
     if (found != answers_.end() && found->second.log->ended()) {
-      answers_.erase(found);
+      DropAnswer(oldest.key);
     }
     kept_bytes_ -= oldest.bytes;
     ended_.pop_front();
