Dispatcher: plain calls have no common length; what is not learnt is tried

Change: a plain server's call time is a slow mean of its own calls and judges nothing. Refusal at once is for what could not finish even with a short answer, and a guess leaves far more room than a learnt median. Once every waiting request of a lane was tried and none would be in time, an urgent one is begun. Heads go three deep into a workspace's line. Ruled out: urgency by the short answer (a test of preemption showed it comes too late); it goes by the median.

--- a/src/schedule/answers.cc
+++ b/src/schedule/answers.cc
@@ -255,9 +255,7 @@
     // It has taken at least this long.
     const absl::Duration silent = state.now - running.granted;
     const double seconds = absl::ToDoubleSeconds(silent);
-    if (running.demand.plain) {
-      server.pace.AddCall(seconds);
-    } else {
+    if (!running.demand.plain) {
       server.pace.AddFirstToken(seconds, running.expected_uncached);
     }
     CutWindow(state, server);
--- a/src/schedule/estimate.cc
+++ b/src/schedule/estimate.cc
@@ -28,6 +28,12 @@
 // for about half as long again.
 constexpr double kOvergrowth = 1.5;
 
+// An answer half as long as the median is common; a guess may be off by ten.
+// Without the latter, requests whose bound looks out of reach would never run,
+// and so nothing would ever be learnt of them.
+constexpr double kHopeful = 0.5;
+constexpr double kHopefulGuess = 0.05;
+
 int Bounded(double tokens, int bound) {
   const int rounded = std::max(1, static_cast<int>(std::lround(tokens)));
   return bound > 0 ? std::min(rounded, bound) : rounded;
@@ -35,7 +41,8 @@
 
 OutputEstimate Bounded(const OutputEstimate& estimate, int bound) {
   return {.median = Bounded(estimate.median, bound),
-          .high = Bounded(estimate.high, bound)};
+          .high = Bounded(estimate.high, bound),
+          .learnt = estimate.learnt};
 }
 
 }  // namespace
@@ -61,7 +68,7 @@
   const auto quantiles = boost::accumulators::extended_p_square(young_);
   const int median = Bounded(quantiles[0], 0);
   const int high = std::max(median, Bounded(quantiles[1], 0));
-  return OutputEstimate{.median = median, .high = high};
+  return OutputEstimate{.median = median, .high = high, .learnt = true};
 }
 
 OutputEstimator::Key OutputEstimator::KeyOf(const Request& request,
@@ -82,7 +89,9 @@
   }
   // The caller's bound says more of a new kind of request than the others do.
   if (bound > 0) return {.median = std::max(1, bound / 2), .high = bound};
-  return service_.Quantiles().value_or(kFirstGuess);
+  OutputEstimate guess = service_.Quantiles().value_or(kFirstGuess);
+  guess.learnt = false;
+  return guess;
 }
 
 void OutputEstimator::Learn(const Request& request, WorkspaceIndex workspace,
@@ -101,12 +110,18 @@
   return service_.Quantiles().value_or(kFirstGuess).median;
 }
 
+double HopefulOutput(const OutputEstimate& estimate) {
+  return estimate.median * (estimate.learnt ? kHopeful : kHopefulGuess);
+}
+
 OutputEstimate Corrected(const OutputEstimate& estimate, int streamed,
                          int bound) {
   if (streamed < estimate.median) return estimate;
   const int grown =
       std::max(estimate.high, Bounded(streamed * kOvergrowth, bound));
-  if (streamed < estimate.high) return {estimate.high, estimate.high};
+  if (streamed < estimate.high) {
+    return {estimate.high, estimate.high, estimate.learnt};
+  }
   return Bounded(OutputEstimate{.median = grown, .high = grown}, bound);
 }
 
--- a/src/schedule/estimate.h
+++ b/src/schedule/estimate.h
@@ -29,7 +29,8 @@
 // Tokens of one answer.
 struct OutputEstimate {
   int median = 0;
-  int high = 0;  // Nine in ten are no longer.
+  int high = 0;         // Nine in ten are no longer.
+  bool learnt = false;  // From such requests; else a guess.
   auto operator<=>(const OutputEstimate&) const = default;
 };
 
@@ -75,6 +76,10 @@
   LengthSketch service_;
 };
 
+// The length of an answer that turns out short. What could not finish even so
+// is hopeless.
+double HopefulOutput(const OutputEstimate& estimate);
+
 // What `estimate` becomes once `streamed` tokens are out. `bound` is the
 // caller's own, 0 for none.
 OutputEstimate Corrected(const OutputEstimate& estimate, int streamed,
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -33,6 +33,7 @@
 // the prompts ahead, and some seconds for what no prediction covers.
 constexpr double kSilenceFactor = 4;
 constexpr double kSilenceSeconds = 2;
+constexpr double kCallSilenceFactor = 20;
 
 // By tier; inside a tier the lanes take turns to be first, or the pool that
 // happens to be numbered first would get all the power.
@@ -75,6 +76,9 @@
   // Tries the heads once. True when one was granted.
   bool GrantOne(const LaneKey& lane);
 
+  // The same, hopeful or not.
+  bool GrantAmong(const LaneKey& lane, bool hopeful);
+
   // A server is kept for a head that is too large for the room there is.
   void Hold(WaitIndex index, const Placement& placement);
 
@@ -89,6 +93,7 @@
   LaneBlock block_;  // Of the lane that is tried.
   const std::vector<ServerIndex>* only_ = nullptr;  // See Search.
   bool no_room_ = false;
+  bool late_only_ = false;  // All heads were tried, and are too slow.
   bool power_out_ = false;
 };
 
@@ -145,6 +150,12 @@
 }
 
 bool Round::GrantOne(const LaneKey& lane) {
+  return GrantAmong(lane, /*hopeful=*/false) ||
+         (late_only_ && GrantAmong(lane, /*hopeful=*/true));
+}
+
+bool Round::GrantAmong(const LaneKey& lane, bool hopeful) {
+  late_only_ = false;
   heads_.clear();
   block_ = {};
   if (state_.queue.LaneEmpty(lane)) return false;
@@ -152,9 +163,12 @@
   const Search search{.closed_pools = &closed_pools_,
                       .held = &held_,
                       .only = only_,
-                      .contended = state_.queue.PoolSize(lane.pool) > 1};
+                      .contended = state_.queue.LaneSize(lane) > 1,
+                      .hopeful = hopeful};
+  bool urgent = false;
   for (const WaitIndex index : heads_) {
     const Waiting& waiting = state_.queue.Get(index);
+    if (hopeful && state_.now < waiting.urgent_at) continue;
     const Placement placement = placer_.Place(
         waiting, ReservesFor(state_, waiting), search, state_.now);
     switch (placement.hindrance) {
@@ -180,9 +194,13 @@
         Hold(index, placement);
         break;
       case Hindrance::kTooSlow:
+        urgent |= state_.now >= waiting.urgent_at;
         break;
     }
   }
+  // Everybody was tried and nobody would be in time: what can wait no longer is
+  // begun in hope rather than lost while servers stand idle.
+  late_only_ = urgent && state_.queue.LaneSize(lane) <= heads_.size();
   return false;
 }
 
@@ -223,9 +241,10 @@
                                 : server.FirstTokenSeconds(prompt, now);
   running.granted = now;
   running.reported = now;
+  // Calls of a plain service show nothing before their end, and differ more.
+  const double silence = demand.plain ? kCallSilenceFactor : kSilenceFactor;
   running.overdue =
-      now +
-      absl::Seconds(kSilenceSeconds + kSilenceFactor * running.predicted_first);
+      now + absl::Seconds(kSilenceSeconds + silence * running.predicted_first);
 
   server.Begin(demand, now);
   state_.power.Begin(placement.server, /*prefilling=*/true);
--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -26,7 +26,9 @@
 // to come back.
 constexpr double kNoServerSeconds = 2;
 
-double BestServiceSeconds(const State& state, const Waiting& waiting) {
+// On the fastest server, alone, for an answer of `output` tokens.
+double BestServiceSeconds(const State& state, const Waiting& waiting,
+                          double output) {
   if (waiting.request.model.empty()) return 0;
   const Pool& pool = state.fleet.pool(waiting.pool);
   const PrefixCache::Lookup lookup = state.cache.Find(waiting.marks);
@@ -38,7 +40,7 @@
   double seconds = 0;
   if (pool.best_prefill_speed > 0) seconds += prompt / pool.best_prefill_speed;
   if (pool.best_decode_speed > 0) {
-    seconds += waiting.output.median / pool.best_decode_speed;
+    seconds += output / pool.best_decode_speed;
   }
   return seconds;
 }
@@ -151,11 +153,15 @@
         waiting.output.median > kLongFactor * state.estimator.ServiceMedian();
   }
   waiting.work = WorkOf(request.prompt_tokens, waiting.output.median);
-  waiting.best_service = absl::Seconds(BestServiceSeconds(state, waiting));
+  // Hopeless is what could not finish even with a short answer; urgent what
+  // needs its turn now if its answer is as long as usual.
+  waiting.best_service = absl::Seconds(
+      BestServiceSeconds(state, waiting, HopefulOutput(waiting.output)));
+  const absl::Duration usual =
+      absl::Seconds(BestServiceSeconds(state, waiting, waiting.output.median));
   waiting.latest_start = request.deadline - waiting.best_service;
   waiting.urgent_at =
-      waiting.latest_start -
-      std::max(kUrgentBefore, kUrgentPart * waiting.best_service);
+      request.deadline - usual - std::max(kUrgentBefore, kUrgentPart * usual);
   waiting.since = state.now;
   return waiting;
 }
--- a/src/schedule/order.cc
+++ b/src/schedule/order.cc
@@ -1,6 +1,8 @@
 #include "schedule/order.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 
 namespace gentianlb::schedule {
 namespace {
@@ -9,6 +11,9 @@
 // for each grant, more than come to rest in the mean.
 constexpr int kForgetAtOnce = 2;
 
+// How deep the heads go into one workspace's lines.
+constexpr std::size_t kHeadDepth = 3;
+
 }  // namespace
 
 WaitingQueue::Key WaitingQueue::KeyOf(const Waiting& waiting, WaitIndex index) {
@@ -23,6 +28,7 @@
   if (key.pool >= pool_sizes_.size()) pool_sizes_.resize(key.pool + 1);
   ++pool_sizes_[key.pool];
   Lane& lane = lanes_[key];
+  ++lane.size;
   Flow& flow = lane.flows[workspace];
   if (flow.empty()) {
     flow.weight = added.weight;
@@ -40,6 +46,7 @@
   Lane& lane = lanes_[key];
   Flow& flow = lane.flows[leaving.workspace];
   --pool_sizes_[key.pool];
+  --lane.size;
   expiry_.erase(KeyOf(leaving, index));
   (leaving.is_long ? flow.longs : flow.shorts).erase(KeyOf(leaving, index));
   AddWork(&lane, leaving.workspace, &flow, -leaving.work);
@@ -110,18 +117,26 @@
 void WaitingQueue::Heads(const LaneKey& key, std::size_t limit,
                          std::vector<WaitIndex>* heads) const {
   const Lane& lane = lanes_.at(key);
-  for (const auto& [tag, workspace] : lane.turns) {
-    const Flow& flow = lane.flows.at(workspace);
-    const Line* first = &flow.shorts;
-    const Line* second = &flow.longs;
-    const bool long_first =
-        first->empty() ||
-        (!second->empty() && *second->begin() < *first->begin());
-    if (long_first) std::swap(first, second);
-    for (const Line* line : {first, second}) {
-      if (heads->size() >= limit) return;
-      if (!line->empty()) heads->push_back(line->begin()->index);
+  // First the first of every workspace, then the second ones: behind one that
+  // is too late for the servers with room stands one that is not.
+  for (std::size_t depth = 0; depth < kHeadDepth; ++depth) {
+    for (const auto& [tag, workspace] : lane.turns) {
+      const Flow& flow = lane.flows.at(workspace);
+      const Line* first = &flow.shorts;
+      const Line* second = &flow.longs;
+      const bool long_first =
+          first->empty() ||
+          (!second->empty() && *second->begin() < *first->begin());
+      if (long_first) std::swap(first, second);
+      for (const Line* line : {first, second}) {
+        if (heads->size() >= limit) return;
+        if (line->size() <= depth) continue;
+        heads->push_back(
+            std::next(line->begin(), static_cast<std::ptrdiff_t>(depth))
+                ->index);
+      }
     }
+    if (heads->size() >= lane.size) return;
   }
 }
 
@@ -187,6 +202,11 @@
   return work;
 }
 
+std::size_t WaitingQueue::LaneSize(const LaneKey& key) const {
+  const auto lane = lanes_.find(key);
+  return lane == lanes_.end() ? 0 : lane->second.size;
+}
+
 double WaitingQueue::LaneWork(const LaneKey& key) const {
   const auto lane = lanes_.find(key);
   return lane == lanes_.end() ? 0 : lane->second.work;
--- a/src/schedule/order.h
+++ b/src/schedule/order.h
@@ -46,7 +46,7 @@
   OutputEstimate output;
   double work = 0;  // Tokens.
   bool is_long = false;
-  absl::Duration best_service;  // On the fastest server, alone.
+  absl::Duration best_service;  // Fastest server, alone, a short answer.
   absl::Time latest_start;      // Later, no server makes the deadline.
   absl::Time urgent_at;         // From here on it may preempt.
   absl::Time since;             // When it came into the queue.
@@ -76,7 +76,8 @@
   bool LaneEmpty(const LaneKey& key) const;
 
   // The first few of a lane in the order in which they should be granted: the
-  // heads of the first workspaces, each with its first long and short one.
+  // heads of the first workspaces, each with its first long and short one, then
+  // those behind them.
   void Heads(const LaneKey& key, std::size_t limit,
              std::vector<WaitIndex>* heads) const;
 
@@ -100,6 +101,7 @@
   // Work that waits for `pool` in tiers above `tier`.
   double WorkAbove(Tier tier, PoolIndex pool) const;
   double LaneWork(const LaneKey& key) const;
+  std::size_t LaneSize(const LaneKey& key) const;
   // How many wait for a pool, in all tiers.
   int PoolSize(PoolIndex pool) const { return pool_sizes_[pool]; }
 
@@ -145,6 +147,7 @@
     double virtual_time = 0;
     double work = 0;
     double active_weight = 0;
+    std::size_t size = 0;
     absl::node_hash_map<WorkspaceIndex, Flow> flows;
     absl::btree_set<std::pair<double, WorkspaceIndex>> turns;    // By tag.
     absl::btree_set<std::pair<double, WorkspaceIndex>> by_work;  // Waiting.
--- a/src/schedule/order_test.cc
+++ b/src/schedule/order_test.cc
@@ -65,7 +65,7 @@
   const WaitIndex soon = q.Add(0, 1, 10, 10);
   std::vector<WaitIndex> heads;
   q.queue.Heads({Tier{0}, 0}, kHeadsTried, &heads);
-  BOOST_TEST(heads == (std::vector<WaitIndex>{soon, big}),
+  BOOST_TEST(heads == (std::vector<WaitIndex>{soon, big, late}),
              boost::test_tools::per_element());
   q.queue.Remove(soon);
   heads.clear();
--- a/src/schedule/pace.cc
+++ b/src/schedule/pace.cc
@@ -38,8 +38,11 @@
 constexpr double kDefaultPrefillSpeed = 5000;
 constexpr double kDefaultDecodeSpeed = 50;
 
-// A lookup of a plain service; learnt from the first calls on.
+// A lookup of a plain service; the first call replaces it. Kinds of calls
+// differ tenfold in length, so that a single long one says nothing: a mean over
+// some twenty calls tells servers apart.
 constexpr double kCallSeconds = 0.02;
+constexpr double kCallWeight = 0.05;
 
 double SecondsEach(double speed, double fallback) {
   return 1 / (speed > 0 ? speed : fallback);
@@ -74,7 +77,8 @@
     : prefill_token_(
           SecondsEach(spec.prefill_tokens_per_second, kDefaultPrefillSpeed)),
       decode_token_(
-          SecondsEach(spec.decode_tokens_per_second, kDefaultDecodeSpeed)) {}
+          SecondsEach(spec.decode_tokens_per_second, kDefaultDecodeSpeed)),
+      call_seconds_(kCallSeconds) {}
 
 double Pace::PrefillSeconds(double tokens) const {
   return tokens * prefill_token_ * prefill_.quick();
@@ -85,7 +89,7 @@
   return decode_token_ * batch * decode_.quick();
 }
 
-double Pace::CallSeconds() const { return kCallSeconds * call_.quick(); }
+double Pace::CallSeconds() const { return call_seconds_; }
 
 double Pace::ExpectedFirstToken(double prefill_tokens, int streams) const {
   const double batch = 1 + kBatchSlope * std::max(0, streams - 1);
@@ -102,20 +106,22 @@
   decode_.Add(seconds_each / (decode_token_ * batch));
 }
 
-void Pace::AddCall(double seconds) { call_.Add(seconds / kCallSeconds); }
+void Pace::AddCall(double seconds) {
+  call_seconds_ += (called_ ? kCallWeight : 1) * (seconds - call_seconds_);
+  called_ = true;
+}
 
 void Pace::Forget() {
   prefill_.Forget();
   decode_.Forget();
-  call_.Forget();
 }
 
 bool Pace::straggling() const {
-  return prefill_.straggling() || decode_.straggling() || call_.straggling();
+  return prefill_.straggling() || decode_.straggling();
 }
 
 bool Pace::stretched() const {
-  return prefill_.stretched() || decode_.stretched() || call_.stretched();
+  return prefill_.stretched() || decode_.stretched();
 }
 
 double Pace::prefill_speed() const {
--- a/src/schedule/pace.h
+++ b/src/schedule/pace.h
@@ -59,7 +59,8 @@
   double decode_token_;   // Seconds of a stream alone, configured.
   Stretch prefill_;
   Stretch decode_;
-  Stretch call_;
+  double call_seconds_;  // Mean of the calls, learnt.
+  bool called_ = false;
 };
 
 }  // namespace gentianlb::schedule
--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -14,11 +14,6 @@
 constexpr std::size_t kHolders = 4;
 constexpr std::size_t kPrefilling = 4;
 
-// When no better server comes free and nobody else waits, a request is started
-// where it finishes if its answer turns out half as long as expected. With
-// others waiting it would only take their room and be late itself.
-constexpr double kHopefulOutput = 0.5;
-
 // How far between the median and the ninth decile an answer is judged while
 // others wait: an even chance to be late is too little then, as the room would
 // serve another. Where thrown away prompts weigh more it is the ninth decile.
@@ -71,7 +66,7 @@
   absl::Time now;
   double seconds_left = 0;
   double output = 0;  // Tokens by which lateness is judged.
-  bool last_chance = false;
+  bool hopeful = false;
 
   bool IsClosed(const Fleet& fleet, ServerIndex server) const {
     if (server == waiting.avoid && fleet.pool(waiting.pool).usable > 1) {
@@ -88,6 +83,8 @@
 double Placer::JudgedOutput(const Waiting& waiting, bool contended) const {
   const double median = waiting.output.median;
   const double spread = waiting.output.high - median;
+  // A guess must not keep out what would teach better.
+  if (!waiting.output.learnt) return HopefulOutput(waiting.output);
   if (weights_.wasted_prefill > weights_.goodput) return median + spread;
   return contended ? median + kContendedSpread * spread : median;
 }
@@ -121,7 +118,7 @@
       .now = now,
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
       .output = JudgedOutput(waiting, search.contended),
-      .last_chance = now >= waiting.urgent_at && !search.contended};
+      .hopeful = search.hopeful};
   Collect(waiting, search, lookup);
   double best_score = std::numeric_limits<double>::infinity();
   for (const ServerIndex server : candidates_) {
@@ -169,9 +166,9 @@
 
   // Time: not where it would be late.
   double finish = server.FinishSeconds(demand, choice.now);
-  if (choice.last_chance) {
+  if (choice.hopeful) {
     Demand hopeful = demand;
-    hopeful.output_tokens = waiting.output.median * kHopefulOutput;
+    hopeful.output_tokens = HopefulOutput(waiting.output);
     finish = server.FinishSeconds(hopeful, choice.now);
   }
   const bool probe = server.window.probing();
--- a/src/schedule/place.h
+++ b/src/schedule/place.h
@@ -55,7 +55,9 @@
   const std::vector<ServerIndex>* held = nullptr;
   // If set, only these: all others were tried and nothing changed there.
   const std::vector<ServerIndex>* only = nullptr;
-  bool contended = false;  // Others wait for the same servers.
+  bool contended = false;  // Others wait in the same lane.
+  // Start it even where it is in time only if its answer turns out short.
+  bool hopeful = false;
 };
 
 class Placer {
