Dispatcher: uncached prompts weigh ten times, eight holders are looked at

Cause: about half of the prompt work in the replay was computed a second time on another server. Most of it remains: the holder is often not open when its request comes.

--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -11,7 +11,7 @@
 // come close to the best (power of two choices); eight of the best leave little
 // to gain and cost under a microsecond.
 constexpr std::size_t kQuickest = 8;
-constexpr std::size_t kHolders = 4;
+constexpr std::size_t kHolders = 8;
 constexpr std::size_t kPrefilling = 4;
 
 // How far between the median and the ninth decile an answer is judged while
@@ -19,6 +19,11 @@
 // serve another. Where thrown away prompts weigh more it is the ninth decile.
 constexpr double kContendedSpread = 0.25;
 
+// A prompt computed anew costs more than the seconds of its own request: it
+// keeps others' prompts waiting, draws the watts of many streams, and pushes
+// other prefixes out of the cache.
+constexpr double kUncachedCost = 10;
+
 // A probe must not cost a request its deadline: it may take twice as long as
 // predicted.
 constexpr double kProbeMargin = 2;
@@ -182,7 +187,8 @@
   // A probe is for finding out: whoever can bear it takes it.
   const double score =
       probe ? 0
-            : weights_.goodput * finish + weights_.wasted_prefill * uncached;
+            : weights_.goodput * finish +
+                  weights_.wasted_prefill * kUncachedCost * uncached;
   if (best->hindrance == Hindrance::kNone && score >= *best_score) return;
   *best_score = score;
   *best = {Hindrance::kNone, index, demand, cached};
