Dispatcher: wait a little for the server that has the prompt

Cause: the server that held a prompt was often not open when the next request of it came, so the prompt was computed again elsewhere; about half of all prompt work was such. Where watts are short this used up what streams could have had. Change: delay scheduling. A request is patient for up to four seconds times the weight of waste, never for more than a quarter of its time; others pass it.

--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -24,6 +24,14 @@
 // other prefixes out of the cache.
 constexpr double kUncachedCost = 10;
 
+// Delay scheduling, as known from clusters that store data: to wait a little
+// for the server that has the data is better than to compute it again
+// elsewhere. The more so the more waste weighs; never for more than a quarter
+// of the time there is.
+constexpr absl::Duration kPatience = absl::Seconds(4);
+constexpr double kWorthWaiting = 512;  // Tokens: a tenth of a second.
+constexpr double kMostOfIt = 0.5;
+
 // A probe must not cost a request its deadline: it may take twice as long as
 // predicted.
 constexpr double kProbeMargin = 2;
@@ -72,6 +80,8 @@
   double seconds_left = 0;
   double output = 0;  // Tokens by which lateness is judged.
   bool hopeful = false;
+  bool patient = false;    // May still wait for who has its prompt.
+  double best_cached = 0;  // Tokens, on whichever server has most.
 
   bool IsClosed(const Fleet& fleet, ServerIndex server) const {
     if (server == waiting.avoid && fleet.pool(waiting.pool).usable > 1) {
@@ -94,6 +104,28 @@
   return contended ? median + kContendedSpread * spread : median;
 }
 
+bool Placer::Patient(const Waiting& waiting, absl::Time now) const {
+  const double weight =
+      weights_.wasted_prefill / (weights_.wasted_prefill + weights_.goodput);
+  const absl::Duration patience =
+      std::min(kPatience * weight, (waiting.urgent_at - waiting.since) / 4);
+  return now - waiting.since < patience;
+}
+
+double Placer::BestCached(const PrefixCache::Lookup& lookup,
+                          absl::Time now) const {
+  std::vector<ServerIndex> holders;
+  lookup.DeepestHolders(kHolders, &holders);
+  double best = 0;
+  for (const ServerIndex holder : holders) {
+    const Server& server = fleet_.at(holder);
+    const bool well = server.configured && !server.window.probing() &&
+                      server.health == ServerHealth::kAlive;
+    if (well) best = std::max(best, lookup.CachedTokens(holder, now));
+  }
+  return best;
+}
+
 void Placer::Collect(const Waiting& waiting, const Search& search,
                      const PrefixCache::Lookup& lookup) {
   if (search.only != nullptr) {
@@ -123,7 +155,9 @@
       .now = now,
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
       .output = JudgedOutput(waiting, search.contended),
-      .hopeful = search.hopeful};
+      .hopeful = search.hopeful,
+      .patient = Patient(waiting, now),
+      .best_cached = BestCached(lookup, now)};
   Collect(waiting, search, lookup);
   double best_score = std::numeric_limits<double>::infinity();
   for (const ServerIndex server : candidates_) {
@@ -169,6 +203,11 @@
     return Prefer(Hindrance::kNoPower, best);
   }
 
+  // Patience: the server that has the prompt may take it soon.
+  const bool misplaced = choice.best_cached - cached > kWorthWaiting &&
+                         cached < kMostOfIt * choice.best_cached;
+  if (choice.patient && misplaced) return Prefer(Hindrance::kTooSlow, best);
+
   // Time: not where it would be late.
   double finish = server.FinishSeconds(demand, choice.now);
   if (choice.hopeful) {
--- a/src/schedule/place.h
+++ b/src/schedule/place.h
@@ -72,6 +72,8 @@
  private:
   struct Choice;
 
+  bool Patient(const Waiting& waiting, absl::Time now) const;
+  double BestCached(const PrefixCache::Lookup& lookup, absl::Time now) const;
   // Tokens of the answer by which lateness is judged.
   double JudgedOutput(const Waiting& waiting, bool contended) const;
   void Collect(const Waiting& waiting, const Search& search,
