--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -28,7 +28,7 @@
 // for the server that has the data is better than to compute it again
 // elsewhere. The more so the more waste weighs; never for more than a quarter
 // of the time there is.
-constexpr absl::Duration kPatience = absl::Seconds(4);
+constexpr absl::Duration kPatience = absl::Seconds(12);
 constexpr double kWorthWaiting = 512;  // Tokens: a tenth of a second.
 constexpr double kMostOfIt = 0.5;
 
@@ -108,7 +108,7 @@
   const double weight =
       weights_.wasted_prefill / (weights_.wasted_prefill + weights_.goodput);
   const absl::Duration patience =
-      std::min(kPatience * weight, (waiting.urgent_at - waiting.since) / 4);
+      std::min(kPatience * weight, (waiting.urgent_at - waiting.since) / 2);
   return now - waiting.since < patience;
 }
 
