--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -26,8 +26,8 @@
 
 // Delay scheduling, as known from clusters that store data: to wait a little
 // for the server that has the data is better than to compute it again
-// elsewhere. The more so the more waste weighs; never for more than a quarter
-// of the time there is.
+// elsewhere. The more so the more waste weighs; never for more than half
+// of the time until it becomes urgent.
 constexpr absl::Duration kPatience = absl::Seconds(12);
 constexpr double kWorthWaiting = 512;  // Tokens: a tenth of a second.
 constexpr double kMostOfIt = 0.5;
