--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -11,19 +11,27 @@
 // come close to the best (power of two choices); eight of the best leave little
 // to gain and cost under a microsecond.
 constexpr std::size_t kQuickest = 8;
-constexpr std::size_t kHolders = 4;
+constexpr std::size_t kHolders = 8;
 constexpr std::size_t kPrefilling = 4;
 
-// When no better server comes free and nobody else waits, a request is started
-// where it finishes if its answer turns out half as long as expected. With
-// others waiting it would only take their room and be late itself.
-constexpr double kHopefulOutput = 0.5;
-
 // How far between the median and the ninth decile an answer is judged while
 // others wait: an even chance to be late is too little then, as the room would
 // serve another. Where thrown away prompts weigh more it is the ninth decile.
 constexpr double kContendedSpread = 0.25;
 
+// A prompt computed anew costs more than the seconds of its own request: it
+// keeps others' prompts waiting, draws the watts of many streams, and pushes
+// other prefixes out of the cache.
+constexpr double kUncachedCost = 10;
+
+// Delay scheduling, as known from clusters that store data: to wait a little
+// for the server that has the data is better than to compute it again
+// elsewhere. The more so the more waste weighs; never for more than half
+// of the time until it becomes urgent.
+constexpr absl::Duration kPatience = absl::Seconds(12);
+constexpr double kWorthWaiting = 512;  // Tokens: a tenth of a second.
+constexpr double kMostOfIt = 0.5;
+
 // A probe must not cost a request its deadline: it may take twice as long as
 // predicted.
 constexpr double kProbeMargin = 2;
@@ -71,7 +79,9 @@
   absl::Time now;
   double seconds_left = 0;
   double output = 0;  // Tokens by which lateness is judged.
-  bool last_chance = false;
+  bool hopeful = false;
+  bool patient = false;    // May still wait for who has its prompt.
+  double best_cached = 0;  // Tokens, on whichever server has most.
 
   bool IsClosed(const Fleet& fleet, ServerIndex server) const {
     if (server == waiting.avoid && fleet.pool(waiting.pool).usable > 1) {
@@ -88,10 +98,34 @@
 double Placer::JudgedOutput(const Waiting& waiting, bool contended) const {
   const double median = waiting.output.median;
   const double spread = waiting.output.high - median;
+  // A guess must not keep out what would teach better.
+  if (!waiting.output.learnt) return HopefulOutput(waiting.output);
   if (weights_.wasted_prefill > weights_.goodput) return median + spread;
   return contended ? median + kContendedSpread * spread : median;
 }
 
+bool Placer::Patient(const Waiting& waiting, absl::Time now) const {
+  const double weight =
+      weights_.wasted_prefill / (weights_.wasted_prefill + weights_.goodput);
+  const absl::Duration patience =
+      std::min(kPatience * weight, (waiting.urgent_at - waiting.since) / 2);
+  return now - waiting.since < patience;
+}
+
+double Placer::BestCached(const PrefixCache::Lookup& lookup,
+                          absl::Time now) const {
+  std::vector<ServerIndex> holders;
+  lookup.DeepestHolders(kHolders, &holders);
+  double best = 0;
+  for (const ServerIndex holder : holders) {
+    const Server& server = fleet_.at(holder);
+    const bool well = server.configured && !server.window.probing() &&
+                      server.health == ServerHealth::kAlive;
+    if (well) best = std::max(best, lookup.CachedTokens(holder, now));
+  }
+  return best;
+}
+
 void Placer::Collect(const Waiting& waiting, const Search& search,
                      const PrefixCache::Lookup& lookup) {
   if (search.only != nullptr) {
@@ -121,7 +155,9 @@
       .now = now,
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
       .output = JudgedOutput(waiting, search.contended),
-      .last_chance = now >= waiting.urgent_at && !search.contended};
+      .hopeful = search.hopeful,
+      .patient = Patient(waiting, now),
+      .best_cached = BestCached(lookup, now)};
   Collect(waiting, search, lookup);
   double best_score = std::numeric_limits<double>::infinity();
   for (const ServerIndex server : candidates_) {
@@ -167,11 +203,16 @@
     return Prefer(Hindrance::kNoPower, best);
   }
 
+  // Patience: the server that has the prompt may take it soon.
+  const bool misplaced = choice.best_cached - cached > kWorthWaiting &&
+                         cached < kMostOfIt * choice.best_cached;
+  if (choice.patient && misplaced) return Prefer(Hindrance::kTooSlow, best);
+
   // Time: not where it would be late.
   double finish = server.FinishSeconds(demand, choice.now);
-  if (choice.last_chance) {
+  if (choice.hopeful) {
     Demand hopeful = demand;
-    hopeful.output_tokens = waiting.output.median * kHopefulOutput;
+    hopeful.output_tokens = HopefulOutput(waiting.output);
     finish = server.FinishSeconds(hopeful, choice.now);
   }
   const bool probe = server.window.probing();
@@ -185,7 +226,8 @@
   // A probe is for finding out: whoever can bear it takes it.
   const double score =
       probe ? 0
-            : weights_.goodput * finish + weights_.wasted_prefill * uncached;
+            : weights_.goodput * finish +
+                  weights_.wasted_prefill * kUncachedCost * uncached;
   if (best->hindrance == Hindrance::kNone && score >= *best_score) return;
   *best_score = score;
   *best = {Hindrance::kNone, index, demand, cached};
