--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -317,6 +317,14 @@
   for (const EntryHostId& host : coverage_.Unaware()) {
     if (!introduced_.contains(host)) ask.insert(host);
   }
+  // The owner of the row that ours replaced had claimed the key by that row, so
+  // it must replace it before it dispatches, and can't any more. Asking it
+  // would keep a key that waited on a dead host in doubt until the host is
+  // replaced.
+  if (claim.base != 0 && claim.other.has_value()) {
+    std::optional<ClaimRow> replaced = DecodeClaim(claim.other->value);
+    if (replaced.has_value()) ask.erase(replaced->owner);
+  }
   claim.phase = Phase::kAskingPeers;
   claim.doubt = suspects.lost;
   if (!claim.doubt) {
@@ -413,7 +421,9 @@
   claim.without_table = claim.version == 0;
   if (claim.without_table) {
     ++counters_.proceeded_without_table;
-    late_[claim.token] = {claim.request.key, RowOf(claim, RowState::kClaimed)};
+    // Known as late first: the row must say that no fence will be written.
+    Late& late = late_[claim.token];
+    late = {claim.request.key, RowOf(claim, RowState::kClaimed)};
   }
   actions_->push_back(VerdictGiven{claim.id, Proceed{}});
 }
--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -60,7 +60,8 @@
   PeerAnswer HandleQuestion(const PeerQuestion& question, absl::Time now,
                             std::vector<Action>* actions);
 
-  // Entry hosts known to membership, without this one.
+  // Entry hosts known to membership. They are added: a host that has left may
+  // still be running what it ran, and isn't forgotten before a restart.
   void SetPeers(std::vector<EntryHostId> peers);
 
   // When TimePassed is due at the latest.
@@ -193,6 +194,7 @@
   bool Yields(const Claim& holder, const PeerQuestion& question) const;
 
   // Around the dispatch, claim_dispatch.cc.
+  bool IsFenced(const Claim& claim) const;
   void WriteFence(Claim& claim);
   void OnFenceWritten(Claim& claim, const platform::CommitResult& result);
   void OnFenceRead(Claim& claim, const platform::Row* row);
--- a/src/claim/claim_table.h
+++ b/src/claim/claim_table.h
@@ -85,7 +85,7 @@
     return answer;
   }
 
-  // Entry hosts that may take requests, without this one; from membership.
+  // Adds entry hosts that membership knows.
   void SetPeers(std::vector<EntryHostId> peers) {
     machine_.SetPeers(std::move(peers));
   }
@@ -103,7 +103,7 @@
 
   void Perform(std::vector<Action> actions) {
     for (Action& action : actions) {
-      std::visit([this](auto& one) { Do(std::move(one)); }, action);
+      std::visit([this](auto& one) { this->Do(std::move(one)); }, action);
     }
   }
 
--- a/src/replay/command.cc
+++ b/src/replay/command.cc
@@ -54,7 +54,7 @@
 Result<Trace> Load(const ReplayArguments& arguments,
                    const Deployment& deployment) {
   if (!arguments.trace_file.empty()) {
-    return ReadTraceFile(arguments.trace_file);
+    return ReadTraceFile(arguments.trace_file, deployment);
   }
   if (arguments.first_seconds > 0) {
     return MakeShortScenario(deployment, arguments.scenario, arguments.seed,
@@ -78,10 +78,6 @@
   }
   BOOST_LEAF_AUTO(deployment, Resolve(arguments.deployment, reader));
   BOOST_LEAF_AUTO(trace, Load(arguments, deployment));
-  if (trace.deployment != deployment.name) {
-    return Fail(Code::kUsage,
-                absl::StrCat("the trace is of ", trace.deployment));
-  }
   if (!arguments.write_trace.empty()) {
     BOOST_LEAF_CHECK(Save(trace, arguments.write_trace));
     return kExitDone;
@@ -113,6 +109,12 @@
     return kExitDone;
   }
   if (arguments.seeds > 0) return Sweep(arguments);
+  if (arguments.weights) {
+    BOOST_LEAF_AUTO(rows,
+                    RunWeights({arguments.deployment, arguments.scenario}));
+    std::cout << ToText(rows);
+    return kExitDone;
+  }
   BOOST_LEAF_AUTO(figures,
                   RunBench({arguments.deployment, arguments.scenario}));
   bool json = arguments.format == "json";
@@ -162,6 +164,8 @@
                       "Look for broken promises over so many seeds instead");
   command->add_flag("--scale", arguments->scale,
                     "Measure the cost of a decision at two sizes instead");
+  command->add_flag("--weights", arguments->weights,
+                    "Compare the weights of both deployments instead");
   command->add_option("--format", arguments->format, "text or json")
       ->check(Formats());
   command->callback(
