--- /dev/null
+++ b/src/orders/rows.cc
@@ -0,0 +1,110 @@
+#include "orders/rows.h"
+
+#include <json/json.h>
+
+#include <initializer_list>
+#include <memory>
+
+namespace gentianlb::orders {
+namespace {
+
+std::string ToText(const Json::Value& value) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, value);
+}
+
+std::optional<Json::Value> ParseObject(std::string_view text) {
+  Json::CharReaderBuilder builder;
+  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
+  Json::Value value;
+  bool parsed =
+      reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
+  if (!parsed || !value.isObject()) return std::nullopt;
+  return value;
+}
+
+bool AllStrings(const Json::Value& json,
+                std::initializer_list<const char*> names) {
+  for (const char* name : names) {
+    if (!json[name].isString()) return false;
+  }
+  return true;
+}
+
+bool AllIntegers(const Json::Value& json,
+                 std::initializer_list<const char*> names) {
+  for (const char* name : names) {
+    if (!json[name].isInt64()) return false;
+  }
+  return true;
+}
+
+// Whether the field holds one of the values of an enum of three.
+bool IsOneOfThree(const Json::Value& json) {
+  return json.isInt() && json.asInt() >= 0 && json.asInt() < 3;
+}
+
+}  // namespace
+
+std::string StepKey(const ServerId& server) {
+  return std::string(kStepPrefix) + server.str();
+}
+
+std::string Encode(const LeaseRow& row) {
+  Json::Value json;
+  json["holder"] = row.holder.str();
+  json["incarnation"] = Json::Int64{row.incarnation};
+  json["fence"] = Json::Int64{row.fence};
+  json["lease_ms"] = Json::Int64{absl::ToInt64Milliseconds(row.lease)};
+  json["serial"] = Json::Int64{row.serial};
+  return ToText(json);
+}
+
+std::string Encode(const StepRow& row) {
+  Json::Value json;
+  json["order"] = row.order;
+  json["kind"] = static_cast<int>(row.kind);
+  json["model"] = row.model.str();
+  json["role"] = static_cast<int>(row.role);
+  json["version"] = Json::Int64{row.version};
+  json["attempt"] = row.attempt;
+  json["state"] = static_cast<int>(row.state);
+  json["fence"] = Json::Int64{row.fence};
+  return ToText(json);
+}
+
+std::optional<LeaseRow> DecodeLease(std::string_view value) {
+  std::optional<Json::Value> json = ParseObject(value);
+  if (!json) return std::nullopt;
+  bool whole =
+      AllStrings(*json, {"holder"}) &&
+      AllIntegers(*json, {"incarnation", "fence", "lease_ms", "serial"});
+  if (!whole) return std::nullopt;
+  return LeaseRow{EntryHostId((*json)["holder"].asString()),
+                  (*json)["incarnation"].asInt64(), (*json)["fence"].asInt64(),
+                  absl::Milliseconds((*json)["lease_ms"].asInt64()),
+                  (*json)["serial"].asInt64()};
+}
+
+std::optional<StepRow> DecodeStep(std::string_view value) {
+  std::optional<Json::Value> json = ParseObject(value);
+  if (!json) return std::nullopt;
+  bool whole = AllStrings(*json, {"order", "model"}) &&
+               AllIntegers(*json, {"version", "fence"}) &&
+               (*json)["attempt"].isInt() && IsOneOfThree((*json)["kind"]) &&
+               IsOneOfThree((*json)["role"]) && IsOneOfThree((*json)["state"]);
+  if (!whole) return std::nullopt;
+  StepRow row;
+  row.order = (*json)["order"].asString();
+  row.kind = static_cast<config::OrderKind>((*json)["kind"].asInt());
+  row.model = ModelId((*json)["model"].asString());
+  row.role = static_cast<schedule::ServerRole>((*json)["role"].asInt());
+  row.version = (*json)["version"].asInt64();
+  row.attempt = (*json)["attempt"].asInt();
+  row.state = static_cast<StepState>((*json)["state"].asInt());
+  row.fence = (*json)["fence"].asInt64();
+  return row;
+}
+
+}  // namespace gentianlb::orders
