--- a/src/orders/order_runner.h
+++ b/src/orders/order_runner.h
@@ -173,6 +173,7 @@
       works_[server].version = row.version;
       ServerView& view = views_[server];
       view.step = DecodeStep(row.value);
+      if (view.step) newest_ = std::max(newest_, view.step->version);
       if (view.step) continue;
       // What is under way there can't be known, so nothing is begun.
       view.not_before = absl::InfiniteFuture();
@@ -321,14 +322,16 @@
   }
 
   void StartSteps() {
-    if (!scanned_) return;
+    // A row that is being written counts as no step yet; another beside it
+    // could overrun the bounds.
+    if (!scanned_ || writing_ > 0) return;
+    // An earlier holder knew a later configuration; going by an older one would
+    // undo its steps. The news is on its way.
+    if (configuration_->version < newest_) return;
     for (const config::ServerConfig& server : configuration_->servers) {
-      Work& work = works_[server.spec.id];
       ServerView& view = views_[server.spec.id];
-      // A row that is being written counts as no step yet, so none may start
-      // beside it, or the bounds would be overrun.
-      if (work.busy && writing_ > 0) return;
-      view.not_before = std::max(view.not_before, QuietUntil(work));
+      view.not_before =
+          std::max(view.not_before, QuietUntil(works_[server.spec.id]));
     }
     Startable startable =
         NextSteps(*configuration_, views_, options_.sequence, now_());
@@ -409,6 +412,7 @@
   std::int64_t round_ = 0;
   bool scanned_ = false;
   bool scanning_ = false;
+  config::Version newest_ = 0;  // That any holder has acted on.
   absl::Time scan_due_ = absl::InfinitePast();
   Views views_;
   std::map<ServerId, Work> works_;
--- a/src/orders/sequence.cc
+++ b/src/orders/sequence.cc
@@ -31,6 +31,8 @@
 bool Serves(const ServerView& view, const ModelId& model, ServerRole without,
             const SequenceOptions& options, absl::Time now) {
   if (!view.state || now > view.seen + options.fresh) return false;
+  // Its row can't be read, so anything may be under way.
+  if (view.not_before == absl::InfiniteFuture()) return false;
   // A step under way may take the model, or the server, away.
   if (IsOpen(view) && !IsLoad(*view.step)) return false;
   return Contains(view.state->models, model) && Does(view.state->role, without);
@@ -111,10 +113,14 @@
   }
 };
 
-UnderWay CountOpen(const Views& views) {
+// Of servers that are configured: nobody counts on another, nor can ask it.
+UnderWay CountOpen(const config::Configuration& configuration,
+                   const Views& views) {
   UnderWay under_way;
-  for (const auto& [server, view] : views) {
-    if (IsOpen(view)) under_way.Add(*view.step);
+  for (const config::ServerConfig& server : configuration.servers) {
+    auto view = views.find(server.spec.id);
+    if (view == views.end() || !IsOpen(view->second)) continue;
+    under_way.Add(*view->second.step);
   }
   return under_way;
 }
@@ -183,7 +189,7 @@
                     const Views& views, const SequenceOptions& options,
                     absl::Time now) {
   Startable startable;
-  UnderWay under_way = CountOpen(views);
+  UnderWay under_way = CountOpen(configuration, views);
   for (const config::ServerConfig& server : configuration.servers) {
     if (!IsModelService(configuration, server.service)) continue;
     auto found = views.find(server.spec.id);
