--- /dev/null
+++ b/src/orders/order_runner_test.cc
@@ -0,0 +1,344 @@
+// Whole runners at two hosts against a fake table and fake engines that keep
+// the rules of docs/PROTOCOLS.md, under a clock that the test moves.
+
+#include "orders/order_runner.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <functional>
+#include <set>
+
+namespace gentianlb::orders {
+namespace {
+
+using config::Fencing;
+using config::OrderKind;
+
+constexpr absl::Duration kOrderTime = absl::Seconds(3);
+
+struct FakeEngine {
+  EngineState state;
+  Fencing fencing = Fencing::kChecks;
+  Fence highest = 0;
+  std::map<std::string, absl::Time> orders;  // When each is done.
+  std::map<std::string, Order> running;
+  std::map<ModelId, int> loads;
+};
+
+// One site; `events` counts writes and orders, so that a test can stop a host
+// at each of them in turn.
+struct World {
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  std::map<std::string, platform::Row> table;
+  std::map<ServerId, FakeEngine> engines;
+  std::deque<std::function<void()>> answers;
+  std::function<bool()> loses = [] { return false; };  // The next answer.
+  int fewest = 99;  // Servers that a model was ever left with.
+
+  void Settle() {
+    for (auto& [id, engine] : engines) {
+      std::erase_if(engine.running, [&, e = &engine](const auto& entry) {
+        if (e->orders[entry.first] > now) return false;
+        CarryOut(e, entry.second);
+        return true;
+      });
+    }
+    for (const char* model : {"m1", "m2"}) {
+      int count = 0;
+      for (const auto& [id, engine] : engines) {
+        const auto& models = engine.state.models;
+        count += std::count(models.begin(), models.end(), ModelId(model));
+      }
+      fewest = std::min(fewest, count);
+    }
+  }
+
+  static void CarryOut(FakeEngine* engine, const Order& order) {
+    if (order.kind == OrderKind::kRole) engine->state.role = order.role;
+    if (order.kind == OrderKind::kLoad) {
+      engine->state.models.push_back(order.model);
+      ++engine->loads[order.model];
+    }
+    if (order.kind != OrderKind::kUnload) return;
+    std::erase(engine->state.models, order.model);
+  }
+
+  OrderReply Receive(const ServerId& server, const Order& order) {
+    FakeEngine& engine = engines[server];
+    bool checks = engine.fencing == Fencing::kChecks;
+    if (checks && order.fence < engine.highest) return OrderReply::kStaleFence;
+    engine.highest = std::max(engine.highest, order.fence);
+    if (engine.orders.contains(order.id)) return OrderReply::kTaken;
+    engine.orders[order.id] = now + kOrderTime;
+    engine.running[order.id] = order;
+    return OrderReply::kTaken;
+  }
+
+  platform::CommitResult Commit(const platform::Transaction& transaction) {
+    const std::string& key = transaction.conditions[0].key;
+    platform::Row& row = table[key];
+    platform::CommitResult result;
+    result.state = platform::CommitState::kConflict;
+    if (row.version != transaction.conditions[0].version) return result;
+    row = {key, *transaction.writes[0].value, row.version + 1};
+    result.state = platform::CommitState::kCommitted;
+    result.versions = {{key, "", row.version}};
+    return result;
+  }
+};
+
+// What one host sees of the world; a dead host gets no answers, a frozen one
+// gets them when it wakes, and its last order is still on its way until then.
+struct Port {
+  World* world;
+  int events = 0;
+  int stop_at = -1;
+  bool freezes = false;  // Instead of dying.
+  bool stopped = false;
+  std::function<void()> late;  // The order that left a frozen host last.
+
+  // False: the host stops right here.
+  bool Step() {
+    if (stopped || events++ != stop_at) return !stopped;
+    stopped = true;
+    return false;
+  }
+  template <typename F, typename T>
+  void Answer(F done, T result, T lost) {
+    if (world->loses()) result = lost;
+    world->answers.push_back([this, done, result] {
+      if (!stopped) done(result);
+    });
+  }
+  void Commit(platform::Transaction transaction,
+              std::function<void(platform::CommitResult)> done) {
+    if (stopped) return;
+    auto result = world->Commit(transaction);
+    if (Step()) Answer(done, result, platform::CommitResult{});
+  }
+  void Read(std::vector<std::string> keys,
+            std::function<void(platform::ReadResult)> done) {
+    std::vector<platform::Row> rows;
+    auto row = world->table.find(keys[0]);
+    if (row != world->table.end()) rows.push_back(row->second);
+    Answer(done, platform::ReadResult(rows),
+           Gone<std::vector<platform::Row>>());
+  }
+  void Scan(std::string prefix,
+            std::function<void(platform::ReadResult)> done) {
+    std::vector<platform::Row> rows;
+    for (const auto& [key, row] : world->table) {
+      if (key.starts_with(prefix)) rows.push_back(row);
+    }
+    Answer(done, platform::ReadResult(rows),
+           Gone<std::vector<platform::Row>>());
+  }
+  void ReadState(ServerId server,
+                 std::function<void(Outcome<EngineState>)> done) {
+    Answer(done, Outcome<EngineState>(world->engines[server].state),
+           Gone<EngineState>());
+  }
+  void SendOrder(ServerId server, Order order,
+                 std::function<void(OrderReply)> done) {
+    if (stopped) return;
+    if (!Step()) {
+      late = [this, server, order] { world->Receive(server, order); };
+      if (!freezes) late();  // Died after the sending.
+      return;
+    }
+    Answer(done, world->Receive(server, order), OrderReply::kUnknown);
+  }
+  void ReadProgress(ServerId server, std::string id,
+                    std::function<void(Outcome<OrderProgress>)> done) {
+    const FakeEngine& engine = world->engines[server];
+    auto order = engine.orders.find(id);
+    auto progress = OrderProgress::kNeverHeard;
+    if (order != engine.orders.end()) {
+      progress = order->second > world->now ? OrderProgress::kRunning
+                                            : OrderProgress::kDone;
+    }
+    Answer(done, Outcome<OrderProgress>(progress), Gone<OrderProgress>());
+  }
+  template <typename T>
+  static Outcome<T> Gone() {
+    return Error{Code::kServerTimeout, ""};
+  }
+};
+
+using Clock = std::function<absl::Time()>;
+using Runner = OrderRunner<Port, Port, Clock>;
+
+// m1 and m2 change places, so each must be loaded before it is unloaded.
+std::shared_ptr<const config::Configuration> Swap(Fencing fencing) {
+  auto configuration = std::make_shared<config::Configuration>();
+  configuration->version = 7;
+  ServiceId service("llm");
+  configuration->services = {{service, config::ServiceKind::kModel}};
+  configuration->models = {{ModelId("m1"), service}, {ModelId("m2"), service}};
+  for (const char* name : {"s1", "s2"}) {
+    config::ServerConfig server;
+    server.service = service;
+    server.zone = ZoneId("z");
+    server.fencing = fencing;
+    server.spec.id = ServerId(name);
+    server.spec.models = {ModelId(name == std::string("s1") ? "m2" : "m1")};
+    configuration->servers.push_back(server);
+  }
+  return configuration;
+}
+
+struct Site {
+  explicit Site(Fencing fencing, std::vector<std::string> names = {"a", "b"}) {
+    for (const char* name : {"s1", "s2"}) {
+      FakeEngine& engine = world.engines[ServerId(name)];
+      engine.fencing = fencing;
+      engine.state.models = {ModelId(name == std::string("s1") ? "m1" : "m2")};
+    }
+    RunnerOptions options;
+    options.longest_order = absl::Seconds(20);
+    for (const std::string& name : names) {
+      Port& port = ports.emplace_back(Port{&world});
+      runners.push_back(std::make_unique<Runner>(options, EntryHostId(name), 1,
+                                                 &port, &port,
+                                                 [this] { return world.now; }));
+      runners.back()->SetConfig(Swap(fencing));
+    }
+  }
+
+  void Run(absl::Duration time) {
+    for (absl::Time end = world.now + time; world.now < end;) {
+      for (std::size_t i = 0; i < runners.size(); ++i) {
+        if (!ports[i].stopped) runners[i]->Tick();
+      }
+      while (!world.answers.empty()) {
+        world.answers.front()();
+        world.answers.pop_front();
+      }
+      world.now += absl::Milliseconds(500);
+      world.Settle();
+    }
+  }
+
+  void CheckSwapped() {
+    FakeEngine& first = world.engines[ServerId("s1")];
+    FakeEngine& second = world.engines[ServerId("s2")];
+    BOOST_TEST((first.state.models == std::vector{ModelId("m2")}));
+    BOOST_TEST((second.state.models == std::vector{ModelId("m1")}));
+    BOOST_TEST(first.loads[ModelId("m2")] == 1);
+    BOOST_TEST(second.loads[ModelId("m1")] == 1);
+    BOOST_TEST(world.fewest >= 1);
+  }
+
+  World world;
+  std::deque<Port> ports;
+  std::vector<std::unique_ptr<Runner>> runners;
+};
+
+constexpr absl::Duration kLong = absl::Minutes(10);
+
+int EventsOf(Fencing fencing) {
+  Site site(fencing, {"a"});
+  site.Run(kLong);
+  site.CheckSwapped();
+  BOOST_TEST(site.runners[0]->counters().sent == 4);
+  return std::min(site.ports[0].events, 40);
+}
+
+// The holder dies after any of its writes or sendings. The next one goes on; if
+// it began anew, a model would be loaded twice or unloaded too soon.
+BOOST_AUTO_TEST_CASE(HolderKilledAtEveryStep) {
+  for (Fencing fencing : {Fencing::kChecks, Fencing::kIgnores}) {
+    int events = EventsOf(fencing);
+    BOOST_TEST(events > 12);
+    for (int stop = 0; stop < events; ++stop) {
+      BOOST_TEST_CONTEXT("stop " << stop << " ignores " << int(fencing)) {
+        Site site(fencing);
+        site.ports[0].stop_at = stop;
+        site.Run(kLong);
+        BOOST_TEST(site.ports[0].stopped);
+        site.CheckSwapped();
+      }
+    }
+  }
+}
+
+// The holder is frozen with an order on its way, over its lease, and wakes when
+// another has taken over; the order arrives then. Were it obeyed, operators
+// would see a model loaded twice, callers a model without a server.
+BOOST_AUTO_TEST_CASE(HolderFrozenBetweenOrders) {
+  for (Fencing fencing : {Fencing::kChecks, Fencing::kIgnores}) {
+    int events = EventsOf(fencing);
+    for (int stop = 0; stop < events; ++stop) {
+      for (int asleep : {10, 19, 25, 40, 120}) {
+        BOOST_TEST_CONTEXT("stop " << stop << " asleep " << asleep) {
+          Site site(fencing);
+          Port& port = site.ports[0];
+          port.freezes = true;
+          port.stop_at = stop;
+          while (!port.stopped) site.Run(absl::Seconds(1));
+          site.Run(absl::Seconds(asleep));
+          std::int64_t sent = site.runners[0]->counters().sent;
+          port.stopped = false;
+          if (port.late) port.late();
+          site.runners[0]->Tick();
+          bool out = !site.runners[0]->counters().holder;
+          BOOST_TEST((out || asleep < 13));
+          if (out) BOOST_TEST(site.runners[0]->counters().sent == sent);
+          site.Run(kLong);
+          site.CheckSwapped();
+        }
+      }
+    }
+  }
+}
+
+// Any third answer is lost, of the table and of the engines, from a shifting
+// start. A host that guessed would send twice or wait for ever.
+BOOST_AUTO_TEST_CASE(LostAnswers) {
+  for (Fencing fencing : {Fencing::kChecks, Fencing::kIgnores}) {
+    for (int shift = 0; shift < 60; ++shift) {
+      Site site(fencing);
+      int count = shift;
+      int lost = 0;
+      site.world.loses = [&] { return ++count % 3 == 0 && ++lost < 60; };
+      site.Run(kLong);
+      site.CheckSwapped();
+      BOOST_TEST(lost >= 60);
+    }
+  }
+}
+
+// The other server that has the model stops answering, or was seen too long
+// ago. An unload now would leave callers of the zone without the model.
+BOOST_AUTO_TEST_CASE(LastServerStays) {
+  auto configuration = Swap(Fencing::kChecks);
+  absl::Time now = absl::UnixEpoch();
+  Step unload{ServerId("s1"), {"x", OrderKind::kUnload, ModelId("m1")}};
+  EngineState both{{ModelId("m1"), ModelId("m2")}};
+  Views views;
+  views[ServerId("s1")] = {both, now};
+  views[ServerId("s2")] = {both, now};
+  BOOST_TEST(Safe(unload, *configuration, views, {}, now));
+  BOOST_TEST(!Safe(unload, *configuration, views, {}, now + absl::Minutes(1)));
+  views[ServerId("s2")].step = StepRow{"y", OrderKind::kUnload, ModelId("m1")};
+  BOOST_TEST(!Safe(unload, *configuration, views, {}, now));
+  views[ServerId("s2")] = {std::nullopt, now};
+  BOOST_TEST(!Safe(unload, *configuration, views, {}, now));
+}
+
+// A holder that hasn't yet heard of the newest configuration takes over. Going
+// by its old one, it would undo what was confirmed.
+BOOST_AUTO_TEST_CASE(OlderConfigurationWaits) {
+  Site site(Fencing::kChecks, {"a"});
+  StepRow newer{"x", OrderKind::kLoad, ModelId("m1")};
+  newer.version = 8;
+  newer.state = StepState::kDone;
+  std::string key = StepKey(ServerId("s1"));
+  site.world.table[key] = {key, Encode(newer), 1};
+  site.Run(kLong);
+  BOOST_TEST(site.runners[0]->counters().holder);
+  BOOST_TEST(site.runners[0]->counters().sent == 0);
+}
+
+}  // namespace
+}  // namespace gentianlb::orders
