--- a/src/orders/order_runner.h
+++ b/src/orders/order_runner.h
@@ -98,7 +98,7 @@
     if (holding_ != lease_.fence()) BeginHolding();
     if (!scanned_) return Scan();
     for (const config::ServerConfig& server : configuration_->servers) {
-      Advance(server);
+      if (TakesOrders(*configuration_, server)) Advance(server);
     }
     StartSteps();
   }
--- a/src/orders/order_runner_test.cc
+++ b/src/orders/order_runner_test.cc
@@ -47,8 +47,9 @@
       int count = 0;
       for (const auto& [id, engine] : engines) {
         const auto& models = engine.state.models;
-        if (std::count(models.begin(), models.end(), ModelId(model)) > 0)
-          ++count;
+        count += std::count(models.begin(), models.end(), ModelId(model)) > 0
+                     ? 1
+                     : 0;
       }
       fewest = std::min(fewest, count);
     }
--- a/src/orders/sequence.cc
+++ b/src/orders/sequence.cc
@@ -125,16 +125,17 @@
   return under_way;
 }
 
-bool IsModelService(const config::Configuration& configuration,
-                    const ServiceId& service) {
+}  // namespace
+
+bool TakesOrders(const config::Configuration& configuration,
+                 const config::ServerConfig& server) {
   for (const config::ServiceConfig& one : configuration.services) {
-    if (one.id == service) return one.kind == config::ServiceKind::kModel;
+    if (one.id == server.service)
+      return one.kind == config::ServiceKind::kModel;
   }
   return false;
 }
 
-}  // namespace
-
 std::vector<StepRow> Differences(const config::ServerConfig& wanted,
                                  const EngineState& state) {
   std::vector<StepRow> steps;
@@ -191,7 +192,7 @@
   Startable startable;
   UnderWay under_way = CountOpen(configuration, views);
   for (const config::ServerConfig& server : configuration.servers) {
-    if (!IsModelService(configuration, server.service)) continue;
+    if (!TakesOrders(configuration, server)) continue;
     auto found = views.find(server.spec.id);
     if (found == views.end()) continue;
     const ServerView& view = found->second;
--- a/src/orders/sequence.h
+++ b/src/orders/sequence.h
@@ -49,6 +49,10 @@
   bool operator==(const Step&) const = default;
 };
 
+// Whether the server runs a model engine; a plain service takes no orders.
+bool TakesOrders(const config::Configuration& configuration,
+                 const config::ServerConfig& server);
+
 // Loads first, then the role, unloads last.
 std::vector<StepRow> Differences(const config::ServerConfig& wanted,
                                  const EngineState& state);
