--- a/src/orders/order_runner_test.cc
+++ b/src/orders/order_runner_test.cc
@@ -33,6 +33,7 @@
   std::map<ServerId, FakeEngine> engines;
   std::deque<std::function<void()>> answers;
   std::function<bool()> loses = [] { return false; };  // The next answer.
+  absl::Time leased = absl::InfinitePast();  // The lease was last written.
   int fewest = 99;  // Servers that a model was ever left with.
 
   void Settle() {
@@ -83,6 +84,7 @@
     result.state = platform::CommitState::kConflict;
     if (row.version != transaction.conditions[0].version) return result;
     row = {key, *transaction.writes[0].value, row.version + 1};
+    if (key == kLeaseKey) leased = now;
     result.state = platform::CommitState::kCommitted;
     result.versions = {{key, "", row.version}};
     return result;
@@ -154,6 +156,7 @@
   void SendOrder(ServerId server, Order order,
                  std::function<void(OrderReply)> done) {
     const auto lost = OrderReply::kUnknown;
+    if (!stopped) BOOST_TEST(world->now < world->leased + absl::Seconds(15));
     if (stopped) return Answer(done, lost, lost);
     if (!Step()) {
       late = [this, server, order] { world->Receive(server, order); };
@@ -212,9 +215,11 @@
     options.longest_order = absl::Seconds(20);
     for (const std::string& name : names) {
       Port& port = ports.emplace_back(Port{&world});
-      runners.push_back(std::make_unique<Runner>(options, EntryHostId(name), 1,
-                                                 &port, &port,
-                                                 [this] { return world.now; }));
+      runners.push_back(std::make_unique<Runner>(
+          options, EntryHostId(name), 1, &port, &port, [this] {
+            if (jump_at-- == 0) world.now += absl::Minutes(1);
+            return world.now;
+          }));
       runners.back()->SetConfig(Swap(fencing));
     }
   }
@@ -243,6 +248,7 @@
     BOOST_TEST(world.fewest >= 1);
   }
 
+  int jump_at = -1;  // Reading of the clock before which the host is frozen.
   World world;
   std::deque<Port> ports;
   std::vector<std::unique_ptr<Runner>> runners;
@@ -305,6 +311,32 @@
   }
 }
 
+// The host is frozen within one pass over its servers, at any reading of the
+// clock. A lease that was checked only as the pass began would have it send
+// orders when another host may be in charge.
+BOOST_AUTO_TEST_CASE(FrozenWithinOnePass) {
+  for (int jump = 0; jump < 400; ++jump) {
+    BOOST_TEST_CONTEXT("jump " << jump) {
+      Site site(Fencing::kChecks, {"a"});
+      site.jump_at = jump;
+      site.Run(absl::Minutes(4));
+      site.CheckSwapped();
+    }
+  }
+}
+
+// An engine restarted with the model of an open step and has forgotten the
+// order. Sent again, the model would be loaded twice.
+BOOST_AUTO_TEST_CASE(LoadedAlreadyIsNotSent) {
+  Site site(Fencing::kChecks, {"a"});
+  StepRow open{"x", OrderKind::kLoad, ModelId("m1")};
+  std::string key = StepKey(ServerId("s1"));
+  site.world.table[key] = {key, Encode(open), 1};
+  site.Run(kLong);
+  BOOST_TEST(!site.world.engines[ServerId("s1")].orders.contains("x"));
+  site.CheckSwapped();
+}
+
 // A new holder takes over while an engine that ignores fencing may still get an
 // order of the old one. Whatever it orders or sees before that is over may be
 // undone by it, and a model that was just confirmed goes missing.
