Capacity: HTTP's processor time, measured on loopback

Cause: the page left HTTP out, which each message of a role costs on top.

How well it batches under load is not measured.

--- a/tests/bench/capacity.cc
+++ b/tests/bench/capacity.cc
@@ -1,6 +1,5 @@
 // Measures slopes for docs/CAPACITY.md: each part's cost at several sizes, on
-// one machine and one thread. No sockets; what the network adds is stated in
-// the page.
+// one machine. All but `http` run on one thread and without sockets.
 
 #include <CLI/CLI.hpp>
 #include <cstdio>
@@ -27,6 +26,7 @@
     {"grouping", MeasureGrouping},
     {"configuration", MeasureConfiguration},
     {"host-list", MeasureHostList},
+    {"http", MeasureHttp},
     {"timeline", MeasureTimeline},
 };
 
--- a/tests/bench/costs.h
+++ b/tests/bench/costs.h
@@ -30,6 +30,9 @@
 // The platform's list of hosts.
 Table MeasureHostList(bool quick);
 
+// One exchange between hosts on loopback, without TLS.
+Table MeasureHttp(bool quick);
+
 // One event of the time line.
 Table MeasureTimeline(bool quick);
 
--- a/tests/bench/meter.h
+++ b/tests/bench/meter.h
@@ -11,6 +11,9 @@
 // Processor time of this thread since its start.
 double ThreadSeconds();
 
+// The same of all threads of this process, ended ones included.
+double ProcessSeconds();
+
 // What malloc has handed out and not got back.
 std::int64_t HeapBytes();
 
