--- a/tests/bench/configuration_cost.cc
+++ b/tests/bench/configuration_cost.cc
@@ -9,6 +9,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "config/rows.h"
+#include "config/snapshot_writer.h"
 #include "costs.h"
 #include "entry/config_index.h"
 #include "meter.h"
@@ -96,7 +97,7 @@
   auto value_bytes = static_cast<double>(HeapBytes() - empty);
   Snapshot snapshot;
   double encode =
-      Milliseconds([&] { snapshot = config::EncodeSnapshot(fleet); });
+      Milliseconds([&] { snapshot = config::EncodeSnapshot(fleet, {}); });
 
   bool ok = false;
   config::Assembler assembler;
@@ -105,7 +106,7 @@
   Configuration changed = fleet;
   changed.version = 2;
   changed.workspaces[workspaces / 2].limits.weight = 9;
-  Snapshot next = config::EncodeSnapshot(changed);
+  Snapshot next = config::EncodeSnapshot(changed, {fleet, snapshot});
   double change =
       Milliseconds([&] { ok = ok && assembler.Assemble(2, next).ok(); });
   Snapshot fresh = Difference(snapshot, next);
