Membership: a new version in force is no news of a member

Cause: with a new version every 15 s, 350 hosts passed each other on as news and crowded out the deaths. Ruled out: more news per message, which costs bytes at every probe. Decisions are unchanged.

--- a/src/member/membership.cc
+++ b/src/member/membership.cc
@@ -223,10 +223,17 @@
   MemberState before = first ? MemberState::kDead : entry.member.state;
   std::uint64_t revision = std::max(news.revision, entry.member.revision);
   bool same_start = entry.member.incarnation == news.incarnation;
+  // A new version in force is no news of a member: hosts hear of versions from
+  // every probe, and passing 350 of them on at each change would crowd out the
+  // deaths, which then took minutes to reach all.
+  Member told = news;
+  told.config_version = entry.member.config_version;
+  told.revision = entry.member.revision;
+  bool worth_telling = first || told != entry.member;
   entry.member = news;
   if (same_start) entry.member.revision = revision;
   entry.heard = true;
-  entry.news_left = NewsRounds();
+  if (worth_telling) entry.news_left = NewsRounds();
   ++changes_;
   if (news.config_version > newest_config_) {
     newest_config_ = news.config_version;
