--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -147,6 +147,7 @@
   if (fleet_.pool(waiting.pool).open.empty()) return best;
   if ((*search.closed_pools)[waiting.pool]) return best;
   const PrefixCache::Lookup lookup = cache_.Find(waiting.marks);
+  const bool patient = !waiting.marks.empty() && Patient(waiting, now);
   const Choice choice{
       .waiting = waiting,
       .reserves = reserves,
@@ -156,8 +157,8 @@
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
       .output = JudgedOutput(waiting, search.contended),
       .hopeful = search.hopeful,
-      .patient = Patient(waiting, now),
-      .best_cached = BestCached(lookup, now)};
+      .patient = patient,
+      .best_cached = patient ? BestCached(lookup, now) : 0};
   Collect(waiting, search, lookup);
   double best_score = std::numeric_limits<double>::infinity();
   for (const ServerIndex server : candidates_) {
