--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -26,9 +26,9 @@
 
 // Delay scheduling, as known from clusters that store data: to wait a little
 // for the server that has the data is better than to compute it again
-// elsewhere. The more so the more waste weighs; never for more than half
-// of the time until it becomes urgent.
-constexpr absl::Duration kPatience = absl::Seconds(12);
+// elsewhere, for goodput as well as for waste. Never for more than half of the
+// time until it becomes urgent.
+constexpr absl::Duration kPatience = absl::Seconds(10);
 constexpr double kWorthWaiting = 512;  // Tokens: a tenth of a second.
 constexpr double kMostOfIt = 0.5;
 
@@ -105,10 +105,8 @@
 }
 
 bool Placer::Patient(const Waiting& waiting, absl::Time now) const {
-  const double weight =
-      weights_.wasted_prefill / (weights_.wasted_prefill + weights_.goodput);
   const absl::Duration patience =
-      std::min(kPatience * weight, (waiting.urgent_at - waiting.since) / 2);
+      std::min(kPatience, (waiting.urgent_at - waiting.since) / 2);
   return now - waiting.since < patience;
 }
 
