--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -26,9 +26,9 @@
 
 // Delay scheduling, as known from clusters that store data: to wait a little
 // for the server that has the data is better than to compute it again
-// elsewhere. The more so the more waste weighs; never for more than half
-// of the time until it becomes urgent.
-constexpr absl::Duration kPatience = absl::Seconds(12);
+// elsewhere, for goodput as well as for waste. Never for more than half of the
+// time until it becomes urgent.
+constexpr absl::Duration kPatience = absl::Seconds(10);
 constexpr double kWorthWaiting = 512;  // Tokens: a tenth of a second.
 constexpr double kMostOfIt = 0.5;
 
@@ -105,10 +105,8 @@
 }
 
 bool Placer::Patient(const Waiting& waiting, absl::Time now) const {
-  const double weight =
-      weights_.wasted_prefill / (weights_.wasted_prefill + weights_.goodput);
   const absl::Duration patience =
-      std::min(kPatience * weight, (waiting.urgent_at - waiting.since) / 2);
+      std::min(kPatience, (waiting.urgent_at - waiting.since) / 2);
   return now - waiting.since < patience;
 }
 
@@ -147,6 +145,7 @@
   if (fleet_.pool(waiting.pool).open.empty()) return best;
   if ((*search.closed_pools)[waiting.pool]) return best;
   const PrefixCache::Lookup lookup = cache_.Find(waiting.marks);
+  const bool patient = !waiting.marks.empty() && Patient(waiting, now);
   const Choice choice{
       .waiting = waiting,
       .reserves = reserves,
@@ -156,8 +155,8 @@
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
       .output = JudgedOutput(waiting, search.contended),
       .hopeful = search.hopeful,
-      .patient = Patient(waiting, now),
-      .best_cached = BestCached(lookup, now)};
+      .patient = patient,
+      .best_cached = patient ? BestCached(lookup, now) : 0};
   Collect(waiting, search, lookup);
   double best_score = std::numeric_limits<double>::infinity();
   for (const ServerIndex server : candidates_) {
