--- a/src/orders/order_runner.h
+++ b/src/orders/order_runner.h
@@ -240,6 +240,7 @@
     ServerView& view = views_[id];
     work.busy = false;
     view.state.reset();
+    CountFailure(&view, result.ok());
     if (result.ok()) view.state = result.value();
     view.seen = asked;
     bool idle = !IsOpen(id);
@@ -253,6 +254,10 @@
     work.phase = Phase::kSend;
   }
 
+  static void CountFailure(ServerView* view, bool answered) {
+    view->failures = answered ? 0 : view->failures + 1;
+  }
+
   void AskLater(Work* work) {
     work->phase = Phase::kAsk;
     work->due = now_() + options_.poll_every;
@@ -268,6 +273,7 @@
     works_[id].busy = true;
     engine_->ReadProgress(id, views_[id].step->order,
                           Guard([this, id](Outcome<OrderProgress> result) {
+                            CountFailure(&views_[id], result.ok());
                             OnProgress(&works_[id], result);
                           }));
   }
--- a/src/orders/order_runner_test.cc
+++ b/src/orders/order_runner_test.cc
@@ -407,6 +407,20 @@
   BOOST_TEST(!Safe(unload, *configuration, views, {}, now));
 }
 
+// A server dies for good with its step open. Were the step to keep its place,
+// no other server of the site would ever be loaded again.
+BOOST_AUTO_TEST_CASE(DeadServerHoldsUpNoOther) {
+  auto configuration = Swap(Fencing::kChecks);
+  SequenceOptions one_load{.max_loads = 1};
+  absl::Time now = absl::UnixEpoch();
+  Views views;
+  views[ServerId("s1")].step = StepRow{"x", OrderKind::kLoad, ModelId("m2")};
+  views[ServerId("s2")] = {EngineState{{ModelId("m2")}}, now};
+  BOOST_TEST(NextSteps(*configuration, views, one_load, now).steps.empty());
+  views[ServerId("s1")].failures = 3;
+  BOOST_TEST(NextSteps(*configuration, views, one_load, now).steps.size() == 1);
+}
+
 // A holder that hasn't yet heard of the newest configuration takes over. Going
 // by its old one, it would undo what was confirmed.
 BOOST_AUTO_TEST_CASE(OlderConfigurationWaits) {
--- a/src/orders/sequence.cc
+++ b/src/orders/sequence.cc
@@ -113,13 +113,15 @@
   }
 };
 
-// Of servers that are configured: nobody counts on another, nor can ask it.
+// Of servers that are configured and answer. One that is dead for good would
+// hold up the whole site; and it isn't counted on either, so nothing is lost.
 UnderWay CountOpen(const config::Configuration& configuration,
-                   const Views& views) {
+                   const Views& views, const SequenceOptions& options) {
   UnderWay under_way;
   for (const config::ServerConfig& server : configuration.servers) {
     auto view = views.find(server.spec.id);
     if (view == views.end() || !IsOpen(view->second)) continue;
+    if (view->second.failures >= options.silent_after) continue;
     under_way.Add(*view->second.step);
   }
   return under_way;
@@ -130,8 +132,8 @@
 bool TakesOrders(const config::Configuration& configuration,
                  const config::ServerConfig& server) {
   for (const config::ServiceConfig& one : configuration.services) {
-    if (one.id == server.service)
-      return one.kind == config::ServiceKind::kModel;
+    if (one.id != server.service) continue;
+    return one.kind == config::ServiceKind::kModel;
   }
   return false;
 }
@@ -190,7 +192,7 @@
                     const Views& views, const SequenceOptions& options,
                     absl::Time now) {
   Startable startable;
-  UnderWay under_way = CountOpen(configuration, views);
+  UnderWay under_way = CountOpen(configuration, views, options);
   for (const config::ServerConfig& server : configuration.servers) {
     if (!TakesOrders(configuration, server)) continue;
     auto found = views.find(server.spec.id);
--- a/src/orders/sequence.h
+++ b/src/orders/sequence.h
@@ -29,6 +29,9 @@
   int max_loads = 2;
   // An older view of another server isn't counted on.
   absl::Duration fresh = absl::Seconds(10);
+  // Calls in a row that a server must fail before its open step takes no room
+  // from others: fewer, and lost answers alone would overrun the bounds.
+  int silent_after = 3;
   bool operator==(const SequenceOptions&) const = default;
 };
 
@@ -36,7 +39,8 @@
 struct ServerView {
   std::optional<EngineState> state;  // Nothing: it doesn't answer.
   absl::Time seen = absl::InfinitePast();
-  std::optional<StepRow> step;                   // The last one.
+  std::optional<StepRow> step;  // The last one.
+  int failures = 0;             // Calls in a row without an answer.
   absl::Time not_before = absl::InfinitePast();  // For the next step.
   bool operator==(const ServerView&) const = default;
 };
