Orders: a test of an engine that says done and isn't

Cause: with the look after an order taken out, or with the same id kept for the next try, every test still passed.

Change: a test in which an engine's first two orders end without effect. No code changed.

--- a/src/orders/order_runner_test.cc
+++ b/src/orders/order_runner_test.cc
@@ -23,6 +23,7 @@
   std::map<std::string, absl::Time> orders;  // When each is done.
   std::map<std::string, Order> running;
   std::map<ModelId, int> loads;
+  int without_effect = 0;  // So many orders end as done, and change nothing.
 };
 
 // One site; `events` counts writes and orders, so that a test can stop a host
@@ -57,6 +58,7 @@
   }
 
   static void CarryOut(FakeEngine* engine, const Order& order) {
+    if (engine->without_effect-- > 0) return;
     if (order.kind == OrderKind::kRole) engine->state.role = order.role;
     if (order.kind == OrderKind::kLoad) {
       engine->state.models.push_back(order.model);
@@ -407,6 +409,18 @@
   BOOST_TEST(!Safe(unload, *configuration, views, {}, now));
 }
 
+// An engine says that an order is done, and its state shows that it isn't.
+// Taken at its word, the next unload would count on it; sent again under the
+// same id, the order would be taken for the old one and the model never come.
+BOOST_AUTO_TEST_CASE(DoneWithoutEffectIsTriedAnew) {
+  Site site(Fencing::kChecks, {"a"});
+  site.world.engines[ServerId("s1")].without_effect = 2;
+  site.Run(kLong);
+  BOOST_TEST(site.runners[0]->counters().failed == 2);
+  BOOST_TEST(site.runners[0]->counters().done == 4);
+  site.CheckSwapped();
+}
+
 // A server dies for good with its step open. Were the step to keep its place,
 // no other server of the site would ever be loaded again.
 BOOST_AUTO_TEST_CASE(DeadServerHoldsUpNoOther) {
