Orders wired into the entry host; status and metrics of dispatchers

Cause: the orders' runner had no engines, and operators could not see queues, windows, watts and wasted prefill. One lease for the site; the holder brings engines to the configuration in force. A draining host lets the lease lapse. Reading of foreign JSON stands once (json_read).

--- a/src/entry/claims.h
+++ b/src/entry/claims.h
@@ -26,11 +26,6 @@
   Peers* peers_;
 };
 
-// Right before a dispatch the time of that moment counts, not of the round.
-struct LoopClock {
-  absl::Time operator()() const { return ControlLoop::MonotonicNow(); }
-};
-
 using Claims = claim::ClaimTable<platform::Client, PeerAsker, LoopClock>;
 
 // Adds the method by which peers ask.
--- a/src/entry/control_loop.h
+++ b/src/entry/control_loop.h
@@ -52,6 +52,12 @@
   std::thread thread_;
 };
 
+// The time of the very moment, for what is checked right before an action; the
+// loop's own time is that of the round.
+struct LoopClock {
+  absl::Time operator()() const { return ControlLoop::MonotonicNow(); }
+};
+
 }  // namespace gentianlb::entry
 
 #endif  // GENTIANLB_ENTRY_CONTROL_LOOP_H_
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -163,6 +163,12 @@
     follower_->OnNews(version, settings_.id, loop_.now());
   });
 
+  engines_ =
+      std::make_unique<EngineClient>(&loop_, &control_client_, &recorder_);
+  orders_ = std::make_unique<Orders>(orders::RunnerOptions(), settings_.id,
+                                     incarnation_, platform_.get(),
+                                     engines_.get(), LoopClock());
+
   peers_->Register(&peer_methods_);
   RegisterClaims(&peer_methods_, claims_.get());
   RegisterConfigRows(&peer_methods_, follower_.get());
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -15,6 +15,7 @@
 #include "entry/config_link.h"
 #include "entry/control_loop.h"
 #include "entry/dispatch_board.h"
+#include "entry/engine_client.h"
 #include "entry/metrics.h"
 #include "entry/peers.h"
 #include "entry/server_poller.h"
@@ -84,8 +85,12 @@
   Json::Value Status() const;
   Json::Value StatusOfHosts() const;
   Json::Value StatusOfDomains() const;
+  Json::Value StatusOfServers(const Domain& domain,
+                              const schedule::Dispatcher& dispatcher) const;
   config::PlanState PlanState() const;
   void CollectGauges();
+  void CollectDispatcher(const Domain& domain,
+                         const schedule::Dispatcher& dispatcher);
 
   const settings::HostSettings settings_;
   const Incarnation incarnation_;
@@ -106,6 +111,8 @@
   std::unique_ptr<ConfigLink> config_link_;
   std::unique_ptr<Follower> follower_;
   std::unique_ptr<config::Service<platform::Client>> config_service_;
+  std::unique_ptr<EngineClient> engines_;
+  std::unique_ptr<Orders> orders_;
   rpc::AsyncMethodTable peer_methods_;
   rpc::AsyncMethodTable operator_methods_;
   bool ready_logged_ = false;
--- a/src/entry/entry_host_parts.cc
+++ b/src/entry/entry_host_parts.cc
@@ -19,20 +19,6 @@
 // Dispatchers must know of a leaving server within 3 s of the platform's list.
 constexpr absl::Duration kLongestListPeriod = absl::Seconds(2);
 
-std::string_view HealthName(schedule::ServerHealth health) {
-  switch (health) {
-    case schedule::ServerHealth::kAlive:
-      return "alive";
-    case schedule::ServerHealth::kSuspect:
-      return "suspect";
-    case schedule::ServerHealth::kDead:
-      return "dead";
-    case schedule::ServerHealth::kLeaving:
-      return "leaving";
-  }
-  return "unknown";
-}
-
 EventKind KindOf(schedule::ServerHealth health) {
   switch (health) {
     case schedule::ServerHealth::kAlive:
@@ -60,6 +46,8 @@
   board_->Advance(now);
   if (claims_->NextWakeup() <= now) claims_->OnTimer();
   if (follower_->NextDue() <= now) follower_->Tick(now);
+  // A host that drains lets its lease on orders lapse.
+  if (!draining_.load() && orders_->NextDue() <= now) orders_->Tick();
   bool ready = follower_->ready() && follower_->current_version() > 0;
   if (ready && !ready_logged_) {
     ready_logged_ = true;
@@ -194,6 +182,9 @@
   LOG(INFO) << "event=configuration-in-force version=" << version;
   peers_->SetConfigVersion(in_force->configuration.version);
   calls_->Configure(index);
+  engines_->Configure(index);
+  orders_->SetConfig(std::shared_ptr<const config::Configuration>(
+      in_force, &in_force->configuration));
   board_->Configure(index, loop_.now());
   domain_by_role_.clear();
   std::vector<member::RoleSpec> roles;
--- a/src/entry/entry_host_rpc.cc
+++ b/src/entry/entry_host_rpc.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <array>
 #include <utility>
 
 #include "entry/entry_host.h"
@@ -10,6 +11,11 @@
 namespace gentianlb::entry {
 namespace {
 
+// In the order of schedule::WasteCause.
+constexpr std::array<std::string_view, schedule::kWasteCauses>
+    kWasteCauseNames = {"caller-gone", "deadline-missed", "power-share",
+                        "preempted", "server-broke"};
+
 std::string_view StateName(member::MemberState state) {
   switch (state) {
     case member::MemberState::kAlive:
@@ -91,6 +97,13 @@
   status["claims"]["attached"] = Json::UInt64{claims.attached};
   status["claims"]["resumed"] = Json::UInt64{claims.resumed};
   status["claims"]["refused"] = Json::UInt64{claims.refused};
+  const orders::RunnerCounters& orders = orders_->counters();
+  status["orders"]["holder"] = orders.holder;
+  status["orders"]["sent"] = Json::Int64{orders.sent};
+  status["orders"]["done"] = Json::Int64{orders.done};
+  status["orders"]["failed"] = Json::Int64{orders.failed};
+  status["orders"]["open"] = orders.open;
+  status["orders"]["held_back"] = orders.held_back;
   return status;
 }
 
@@ -110,11 +123,31 @@
     json["service"] = domain.service.str();
     json["zone"] = domain.zone.str();
     json["dispatcher"] = board_->HolderOf(domain).str();
+    if (const schedule::Dispatcher* held = board_->DispatcherOf(domain)) {
+      json["waiting"] = static_cast<Json::UInt64>(held->waiting());
+      json["running"] = static_cast<Json::UInt64>(held->running());
+      json["share_watts"] = held->share_watts();
+      json["worst_watts"] = held->worst_watts();
+      json["servers"] = StatusOfServers(domain, *held);
+    }
     domains.append(std::move(json));
   }
   return domains;
 }
 
+Json::Value EntryHost::StatusOfServers(
+    const Domain& domain, const schedule::Dispatcher& dispatcher) const {
+  Json::Value servers(Json::arrayValue);
+  for (const auto& spec : config()->Servers(domain.service, domain.zone)) {
+    Json::Value json;
+    json["server"] = spec.id.str();
+    json["health"] = std::string(HealthName(poller_->HealthOf(spec.id)));
+    json["window"] = dispatcher.window(spec.id);
+    servers.append(std::move(json));
+  }
+  return servers;
+}
+
 config::PlanState EntryHost::PlanState() const {
   config::PlanState state;
   state.in_force = follower_->current()->configuration;
@@ -148,6 +181,43 @@
   claim_count("attached", claims.attached);
   claim_count("resumed", claims.resumed);
   claim_count("refused", claims.refused);
+  for (const Domain& domain : board_->Held()) {
+    CollectDispatcher(domain, *board_->DispatcherOf(domain));
+  }
+}
+
+void EntryHost::CollectDispatcher(const Domain& domain,
+                                  const schedule::Dispatcher& dispatcher) {
+  const schedule::Counters& counters = dispatcher.counters();
+  const prometheus::Labels labels = {{"service", domain.service.str()},
+                                     {"zone", domain.zone.str()}};
+  auto set = [&](const char* name, const char* help, double value) {
+    metrics_.Set(std::string("gentianlb_dispatcher_") + name, help, labels,
+                 value);
+  };
+  set("waiting", "Requests that wait for a server",
+      static_cast<double>(dispatcher.waiting()));
+  set("running", "Requests on servers, those in doubt too",
+      static_cast<double>(dispatcher.running()));
+  set("share_watts", "What the servers may draw", dispatcher.share_watts());
+  set("worst_watts", "What they may draw at worst as granted",
+      dispatcher.worst_watts());
+  set("inversions", "Refusals of a tier while a lower one waited",
+      static_cast<double>(counters.inversions));
+  set("prefill_tokens", "Prompt tokens computed", counters.prefill_computed);
+  for (std::size_t i = 0; i < schedule::kWasteCauses; ++i) {
+    prometheus::Labels by_cause = labels;
+    by_cause["cause"] = std::string(kWasteCauseNames[i]);
+    metrics_.Set("gentianlb_dispatcher_prefill_wasted_tokens",
+                 "Prompt tokens computed and thrown away, by cause", by_cause,
+                 counters.prefill_wasted[i]);
+  }
+  for (const auto& spec : config()->Servers(domain.service, domain.zone)) {
+    prometheus::Labels by_server = labels;
+    by_server["server"] = spec.id.str();
+    metrics_.Set("gentianlb_server_window", "Streams a server may hold",
+                 by_server, dispatcher.window(spec.id));
+  }
 }
 
 }  // namespace gentianlb::entry
--- a/src/entry/server_call.cc
+++ b/src/entry/server_call.cc
@@ -2,9 +2,10 @@
 
 #include <json/json.h>
 
-#include <memory>
 #include <utility>
 
+#include "entry/json_read.h"
+
 namespace gentianlb::entry {
 namespace {
 
@@ -80,20 +81,15 @@
   if (reply.end != http::TransferEnd::kComplete || reply.status != 200) {
     return Error{Code::kServerUnreachable, reply.detail};
   }
-  Json::CharReaderBuilder builder;
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value body;
-  const std::string& text = reply.body;
-  bool parsed =
-      reader->parse(text.data(), text.data() + text.size(), &body, nullptr);
-  if (!parsed || !body.isObject() || !body["streams"].isArray()) {
+  Json::Value body = ParseObjectOr(reply.body);
+  if (!body["streams"].isArray()) {
     return Error{Code::kServerBroke, "the list of streams does not parse"};
   }
   for (const Json::Value& json : body["streams"]) {
     if (!json.isObject() || !json["id"].isString()) continue;
     EngineStream stream;
     stream.id = json["id"].asString();
-    stream.tokens = json["tokens"].isInt() ? json["tokens"].asInt() : 0;
+    stream.tokens = static_cast<int>(NumberOr(json["tokens"], 0));
     stream.done = json["done"].isBool() && json["done"].asBool();
     return std::optional(std::move(stream));
   }
--- a/src/entry/server_poller.cc
+++ b/src/entry/server_poller.cc
@@ -3,9 +3,10 @@
 #include <json/json.h>
 
 #include <charconv>
-#include <memory>
 #include <utility>
 
+#include "entry/json_read.h"
+
 namespace gentianlb::entry {
 namespace {
 
@@ -18,26 +19,6 @@
 // sooner; see ServerWatch.
 constexpr absl::Duration kPollTimeout = absl::Seconds(1);
 
-Json::Value ParseObject(const std::string& text) {
-  Json::CharReaderBuilder builder;
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  try {
-    if (reader->parse(text.data(), text.data() + text.size(), &value,
-                      nullptr) &&
-        value.isObject()) {
-      return value;
-    }
-  } catch (const Json::Exception&) {
-    // Too deeply nested: as good as no answer.
-  }
-  return Json::Value(Json::objectValue);
-}
-
-std::int64_t NumberOr(const Json::Value& value, std::int64_t preset) {
-  return value.isInt64() ? value.asInt64() : preset;
-}
-
 std::vector<schedule::PrefixHash> ReadHashes(const Json::Value& list) {
   std::vector<schedule::PrefixHash> hashes;
   if (!list.isArray()) return hashes;
@@ -143,7 +124,7 @@
   auto found = watched_.find(id);
   if (found == watched_.end() || found->second.generation != generation) return;
   Watched& watched = found->second;
-  Json::Value body = ParseObject(reply.body);
+  Json::Value body = ParseObjectOr(reply.body);
   PollEnd end = Judge(reply, body);
   Report(id, watched, watched.watch.OnPoll(end, loop_->now()));
   if (end != PollEnd::kAnswered && end != PollEnd::kAnsweredLeaving) return;
@@ -177,7 +158,7 @@
   if (found == watched_.end() || found->second.generation != generation) return;
   if (reply.end != http::TransferEnd::kComplete || reply.status != 200) return;
   Watched& watched = found->second;
-  Json::Value body = ParseObject(reply.body);
+  Json::Value body = ParseObjectOr(reply.body);
   if (!body["events"].isArray()) return;
   for (const Json::Value& json : body["events"]) {
     if (!json.isObject()) continue;
--- a/src/entry/server_watch.cc
+++ b/src/entry/server_watch.cc
@@ -18,6 +18,20 @@
 
 }  // namespace
 
+std::string_view HealthName(ServerHealth health) {
+  switch (health) {
+    case ServerHealth::kAlive:
+      return "alive";
+    case ServerHealth::kSuspect:
+      return "suspect";
+    case ServerHealth::kDead:
+      return "dead";
+    case ServerHealth::kLeaving:
+      return "leaving";
+  }
+  return "unknown";
+}
+
 std::optional<ServerHealth> ServerWatch::OnPoll(PollEnd end, absl::Time now) {
   bool answered = end == PollEnd::kAnswered || end == PollEnd::kAnsweredLeaving;
   if (answered) {
--- a/src/entry/server_watch.h
+++ b/src/entry/server_watch.h
@@ -6,6 +6,7 @@
 #define GENTIANLB_ENTRY_SERVER_WATCH_H_
 
 #include <optional>
+#include <string_view>
 
 #include "absl/time/time.h"
 #include "schedule/messages.h"
@@ -19,6 +20,9 @@
   kSilent,           // No answer in time: frozen, or cut off.
 };
 
+// In lower case, for status and logs.
+std::string_view HealthName(schedule::ServerHealth health);
+
 class ServerWatch {
  public:
   // Takes the end of a poll; returns the new health when it changes.
