Decisions: silence says nothing of a plain service's call

Cause: plain calls take from 0.2 s to 8 s and show nothing before their end; an overdue one cut its server's window, so that calls waited beside idle servers and were refused or shed (gentianctl bench, found in the replay's trial). Ruled out: a larger factor on the mean of the calls, which was in place and still cut windows before the mean was learnt. Change: no silence limit for plain calls; a slow server shows in the mean of its calls, a dead one in its polls. Model services unchanged.

--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -33,7 +33,6 @@
 // the prompts ahead, and some seconds for what no prediction covers.
 constexpr double kSilenceFactor = 4;
 constexpr double kSilenceSeconds = 2;
-constexpr double kCallSilenceFactor = 20;
 
 // By tier; inside a tier the lanes take turns to be first, or the pool that
 // happens to be numbered first would get all the power.
@@ -241,10 +240,14 @@
                                 : server.FirstTokenSeconds(prompt, now);
   running.granted = now;
   running.reported = now;
-  // Calls of a plain service show nothing before their end, and differ more.
-  const double silence = demand.plain ? kCallSilenceFactor : kSilenceFactor;
+  // A call of a plain service shows nothing before its end, and may take any
+  // time: silence says nothing. A slow server shows in the mean of its calls,
+  // and a dead one is judged by those who poll it.
   running.overdue =
-      now + absl::Seconds(kSilenceSeconds + silence * running.predicted_first);
+      demand.plain
+          ? absl::InfiniteFuture()
+          : now + absl::Seconds(kSilenceSeconds +
+                                kSilenceFactor * running.predicted_first);
 
   server.Begin(demand, now);
   state_.power.Begin(placement.server, /*prefilling=*/true);
