--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -322,7 +322,12 @@
 }
 
 Finished Deployment::Operate(std::vector<std::string> arguments) {
-  arguments.insert(arguments.end(), {"--host", hosts_.at(0).control});
+  return OperateAt(0, std::move(arguments));
+}
+
+Finished Deployment::OperateAt(std::size_t host,
+                               std::vector<std::string> arguments) {
+  arguments.insert(arguments.end(), {"--host", hosts_.at(host).control});
   return RunGentianctl(std::move(arguments));
 }
 
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -88,6 +88,7 @@
 
   // Runs gentianctl against entry host 0.
   Finished Operate(std::vector<std::string> arguments);
+  Finished OperateAt(std::size_t host, std::vector<std::string> arguments);
   // The merged time line of all entry hosts.
   Finished Timeline(std::vector<std::string> arguments = {});
   // Plans and confirms an intent file.
