--- /dev/null
+++ b/src/claim/sweeper_test.cc
@@ -0,0 +1,103 @@
+#include "claim/sweeper.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <map>
+
+namespace gentianlb::claim {
+namespace {
+
+absl::Time At(double hours) {
+  return absl::UnixEpoch() + absl::Hours(1000) + absl::Hours(hours);
+}
+
+// A table in memory that answers at once.
+class FakeTable {
+ public:
+  void Commit(const platform::Transaction& transaction,
+              const std::function<void(platform::CommitResult)>& done) {
+    for (const platform::Condition& condition : transaction.conditions) {
+      if (rows.at(condition.key).version != condition.version) {
+        done({platform::CommitState::kConflict, {condition.key}, {}});
+        return;
+      }
+    }
+    for (const platform::Write& write : transaction.writes) {
+      rows.erase(write.key);
+    }
+    done({platform::CommitState::kCommitted, {}, {}});
+  }
+  void Read(const std::vector<std::string>& /*keys*/,
+            const std::function<void(platform::ReadResult)>& /*done*/) {}
+  void Scan(const std::string& prefix,
+            const std::function<void(platform::ReadResult)>& done) {
+    std::vector<platform::Row> found;
+    for (const auto& [key, row] : rows) {
+      if (key.starts_with(prefix)) found.push_back(row);
+    }
+    if (before_answer) before_answer();
+    done(found);
+  }
+
+  void Put(const std::string& digits, absl::Time written) {
+    ClaimRow claim;
+    claim.token = "t";
+    claim.written = written;
+    std::string key = RowKey(ClaimKey(digits));
+    rows[key] = {key, Encode(claim), 1};
+  }
+
+  std::map<std::string, platform::Row> rows;
+  std::function<void()> before_answer;
+};
+
+void SweepAll(Sweeper<FakeTable>* sweeper, double from_hours) {
+  absl::Time now = At(from_hours);
+  for (int i = 0; i < kSlices; ++i) {
+    sweeper->Tick(now);
+    now = sweeper->NextDue();
+  }
+}
+
+// Months of keyed requests pile up in the table. What is older than three
+// days goes; a permit check of this morning is still known.
+BOOST_AUTO_TEST_CASE(OldRowsGoAndFreshOnesStay) {
+  FakeTable table;
+  for (const char* digits : {"00a", "7f1", "ffe"}) table.Put(digits, At(0));
+  table.Put("00b", At(70));
+  Sweeper<FakeTable> sweeper({}, EntryHostId("a"), &table);
+  SweepAll(&sweeper, 73);
+  BOOST_TEST(table.rows.size() == 1U);
+  BOOST_TEST(table.rows.contains(RowKey(ClaimKey("00b"))));
+  BOOST_TEST(sweeper.deleted() == 3U);
+}
+
+// A host takes an old row over at the very moment in which it is swept. Its
+// claim must stand, or the key could be run twice.
+BOOST_AUTO_TEST_CASE(ARowThatHasChangedIsNotDeleted) {
+  FakeTable table;
+  table.Put("00a", At(0));
+  table.before_answer = [&] { table.rows.begin()->second.version = 2; };
+  Sweeper<FakeTable> sweeper({}, EntryHostId("a"), &table);
+  sweeper.Tick(At(73));
+  BOOST_TEST(table.rows.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(EachSliceIsSweptByOneOfTheLivingHosts) {
+  std::vector<EntryHostId> hosts = {EntryHostId("a"), EntryHostId("b"),
+                                    EntryHostId("c")};
+  for (int slice = 0; slice < kSlices; ++slice) {
+    int sweepers = 0;
+    for (const EntryHostId& self : hosts) {
+      std::vector<EntryHostId> others;
+      for (const EntryHostId& host : hosts) {
+        if (host != self) others.push_back(host);
+      }
+      if (SweepsSlice(slice, self, others)) ++sweepers;
+    }
+    BOOST_REQUIRE(sweepers == 1);
+  }
+}
+
+}  // namespace
+}  // namespace gentianlb::claim
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -142,6 +142,8 @@
   asker_ = std::make_unique<PeerAsker>(peers_.get());
   claims_ = std::make_unique<Claims>(claim_options, platform_.get(),
                                      asker_.get(), LoopClock());
+  sweeper_ = std::make_unique<claim::Sweeper<platform::Client>>(
+      claim::SweepOptions(), settings_.id, platform_.get());
   calls_ = std::make_unique<Calls>(
       CallOptions{settings_.id, incarnation_, settings_.zone}, &loop_,
       &traffic_client_, &recorder_, board_.get(), claims_.get(), peers_.get(),
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "base/result.h"
+#include "claim/sweeper.h"
 #include "config/service.h"
 #include "entry/calls.h"
 #include "entry/claims.h"
@@ -107,6 +108,7 @@
   std::unique_ptr<platform::Client> platform_;
   std::unique_ptr<PeerAsker> asker_;
   std::unique_ptr<Claims> claims_;
+  std::unique_ptr<claim::Sweeper<platform::Client>> sweeper_;
   std::unique_ptr<Calls> calls_;
   std::unique_ptr<ConfigLink> config_link_;
   std::unique_ptr<Follower> follower_;
--- a/src/entry/entry_host_parts.cc
+++ b/src/entry/entry_host_parts.cc
@@ -49,6 +49,8 @@
   board_->Advance(now);
   if (claims_->NextWakeup() <= now) claims_->OnTimer();
   if (follower_->NextDue() <= now) follower_->Tick(now);
+  // Not before membership has had time to find the others.
+  if (ready_logged_) sweeper_->Tick(now);
   // A host that drains lets its lease on orders lapse.
   if (!draining_.load() && orders_->NextDue() <= now) orders_->Tick();
   bool ready = follower_->ready() && follower_->current_version() > 0;
@@ -146,13 +148,15 @@
 // among all.
 void EntryHost::UpdatePeers() {
   std::vector<EntryHostId> others;
-  int living = 1;
+  std::vector<EntryHostId> living;
   for (const member::Member& member : peers_->membership().Others()) {
     others.push_back(member.id);
-    if (member.state != member::MemberState::kDead) ++living;
+    bool lives = member.state != member::MemberState::kDead;
+    if (lives) living.push_back(member.id);
   }
+  platform_->SetLiveHosts(static_cast<int>(living.size()) + 1);
   claims_->SetPeers(std::move(others));
-  platform_->SetLiveHosts(living);
+  sweeper_->SetPeers(std::move(living));
 }
 
 void EntryHost::OnRole(const member::RoleBoard::Change& change) {
