Shutdown ends transfers before what they refer to; one thing stands once

Cause, by reading: at its end an entry host destroyed its parts before its HTTP clients, whose last transfers call into the parts; probes are nearly always under way, so a drained host could crash on its last step. Change: clients stop first. Polls, claim verdicts and the reading of foreign JSON each stand once. The module that cancels begun work has the field's name, preempt. Decisions are unchanged.

--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -512,7 +512,7 @@
 }
 
 // Two hosts that ask each other about the same key must not both go on, nor
-// both give way to the other for ever: a row goes before none, and then the
+// both yield to the other for ever: a row goes before none, and then the
 // lower name goes first.
 bool ClaimMachine::Yields(const Claim& holder,
                           const PeerQuestion& question) const {
--- a/src/entry/calls.h
+++ b/src/entry/calls.h
@@ -142,6 +142,7 @@
   bool AnswerFromKept(const CallPtr& call);
   void ReadKept(const CallPtr& call, const Kept& kept);
   void OpenClaim(const CallPtr& call);
+  Claims::OnVerdict VerdictHandler(const RequestId& id);
   void OnVerdict(const CallPtr& call, const claim::ClaimVerdict& verdict);
   void Attach(const CallPtr& call, const EntryHostId& owner);
   void AttachFailed(const CallPtr& call);
--- a/src/entry/calls_claim.cc
+++ b/src/entry/calls_claim.cc
@@ -60,15 +60,7 @@
   if (call->request.keys_carry_time) {
     request.key_time = claim::TimeOfKey(call->request.key);
   }
-  // The verdict may be given before Open() returns; the id is not known then.
-  auto on_verdict = [this, id = call->id](claim::ClaimId,
-                                          const claim::ClaimVerdict& verdict) {
-    loop_->Post([this, id, verdict] {
-      CallPtr found = Find(id);
-      if (found != nullptr) OnVerdict(found, verdict);
-    });
-  };
-  call->claim = claims_->Open(std::move(request), std::move(on_verdict));
+  call->claim = claims_->Open(std::move(request), VerdictHandler(call->id));
 }
 
 void Calls::OnVerdict(const CallPtr& call, const claim::ClaimVerdict& verdict) {
@@ -138,14 +130,18 @@
 }
 
 void Calls::AttachFailed(const CallPtr& call) {
-  claims_->FailAttach(
-      call->claim, [this, id = call->id](claim::ClaimId,
-                                         const claim::ClaimVerdict& verdict) {
-        loop_->Post([this, id, verdict] {
-          CallPtr found = Find(id);
-          if (found != nullptr) OnVerdict(found, verdict);
-        });
-      });
+  claims_->FailAttach(call->claim, VerdictHandler(call->id));
+}
+
+// A verdict may be given before the call that asks for it returns; posting it
+// lets the caller of that finish first.
+Claims::OnVerdict Calls::VerdictHandler(const RequestId& id) {
+  return [this, id](claim::ClaimId, const claim::ClaimVerdict& verdict) {
+    loop_->Post([this, id, verdict] {
+      CallPtr found = Find(id);
+      if (found != nullptr) OnVerdict(found, verdict);
+    });
+  };
 }
 
 void Calls::ReadElsewhere(const CallPtr& call, const claim::Resume& resume) {
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -72,11 +72,13 @@
   return host;
 }
 
-// Servers stop first, then the control thread; transfers that end later post to
-// a loop that drops them.
+// What can still call a part stops before the parts are destroyed: servers,
+// then transfers, whose ends refer to the parts, then the control thread.
 EntryHost::~EntryHost() {
   callers_.reset();
   control_.reset();
+  traffic_client_.Stop();
+  control_client_.Stop();
   loop_.Stop();
 }
 
--- a/src/entry/event_stream.cc
+++ b/src/entry/event_stream.cc
@@ -2,9 +2,10 @@
 
 #include <json/json.h>
 
-#include <memory>
 #include <utility>
 
+#include "entry/json_read.h"
+
 namespace gentianlb::entry {
 namespace {
 
@@ -15,34 +16,10 @@
 constexpr std::string_view kDataField = "data:";
 constexpr std::string_view kEndMark = "[DONE]";
 
-Result<Json::Value> ParseChunk(const std::string& data) {
-  Json::CharReaderBuilder builder;
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  std::string errors;
-  try {
-    if (!reader->parse(data.data(), data.data() + data.size(), &value,
-                       &errors)) {
-      return Fail(Code::kServerBroke, "a chunk is not JSON: " + errors);
-    }
-  } catch (const Json::Exception& error) {
-    return Fail(Code::kServerBroke, error.what());
-  }
-  if (!value.isObject()) {
-    return Fail(Code::kServerBroke, "a chunk is not a JSON object");
-  }
-  return value;
-}
-
-// jsoncpp throws on a value of another type; a server's mistake must not.
 int IntOr(const Json::Value& value, int preset) {
   return value.isInt() ? value.asInt() : preset;
 }
 
-std::string TextOr(const Json::Value& value, std::string preset) {
-  return value.isString() ? value.asString() : std::move(preset);
-}
-
 const Json::Value& FirstChoice(const Json::Value& chunk) {
   const Json::Value& choices = chunk["choices"];
   if (!choices.isArray() || choices.empty()) {
@@ -100,7 +77,8 @@
 
 Result<std::optional<StreamChunk>> EventStreamReader::ReadChunk(
     const std::string& data) {
-  BOOST_LEAF_AUTO(json, ParseChunk(data));
+  const Json::Value json = ParseObjectOr(data);
+  if (json.empty()) return Fail(Code::kServerBroke, "a chunk is no object");
   // An engine that crosses two streams sends one caller's words to another.
   // The caller would notice only by reading; these names show it at once.
   if (TextOr(json["request"], "") != engine_request_) {
--- a/src/entry/server_poller.cc
+++ b/src/entry/server_poller.cc
@@ -101,29 +101,35 @@
 }
 
 void ServerPoller::Poll(const ServerId& id) {
-  PollLoad(id);
-  if (watched_.at(id).model) PollCache(id);
+  const Watched& watched = watched_.at(id);
+  Ask(id, "/v1/load", &ServerPoller::OnLoad);
+  if (!watched.model) return;
+  Ask(id, "/v1/cache/events?after=" + std::to_string(watched.cache_sequence),
+      &ServerPoller::OnCache);
 }
 
-void ServerPoller::PollLoad(const ServerId& id) {
+void ServerPoller::Ask(const ServerId& id, const std::string& path,
+                       Handler handler) {
   const Watched& watched = watched_.at(id);
   http::ClientRequest request;
-  request.url = watched.url + "/v1/load";
+  request.url = watched.url + path;
   request.connect_timeout = kPollTimeout;
   request.timeout = kPollTimeout;
   std::uint64_t generation = watched.generation;
-  client_->Fetch(std::move(request), [this, id, generation](http::Reply reply) {
-    loop_->Post([this, id, generation, reply = std::move(reply)] {
-      OnLoad(id, generation, reply);
-    });
-  });
+  client_->Fetch(
+      std::move(request), [this, id, generation, handler](http::Reply reply) {
+        loop_->Post([this, id, generation, handler, reply = std::move(reply)] {
+          // The server may have been taken out, or moved, meanwhile.
+          auto found = watched_.find(id);
+          bool same =
+              found != watched_.end() && found->second.generation == generation;
+          if (same) (this->*handler)(id, found->second, reply);
+        });
+      });
 }
 
-void ServerPoller::OnLoad(const ServerId& id, std::uint64_t generation,
+void ServerPoller::OnLoad(const ServerId& id, Watched& watched,
                           const http::Reply& reply) {
-  auto found = watched_.find(id);
-  if (found == watched_.end() || found->second.generation != generation) return;
-  Watched& watched = found->second;
   Json::Value body = ParseObjectOr(reply.body);
   PollEnd end = Judge(reply, body);
   Report(id, watched, watched.watch.OnPoll(end, loop_->now()));
@@ -137,27 +143,9 @@
   hooks_.on_event(watched.domain, std::move(report));
 }
 
-void ServerPoller::PollCache(const ServerId& id) {
-  const Watched& watched = watched_.at(id);
-  http::ClientRequest request;
-  request.url = watched.url + "/v1/cache/events?after=" +
-                std::to_string(watched.cache_sequence);
-  request.connect_timeout = kPollTimeout;
-  request.timeout = kPollTimeout;
-  std::uint64_t generation = watched.generation;
-  client_->Fetch(std::move(request), [this, id, generation](http::Reply reply) {
-    loop_->Post([this, id, generation, reply = std::move(reply)] {
-      OnCache(id, generation, reply);
-    });
-  });
-}
-
-void ServerPoller::OnCache(const ServerId& id, std::uint64_t generation,
+void ServerPoller::OnCache(const ServerId& id, Watched& watched,
                            const http::Reply& reply) {
-  auto found = watched_.find(id);
-  if (found == watched_.end() || found->second.generation != generation) return;
   if (reply.end != http::TransferEnd::kComplete || reply.status != 200) return;
-  Watched& watched = found->second;
   Json::Value body = ParseObjectOr(reply.body);
   if (!body["events"].isArray()) return;
   for (const Json::Value& json : body["events"]) {
--- a/src/entry/server_poller.h
+++ b/src/entry/server_poller.h
@@ -49,12 +49,12 @@
   };
 
   void Poll(const ServerId& id);
-  void PollLoad(const ServerId& id);
-  void PollCache(const ServerId& id);
-  void OnLoad(const ServerId& id, std::uint64_t generation,
-              const http::Reply& reply);
-  void OnCache(const ServerId& id, std::uint64_t generation,
-               const http::Reply& reply);
+  // Sends a question; `handler` gets the reply if the server is still watched.
+  using Handler = void (ServerPoller::*)(const ServerId& id, Watched& watched,
+                                         const http::Reply& reply);
+  void Ask(const ServerId& id, const std::string& path, Handler handler);
+  void OnLoad(const ServerId& id, Watched& watched, const http::Reply& reply);
+  void OnCache(const ServerId& id, Watched& watched, const http::Reply& reply);
   void Report(const ServerId& id, Watched& watched,
               std::optional<schedule::ServerHealth> health);
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -109,6 +109,8 @@
   absl::flat_hash_map<TransferId, std::unique_ptr<Transfer>> transfers;
   std::thread thread;
 
+  ~Impl() { curl_multi_cleanup(multi); }
+
   void Run() {
     while (true) {
       std::vector<Command> taken;
@@ -252,14 +254,16 @@
   impl_->thread = std::thread([this] { impl_->Run(); });
 }
 
-Client::~Client() {
+Client::~Client() { Stop(); }
+
+void Client::Stop() {
+  if (!impl_->thread.joinable()) return;
   {
     absl::MutexLock lock(&impl_->mutex);
     impl_->stopping = true;
   }
   curl_multi_wakeup(impl_->multi);
   impl_->thread.join();
-  curl_multi_cleanup(impl_->multi);
 }
 
 TransferId Client::Start(ClientRequest request, TransferSink sink) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -67,10 +67,14 @@
 class Client {
  public:
   Client();
-  ~Client();  // Ends all transfers as kCancelled.
+  ~Client();  // Stops.
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
+  // Ends all transfers as kCancelled, and the thread. Later ones never start.
+  // Whoever owns what the sinks refer to calls it before that is destroyed.
+  void Stop();
+
   // Thread-safe.
   TransferId Start(ClientRequest request, TransferSink sink);
   void Cancel(TransferId id);
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -115,6 +115,24 @@
   }
 }
 
+// A host shuts down while a peer has not yet answered it. What the end of the
+// transfer refers to is destroyed next, so the end has to come before that.
+BOOST_AUTO_TEST_CASE(StopEndsWhatIsUnderWay) {
+  std::shared_ptr<Responder> kept;
+  absl::Notification arrived;
+  auto server = StartOrDie({}, [&](Request, auto answer) {
+    kept = answer;
+    arrived.Notify();
+  });
+  Client client;
+  TransferEnd end = TransferEnd::kComplete;
+  client.Fetch({.url = Url(*server, "/")},
+               [&](const Reply& reply) { end = reply.end; });
+  arrived.WaitForNotification();
+  client.Stop();
+  BOOST_TEST((end == TransferEnd::kCancelled));
+}
+
 // Nothing listens: it is certain that no byte left, so another server may be
 // tried without a risk of running the request twice.
 BOOST_AUTO_TEST_CASE(ARefusedConnectionIsCertainlyNotSent) {
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -4,9 +4,9 @@
 #include <variant>
 
 #include "schedule/answers.h"
-#include "schedule/give_way.h"
 #include "schedule/grant.h"
 #include "schedule/intake.h"
+#include "schedule/preempt.h"
 #include "schedule/state.h"
 
 namespace gentianlb::schedule {
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -5,7 +5,7 @@
 #include <utility>
 #include <vector>
 
-#include "schedule/give_way.h"
+#include "schedule/preempt.h"
 
 namespace gentianlb::schedule {
 namespace {
--- a/src/schedule/give_way.cc
+++ b/src/schedule/preempt.cc
@@ -1,4 +1,4 @@
-#include "schedule/give_way.h"
+#include "schedule/preempt.h"
 
 #include <algorithm>
 #include <limits>
@@ -36,7 +36,7 @@
 void EnforceShare(State& state) {
   constexpr int kAll = std::numeric_limits<int>::max();
   while (state.power.MustCancel()) {
-    const RunIndex victim = state.running.FirstToGiveWay(
+    const RunIndex victim = state.running.FirstVictim(
         /*above=*/-1, kAll, [&](const Running& running) {
           return DrawsPower(state.fleet.at(running.server));
         });
@@ -70,7 +70,7 @@
   const Waiting& waiting = state.queue.Get(index);
   if (state.now < waiting.urgent_at) return;
   if (state.preempting >= kMaxPreempting) return;
-  const RunIndex victim = state.running.FirstToGiveWay(
+  const RunIndex victim = state.running.FirstVictim(
       waiting.request.tier.rank, kPreemptTried, [&](const Running& running) {
         const Server& server = state.fleet.at(running.server);
         const bool helps = for_power
--- a/src/schedule/give_way.h
+++ b/src/schedule/preempt.h
@@ -1,4 +1,4 @@
-// Work that has begun and gives way: the share of watts shrank, a higher tier
+// Cancels work that has begun: the share of watts shrank, a higher tier
 // needs the room, or the deadline has passed while others wait.
 //
 // Load pattern: a power drop; urgent work that finds every engine filled with
@@ -6,8 +6,8 @@
 // goes first, in it whoever has computed least, and the deployment's weights
 // say whether it is worth it.
 
-#ifndef GENTIANLB_SCHEDULE_GIVE_WAY_H_
-#define GENTIANLB_SCHEDULE_GIVE_WAY_H_
+#ifndef GENTIANLB_SCHEDULE_PREEMPT_H_
+#define GENTIANLB_SCHEDULE_PREEMPT_H_
 
 #include "schedule/state.h"
 
@@ -25,4 +25,4 @@
 
 }  // namespace gentianlb::schedule
 
-#endif  // GENTIANLB_SCHEDULE_GIVE_WAY_H_
+#endif  // GENTIANLB_SCHEDULE_PREEMPT_H_
--- a/src/schedule/running.cc
+++ b/src/schedule/running.cc
@@ -5,8 +5,8 @@
 
 namespace gentianlb::schedule {
 
-RunningTable::GiveWayKey RunningTable::GiveWay(const Running& running,
-                                               RunIndex index) {
+RunningTable::VictimKey RunningTable::KeyOf(const Running& running,
+                                            RunIndex index) {
   const int thrown =
       running.first_token ? static_cast<int>(running.demand.prefill_tokens) : 0;
   return {-running.origin.request.tier.rank, thrown, index};
@@ -19,7 +19,7 @@
   by_id_.emplace(id, index);
   // A begun call of a plain service can't be stopped.
   if (!added.demand.plain) {
-    give_way_.insert(GiveWay(added, index));
+    victims_.insert(KeyOf(added, index));
     deadlines_.insert({added.origin.request.deadline, index});
   }
   if (!added.first_token) overdue_.insert({added.overdue, index});
@@ -29,7 +29,7 @@
 Running RunningTable::Remove(RunIndex index) {
   const Running& leaving = running_[index];
   by_id_.erase(leaving.origin.request.id);
-  give_way_.erase(GiveWay(leaving, index));
+  victims_.erase(KeyOf(leaving, index));
   deadlines_.erase({leaving.origin.request.deadline, index});
   overdue_.erase({leaving.overdue, index});
   return running_.Remove(index);
@@ -42,10 +42,10 @@
 
 void RunningTable::SetFirstToken(RunIndex index) {
   Running& running = running_[index];
-  const bool listed = give_way_.erase(GiveWay(running, index)) > 0;
+  const bool listed = victims_.erase(KeyOf(running, index)) > 0;
   overdue_.erase({running.overdue, index});
   running.first_token = true;
-  if (listed) give_way_.insert(GiveWay(running, index));
+  if (listed) victims_.insert(KeyOf(running, index));
 }
 
 void RunningTable::SetStreamed(RunIndex index, int tokens, absl::Time now) {
@@ -55,9 +55,9 @@
 
 void RunningTable::SetDemand(RunIndex index, const Demand& demand) {
   Running& running = running_[index];
-  const bool listed = give_way_.erase(GiveWay(running, index)) > 0;
+  const bool listed = victims_.erase(KeyOf(running, index)) > 0;
   running.demand = demand;
-  if (listed) give_way_.insert(GiveWay(running, index));
+  if (listed) victims_.insert(KeyOf(running, index));
 }
 
 void RunningTable::SetOverdue(RunIndex index, absl::Time overdue) {
@@ -73,7 +73,7 @@
 
 void RunningTable::SetCancelled(RunIndex index, WasteCause cause) {
   Running& running = running_[index];
-  give_way_.erase(GiveWay(running, index));
+  victims_.erase(KeyOf(running, index));
   deadlines_.erase({running.origin.request.deadline, index});
   overdue_.erase({running.overdue, index});
   running.cancelled = cause;
--- a/src/schedule/running.h
+++ b/src/schedule/running.h
@@ -1,5 +1,5 @@
 // What was granted and has not ended: the in-doubt part of the dispatcher's
-// picture. Ordered so that whoever has to give way, or is late, is found
+// picture. Ordered so that whoever is to be cancelled, or is late, is found
 // without a search.
 
 #ifndef GENTIANLB_SCHEDULE_RUNNING_H_
@@ -59,12 +59,12 @@
   RunIndex Overdue(absl::Time now) const;
   absl::Time NextOverdue() const;
 
-  // Who gives way first: of the lowest tier, the one with the least prompt work
-  // done. Ranks above `above` only, and only what `accept` takes, looking at no
-  // more than `limit`.
+  // Who is cancelled first: of the lowest tier, the one with the least prompt
+  // work done. Ranks above `above` only, and only what `accept` takes, looking
+  // at no more than `limit`.
   template <typename Accept>
-  RunIndex FirstToGiveWay(int above, int limit, Accept accept) const {
-    for (const auto& [rank, thrown, index] : give_way_) {
+  RunIndex FirstVictim(int above, int limit, Accept accept) const {
+    for (const auto& [rank, thrown, index] : victims_) {
       if (-rank <= above || limit-- == 0) break;
       if (accept(running_[index])) return index;
     }
@@ -76,13 +76,13 @@
 
  private:
   // The deadline orders are small: cancelled and plain calls are left out.
-  using GiveWayKey = std::tuple<int, int, RunIndex>;
+  using VictimKey = std::tuple<int, int, RunIndex>;
 
-  static GiveWayKey GiveWay(const Running& running, RunIndex index);
+  static VictimKey KeyOf(const Running& running, RunIndex index);
 
   Slab<Running> running_;
   absl::flat_hash_map<RequestId, RunIndex> by_id_;
-  absl::btree_set<GiveWayKey> give_way_;  // Minus rank, prompt work done.
+  absl::btree_set<VictimKey> victims_;  // Minus rank, prompt work done.
   absl::btree_set<std::pair<absl::Time, RunIndex>> deadlines_;
   absl::btree_set<std::pair<absl::Time, RunIndex>> overdue_;
 };
