A server that stops ends its suspended answers first

A host whose drain was cut short died by a signal and not with its exit code. Change: the server knows its open answers and aborts them before it stops; the state of an answer has a file of its own. Decisions are unchanged.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -9,186 +9,22 @@
 #include <algorithm>
 #include <atomic>
 #include <cstring>
-#include <deque>
+#include <set>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
+#include "http/answer.h"
 
 namespace gentianlb::http {
 namespace {
 
-// Bytes handed to libmicrohttpd in one call of the stream's reader.
-constexpr std::size_t kStreamBlockBytes = 16 << 10;
-
 bool SameName(std::string_view a, std::string_view b) {
   return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
                                 absl::string_view(b.data(), b.size()));
 }
 
-// The state of one answer, shared by the connection (a server thread) and by
-// whoever answers (any thread). A connection is suspended while there is
-// nothing to send, so that no thread waits on it.
-class Answer {
- public:
-  explicit Answer(MHD_Connection* connection) : connection_(connection) {}
-
-  void Respond(int status, std::vector<Header> headers, std::string body) {
-    absl::MutexLock lock(&mutex_);
-    if (phase_ != Phase::kWaiting) return;
-    status_ = status;
-    headers_ = std::move(headers);
-    buffer_ = std::move(body);
-    phase_ = Phase::kWhole;
-    ResumeLocked();
-  }
-
-  void Begin(int status, std::vector<Header> headers) {
-    absl::MutexLock lock(&mutex_);
-    if (phase_ != Phase::kWaiting) return;
-    status_ = status;
-    headers_ = std::move(headers);
-    phase_ = Phase::kStreaming;
-    ResumeLocked();
-  }
-
-  void Write(std::string_view bytes) {
-    absl::MutexLock lock(&mutex_);
-    if (phase_ != Phase::kStreaming) return;
-    buffer_.append(bytes);
-    ResumeLocked();
-  }
-
-  void Finish() { End(Phase::kFinished); }
-  void Abort() { End(Phase::kAborted); }
-
-  void OnGone(std::function<void()> callback) {
-    {
-      absl::MutexLock lock(&mutex_);
-      if (!gone_) {
-        on_gone_ = std::move(callback);
-        return;
-      }
-    }
-    callback();
-  }
-
-  std::size_t Backlog() const {
-    absl::MutexLock lock(&mutex_);
-    return buffer_.size() - taken_;
-  }
-
-  // The remaining functions are called by server threads.
-
-  // Queues the answer if it has begun, else suspends the connection until it
-  // does.
-  MHD_Result QueueOrSuspend(const std::shared_ptr<Answer>& self) {
-    absl::MutexLock lock(&mutex_);
-    if (phase_ == Phase::kWaiting) {
-      SuspendLocked();
-      return MHD_YES;
-    }
-    if (phase_ == Phase::kAborted) return MHD_NO;
-    MHD_Response* response = nullptr;
-    if (phase_ == Phase::kWhole) {
-      response = MHD_create_response_from_buffer(buffer_.size(), buffer_.data(),
-                                                 MHD_RESPMEM_MUST_COPY);
-    } else {
-      // The reader keeps the answer alive until libmicrohttpd frees it.
-      response = MHD_create_response_from_callback(
-          MHD_SIZE_UNKNOWN, kStreamBlockBytes, &Answer::Read,
-          new std::shared_ptr<Answer>(self), &Answer::FreeReader);
-    }
-    for (const Header& header : headers_) {
-      MHD_add_response_header(response, header.name.c_str(),
-                              header.value.c_str());
-    }
-    MHD_Result queued = MHD_queue_response(
-        connection_, static_cast<unsigned>(status_), response);
-    MHD_destroy_response(response);
-    return queued;
-  }
-
-  // The connection is over, `complete` when the whole answer was sent.
-  void Close(bool complete) {
-    std::function<void()> callback;
-    {
-      absl::MutexLock lock(&mutex_);
-      gone_ = true;
-      suspended_ = false;
-      if (!complete) callback = std::move(on_gone_);
-      on_gone_ = nullptr;
-    }
-    if (callback) callback();
-  }
-
- private:
-  enum class Phase { kWaiting, kWhole, kStreaming, kFinished, kAborted };
-
-  void End(Phase phase) {
-    absl::MutexLock lock(&mutex_);
-    if (phase_ != Phase::kStreaming &&
-        !(phase_ == Phase::kWaiting && phase == Phase::kAborted)) {
-      return;
-    }
-    phase_ = phase;
-    ResumeLocked();
-  }
-
-  void SuspendLocked() {
-    if (suspended_) return;
-    suspended_ = true;
-    MHD_suspend_connection(connection_);
-  }
-
-  void ResumeLocked() {
-    if (!suspended_ || gone_) return;
-    suspended_ = false;
-    MHD_resume_connection(connection_);
-  }
-
-  static ssize_t Read(void* closure, std::uint64_t /*position*/, char* out,
-                      std::size_t room) {
-    auto& self = *static_cast<std::shared_ptr<Answer>*>(closure);
-    absl::MutexLock lock(&self->mutex_);
-    std::size_t ready = self->buffer_.size() - self->taken_;
-    if (ready == 0) {
-      if (self->phase_ == Phase::kFinished) {
-        return MHD_CONTENT_READER_END_OF_STREAM;
-      }
-      if (self->phase_ == Phase::kAborted) {
-        return MHD_CONTENT_READER_END_WITH_ERROR;
-      }
-      self->SuspendLocked();
-      return 0;
-    }
-    std::size_t count = std::min(room, ready);
-    std::memcpy(out, self->buffer_.data() + self->taken_, count);
-    self->taken_ += count;
-    if (self->taken_ == self->buffer_.size()) {
-      self->buffer_.clear();
-      self->taken_ = 0;
-    }
-    return static_cast<ssize_t>(count);
-  }
-
-  static void FreeReader(void* closure) {
-    delete static_cast<std::shared_ptr<Answer>*>(closure);
-  }
-
-  mutable absl::Mutex mutex_;
-  MHD_Connection* const connection_;
-  Phase phase_ = Phase::kWaiting;
-  bool suspended_ = false;
-  bool gone_ = false;
-  int status_ = 500;
-  std::vector<Header> headers_;
-  std::string buffer_;
-  std::size_t taken_ = 0;
-  std::function<void()> on_gone_;
-};
-
 // What the handler holds. Its end without an answer breaks the connection.
 class AnswerHandle : public Responder {
  public:
@@ -304,6 +140,38 @@
   MHD_Daemon* daemon = nullptr;
   std::uint16_t port = 0;
   std::atomic<int> quiesced_socket = -1;
+  absl::Mutex mutex;
+  bool closing ABSL_GUARDED_BY(mutex) = false;
+  std::set<std::shared_ptr<Answer>> open_answers ABSL_GUARDED_BY(mutex);
+
+  // False when the server is closing.
+  bool Open(const std::shared_ptr<Answer>& answer) {
+    absl::MutexLock lock(&mutex);
+    if (closing) return false;
+    open_answers.insert(answer);
+    return true;
+  }
+
+  void Close(const std::shared_ptr<Answer>& answer, bool complete) {
+    {
+      absl::MutexLock lock(&mutex);
+      open_answers.erase(answer);
+    }
+    answer->Close(complete);
+  }
+
+  // libmicrohttpd ends the whole process when it is stopped while a connection
+  // is suspended, as each is that waits for its answer. Aborting an answer
+  // wakes its connection, and an aborted one is never suspended again.
+  void AbortAll() {
+    std::set<std::shared_ptr<Answer>> taken;
+    {
+      absl::MutexLock lock(&mutex);
+      closing = true;
+      taken.swap(open_answers);
+    }
+    for (const auto& answer : taken) answer->Abort();
+  }
 
   MHD_Result Receive(MHD_Connection* connection, const char* method,
                      const char* path, const char* upload,
@@ -344,6 +212,10 @@
 
   void HandOver(Exchange& exchange) {
     exchange.handed_over = true;
+    if (!Open(exchange.answer)) {
+      exchange.answer->Abort();
+      return;
+    }
     auto responder = std::make_shared<AnswerHandle>(exchange.answer);
     if (exchange.too_large) {
       RespondProblem(*responder,
@@ -407,7 +279,7 @@
        MSG_DONTWAIT | MSG_NOSIGNAL);
 }
 
-void OnCompleted(void* /*closure*/, MHD_Connection* connection, void** slot,
+void OnCompleted(void* closure, MHD_Connection* connection, void** slot,
                  MHD_RequestTerminationCode why) {
   std::unique_ptr<Exchange> exchange(static_cast<Exchange*>(*slot));
   *slot = nullptr;
@@ -415,7 +287,8 @@
   bool slow = why == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED;
   if (slow && !exchange->handed_over) RefuseSlowMessage(connection);
   if (exchange->answer == nullptr) return;
-  exchange->answer->Close(why == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+  static_cast<Server::Impl*>(closure)->Close(
+      exchange->answer, why == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 }
 
 }  // namespace
@@ -425,6 +298,7 @@
 Server::~Server() {
   int quiesced = impl_->quiesced_socket.load();
   if (quiesced >= 0) close(quiesced);
+  impl_->AbortAll();
   if (impl_->daemon != nullptr) MHD_stop_daemon(impl_->daemon);
 }
 
@@ -451,7 +325,7 @@
   add(MHD_OPTION_URI_LOG_CALLBACK,
       reinterpret_cast<std::intptr_t>(&OnRequestLine), nullptr);
   add(MHD_OPTION_NOTIFY_COMPLETED,
-      reinterpret_cast<std::intptr_t>(&OnCompleted), nullptr);
+      reinterpret_cast<std::intptr_t>(&OnCompleted), impl.get());
   add(MHD_OPTION_CONNECTION_LIMIT,
       static_cast<std::intptr_t>(settings.limits.max_connections), nullptr);
   add(MHD_OPTION_CONNECTION_TIMEOUT,
