Time line: power shares as they come into force

Cause: the event had a name and was never recorded. Ran: the demo, and the process tests of start, drain and configuration. Decisions are unchanged.

--- a/src/entry/entry_host_parts.cc
+++ b/src/entry/entry_host_parts.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "entry/entry_host.h"
+#include "power/shares.h"
 
 namespace gentianlb::entry {
 namespace {
@@ -193,6 +194,12 @@
   orders_->SetConfig(std::shared_ptr<const config::Configuration>(
       in_force, &in_force->configuration));
   board_->Configure(index, loop_.now());
+  for (const power::Share& share : power::DivideCap(in_force->configuration)) {
+    if (share.zone != settings_.zone) continue;
+    recorder_.Record(EventKind::kPowerShareChanged,
+                     RoleName({share.service, share.zone}),
+                     "watts=" + std::to_string(share.watts));
+  }
   domain_by_role_.clear();
   std::vector<member::RoleSpec> roles;
   for (const Domain& domain : board_->Domains()) {
