--- /dev/null
+++ b/src/base/json_text_test.cc
@@ -0,0 +1,26 @@
+#include "base/json_text.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace gentianlb {
+namespace {
+
+// A row of the table is damaged and holds nothing but opening brackets. Whoever
+// reads it must take it for unreadable, and not die of it again and again.
+BOOST_AUTO_TEST_CASE(TextNestedTooDeeplyIsNoObject) {
+  BOOST_TEST(!ParseObject(std::string(100'000, '[')).has_value());
+  std::string objects;
+  for (int i = 0; i < 100'000; ++i) objects += "{\"a\":";
+  BOOST_TEST(!ParseObject(objects).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnObjectComesBackAsItWas) {
+  std::optional<Json::Value> read = ParseObject(R"({"a":1,"b":"x"})");
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(ToText(*read) == R"({"a":1,"b":"x"})");
+  BOOST_TEST(AllStrings(*read, {"b"}));
+  BOOST_TEST(!AllIntegers(*read, {"a", "b"}));
+}
+
+}  // namespace
+}  // namespace gentianlb
--- a/src/claim/rows.cc
+++ b/src/claim/rows.cc
@@ -2,49 +2,13 @@
 
 #include <json/json.h>
 
-#include <memory>
+#include "base/json_text.h"
 
 namespace gentianlb::claim {
 namespace {
 
 constexpr std::string_view kClaimPrefix = "claim/";
 
-std::string ToText(const Json::Value& value) {
-  // Building it costs more than writing a row.
-  static const auto& builder = *[] {
-    auto* made = new Json::StreamWriterBuilder;
-    (*made)["indentation"] = "";
-    return made;
-  }();
-  return Json::writeString(builder, value);
-}
-
-std::optional<Json::Value> ParseObject(std::string_view text) {
-  static const auto& builder = *new Json::CharReaderBuilder;
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  bool parsed =
-      reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
-  if (!parsed || !value.isObject()) return std::nullopt;
-  return value;
-}
-
-bool AllStrings(const Json::Value& json,
-                std::initializer_list<const char*> names) {
-  for (const char* name : names) {
-    if (!json[name].isString()) return false;
-  }
-  return true;
-}
-
-bool AllIntegers(const Json::Value& json,
-                 std::initializer_list<const char*> names) {
-  for (const char* name : names) {
-    if (!json[name].isInt64()) return false;
-  }
-  return true;
-}
-
 Json::Value Micros(absl::Time time) {
   return Json::Int64{absl::ToUnixMicros(time)};
 }
--- a/src/entry/json_read.cc
+++ b/src/entry/json_read.cc
@@ -1,23 +1,11 @@
 #include "entry/json_read.h"
 
-#include <memory>
+#include "base/json_text.h"
 
 namespace gentianlb::entry {
 
 Json::Value ParseObjectOr(const std::string& text) {
-  Json::CharReaderBuilder builder;
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  const char* begin = text.data();
-  try {
-    if (reader->parse(begin, begin + text.size(), &value, nullptr) &&
-        value.isObject()) {
-      return value;
-    }
-  } catch (const Json::Exception&) {
-    // Too deeply nested: as good as no object.
-  }
-  return Json::Value(Json::objectValue);
+  return ParseObject(text).value_or(Json::Value(Json::objectValue));
 }
 
 std::int64_t NumberOr(const Json::Value& value, std::int64_t preset) {
--- a/src/orders/rows.cc
+++ b/src/orders/rows.cc
@@ -2,44 +2,11 @@
 
 #include <json/json.h>
 
-#include <initializer_list>
-#include <memory>
+#include "base/json_text.h"
 
 namespace gentianlb::orders {
 namespace {
 
-std::string ToText(const Json::Value& value) {
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, value);
-}
-
-std::optional<Json::Value> ParseObject(std::string_view text) {
-  Json::CharReaderBuilder builder;
-  std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
-  Json::Value value;
-  bool parsed =
-      reader->parse(text.data(), text.data() + text.size(), &value, nullptr);
-  if (!parsed || !value.isObject()) return std::nullopt;
-  return value;
-}
-
-bool AllStrings(const Json::Value& json,
-                std::initializer_list<const char*> names) {
-  for (const char* name : names) {
-    if (!json[name].isString()) return false;
-  }
-  return true;
-}
-
-bool AllIntegers(const Json::Value& json,
-                 std::initializer_list<const char*> names) {
-  for (const char* name : names) {
-    if (!json[name].isInt64()) return false;
-  }
-  return true;
-}
-
 // Whether the field holds one of the values of an enum of three.
 bool IsOneOfThree(const Json::Value& json) {
   return json.isInt() && json.asInt() >= 0 && json.asInt() < 3;
