--- a/src/platform/retry.cc
+++ b/src/base/retry.cc
@@ -1,9 +1,9 @@
-#include "platform/retry.h"
+#include "base/retry.h"
 
 #include <algorithm>
 #include <cstdint>
 
-namespace gentianlb::platform {
+namespace gentianlb {
 namespace {
 
 constexpr int kMostDoublings = 20;
@@ -27,4 +27,4 @@
   return std::min(most, options.longest_delay) * random;
 }
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb
--- a/src/platform/retry.h
+++ b/src/base/retry.h
@@ -1,17 +1,19 @@
 // When a failed call is sent again: a budget over all calls, and a jittered
 // delay for each.
 
-#ifndef GENTIANLB_PLATFORM_RETRY_H_
-#define GENTIANLB_PLATFORM_RETRY_H_
+#ifndef GENTIANLB_BASE_RETRY_H_
+#define GENTIANLB_BASE_RETRY_H_
 
 #include "absl/time/time.h"
 
-namespace gentianlb::platform {
+namespace gentianlb {
 
 struct RetryOptions {
-  // Retries add at most this part to the load of a failing service.
+  // Retries add at most this part to the load of a failing service. Whether a
+  // call counts when it is sent or when it succeeds is the user's choice.
   double retries_per_call = 0.1;
-  // A host with few calls may still retry this often in a row.
+  // A tenth is a usual figure for retry budgets. A host with few calls may
+  // still retry this often in a row, which rides over one failed server.
   double saved_retries = 10;
   absl::Duration first_delay = absl::Milliseconds(20);
   absl::Duration longest_delay = absl::Seconds(1);
@@ -40,6 +42,6 @@
 absl::Duration RetryDelay(const RetryOptions& options, int retry,
                           double random);
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb
 
-#endif  // GENTIANLB_PLATFORM_RETRY_H_
+#endif  // GENTIANLB_BASE_RETRY_H_
--- a/src/claim/claim_dispatch.cc
+++ b/src/claim/claim_dispatch.cc
@@ -44,28 +44,28 @@
 }
 
 void ClaimMachine::OnFenceWritten(Claim& claim,
-                                  const platform::CommitResult& result) {
+                                  const store::CommitResult& result) {
   if (claim.phase != Phase::kFencing) return;
   switch (result.state) {
-    case platform::CommitState::kCommitted:
+    case store::CommitState::kCommitted:
       claim.version = result.versions.empty() ? claim.version + 1
                                               : result.versions[0].version;
       AllowDispatch(claim);
       return;
-    case platform::CommitState::kConflict:
-    case platform::CommitState::kUnknown:
+    case store::CommitState::kConflict:
+    case store::CommitState::kUnknown:
       claim.phase = Phase::kFenceReading;
       Read(Purpose::kClaimRead, claim.id, claim.token,
            RowKey(claim.request.key));
       return;
-    case platform::CommitState::kNotApplied:
+    case store::CommitState::kNotApplied:
       claim.phase = Phase::kReady;
       RefuseDispatch(claim, Code::kClaimStoreDown);
       return;
   }
 }
 
-void ClaimMachine::OnFenceRead(Claim& claim, const platform::Row* row) {
+void ClaimMachine::OnFenceRead(Claim& claim, const store::Row* row) {
   if (claim.phase != Phase::kFenceReading) return;
   std::optional<ClaimRow> found;
   if (row != nullptr) found = DecodeClaim(row->value);
--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -173,26 +173,26 @@
 }
 
 void ClaimMachine::OnRowWritten(Claim& claim,
-                                const platform::CommitResult& result) {
+                                const store::CommitResult& result) {
   if (claim.phase != Phase::kWriting) return;
   switch (result.state) {
-    case platform::CommitState::kCommitted:
+    case store::CommitState::kCommitted:
       OnDurable(claim, result.versions.empty() ? claim.base + 1
                                                : result.versions[0].version);
       return;
-    case platform::CommitState::kConflict:
-    case platform::CommitState::kUnknown:
+    case store::CommitState::kConflict:
+    case store::CommitState::kUnknown:
       // The answer may be lost after the write took effect: our own token in
       // the row tells, and nothing is decided before that.
       ReadRow(claim, Phase::kReading);
       return;
-    case platform::CommitState::kNotApplied:
+    case store::CommitState::kNotApplied:
       OnTableFailed(claim);
       return;
   }
 }
 
-void ClaimMachine::OnRowRead(Claim& claim, const platform::Row* row) {
+void ClaimMachine::OnRowRead(Claim& claim, const store::Row* row) {
   if (claim.phase != Phase::kReading) return;
   if (row == nullptr) {
     claim.base = 0;
@@ -222,7 +222,7 @@
 
 // --- Another's row ----------------------------------------------------------
 
-void ClaimMachine::OnOthersRow(Claim& claim, const platform::Row& row,
+void ClaimMachine::OnOthersRow(Claim& claim, const store::Row& row,
                                const ClaimRow& other) {
   if (other.body_digest != claim.request.body_digest) {
     GiveRefusal(claim, Code::kKeyReused, "");
@@ -281,7 +281,7 @@
 
 // --- A row of our own -------------------------------------------------------
 
-void ClaimMachine::OnDurable(Claim& claim, platform::RowVersion version) {
+void ClaimMachine::OnDurable(Claim& claim, store::RowVersion version) {
   claim.version = version;
   AskAboutUnwritten(claim);
 }
@@ -551,11 +551,11 @@
 
 void ClaimMachine::Commit(Purpose purpose, ClaimId claim, std::string token,
                           const std::string& row_key,
-                          platform::RowVersion version,
+                          store::RowVersion version,
                           std::optional<std::string> value) {
   ++counters_.row_writes;
   CallId call = NewCall(purpose, claim, std::move(token));
-  platform::Transaction transaction{
+  store::Transaction transaction{
       "", {{row_key, version}}, {{row_key, std::move(value)}}};
   actions_->push_back(CommitCall{call, std::move(transaction)});
 }
--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -97,14 +97,14 @@
     std::string token;
     Phase phase = Phase::kQueued;
     absl::Time row_sent;
-    platform::RowVersion base = 0;     // What the next write replaces.
-    platform::RowVersion version = 0;  // Of the own row; 0: not durable.
+    store::RowVersion base = 0;     // What the next write replaces.
+    store::RowVersion version = 0;  // Of the own row; 0: not durable.
     bool maybe_row = false;            // The row may be in the table.
     bool without_table = false;        // Was allowed to run without a row.
     bool attach_failed = false;
     bool doubt = false;  // An asked peer can't rule the key out.
     ServerId server;
-    std::optional<platform::Row> other;  // Another's row, while asking.
+    std::optional<store::Row> other;  // Another's row, while asking.
     std::map<CallId, EntryHostId> asked;
     std::vector<Promise> promised;  // Given to peers before it was opened.
     absl::Time first_sent;          // The key was never sent before this.
@@ -163,15 +163,15 @@
   void Begin(Claim& claim);
   void WriteRow(Claim& claim);
   void ReadRow(Claim& claim, Phase phase);
-  void OnRowWritten(Claim& claim, const platform::CommitResult& result);
-  void OnRowRead(Claim& claim, const platform::Row* row);
+  void OnRowWritten(Claim& claim, const store::CommitResult& result);
+  void OnRowRead(Claim& claim, const store::Row* row);
   void OnTableFailed(Claim& claim);
-  void OnOthersRow(Claim& claim, const platform::Row& row,
+  void OnOthersRow(Claim& claim, const store::Row& row,
                    const ClaimRow& other);
   void OnOwnerAnswered(Claim& claim, const std::optional<PeerAnswer>& answer);
   void OnOwnerGone(Claim& claim, const ClaimRow& other);
   void TakeOver(Claim& claim);
-  void OnDurable(Claim& claim, platform::RowVersion version);
+  void OnDurable(Claim& claim, store::RowVersion version);
   void AskAboutUnwritten(Claim& claim);
   void RunWithoutTable(Claim& claim);
   void AskAll(Claim& claim);
@@ -196,8 +196,8 @@
   // Around the dispatch, claim_dispatch.cc.
   bool IsFenced(const Claim& claim) const;
   void WriteFence(Claim& claim);
-  void OnFenceWritten(Claim& claim, const platform::CommitResult& result);
-  void OnFenceRead(Claim& claim, const platform::Row* row);
+  void OnFenceWritten(Claim& claim, const store::CommitResult& result);
+  void OnFenceRead(Claim& claim, const store::Row* row);
   void AllowDispatch(Claim& claim);
   void RefuseDispatch(Claim& claim, Code code);
   void WriteProgress(Claim& claim, RowState state);
@@ -207,16 +207,16 @@
   // What follows the claims, claim_upkeep.cc.
   void StartClosing(Claim& claim);
   void StepClosing(Closing& closing);
-  void OnCloseRead(const std::string& token, const platform::Row* row,
+  void OnCloseRead(const std::string& token, const store::Row* row,
                    bool answered);
-  void OnCloseWritten(const std::string& token, platform::CommitState state);
+  void OnCloseWritten(const std::string& token, store::CommitState state);
   void StepLate(Late& late);
   void OnLateWritten(const std::string& token,
-                     const platform::CommitResult& result);
-  void OnLateRead(const std::string& token, const platform::Row* row,
+                     const store::CommitResult& result);
+  void OnLateRead(const std::string& token, const store::Row* row,
                   bool answered);
-  void OnLateDurable(const std::string& token, platform::RowVersion version);
-  void OnScanned(const Call& call, const std::vector<platform::Row>& rows);
+  void OnLateDurable(const std::string& token, store::RowVersion version);
+  void OnScanned(const Call& call, const std::vector<store::Row>& rows);
   void OnTableAnswer(bool answered);
   void ResumeQueued();
   void RenewIfClean();
@@ -225,7 +225,7 @@
 
   CallId NewCall(Purpose purpose, ClaimId claim, std::string token);
   void Commit(Purpose purpose, ClaimId claim, std::string token,
-              const std::string& row_key, platform::RowVersion version,
+              const std::string& row_key, store::RowVersion version,
               std::optional<std::string> value);
   void Read(Purpose purpose, ClaimId claim, std::string token,
             const std::string& row_key);
--- a/src/claim/claim_machine_test.cc
+++ b/src/claim/claim_machine_test.cc
@@ -37,7 +37,7 @@
         &actions_);
   }
   void Scan(const std::vector<LeaseRow>& leases, absl::Time now) {
-    std::vector<platform::Row> rows;
+    std::vector<store::Row> rows;
     rows.reserve(leases.size());
     for (const LeaseRow& lease : leases) {
       rows.push_back({LeaseKey(lease.host), Encode(lease), 1});
@@ -49,7 +49,7 @@
     std::string key = call.transaction.writes[0].key;
     Tell(
         CommitAnswered{call.call,
-                       {platform::CommitState::kCommitted, {}, {{key, "", 1}}}},
+                       {store::CommitState::kCommitted, {}, {{key, "", 1}}}},
         now);
   }
   void Open(int attempt, absl::Time now) {
@@ -110,7 +110,7 @@
   Driver host;
   host.Tell(Opened{1, {.key = ClaimKey("key"), .idempotent = false}}, At(0));
   CallId call = host.Taken<CommitCall>().at(0).call;
-  host.Tell(CommitAnswered{call, {platform::CommitState::kNotApplied, {}, {}}},
+  host.Tell(CommitAnswered{call, {store::CommitState::kNotApplied, {}, {}}},
             At(0));
   auto verdicts = host.Taken<VerdictGiven>();
   BOOST_REQUIRE(verdicts.size() == 1u);
--- a/src/claim/claim_table.h
+++ b/src/claim/claim_table.h
@@ -31,7 +31,7 @@
   { clock() } -> std::convertible_to<absl::Time>;
 };
 
-template <platform::TableService Table, PeerService Peers, Clock Now>
+template <store::TableService Table, PeerService Peers, Clock Now>
 class ClaimTable {
  public:
   // Gets the id too: a verdict may come before Open() has returned it.
@@ -109,7 +109,7 @@
 
   void Do(CommitCall one) {
     table_->Commit(std::move(one.transaction),
-                   [this, call = one.call](platform::CommitResult result) {
+                   [this, call = one.call](store::CommitResult result) {
                      this->Run(CommitAnswered{call, std::move(result)});
                    });
   }
@@ -137,8 +137,8 @@
     if (!node.empty()) node.mapped()(std::move(one.refusal));
   }
 
-  std::function<void(platform::ReadResult)> Reader(CallId call) {
-    return [this, call](platform::ReadResult result) {
+  std::function<void(store::ReadResult)> Reader(CallId call) {
+    return [this, call](store::ReadResult result) {
       ReadAnswered answer{call, std::nullopt};
       if (result.ok()) answer.rows = std::move(result.value());
       this->Run(std::move(answer));
--- a/src/claim/claim_upkeep.cc
+++ b/src/claim/claim_upkeep.cc
@@ -10,7 +10,7 @@
 namespace gentianlb::claim {
 namespace {
 
-const platform::Row* FirstRow(const ReadAnswered& event) {
+const store::Row* FirstRow(const ReadAnswered& event) {
   bool any = event.rows && !event.rows->empty();
   return any ? &event.rows->front() : nullptr;
 }
@@ -21,9 +21,9 @@
   auto node = calls_.extract(event.call);
   if (node.empty()) return;
   const Call& call = node.mapped();
-  platform::CommitState state = event.result.state;
-  OnTableAnswer(state == platform::CommitState::kCommitted ||
-                state == platform::CommitState::kConflict);
+  store::CommitState state = event.result.state;
+  OnTableAnswer(state == store::CommitState::kCommitted ||
+                state == store::CommitState::kConflict);
   Claim* claim = Find(call.claim);
   // An answer to an earlier turn of the same request says nothing of this one.
   if (claim != nullptr && claim->token != call.token) claim = nullptr;
@@ -152,7 +152,7 @@
 }
 
 void ClaimMachine::OnCloseRead(const std::string& token,
-                               const platform::Row* row, bool answered) {
+                               const store::Row* row, bool answered) {
   auto found = closings_.find(token);
   if (found == closings_.end()) return;
   Closing& closing = found->second;
@@ -170,11 +170,11 @@
 }
 
 void ClaimMachine::OnCloseWritten(const std::string& token,
-                                  platform::CommitState state) {
+                                  store::CommitState state) {
   auto found = closings_.find(token);
   if (found == closings_.end()) return;
   found->second.busy = false;
-  if (state == platform::CommitState::kCommitted) closings_.erase(found);
+  if (state == store::CommitState::kCommitted) closings_.erase(found);
 }
 
 // --- Rows that come late ----------------------------------------------------
@@ -187,12 +187,12 @@
 }
 
 void ClaimMachine::OnLateWritten(const std::string& token,
-                                 const platform::CommitResult& result) {
+                                 const store::CommitResult& result) {
   auto found = late_.find(token);
   if (found == late_.end()) return;
   found->second.busy = false;
-  if (result.state == platform::CommitState::kNotApplied) return;
-  if (result.state == platform::CommitState::kCommitted) {
+  if (result.state == store::CommitState::kNotApplied) return;
+  if (result.state == store::CommitState::kCommitted) {
     OnLateDurable(token,
                   result.versions.empty() ? 1 : result.versions[0].version);
     return;
@@ -202,7 +202,7 @@
 }
 
 void ClaimMachine::OnLateRead(const std::string& token,
-                              const platform::Row* row, bool answered) {
+                              const store::Row* row, bool answered) {
   auto found = late_.find(token);
   if (found == late_.end()) return;
   Late& late = found->second;
@@ -225,7 +225,7 @@
 }
 
 void ClaimMachine::OnLateDurable(const std::string& token,
-                                 platform::RowVersion version) {
+                                 store::RowVersion version) {
   auto node = late_.extract(token);
   if (Claim* claim = Holder(node.mapped().key)) {
     if (claim->token == token) {
@@ -247,7 +247,7 @@
 }
 
 void ClaimMachine::OnScanned(const Call& call,
-                             const std::vector<platform::Row>& rows) {
+                             const std::vector<store::Row>& rows) {
   // The last sending of a key may still wait at a peer when its window is over.
   memory_.ForgetBefore(now_ - 2 * options_.coverage.key_window);
   coverage_.OnScan(rows, call.sent, now_);
--- a/src/claim/coverage.cc
+++ b/src/claim/coverage.cc
@@ -12,12 +12,12 @@
       incarnation_(incarnation),
       started_(started) {}
 
-void Coverage::OnScan(const std::vector<platform::Row>& rows, absl::Time sent,
+void Coverage::OnScan(const std::vector<store::Row>& rows, absl::Time sent,
                       absl::Time now) {
   scan_sent_ = sent;
   others_.clear();
   bool own_row = false;
-  for (const platform::Row& row : rows) {
+  for (const store::Row& row : rows) {
     std::optional<LeaseRow> lease = DecodeLease(row.value);
     if (!lease) continue;
     if (lease->host != self_) {
@@ -36,7 +36,7 @@
   });
 }
 
-void Coverage::OnOwnRow(const LeaseRow& row, platform::RowVersion version,
+void Coverage::OnOwnRow(const LeaseRow& row, store::RowVersion version,
                         absl::Time now) {
   version_ = version;
   named_ = row.named;
@@ -62,7 +62,7 @@
   registered_ = true;
 }
 
-platform::Transaction Coverage::Renew(absl::Time now) {
+store::Transaction Coverage::Renew(absl::Time now) {
   bool continuous = registered_ && now < until_;
   if (!continuous) since_ = now;
   // An answer may be lost after the write took effect: from here on this host
@@ -85,10 +85,10 @@
   return {"", {{key, version_}}, {{key, Encode(row)}}};
 }
 
-void Coverage::OnRenewed(const platform::CommitResult& result, absl::Time now) {
-  if (result.state != platform::CommitState::kCommitted) return;
+void Coverage::OnRenewed(const store::CommitResult& result, absl::Time now) {
+  if (result.state != store::CommitState::kCommitted) return;
   Register(now);
-  for (const platform::Row& row : result.versions) version_ = row.version;
+  for (const store::Row& row : result.versions) version_ = row.version;
 }
 
 bool Coverage::Lapsed(absl::Time now) const {
--- a/src/claim/coverage.h
+++ b/src/claim/coverage.h
@@ -16,7 +16,7 @@
 #include "absl/time/time.h"
 #include "base/ids.h"
 #include "claim/rows.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::claim {
 
@@ -46,13 +46,13 @@
            absl::Time started);
 
   // Takes a scan of all leases that was sent at `sent`.
-  void OnScan(const std::vector<platform::Row>& rows, absl::Time sent,
+  void OnScan(const std::vector<store::Row>& rows, absl::Time sent,
               absl::Time now);
 
   // The commit that takes or renews this host's lease. Only right after a scan,
   // and only when all keys run without a row have theirs.
-  platform::Transaction Renew(absl::Time now);
-  void OnRenewed(const platform::CommitResult& result, absl::Time now);
+  store::Transaction Renew(absl::Time now);
+  void OnRenewed(const store::CommitResult& result, absl::Time now);
 
   bool registered() const { return registered_; }
   // Another incarnation has taken this host's name: run no key any more.
@@ -99,7 +99,7 @@
   bool Covered(const LeaseRow& lease, absl::Time row_sent,
                absl::Time now) const;
   bool Lost(const LeaseRow& lease, absl::Time first_sent) const;
-  void OnOwnRow(const LeaseRow& row, platform::RowVersion version,
+  void OnOwnRow(const LeaseRow& row, store::RowVersion version,
                 absl::Time now);
   void Register(absl::Time now);
   // Whether a host whose lease ended at `until` had scanned our name by then.
@@ -115,7 +115,7 @@
   bool clean_start_ = false;
   bool registered_ = false;
   bool superseded_ = false;
-  platform::RowVersion version_ = 0;
+  store::RowVersion version_ = 0;
   absl::Time since_ = absl::InfinitePast();
   absl::Time until_ = absl::InfinitePast();  // The latest ever sent.
   absl::Time lost_from_ = absl::UnixEpoch();
--- a/src/claim/explore_test.cc
+++ b/src/claim/explore_test.cc
@@ -83,7 +83,7 @@
   int host = 0;  // Who waits for the answer.
   Incarnation incarnation = 0;
   CallId call = 0;
-  platform::Transaction transaction;
+  store::Transaction transaction;
   std::vector<std::string> keys;
   int peer = 0;
   PeerQuestion question;
@@ -349,9 +349,9 @@
   }
 
   void DeliverCommit(const Message& m, Fate fate) {
-    platform::CommitResult result{platform::CommitState::kUnknown, {}, {}};
+    store::CommitResult result{store::CommitState::kUnknown, {}, {}};
     if (!TableReachable(m)) {
-      result.state = platform::CommitState::kNotApplied;
+      result.state = store::CommitState::kNotApplied;
     } else if (fate == Fate::kArrives) {
       result = Apply(m.transaction);
     } else if (fate == Fate::kAnswerLost) {
@@ -363,18 +363,18 @@
     Reply(m, CommitAnswered{m.call, result});
   }
 
-  platform::CommitResult Apply(const platform::Transaction& transaction) {
-    using platform::CommitState;
-    for (const platform::Condition& condition : transaction.conditions) {
+  store::CommitResult Apply(const store::Transaction& transaction) {
+    using store::CommitState;
+    for (const store::Condition& condition : transaction.conditions) {
       auto row = table_.find(condition.key);
       bool exists = row != table_.end() && row->second.version != 0;
-      platform::RowVersion version = exists ? row->second.version : 0;
+      store::RowVersion version = exists ? row->second.version : 0;
       if (version != condition.version) {
         return {CommitState::kConflict, {condition.key}, {}};
       }
     }
-    platform::CommitResult result{CommitState::kCommitted, {}, {}};
-    for (const platform::Write& write : transaction.writes) {
+    store::CommitResult result{CommitState::kCommitted, {}, {}};
+    for (const store::Write& write : transaction.writes) {
       if (!write.value) {
         table_.erase(write.key);
         continue;
@@ -386,8 +386,8 @@
     return result;
   }
 
-  std::vector<platform::Row> ReadRows(const Message& m) const {
-    std::vector<platform::Row> rows;
+  std::vector<store::Row> ReadRows(const Message& m) const {
+    std::vector<store::Row> rows;
     for (const auto& [key, row] : table_) {
       bool wanted =
           m.kind == MessageKind::kScan
@@ -637,8 +637,8 @@
 
   absl::Time now_;
   std::vector<Host> hosts_;
-  std::map<std::string, platform::Row> table_;
-  platform::RowVersion last_version_ = 0;
+  std::map<std::string, store::Row> table_;
+  store::RowVersion last_version_ = 0;
   std::vector<Message> messages_;
   std::vector<Sending> sendings_;
   std::vector<int> jumps_;
--- a/src/claim/messages.h
+++ b/src/claim/messages.h
@@ -16,7 +16,7 @@
 #include "absl/time/time.h"
 #include "base/ids.h"
 #include "base/result.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::claim {
 
@@ -147,13 +147,13 @@
 
 struct CommitAnswered {
   CallId call = 0;
-  platform::CommitResult result;
+  store::CommitResult result;
 };
 
 // Nothing: the table gave no answer.
 struct ReadAnswered {
   CallId call = 0;
-  std::optional<std::vector<platform::Row>> rows;
+  std::optional<std::vector<store::Row>> rows;
 };
 
 // Nothing: the peer can't be reached.
@@ -170,7 +170,7 @@
 
 struct CommitCall {
   CallId call = 0;
-  platform::Transaction transaction;
+  store::Transaction transaction;
   bool operator==(const CommitCall&) const = default;
 };
 
--- a/src/claim/sweeper.cc
+++ b/src/claim/sweeper.cc
@@ -14,7 +14,7 @@
                               static_cast<std::uint64_t>(slice));
 }
 
-bool IsOld(const platform::Row& row, const SweepOptions& options,
+bool IsOld(const store::Row& row, const SweepOptions& options,
            absl::Time now) {
   std::optional<ClaimRow> claim = DecodeClaim(row.value);
   return claim.has_value() && now - claim->written > options.retention;
@@ -34,11 +34,11 @@
       [&](const EntryHostId& other) { return Rank(slice, other) > own; });
 }
 
-std::vector<platform::Transaction> DeletesOf(
-    const std::vector<platform::Row>& rows, const SweepOptions& options,
+std::vector<store::Transaction> DeletesOf(
+    const std::vector<store::Row>& rows, const SweepOptions& options,
     absl::Time now) {
-  std::vector<platform::Transaction> deletes;
-  for (const platform::Row& row : rows) {
+  std::vector<store::Transaction> deletes;
+  for (const store::Row& row : rows) {
     if (!IsOld(row, options, now)) continue;
     bool full = deletes.empty() ||
                 deletes.back().writes.size() >= options.deletes_per_commit;
--- a/src/claim/sweeper.h
+++ b/src/claim/sweeper.h
@@ -18,7 +18,7 @@
 #include "absl/time/time.h"
 #include "base/ids.h"
 #include "claim/rows.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::claim {
 
@@ -45,12 +45,12 @@
 
 // The conditional deletes of those rows that are older than the retention, cut
 // into transactions. What does not decode is left for people to look at.
-std::vector<platform::Transaction> DeletesOf(
-    const std::vector<platform::Row>& rows, const SweepOptions& options,
+std::vector<store::Transaction> DeletesOf(
+    const std::vector<store::Row>& rows, const SweepOptions& options,
     absl::Time now);
 
 // Owned by the control thread. The table outlives it.
-template <platform::TableService Table>
+template <store::TableService Table>
 class Sweeper {
  public:
   Sweeper(SweepOptions options, EntryHostId self, Table* table)
@@ -67,7 +67,7 @@
     int slice = next_slice_;
     next_slice_ = (next_slice_ + 1) % kSlices;
     if (!SweepsSlice(slice, self_, others_)) return;
-    table_->Scan(SlicePrefix(slice), [this, now](platform::ReadResult rows) {
+    table_->Scan(SlicePrefix(slice), [this, now](store::ReadResult rows) {
       // An outage: the slice's turn comes again.
       if (rows.ok()) Delete(rows.value(), now);
     });
@@ -77,12 +77,12 @@
   std::uint64_t deleted() const { return deleted_; }
 
  private:
-  void Delete(const std::vector<platform::Row>& rows, absl::Time now) {
-    for (platform::Transaction& one : DeletesOf(rows, options_, now)) {
+  void Delete(const std::vector<store::Row>& rows, absl::Time now) {
+    for (store::Transaction& one : DeletesOf(rows, options_, now)) {
       std::size_t count = one.writes.size();
       table_->Commit(
-          std::move(one), [this, count](const platform::CommitResult& result) {
-            bool done = result.state == platform::CommitState::kCommitted;
+          std::move(one), [this, count](const store::CommitResult& result) {
+            bool done = result.state == store::CommitState::kCommitted;
             if (done) deleted_ += count;
           });
     }
--- a/src/claim/sweeper_test.cc
+++ b/src/claim/sweeper_test.cc
@@ -14,24 +14,24 @@
 // A table in memory that answers at once.
 class FakeTable {
  public:
-  void Commit(const platform::Transaction& transaction,
-              const std::function<void(platform::CommitResult)>& done) {
-    for (const platform::Condition& condition : transaction.conditions) {
+  void Commit(const store::Transaction& transaction,
+              const std::function<void(store::CommitResult)>& done) {
+    for (const store::Condition& condition : transaction.conditions) {
       if (rows.at(condition.key).version != condition.version) {
-        done({platform::CommitState::kConflict, {condition.key}, {}});
+        done({store::CommitState::kConflict, {condition.key}, {}});
         return;
       }
     }
-    for (const platform::Write& write : transaction.writes) {
+    for (const store::Write& write : transaction.writes) {
       rows.erase(write.key);
     }
-    done({platform::CommitState::kCommitted, {}, {}});
+    done({store::CommitState::kCommitted, {}, {}});
   }
   void Read(const std::vector<std::string>& /*keys*/,
-            const std::function<void(platform::ReadResult)>& /*done*/) {}
+            const std::function<void(store::ReadResult)>& /*done*/) {}
   void Scan(const std::string& prefix,
-            const std::function<void(platform::ReadResult)>& done) {
-    std::vector<platform::Row> found;
+            const std::function<void(store::ReadResult)>& done) {
+    std::vector<store::Row> found;
     for (const auto& [key, row] : rows) {
       if (key.starts_with(prefix)) found.push_back(row);
     }
@@ -47,7 +47,7 @@
     rows[key] = {key, Encode(claim), 1};
   }
 
-  std::map<std::string, platform::Row> rows;
+  std::map<std::string, store::Row> rows;
   std::function<void()> before_answer;
 };
 
--- a/src/config/answers.cc
+++ b/src/config/answers.cc
@@ -80,7 +80,7 @@
   return answer;
 }
 
-Json::Value HistoryAnswer(const std::vector<platform::Row>& rows,
+Json::Value HistoryAnswer(const std::vector<store::Row>& rows,
                           std::size_t limit) {
   std::string text;
   Json::Value list(Json::arrayValue);
@@ -122,8 +122,8 @@
 }
 
 std::optional<HistoryEntry> FindConfirmed(
-    const std::vector<platform::Row>& rows, const std::string& plan) {
-  for (const platform::Row& row : rows) {
+    const std::vector<store::Row>& rows, const std::string& plan) {
+  for (const store::Row& row : rows) {
     auto entry = DecodeHistory(row.value);
     if (!entry.ok()) continue;
     if (entry.value().plan == plan) return entry.value();
--- a/src/config/answers.h
+++ b/src/config/answers.h
@@ -12,7 +12,7 @@
 
 #include "config/plan.h"
 #include "config/rows.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::config {
 
@@ -29,7 +29,7 @@
 Json::Value ConfirmAnswer(const HistoryEntry& entry);
 
 // Rows as the table has them, oldest first; the answer has the newest first.
-Json::Value HistoryAnswer(const std::vector<platform::Row>& rows,
+Json::Value HistoryAnswer(const std::vector<store::Row>& rows,
                           std::size_t limit);
 
 // All parts of it; tokens are left out.
@@ -39,7 +39,7 @@
 
 // The entry of the confirm of `plan`, if there was one.
 std::optional<HistoryEntry> FindConfirmed(
-    const std::vector<platform::Row>& rows, const std::string& plan);
+    const std::vector<store::Row>& rows, const std::string& plan);
 
 }  // namespace gentianlb::config
 
--- a/src/config/confirm.h
+++ b/src/config/confirm.h
@@ -35,7 +35,7 @@
 
 // One confirm, from the first read to the answer. Make() starts it; it keeps
 // itself alive until `done` was called.
-template <platform::TableService Table>
+template <store::TableService Table>
 class Confirm : public std::enable_shared_from_this<Confirm<Table>> {
  public:
   // The entry of the version that the plan became; kPlanConflict when another
@@ -68,17 +68,17 @@
     Version oldest = std::max<Version>(1, Wanted() - kVersionsKept + 1);
     for (Version v = oldest; v < Wanted(); ++v) keys.push_back(HistoryKey(v));
     auto self = this->shared_from_this();
-    table_.Read(keys, [self](platform::ReadResult rows) {
+    table_.Read(keys, [self](store::ReadResult rows) {
       if (!rows.ok()) return self->done_(rows.error());
       self->Examine(rows.value());
     });
   }
 
-  void Examine(const std::vector<platform::Row>& rows) {
+  void Examine(const std::vector<store::Row>& rows) {
     Head head;
-    platform::RowVersion head_row = 0;
+    store::RowVersion head_row = 0;
     std::vector<HistoryEntry> recent;
-    for (const platform::Row& row : rows) {
+    for (const store::Row& row : rows) {
       if (row.key == kHeadKey) {
         auto decoded = DecodeHead(row.value);
         if (!decoded.ok()) return done_(decoded.error());
@@ -121,14 +121,14 @@
     return false;
   }
 
-  void Write(platform::RowVersion head_row,
+  void Write(store::RowVersion head_row,
              const std::vector<HistoryEntry>& recent) {
     auto next = MakeNextVersion(*base_, plan_, request_, recent);
     if (!next.ok()) return done_(next.error());
     entry_ = next.value().entry;
-    auto all = std::make_shared<std::vector<platform::Transaction>>(
+    auto all = std::make_shared<std::vector<store::Transaction>>(
         CutWrites(std::move(next.value().staged), request_.token));
-    platform::Transaction last;
+    store::Transaction last;
     // The base tells an attempt on another version from this one; the row
     // version tells one that found another head.
     last.token = absl::StrCat(request_.token, "/", plan_.base, "/", head_row);
@@ -136,13 +136,13 @@
     last.writes = std::move(next.value().final);
     all->push_back(std::move(last));
     auto self = this->shared_from_this();
-    CommitAll(table_, all, [self](platform::CommitResult result) {
+    CommitAll(table_, all, [self](store::CommitResult result) {
       self->Committed(std::move(result));
     });
   }
 
-  void Committed(platform::CommitResult result) {
-    using platform::CommitState;
+  void Committed(store::CommitResult result) {
+    using store::CommitState;
     if (result.state == CommitState::kCommitted) return done_(entry_);
     if (result.state == CommitState::kNotApplied) return done_(ErrorOf(result));
     ReadBack(ErrorOf(result));
@@ -151,7 +151,7 @@
   // The history row tells what became of it, and who won otherwise.
   void ReadBack(Error otherwise) {
     auto self = this->shared_from_this();
-    auto read = [self, otherwise](platform::ReadResult rows) {
+    auto read = [self, otherwise](store::ReadResult rows) {
       // A write whose answer was lost may still take effect, so that a missing
       // row proves nothing.
       bool none = !rows.ok() || rows.value().empty();
--- a/src/config/follow.h
+++ b/src/config/follow.h
@@ -25,7 +25,7 @@
 #include "config/follow_pace.h"
 #include "config/in_force.h"
 #include "config/rows.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::config {
 
@@ -34,7 +34,7 @@
 template <typename P>
 concept PeerLink = requires(P peers, EntryHostId peer,
                             std::vector<std::string> keys, Version version,
-                            std::function<void(platform::ReadResult)> read) {
+                            std::function<void(store::ReadResult)> read) {
   // The rows that the peer's follower has for these keys.
   peers.ReadRows(peer, keys, read);
   // Tells some peers that this host has `version`.
@@ -56,7 +56,7 @@
 };
 
 // Owned by the control thread. The table and the peers outlive it.
-template <platform::TableService Table, PeerLink Peers>
+template <store::TableService Table, PeerLink Peers>
 class Follower {
  public:
   using Applied = std::function<void(InForcePtr)>;
@@ -106,9 +106,9 @@
   const FollowCounters& counters() const { return counters_; }
 
   // For peers: the rows of the version in force, and its head.
-  std::vector<platform::Row> RowsFor(
+  std::vector<store::Row> RowsFor(
       const std::vector<std::string>& keys) const {
-    std::vector<platform::Row> rows;
+    std::vector<store::Row> rows;
     const Snapshot& snapshot = in_force_->snapshot;
     for (const std::string& key : keys) {
       auto row = snapshot.rows.find(key);
@@ -129,7 +129,7 @@
     std::vector<std::string> missing;  // Shards still to be read.
   };
   using FetchPtr = std::shared_ptr<Fetch>;
-  using Step = void (Follower::*)(const std::vector<platform::Row>& rows,
+  using Step = void (Follower::*)(const std::vector<store::Row>& rows,
                                   absl::Time now);
 
   // An answer that never comes must not stop the following; a long read that
@@ -165,10 +165,10 @@
   void ReadRows(std::vector<std::string> keys, Step step, absl::Time now) {
     FetchPtr fetch = fetch_;
     std::weak_ptr<bool> alive = alive_;
-    auto read = [this, alive, fetch, step, now](platform::ReadResult rows) {
+    auto read = [this, alive, fetch, step, now](store::ReadResult rows) {
       if (alive.expired() || fetch != fetch_) return;
       if (!rows.ok()) return SourceFailed(now);
-      for (const platform::Row& row : rows.value()) {
+      for (const store::Row& row : rows.value()) {
         ++counters_.rows_read;
         counters_.bytes_read += row.key.size() + row.value.size();
       }
@@ -199,7 +199,7 @@
     return all[next_peer_++ % all.size()];
   }
 
-  void TakeHead(const std::vector<platform::Row>& rows, absl::Time now) {
+  void TakeHead(const std::vector<store::Row>& rows, absl::Time now) {
     if (rows.empty()) return NothingNewer(0, now);
     auto head = DecodeHead(rows[0].value);
     if (!head.ok()) return Refuse();
@@ -223,7 +223,7 @@
     if (peer) StartFetch(peer, now);
   }
 
-  void TakeIndex(const std::vector<platform::Row>& rows, absl::Time now) {
+  void TakeIndex(const std::vector<store::Row>& rows, absl::Time now) {
     bool good = !rows.empty() && rows[0].key == fetch_->head.index &&
                 Intact(rows[0].key, rows[0].value);
     if (!good) return Refuse();
@@ -250,9 +250,9 @@
     ReadRows(std::move(keys), &Follower::TakeShards, now);
   }
 
-  void TakeShards(const std::vector<platform::Row>& rows, absl::Time now) {
+  void TakeShards(const std::vector<store::Row>& rows, absl::Time now) {
     if (rows.size() != expected_) return Refuse();
-    for (const platform::Row& row : rows) {
+    for (const store::Row& row : rows) {
       if (!Intact(row.key, row.value)) return Refuse();
       fetch_->snapshot.rows.emplace(row.key, row.value);
     }
--- a/src/config/next_version.cc
+++ b/src/config/next_version.cc
@@ -9,9 +9,9 @@
 namespace gentianlb::config {
 namespace {
 
-std::size_t BytesOf(const std::vector<platform::Write>& writes) {
+std::size_t BytesOf(const std::vector<store::Write>& writes) {
   std::size_t bytes = 0;
-  for (const platform::Write& write : writes) {
+  for (const store::Write& write : writes) {
     bytes += write.key.size() + (write.value ? write.value->size() : 0);
   }
   return bytes;
@@ -80,7 +80,7 @@
   for (const std::string& key : Unused(entry, recent)) {
     next.final.push_back({key, std::nullopt});
   }
-  std::vector<platform::Write> rows;
+  std::vector<store::Write> rows;
   for (const std::string& key : entry.added) {
     rows.push_back({key, snapshot.rows[key]});
   }
--- a/src/config/next_version.h
+++ b/src/config/next_version.h
@@ -9,7 +9,7 @@
 #include "config/in_force.h"
 #include "config/rows.h"
 #include "config/stored_plan.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::config {
 
@@ -32,8 +32,8 @@
   HistoryEntry entry;
   // Shards that must stand before `final` is sent: only when all does not fit
   // into one transaction. Nobody sees them before the head names them.
-  std::vector<platform::Write> staged;
-  std::vector<platform::Write> final;
+  std::vector<store::Write> staged;
+  std::vector<store::Write> final;
   bool operator==(const NextVersion&) const = default;
 };
 
--- a/src/config/plan_store.h
+++ b/src/config/plan_store.h
@@ -19,7 +19,7 @@
 namespace gentianlb::config {
 
 // Lives as long as the table; owned by the control thread.
-template <platform::TableService Table>
+template <store::TableService Table>
 class PlanStore {
  public:
   using Done = std::function<void(Outcome<StoredPlan>)>;
@@ -29,7 +29,7 @@
   // The head row is written last: a plan that was half written is no plan.
   void Save(StoredPlan plan, Done done) {
     PlanRows rows = EncodePlan(plan);
-    std::vector<platform::Write> writes;
+    std::vector<store::Write> writes;
     for (std::size_t i = 0; i < rows.chunks.size(); ++i) {
       writes.push_back({PlanChunkKey(plan.id, i), rows.chunks[i]});
     }
@@ -38,10 +38,10 @@
     // that was abandoned, and would not be written.
     std::string token =
         absl::StrCat("plan/", plan.id, "/", absl::ToUnixMicros(plan.expiry));
-    auto all = std::make_shared<std::vector<platform::Transaction>>(
+    auto all = std::make_shared<std::vector<store::Transaction>>(
         CutWrites(std::move(writes), token));
-    CommitAll(table_, all, [plan, done](platform::CommitResult result) {
-      bool committed = result.state == platform::CommitState::kCommitted;
+    CommitAll(table_, all, [plan, done](store::CommitResult result) {
+      bool committed = result.state == store::CommitState::kCommitted;
       if (!committed) return done(ErrorOf(result));
       done(plan);
     });
@@ -50,7 +50,7 @@
   // kUnknownPlan when there is none or it has expired.
   void Load(const std::string& id, absl::Time now, Done done) {
     table_.Read({PlanKey(id)},
-                [this, id, now, done](platform::ReadResult head) {
+                [this, id, now, done](store::ReadResult head) {
                   if (!head.ok()) return done(head.error());
                   if (head.value().empty()) return done(Unknown(id));
                   auto plan = DecodePlanHead(head.value()[0].value);
@@ -63,20 +63,20 @@
 
   // Forgets plans that expired unconfirmed; best effort.
   void Sweep(absl::Time now) {
-    table_.Scan(kPlanPrefix, [this, now](platform::ReadResult rows) {
+    table_.Scan(kPlanPrefix, [this, now](store::ReadResult rows) {
       if (!rows.ok()) return;
-      for (const platform::Row& row : rows.value()) {
+      for (const store::Row& row : rows.value()) {
         auto plan = ExpiredPlan(row, now);
-        if (plan) DeleteRows(*plan, [](platform::CommitResult) {});
+        if (plan) DeleteRows(*plan, [](store::CommitResult) {});
       }
     });
   }
 
   void Remove(const StoredPlan& plan, Done done) {
     DeleteRows({plan.id, plan.expiry, EncodePlan(plan).chunks.size()},
-               [plan, done](platform::CommitResult result) {
+               [plan, done](store::CommitResult result) {
                  bool committed =
-                     result.state == platform::CommitState::kCommitted;
+                     result.state == store::CommitState::kCommitted;
                  if (!committed) return done(ErrorOf(result));
                  done(plan);
                });
@@ -88,14 +88,14 @@
   }
 
   void DeleteRows(const PlanHead& plan,
-                  std::function<void(platform::CommitResult)> done) {
-    std::vector<platform::Write> writes{{PlanKey(plan.id), std::nullopt}};
+                  std::function<void(store::CommitResult)> done) {
+    std::vector<store::Write> writes{{PlanKey(plan.id), std::nullopt}};
     for (std::size_t i = 0; i < plan.chunks; ++i) {
       writes.push_back({PlanChunkKey(plan.id, i), std::nullopt});
     }
     std::string token =
         absl::StrCat("abandon/", plan.id, "/", absl::ToUnixMicros(plan.expiry));
-    auto all = std::make_shared<std::vector<platform::Transaction>>(
+    auto all = std::make_shared<std::vector<store::Transaction>>(
         CutWrites(std::move(writes), token));
     CommitAll(table_, all, std::move(done));
   }
@@ -108,7 +108,7 @@
       bool expired = plan.ok() && plan.value().expiry <= now;
       return expired ? done(Unknown(id)) : done(std::move(plan));
     }
-    auto next = [=, this](platform::ReadResult read) {
+    auto next = [=, this](store::ReadResult read) {
       if (!read.ok()) return done(read.error());
       if (read.value().empty()) return done(Unknown(id));
       rows->chunks.push_back(read.value()[0].value);
--- a/src/config/service.h
+++ b/src/config/service.h
@@ -24,7 +24,7 @@
 
 // Owned by the control thread. Each Handle...() calls `done` once, later or at
 // once, on the control thread.
-template <platform::TableService Table>
+template <store::TableService Table>
 class Service {
  public:
   using Done = std::function<void(Outcome<Json::Value>)>;
@@ -90,7 +90,7 @@
   // {"limit"}: the last changes, newest first.
   void HandleHistory(const Json::Value& params, Done done) {
     std::size_t limit = LimitOf(params);
-    table_.Scan(kHistoryPrefix, [limit, done](platform::ReadResult rows) {
+    table_.Scan(kHistoryPrefix, [limit, done](store::ReadResult rows) {
       if (!rows.ok()) return done(rows.error());
       done(HistoryAnswer(rows.value(), limit));
     });
@@ -104,7 +104,7 @@
       return done(ShowAnswer(current->configuration));
     }
     table_.Read({HistoryKey(version)},
-                [this, version, done](platform::ReadResult rows) {
+                [this, version, done](store::ReadResult rows) {
                   if (!rows.ok()) return done(rows.error());
                   if (rows.value().empty()) return done(NoVersion(version));
                   auto entry = DecodeHistory(rows.value()[0].value);
@@ -131,7 +131,7 @@
   void Missed(const std::string& id, const ConfirmRequest& request,
               const Error& error, Done done) {
     if (error.code != Code::kUnknownPlan) return done(error);
-    table_.Scan(kHistoryPrefix, [=](platform::ReadResult rows) {
+    table_.Scan(kHistoryPrefix, [=](store::ReadResult rows) {
       if (!rows.ok()) return done(rows.error());
       auto entry = FindConfirmed(rows.value(), id);
       if (!entry) return done(error);
@@ -149,7 +149,7 @@
   void ReadVersion(const HistoryEntry& entry, Done done) {
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->index = entry.index;
-    table_.Read({entry.index}, [=, this](platform::ReadResult rows) {
+    table_.Read({entry.index}, [=, this](store::ReadResult rows) {
       if (!rows.ok()) return done(rows.error());
       if (rows.value().empty()) return done(NoVersion(entry.version));
       snapshot->rows.emplace(entry.index, rows.value()[0].value);
@@ -162,9 +162,9 @@
   void ReadShards(Version version, std::vector<std::string> keys,
                   std::shared_ptr<Snapshot> snapshot, Done done) {
     std::vector<std::string> now = TakeLast(&keys, kShardsPerRead);
-    table_.Read(now, [=, this](platform::ReadResult rows) {
+    table_.Read(now, [=, this](store::ReadResult rows) {
       if (!rows.ok()) return done(rows.error());
-      for (const platform::Row& row : rows.value()) {
+      for (const store::Row& row : rows.value()) {
         snapshot->rows.emplace(row.key, row.value);
       }
       if (!keys.empty()) return ReadShards(version, keys, snapshot, done);
--- a/src/config/stored_plan.cc
+++ b/src/config/stored_plan.cc
@@ -79,7 +79,7 @@
   }
 }
 
-std::optional<PlanHead> ExpiredPlan(const platform::Row& row, absl::Time now) {
+std::optional<PlanHead> ExpiredPlan(const store::Row& row, absl::Time now) {
   auto head = DecodePlanHead(row.value);
   // A chunk is no head, whatever it holds.
   bool is_head = head.ok() && row.key == PlanKey(head.value().id);
--- a/src/config/stored_plan.h
+++ b/src/config/stored_plan.h
@@ -12,7 +12,7 @@
 #include "config/configuration.h"
 #include "config/diff.h"
 #include "config/plan.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::config {
 
@@ -51,7 +51,7 @@
 Outcome<PlanHead> DecodePlanHead(const std::string& head);
 
 // The plan that `row` is the head of, if it has expired.
-std::optional<PlanHead> ExpiredPlan(const platform::Row& row, absl::Time now);
+std::optional<PlanHead> ExpiredPlan(const store::Row& row, absl::Time now);
 
 Outcome<StoredPlan> DecodePlan(const PlanRows& rows);
 
--- a/src/config/table_sequence.h
+++ b/src/config/table_sequence.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::config {
 
@@ -22,11 +22,11 @@
 inline constexpr int kMaxResends = 3;
 
 // The error that stands for a result other than kCommitted.
-inline Error ErrorOf(const platform::CommitResult& result) {
+inline Error ErrorOf(const store::CommitResult& result) {
   switch (result.state) {
-    case platform::CommitState::kConflict:
+    case store::CommitState::kConflict:
       return {Code::kPlatformConflict, "a row was changed meanwhile"};
-    case platform::CommitState::kNotApplied:
+    case store::CommitState::kNotApplied:
       return {Code::kPlatformUnavailable, "the platform took no write"};
     default:
       return {Code::kPlatformUnknown, "the platform's answer was lost"};
@@ -37,13 +37,13 @@
 // taken effect, a later one that certainly did not proves nothing: the result
 // stays kUnknown then, or an operator would be told that a change failed which
 // is in force.
-template <platform::TableService Table>
-void CommitSurely(Table& table, platform::Transaction transaction,
-                  std::function<void(platform::CommitResult)> done,
+template <store::TableService Table>
+void CommitSurely(Table& table, store::Transaction transaction,
+                  std::function<void(store::CommitResult)> done,
                   int resends = kMaxResends) {
   auto again = [&table, transaction, done,
-                resends](platform::CommitResult result) {
-    using platform::CommitState;
+                resends](store::CommitResult result) {
+    using store::CommitState;
     bool resent = resends < kMaxResends;
     if (resent && result.state == CommitState::kNotApplied) {
       result.state = CommitState::kUnknown;
@@ -57,16 +57,16 @@
 
 // Sends all in order and stops at the first that is not committed. `done` gets
 // the last result.
-template <platform::TableService Table>
+template <store::TableService Table>
 void CommitAll(Table& table,
-               std::shared_ptr<std::vector<platform::Transaction>> all,
-               std::function<void(platform::CommitResult)> done,
+               std::shared_ptr<std::vector<store::Transaction>> all,
+               std::function<void(store::CommitResult)> done,
                std::size_t next = 0) {
   if (next == all->size()) {
-    return done({platform::CommitState::kCommitted, {}, {}});
+    return done({store::CommitState::kCommitted, {}, {}});
   }
-  auto go_on = [&table, all, done, next](platform::CommitResult result) {
-    bool committed = result.state == platform::CommitState::kCommitted;
+  auto go_on = [&table, all, done, next](store::CommitResult result) {
+    bool committed = result.state == store::CommitState::kCommitted;
     if (!committed) return done(std::move(result));
     CommitAll(table, all, done, next + 1);
   };
@@ -75,11 +75,11 @@
 
 // Cuts `writes` into transactions within the table's bounds. Only for writes
 // that may take effect one by one.
-inline std::vector<platform::Transaction> CutWrites(
-    std::vector<platform::Write> writes, const std::string& token) {
-  std::vector<platform::Transaction> all;
+inline std::vector<store::Transaction> CutWrites(
+    std::vector<store::Write> writes, const std::string& token) {
+  std::vector<store::Transaction> all;
   std::size_t bytes = 0;
-  for (platform::Write& write : writes) {
+  for (store::Write& write : writes) {
     std::size_t size =
         write.key.size() + (write.value ? write.value->size() : 0);
     bool full = all.empty() || bytes + size > kMaxTransactionBytes ||
--- a/src/config/versions_test.cc
+++ b/src/config/versions_test.cc
@@ -18,9 +18,9 @@
 namespace gentianlb::config {
 namespace {
 
-using platform::CommitResult;
-using platform::CommitState;
-using platform::ReadResult;
+using store::CommitResult;
+using store::CommitState;
+using store::ReadResult;
 
 absl::Time At(double seconds) {
   return absl::UnixEpoch() + absl::Seconds(1000000 + seconds);
@@ -30,7 +30,7 @@
 // that a test decides what comes between them.
 class FakeTable {
  public:
-  void Commit(platform::Transaction transaction,
+  void Commit(store::Transaction transaction,
               std::function<void(CommitResult)> done) {
     queue_.push_back([this, transaction, done] { Carry(transaction, done); });
   }
@@ -38,7 +38,7 @@
             std::function<void(ReadResult)> done) {
     queue_.push_back([this, keys, done] {
       if (down) return done(Error{Code::kPlatformUnavailable, "down"});
-      std::vector<platform::Row> found;
+      std::vector<store::Row> found;
       for (const std::string& key : std::set(keys.begin(), keys.end())) {
         auto row = rows.find(key);
         if (row != rows.end() && !hidden.contains(key)) {
@@ -64,7 +64,7 @@
     }
   }
 
-  std::map<std::string, platform::Row> rows;
+  std::map<std::string, store::Row> rows;
   std::set<std::string> hidden;  // As if not written yet.
   bool down = false;
   int lose_answers = 0;   // Of commits that take effect.
@@ -72,7 +72,7 @@
   int largest = 0;        // Bytes of the largest transaction.
 
  private:
-  void Carry(const platform::Transaction& transaction,
+  void Carry(const store::Transaction& transaction,
              const std::function<void(CommitResult)>& done) {
     if (down || refuse_after == 0) {
       return done({CommitState::kNotApplied, {}, {}});
@@ -87,20 +87,20 @@
     done(lost ? CommitResult{} : known->second);
   }
 
-  CommitResult Apply(const platform::Transaction& transaction) {
+  CommitResult Apply(const store::Transaction& transaction) {
     int bytes = 0;
-    for (const platform::Condition& condition : transaction.conditions) {
+    for (const store::Condition& condition : transaction.conditions) {
       auto row = rows.find(condition.key);
       std::uint64_t version = row == rows.end() ? 0 : row->second.version;
       if (version != condition.version) {
         return {CommitState::kConflict, {condition.key}, {}};
       }
     }
-    for (const platform::Write& write : transaction.writes) {
+    for (const store::Write& write : transaction.writes) {
       if (!write.value) rows.erase(write.key);
       if (!write.value) continue;
       bytes += static_cast<int>(write.key.size() + write.value->size());
-      platform::Row& row = rows[write.key];
+      store::Row& row = rows[write.key];
       row = {write.key, *write.value, row.version + 1};
     }
     largest = std::max(largest, bytes);
@@ -114,7 +114,7 @@
 // Peers that answer from the followers of a test.
 struct FakePeers {
   using RowSource =
-      std::function<std::vector<platform::Row>(std::vector<std::string>)>;
+      std::function<std::vector<store::Row>(std::vector<std::string>)>;
   std::map<EntryHostId, RowSource> sources;
   std::vector<Version> announced;
 
--- a/src/entry/calls.cc
+++ b/src/entry/calls.cc
@@ -40,7 +40,7 @@
 
 Calls::Calls(CallOptions options, ControlLoop* loop, http::Client* client,
              timeline::Recorder* recorder, DispatchBoard* board, Claims* claims,
-             Peers* peers, Metrics* metrics)
+             Peers* peers, metrics::Metrics* metrics)
     : options_(std::move(options)),
       loop_(loop),
       client_(client),
--- a/src/entry/calls.h
+++ b/src/entry/calls.h
@@ -22,7 +22,7 @@
 #include "entry/claims.h"
 #include "entry/control_loop.h"
 #include "entry/dispatch_board.h"
-#include "entry/metrics.h"
+#include "metrics/metrics.h"
 #include "entry/server_call.h"
 #include "http/client.h"
 #include "timeline/recorder.h"
@@ -83,7 +83,7 @@
  public:
   Calls(CallOptions options, ControlLoop* loop, http::Client* client,
         timeline::Recorder* recorder, DispatchBoard* board, Claims* claims,
-        Peers* peers, Metrics* metrics);
+        Peers* peers, metrics::Metrics* metrics);
 
   void Configure(ConfigIndexPtr config);
 
@@ -176,7 +176,7 @@
   DispatchBoard* const board_;
   Claims* const claims_;
   Peers* const peers_;
-  Metrics* const metrics_;
+  metrics::Metrics* const metrics_;
   ConfigIndexPtr config_;
   bool refusing_ = false;
   std::uint64_t next_id_ = 1;
--- a/src/entry/claims.h
+++ b/src/entry/claims.h
@@ -9,7 +9,7 @@
 #include "claim/claim_table.h"
 #include "entry/control_loop.h"
 #include "entry/peers.h"
-#include "platform/client.h"
+#include "store/client.h"
 #include "rpc/codec.h"
 
 namespace gentianlb::entry {
@@ -26,7 +26,7 @@
   Peers* peers_;
 };
 
-using Claims = claim::ClaimTable<platform::Client, PeerAsker, LoopClock>;
+using Claims = claim::ClaimTable<store::Client, PeerAsker, LoopClock>;
 
 // Adds the method by which peers ask.
 void RegisterClaims(rpc::AsyncMethodTable* methods, Claims* claims);
--- a/src/entry/config_link.cc
+++ b/src/entry/config_link.cc
@@ -10,10 +10,10 @@
 // Rows of a shard are some 50 KB; a living peer sends them in milliseconds.
 constexpr absl::Duration kRowsTimeout = absl::Seconds(2);
 
-platform::ReadResult RowsFromJson(const Json::Value& json) {
+store::ReadResult RowsFromJson(const Json::Value& json) {
   Error malformed{Code::kMalformedRpc, "rows of a peer"};
   if (!json.isArray()) return malformed;
-  std::vector<platform::Row> rows;
+  std::vector<store::Row> rows;
   for (const Json::Value& item : json) {
     bool whole =
         item.isObject() && item["key"].isString() && item["value"].isString();
@@ -27,7 +27,7 @@
 
 void ConfigLink::ReadRows(const EntryHostId& peer,
                           const std::vector<std::string>& keys,
-                          std::function<void(platform::ReadResult)> read) {
+                          std::function<void(store::ReadResult)> read) {
   Json::Value params;
   params["keys"] = Json::Value(Json::arrayValue);
   for (const std::string& key : keys) params["keys"].append(key);
@@ -63,7 +63,7 @@
           }
         }
         Json::Value rows(Json::arrayValue);
-        for (const platform::Row& row : follower->RowsFor(keys)) {
+        for (const store::Row& row : follower->RowsFor(keys)) {
           Json::Value item;
           item["key"] = row.key;
           item["value"] = row.value;
--- a/src/entry/config_link.h
+++ b/src/entry/config_link.h
@@ -10,7 +10,7 @@
 
 #include "config/follow.h"
 #include "entry/peers.h"
-#include "platform/client.h"
+#include "store/client.h"
 #include "rpc/codec.h"
 
 namespace gentianlb::entry {
@@ -20,7 +20,7 @@
   explicit ConfigLink(Peers* peers) : peers_(peers) {}
 
   void ReadRows(const EntryHostId& peer, const std::vector<std::string>& keys,
-                std::function<void(platform::ReadResult)> read);
+                std::function<void(store::ReadResult)> read);
   void Announce(config::Version version) { peers_->SetConfigVersion(version); }
   std::vector<EntryHostId> Candidates() const;
 
@@ -28,7 +28,7 @@
   Peers* peers_;
 };
 
-using Follower = config::Follower<platform::Client, ConfigLink>;
+using Follower = config::Follower<store::Client, ConfigLink>;
 
 // Adds the method by which peers read rows of the version in force.
 void RegisterConfigRows(rpc::AsyncMethodTable* methods,
--- a/src/entry/engine_client.h
+++ b/src/entry/engine_client.h
@@ -12,7 +12,7 @@
 #include "entry/control_loop.h"
 #include "http/client.h"
 #include "orders/order_runner.h"
-#include "platform/client.h"
+#include "store/client.h"
 #include "timeline/recorder.h"
 
 namespace gentianlb::entry {
@@ -52,7 +52,7 @@
 orders::OrderReply ReadOrderReply(const http::Reply& reply);
 Outcome<orders::OrderProgress> ReadOrderProgress(const http::Reply& reply);
 
-using Orders = orders::OrderRunner<platform::Client, EngineClient, LoopClock>;
+using Orders = orders::OrderRunner<store::Client, EngineClient, LoopClock>;
 
 }  // namespace gentianlb::entry
 
--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -127,11 +127,11 @@
   poller_ = std::make_unique<ServerPoller>(&loop_, &control_client_,
                                            MakePollerHooks());
 
-  platform::ClientOptions platform_options;
+  store::ClientOptions platform_options;
   platform_options.address = settings::Format(settings_.platform.addresses[0]);
   platform_options.host_name =
       settings_.id.str() + "-" + std::to_string(incarnation_);
-  platform_ = std::make_unique<platform::Client>(
+  platform_ = std::make_unique<store::Client>(
       platform_options, &control_client_, &loop_.timers(),
       [this](std::function<void()> closure) {
         loop_.Post(std::move(closure));
@@ -144,7 +144,7 @@
   asker_ = std::make_unique<PeerAsker>(peers_.get());
   claims_ = std::make_unique<Claims>(claim_options, platform_.get(),
                                      asker_.get(), LoopClock());
-  sweeper_ = std::make_unique<claim::Sweeper<platform::Client>>(
+  sweeper_ = std::make_unique<claim::Sweeper<store::Client>>(
       claim::SweepOptions(), settings_.id, platform_.get());
   calls_ = std::make_unique<Calls>(
       CallOptions{settings_.id, incarnation_, settings_.zone}, &loop_,
@@ -160,7 +160,7 @@
                                  [this](const config::InForcePtr& in_force) {
                                    OnConfiguration(in_force);
                                  });
-  config_service_ = std::make_unique<config::Service<platform::Client>>(
+  config_service_ = std::make_unique<config::Service<store::Client>>(
       *platform_, [this] { return follower_->current(); },
       [this] { return PlanState(); });
   config_service_->OnConfirmed([this](config::Version version) {
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -17,12 +17,12 @@
 #include "entry/control_loop.h"
 #include "entry/dispatch_board.h"
 #include "entry/engine_client.h"
-#include "entry/metrics.h"
+#include "metrics/metrics.h"
 #include "entry/peers.h"
 #include "entry/server_poller.h"
 #include "http/client.h"
 #include "http/server.h"
-#include "platform/client.h"
+#include "store/client.h"
 #include "rpc/codec.h"
 #include "settings/host_settings.h"
 #include "timeline/recorder.h"
@@ -96,7 +96,7 @@
   const settings::HostSettings settings_;
   const Incarnation incarnation_;
   timeline::Recorder recorder_;
-  Metrics metrics_;
+  metrics::Metrics metrics_;
   ControlLoop loop_;
   http::Client traffic_client_;  // To backend servers.
   http::Client control_client_;  // To peers, the platform, and for polls.
@@ -105,14 +105,14 @@
   std::unique_ptr<Peers> peers_;
   std::unique_ptr<DispatchBoard> board_;
   std::unique_ptr<ServerPoller> poller_;
-  std::unique_ptr<platform::Client> platform_;
+  std::unique_ptr<store::Client> platform_;
   std::unique_ptr<PeerAsker> asker_;
   std::unique_ptr<Claims> claims_;
-  std::unique_ptr<claim::Sweeper<platform::Client>> sweeper_;
+  std::unique_ptr<claim::Sweeper<store::Client>> sweeper_;
   std::unique_ptr<Calls> calls_;
   std::unique_ptr<ConfigLink> config_link_;
   std::unique_ptr<Follower> follower_;
-  std::unique_ptr<config::Service<platform::Client>> config_service_;
+  std::unique_ptr<config::Service<store::Client>> config_service_;
   std::unique_ptr<EngineClient> engines_;
   std::unique_ptr<Orders> orders_;
   rpc::AsyncMethodTable peer_methods_;
--- a/src/entry/entry_host_parts.cc
+++ b/src/entry/entry_host_parts.cc
@@ -223,11 +223,11 @@
       !board_->Held().empty() || loop_.now() - list_read_ >= kIdleListPeriod;
   if (!due) return;
   list_read_ = loop_.now();
-  platform_->ListHosts([this](Outcome<std::vector<platform::ListedHost>> list) {
+  platform_->ListHosts([this](Outcome<std::vector<store::ListedHost>> list) {
     // An outage says nothing about the servers; the last list stays.
     if (!list.ok()) return;
     std::set<ServerId> leaving;
-    for (const platform::ListedHost& host : list.value()) {
+    for (const store::ListedHost& host : list.value()) {
       if (host.is_entry_host) {
         peers_->AddSeed({EntryHostId(host.id), host.address});
       } else if (host.leaving) {
--- a/src/entry/server_call.cc
+++ b/src/entry/server_call.cc
@@ -43,7 +43,7 @@
   }
   call.body = request.body;
   call.connect_timeout = kConnectTimeout;
-  call.at_most_once = true;
+  call.sending = http::Sending::kOwnConnection;
   return call;
 }
 
--- /dev/null
+++ b/src/gateway/directory.cc
@@ -0,0 +1,85 @@
+#include "gateway/directory.h"
+
+#include <algorithm>
+
+#include "absl/container/flat_hash_set.h"
+
+namespace gentianlb::gateway {
+
+bool Directory::Change(const std::string& key,
+                       const std::optional<ServerEntry>& entry,
+                       absl::Time now) {
+  if (!entry) return Remove(key, now);
+  Known& known = entries_[key];
+  known.removed_at = absl::InfiniteFuture();
+  if (known.entry == *entry) return false;
+  known.entry = *entry;
+  return true;
+}
+
+bool Directory::Replace(
+    const std::vector<std::pair<std::string, ServerEntry>>& entries,
+    absl::Time now) {
+  bool changed = false;
+  absl::flat_hash_set<std::string> listed;
+  for (const auto& [key, entry] : entries) {
+    changed |= Change(key, entry, now);
+    listed.insert(key);
+  }
+  std::vector<std::string> missing;
+  for (const auto& [key, known] : entries_) {
+    if (!listed.contains(key)) missing.push_back(key);
+  }
+  for (const std::string& key : missing) changed |= Remove(key, now);
+  return changed;
+}
+
+bool Directory::Remove(const std::string& key, absl::Time now) {
+  const auto found = entries_.find(key);
+  if (found == entries_.end()) return false;
+  if (now < returned_ + kReturnTime) {
+    Known& known = found->second;
+    known.removed_at = std::min(known.removed_at, returned_ + kReturnTime);
+    return false;
+  }
+  entries_.erase(found);
+  return true;
+}
+
+bool Directory::Expire(absl::Time now) {
+  return absl::erase_if(entries_, [now](const auto& item) {
+           return item.second.removed_at <= now;
+         }) > 0;
+}
+
+absl::Time Directory::NextExpiry() const {
+  absl::Time next = absl::InfiniteFuture();
+  for (const auto& [key, known] : entries_) {
+    next = std::min(next, known.removed_at);
+  }
+  return next;
+}
+
+std::vector<ServerEntry> Directory::ServersOf(const ServiceId& service) const {
+  std::vector<ServerEntry> servers;
+  for (const auto& [key, known] : entries_) {
+    if (known.entry.service == service) servers.push_back(known.entry);
+  }
+  // The table has no order; decisions must not depend on its hashing.
+  std::sort(
+      servers.begin(), servers.end(),
+      [](const ServerEntry& a, const ServerEntry& b) { return a.id < b.id; });
+  return servers;
+}
+
+std::vector<ServiceId> Directory::Services() const {
+  std::vector<ServiceId> services;
+  for (const auto& [key, known] : entries_) {
+    services.push_back(known.entry.service);
+  }
+  std::sort(services.begin(), services.end());
+  services.erase(std::unique(services.begin(), services.end()), services.end());
+  return services;
+}
+
+}  // namespace gentianlb::gateway
--- /dev/null
+++ b/src/gateway/forwarder.cc
@@ -0,0 +1,636 @@
+#include "gateway/forwarder.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+
+namespace gentianlb::gateway {
+namespace {
+
+using schedule::EndKind;
+
+// A caller that finds no configuration or a host about to stop may find another
+// host, or this one, ready a moment later.
+constexpr absl::Duration kComeBackSoon = absl::Milliseconds(500);
+
+// A server that had no room is one of many; a third that has none either says
+// that they are all full, and each try costs the servers something.
+constexpr int kMostSheds = 2;
+
+// With less time left no other server can answer, as a round trip and its queue
+// take about that.
+constexpr absl::Duration kLeastTimeToResend = absl::Milliseconds(20);
+
+// The part of the objective by which the first event is asked of a server; the
+// rest is for the way back and for what predictions miss.
+constexpr double kObjectivePart = 0.9;
+
+// Progress is told to the dispatcher once in so many events: it learns the pace
+// of a server as well from a few samples, and each costs some microseconds.
+constexpr int kEventsPerProgress = 16;
+
+bool IsSuccess(int status) { return status >= 200 && status < 300; }
+bool IsServerFailure(int status) { return status >= 500; }
+
+std::int64_t Milliseconds(absl::Duration duration) {
+  return absl::ToInt64Milliseconds(duration);
+}
+
+bool IsRateLimit(Code code) {
+  return code == Code::kRateLimited || code == Code::kWorkspaceQueueFull;
+}
+
+// The status of a refusal. One that says the request was not run, and may be
+// sent again, is 503 or 429; that it may have run is 502 or 504.
+int StatusOf(const Error& error) {
+  const CodeInfo& info = Describe(error.code);
+  if (info.http_status < 500) return info.http_status;
+  if (info.run == RunState::kNo) return 503;
+  return info.http_status == 504 ? 504 : 502;
+}
+
+}  // namespace
+
+Forwarder::Forwarder(ForwarderOptions options, ServerPort servers,
+                     TimerService* timers, std::function<absl::Time()> clock,
+                     const Directory* directory, metrics::Metrics* metrics)
+    : options_(std::move(options)),
+      servers_(std::move(servers)),
+      timers_(timers),
+      clock_(std::move(clock)),
+      directory_(directory),
+      metrics_(metrics) {}
+
+Forwarder::~Forwarder() {
+  for (auto& [id, exchange] : exchanges_) {
+    timers_->Cancel(exchange->deadline_timer);
+  }
+  for (auto& [service, queue] : queues_) timers_->Cancel(queue.wakeup);
+}
+
+std::int64_t Forwarder::version() const {
+  return index_ == nullptr ? 0 : index_->configuration().version;
+}
+
+void Forwarder::SetConfiguration(Configuration configuration) {
+  if (index_ != nullptr && configuration.version <= version()) {
+    LOG(INFO) << "event=configuration-old version=" << configuration.version
+              << " in_force=" << version();
+    return;
+  }
+  LOG(INFO) << "event=configuration-in-force version=" << configuration.version
+            << " before=" << version()
+            << " routes=" << configuration.routes.size();
+  index_ = std::make_shared<const RouteIndex>(std::move(configuration));
+  quotas_.Configure(index_->configuration().workspaces, clock_());
+  ServersChanged();
+}
+
+void Forwarder::ServersChanged() {
+  if (index_ == nullptr) return;
+  for (const Service& service : index_->configuration().services) {
+    ServiceQueue& queue = QueueOf(service.id);
+    std::vector<schedule::Decision> decisions;
+    queue.SetServers(service, directory_->ServersOf(service.id), clock_(),
+                     &decisions);
+    CarryOut(decisions);
+    ArmWakeup(service.id, queue);
+  }
+}
+
+ServiceQueue& Forwarder::QueueOf(const ServiceId& service) {
+  return queues_.try_emplace(service, options_.queue).first->second;
+}
+
+Exchange* Forwarder::Find(ExchangeId id) {
+  const auto found = exchanges_.find(id);
+  return found == exchanges_.end() ? nullptr : found->second.get();
+}
+
+// --- Arrival -----------------------------------------------------------------
+
+void Forwarder::Accept(CallerRequest request,
+                       std::shared_ptr<http::Responder> responder) {
+  const ExchangeId id = next_id_++;
+  auto owned = std::make_unique<Exchange>();
+  Exchange& exchange = *owned;
+  exchange.id = id;
+  exchange.arrival = clock_();
+  exchange.index = index_;
+  exchange.request = std::make_shared<const CallerRequest>(std::move(request));
+  exchange.responder = std::move(responder);
+  exchange.events = EventSplitter(exchange.request->last_event);
+  if (index_ != nullptr) {
+    exchange.route =
+        index_->FindRoute(exchange.request->host, exchange.request->path);
+    exchange.workspace = index_->FindWorkspace(exchange.request->key);
+  }
+  exchanges_.emplace(id, std::move(owned));
+  if (const auto error = Check(exchange)) {
+    return Refuse(exchange, *error, kComeBackSoon);
+  }
+  exchange.tier = exchange.route->tier;
+  if (exchange.workspace != nullptr && exchange.workspace->tier) {
+    exchange.tier = *exchange.workspace->tier;
+  }
+  const absl::Duration time_left =
+      std::min(exchange.request->time_left, exchange.route->timeout);
+  exchange.deadline = exchange.arrival + time_left;
+  if (const auto wait = TakeQuota(exchange)) {
+    return Refuse(exchange, {Code::kRateLimited, "over the workspace's tokens"},
+                  *wait);
+  }
+  const ServiceId& service =
+      ChooseService(*exchange.route, absl::HashOf(exchange.request->id.str()));
+  exchange.service = index_->FindService(service);
+  if (exchange.service == nullptr) {
+    return Refuse(exchange, {Code::kNoServer, "the service is not configured"},
+                  kComeBackSoon);
+  }
+  metrics_->CountAccepted(exchange.tier);
+  QueueOf(service).retries().OnCall();
+  exchange.deadline_timer =
+      timers_->At(exchange.deadline, [this, id](absl::Time) {
+        if (Exchange* late = Find(id)) DeadlinePassed(*late);
+      });
+  const auto answer = exchange.responder;
+  Enqueue(exchange, ServerId());
+  // Last, since a caller that has left already is told of at once.
+  answer->OnGone([this, id] {
+    if (Exchange* left = Find(id)) CallerGone(*left);
+  });
+}
+
+std::optional<Error> Forwarder::Check(const Exchange& exchange) const {
+  if (index_ == nullptr) {
+    return Error{Code::kNotReady, "no configuration is known yet"};
+  }
+  if (exchange.request->id.empty()) {
+    return Error{Code::kMalformedRequest, "the request has no id"};
+  }
+  if (exchange.route == nullptr) {
+    return Error{Code::kUnknownPath, "no route begins this path"};
+  }
+  const bool has_keys = !index_->configuration().workspaces.empty();
+  if (exchange.route->needs_key && has_keys && exchange.workspace == nullptr) {
+    return Error{Code::kBadToken, "the key is not known"};
+  }
+  if (exchange.route->services.empty()) {
+    return Error{Code::kNoServer, "the route names no service"};
+  }
+  if (exchange.is_stream() && clock_() >= no_streams_from_) {
+    return Error{Code::kDraining, "this host is about to stop"};
+  }
+  return std::nullopt;
+}
+
+std::optional<absl::Duration> Forwarder::TakeQuota(const Exchange& exchange) {
+  if (exchange.workspace == nullptr) return std::nullopt;
+  const auto& prompt = exchange.request->prompt;
+  const int tokens = prompt ? prompt->prompt_tokens + prompt->max_output_tokens
+                            : exchange.workspace->quota.tokens_without_count;
+  return quotas_.Take(exchange.workspace->id, tokens, clock_());
+}
+
+schedule::Request Forwarder::Describe(const Exchange& exchange,
+                                      const ServerId& avoid) const {
+  schedule::Request described;
+  described.id = exchange.attempt.dispatch_id;
+  described.host = options_.host;
+  if (exchange.workspace != nullptr) {
+    described.workspace = exchange.workspace->id;
+  }
+  described.tier = exchange.tier;
+  described.arrival = exchange.arrival;
+  described.deadline = exchange.deadline;
+  described.body_bytes =
+      static_cast<std::int64_t>(exchange.request->body.size());
+  described.avoid = avoid;
+  // Once it is missed, or the first event is out, only the deadline counts.
+  const absl::Time due =
+      exchange.arrival + kObjectivePart * exchange.route->objective;
+  if (!exchange.answering && due > clock_()) described.first_token_due = due;
+  const auto& prompt = exchange.request->prompt;
+  if (!exchange.service->engine || !prompt) return described;
+  described.model = prompt->model;
+  described.prompt_tokens = prompt->prompt_tokens;
+  described.max_output_tokens = prompt->max_output_tokens;
+  described.expected_output_tokens = prompt->expected_output_tokens;
+  described.parts = prompt->parts;
+  return described;
+}
+
+void Forwarder::Enqueue(Exchange& exchange, const ServerId& avoid) {
+  exchange.attempt = {};
+  exchange.attempt.dispatch_id = RequestId(absl::StrCat(next_dispatch_++));
+  exchange.body.clear();
+  exchange.events.Restart();
+  by_dispatch_[exchange.attempt.dispatch_id] = exchange.id;
+  schedule::Request described = Describe(exchange, avoid);
+  if (exchange.service->engine && described.model.empty()) {
+    described.model = QueueOf(exchange.service->id).default_model();
+  }
+  Tell(exchange.service->id, schedule::RequestArrived{std::move(described)});
+}
+
+// --- Decisions ---------------------------------------------------------------
+
+void Forwarder::Tell(const ServiceId& service, const schedule::Event& event) {
+  ServiceQueue& queue = QueueOf(service);
+  std::vector<schedule::Decision> decisions;
+  queue.Handle(event, clock_(), &decisions);
+  CarryOut(decisions);
+  ArmWakeup(service, queue);
+}
+
+void Forwarder::CarryOut(const std::vector<schedule::Decision>& decisions) {
+  for (const schedule::Decision& decision : decisions) {
+    std::visit([this](const auto& one) { On(one); }, decision);
+  }
+}
+
+void Forwarder::ArmWakeup(const ServiceId& service, ServiceQueue& queue) {
+  const absl::Time next = queue.dispatcher().NextWakeup();
+  if (next == queue.wakeup_at) return;
+  timers_->Cancel(queue.wakeup);
+  queue.wakeup = 0;
+  queue.wakeup_at = next;
+  if (next == absl::InfiniteFuture()) return;
+  queue.wakeup = timers_->At(next, [this, service](absl::Time) {
+    QueueOf(service).wakeup_at = absl::InfinitePast();
+    Tell(service, schedule::TimePassed{});
+  });
+}
+
+void Forwarder::On(const schedule::Grant& grant) {
+  const auto found = by_dispatch_.find(grant.id);
+  if (found == by_dispatch_.end()) return;
+  Exchange* exchange = Find(found->second);
+  if (exchange == nullptr) return;
+  const ServerEntry* server =
+      QueueOf(exchange->service->id).FindServer(grant.server);
+  if (server == nullptr) {
+    // It left between the decision and now.
+    return Tell(exchange->service->id,
+                schedule::RequestEnded{grant.id, EndKind::kNotSent, 0, 0});
+  }
+  Send(*exchange, *server);
+}
+
+void Forwarder::On(const schedule::Refuse& refusal) {
+  const auto found = by_dispatch_.find(refusal.id);
+  if (found == by_dispatch_.end()) return;
+  Exchange* exchange = Find(found->second);
+  by_dispatch_.erase(found);
+  if (exchange == nullptr) return;
+  exchange->attempt.dispatch_id = RequestId();
+  Refuse(*exchange, {refusal.code, "by the dispatcher"}, refusal.retry_after);
+}
+
+void Forwarder::On(const schedule::Cancel& cancel) {
+  const auto found = by_dispatch_.find(cancel.id);
+  if (found == by_dispatch_.end()) return;
+  if (Exchange* exchange = Find(found->second)) {
+    GiveUp(*exchange, {Code::kCancelledRunning, "by the dispatcher"});
+  }
+}
+
+// --- One sending -------------------------------------------------------------
+
+void Forwarder::Send(Exchange& exchange, const ServerEntry& server) {
+  const absl::Time now = clock_();
+  ++exchange.sendings;
+  exchange.attempt.server = server;
+  LOG(INFO) << "event=sent request=" << exchange.request->id
+            << " server=" << server.id
+            << " address=" << settings::Format(server.address)
+            << " zone=" << server.zone << " sending=" << exchange.sendings
+            << " waited_ms=" << Milliseconds(now - exchange.arrival)
+            << " left_ms=" << Milliseconds(exchange.deadline - now)
+            << " version=" << exchange.index->configuration().version;
+  ServerCall call;
+  call.request = exchange.request;
+  call.server = server;
+  if (exchange.workspace != nullptr) call.workspace = exchange.workspace->id;
+  call.time_left = exchange.deadline - now;
+  call.last_event = exchange.events.last_event();
+  const ExchangeId id = exchange.id;
+  const int sending = exchange.sendings;
+  // What comes of a sending that was given up is of no use to the next one.
+  auto current = [this, id, sending]() -> Exchange* {
+    Exchange* found = Find(id);
+    return found != nullptr && found->sendings == sending ? found : nullptr;
+  };
+  CallSink sink;
+  sink.on_head = [this, current](AnswerHead head) {
+    Exchange* found = current();
+    return found == nullptr ? http::Reading::kStop
+                            : TakeHead(*found, std::move(head));
+  };
+  sink.on_data = [this, current](std::string_view bytes) {
+    if (Exchange* found = current()) TakeBytes(*found, bytes);
+  };
+  sink.on_end = [this, current](http::TransferEnd end, std::string detail) {
+    if (Exchange* found = current()) TakeEnd(*found, end, detail);
+  };
+  exchange.attempt.transfer = servers_.send(std::move(call), std::move(sink));
+}
+
+http::Reading Forwarder::TakeHead(Exchange& exchange, AnswerHead head) {
+  if (!head.is_own) {
+    LOG(WARNING) << "event=foreign-answer request=" << exchange.request->id
+                 << " server=" << exchange.attempt.server->id;
+    return http::Reading::kStop;
+  }
+  const std::optional<ServerLoad> load = head.load;
+  exchange.attempt.head_seen = true;
+  exchange.attempt.head = std::move(head);
+  if (!load) return http::Reading::kGoOn;
+  // Carrying out what follows from it may end this request too.
+  const ExchangeId id = exchange.id;
+  Tell(exchange.service->id,
+       schedule::LoadAnswered{exchange.attempt.server->id, load->running,
+                              load->waiting});
+  return Find(id) == nullptr ? http::Reading::kStop : http::Reading::kGoOn;
+}
+
+void Forwarder::TakeBytes(Exchange& exchange, std::string_view bytes) {
+  const AnswerHead& head = exchange.attempt.head;
+  const bool relayed = exchange.is_stream() && IsSuccess(head.status);
+  if (!relayed) {
+    exchange.body.append(bytes);
+    return;
+  }
+  const std::string events = exchange.events.Feed(bytes);
+  if (events.empty()) return;
+  BeginStream(exchange);
+  exchange.responder->Write(events);
+  TellProgress(exchange);
+}
+
+void Forwarder::BeginStream(Exchange& exchange) {
+  if (exchange.answering) return;
+  exchange.answering = true;
+  exchange.first_event = clock_();
+  metrics_->ObserveFirstToken(exchange.tier,
+                              exchange.first_event - exchange.arrival);
+  exchange.responder->Begin(exchange.attempt.head.status,
+                            AnswerHeaders(exchange.attempt.head));
+}
+
+void Forwarder::TellProgress(Exchange& exchange) {
+  if (!exchange.service->engine) return;
+  const int events = exchange.events.events();
+  const bool first = !exchange.attempt.first_event_told;
+  if (!first && events % kEventsPerProgress != 0) return;
+  exchange.attempt.first_event_told = true;
+  const int tokens = events * exchange.service->engine->tokens_per_event;
+  Tell(exchange.service->id,
+       schedule::TokensStreamed{exchange.attempt.dispatch_id, tokens});
+}
+
+void Forwarder::TakeEnd(Exchange& exchange, http::TransferEnd end,
+                        const std::string& detail) {
+  Attempt& attempt = exchange.attempt;
+  attempt.transfer = 0;
+  if (end == http::TransferEnd::kNotSent) {
+    LOG(WARNING) << "event=not-sent request=" << exchange.request->id
+                 << " server=" << attempt.server->id << " cause=\"" << detail
+                 << "\"";
+    --exchange.sendings;
+    return Tell(
+        exchange.service->id,
+        schedule::RequestEnded{attempt.dispatch_id, EndKind::kNotSent, 0, 0});
+  }
+  if (attempt.head_seen && attempt.head.not_run) return Shed(exchange);
+  if (end != http::TransferEnd::kComplete) return Failed(exchange, detail);
+  const bool failed = IsServerFailure(attempt.head.status);
+  if (failed && exchange.repeatable()) {
+    return Failed(exchange, absl::StrCat("status ", attempt.head.status));
+  }
+  Complete(exchange);
+}
+
+void Forwarder::EndAttempt(Exchange& exchange, EndKind kind) {
+  const RequestId dispatch_id = exchange.attempt.dispatch_id;
+  if (dispatch_id.empty()) return;
+  exchange.attempt.dispatch_id = RequestId();
+  by_dispatch_.erase(dispatch_id);
+  int tokens = 0;
+  if (exchange.service->engine) {
+    tokens =
+        exchange.events.events() * exchange.service->engine->tokens_per_event;
+  }
+  Tell(exchange.service->id,
+       schedule::RequestEnded{dispatch_id, kind, tokens, 0});
+}
+
+void Forwarder::Complete(Exchange& exchange) {
+  // A server that fails quickly must not pass for a quick one.
+  const bool failed = IsServerFailure(exchange.attempt.head.status);
+  EndAttempt(exchange, failed ? EndKind::kBroken : EndKind::kComplete);
+  Answer(exchange);
+}
+
+// Certain: it was not run there.
+void Forwarder::Shed(Exchange& exchange) {
+  const ServerId server = exchange.attempt.server->id;
+  const bool wrong = exchange.attempt.head.wrong_server;
+  LOG(INFO) << "event=shed request=" << exchange.request->id
+            << " server=" << server
+            << " status=" << exchange.attempt.head.status
+            << " wrong_server=" << wrong;
+  ++exchange.sheds;
+  const ExchangeId id = exchange.id;
+  EndAttempt(exchange, EndKind::kShed);
+  if (wrong && on_wrong_server_) on_wrong_server_(server);
+  if (Find(id) == nullptr) return;
+  if (exchange.sheds <= kMostSheds && Resend(exchange, "not run")) return;
+  Refuse(exchange, {Code::kQueueFull, "the servers have no room"},
+         kComeBackSoon);
+}
+
+// It may have run there.
+void Forwarder::Failed(Exchange& exchange, const std::string& detail) {
+  LOG(WARNING) << "event=sending-failed request=" << exchange.request->id
+               << " server=" << exchange.attempt.server->id << " cause=\""
+               << detail << "\" events=" << exchange.events.events()
+               << " head=" << exchange.attempt.head_seen;
+  exchange.may_have_run = true;
+  const AnswerHead head = exchange.attempt.head;
+  const bool whole_failure =
+      exchange.attempt.head_seen && IsServerFailure(head.status);
+  std::string body = std::move(exchange.body);
+  EndAttempt(exchange, EndKind::kBroken);
+  const int runs = exchange.sendings - exchange.sheds;
+  if (exchange.repeatable() && runs < exchange.route->max_attempts &&
+      Resend(exchange, "may have run")) {
+    return;
+  }
+  if (whole_failure && !exchange.answering) {
+    exchange.attempt.head = head;
+    exchange.body = std::move(body);
+    return Answer(exchange);
+  }
+  GiveUp(exchange, {Code::kServerBroke, detail});
+}
+
+bool Forwarder::Resend(Exchange& exchange, std::string_view why) {
+  if (exchange.deadline - clock_() < kLeastTimeToResend) return false;
+  if (!QueueOf(exchange.service->id).retries().Take()) {
+    LOG(INFO) << "event=no-retry-budget request=" << exchange.request->id;
+    return false;
+  }
+  const ServerId avoid = exchange.attempt.server->id;
+  LOG(INFO) << "event=resend request=" << exchange.request->id
+            << " after=" << avoid << " why=\"" << why
+            << "\" last_event=" << exchange.events.last_event();
+  if (exchange.answering) metrics_->CountResumed();
+  Enqueue(exchange, avoid);
+  return true;
+}
+
+// --- The end -----------------------------------------------------------------
+
+std::vector<http::Header> Forwarder::AnswerHeaders(
+    const AnswerHead& head) const {
+  std::vector<http::Header> headers = head.headers;
+  if (draining_) headers.push_back({"Connection", "close"});
+  return headers;
+}
+
+void Forwarder::Answer(Exchange& exchange) {
+  const absl::Time now = clock_();
+  const AnswerHead& head = exchange.attempt.head;
+  const bool stream = exchange.is_stream() && IsSuccess(head.status);
+  if (exchange.answering) {
+    exchange.responder->Write(exchange.events.rest());
+    exchange.responder->Finish();
+  } else if (stream) {
+    exchange.responder->Respond(head.status, AnswerHeaders(head),
+                                exchange.events.rest());
+  } else {
+    exchange.responder->Respond(head.status, AnswerHeaders(head),
+                                std::move(exchange.body));
+  }
+  const absl::Time answered = stream ? exchange.first_event : now;
+  const bool in_time = answered - exchange.arrival <= exchange.route->objective;
+  metrics_->CountAnswered(exchange.tier, in_time);
+  LOG(INFO) << "event=answered request=" << exchange.request->id
+            << " route=" << exchange.route->name
+            << " tier=" << exchange.tier.rank << " status=" << head.status
+            << " server=" << exchange.attempt.server->id
+            << " sendings=" << exchange.sendings
+            << " first_ms=" << Milliseconds(answered - exchange.arrival)
+            << " total_ms=" << Milliseconds(now - exchange.arrival)
+            << " events=" << exchange.events.events() << " in_time=" << in_time;
+  Remove(exchange.id);
+}
+
+void Forwarder::RespondError(http::Responder& responder, const Error& error,
+                             absl::Duration retry_after) const {
+  std::vector<http::Header> headers = {
+      {"Content-Type", "application/problem+json"}};
+  const int status = StatusOf(error);
+  const bool come_back = status == 429 || status == 503;
+  if (come_back) {
+    headers.push_back(
+        {"Retry-After",
+         absl::StrFormat("%.3f", absl::ToDoubleSeconds(retry_after))});
+  }
+  if (draining_) headers.push_back({"Connection", "close"});
+  responder.Respond(status, std::move(headers), http::ProblemBody(error));
+}
+
+void Forwarder::Refuse(Exchange& exchange, const Error& error,
+                       absl::Duration retry_after) {
+  if (exchange.may_have_run || exchange.answering) {
+    return GiveUp(exchange, {Code::kServerBroke, error.detail});
+  }
+  const absl::Time now = clock_();
+  std::size_t waiting = 0;
+  if (exchange.service != nullptr) {
+    waiting = QueueOf(exchange.service->id).dispatcher().waiting();
+  }
+  LOG(INFO) << "event=refused request=" << exchange.request->id
+            << " code=" << static_cast<int>(error.code) << " cause=\""
+            << error.detail << "\" tier=" << exchange.tier.rank
+            << " waiting=" << waiting
+            << " after_ms=" << Milliseconds(now - exchange.arrival)
+            << " retry_after_ms=" << Milliseconds(retry_after)
+            << " version=" << version()
+            << " rate_limit=" << IsRateLimit(error.code);
+  metrics_->CountRefused(exchange.tier, error.code);
+  RespondError(*exchange.responder, error, retry_after);
+  Withdraw(exchange);
+  Remove(exchange.id);
+}
+
+// It may have run, so that no refusal would be true.
+void Forwarder::GiveUp(Exchange& exchange, const Error& error) {
+  LOG(WARNING) << "event=given-up request=" << exchange.request->id
+               << " code=" << static_cast<int>(error.code) << " cause=\""
+               << error.detail << "\" sendings=" << exchange.sendings
+               << " events=" << exchange.events.events()
+               << " after_ms=" << Milliseconds(clock_() - exchange.arrival)
+               << " answering=" << exchange.answering;
+  metrics_->CountCancelled(error.code);
+  if (exchange.answering) {
+    exchange.responder->Abort();
+  } else {
+    RespondError(*exchange.responder, error, absl::ZeroDuration());
+  }
+  Withdraw(exchange);
+  Remove(exchange.id);
+}
+
+void Forwarder::DeadlinePassed(Exchange& exchange) {
+  exchange.deadline_timer = 0;
+  const bool sent = exchange.attempt.transfer != 0 || exchange.may_have_run;
+  if (sent) {
+    return GiveUp(exchange, {Code::kServerTimeout, "the deadline passed"});
+  }
+  Refuse(exchange, {Code::kDeadlinePassed, "while it waited"}, kComeBackSoon);
+}
+
+void Forwarder::CallerGone(Exchange& exchange) {
+  LOG(INFO) << "event=caller-gone request=" << exchange.request->id
+            << " sendings=" << exchange.sendings
+            << " events=" << exchange.events.events()
+            << " after_ms=" << Milliseconds(clock_() - exchange.arrival);
+  metrics_->CountCancelled(Code::kCallerGone);
+  Withdraw(exchange);
+  Remove(exchange.id);
+}
+
+void Forwarder::Withdraw(Exchange& exchange) {
+  if (exchange.attempt.transfer != 0) {
+    servers_.cancel(exchange.attempt.transfer);
+    exchange.attempt.transfer = 0;
+    EndAttempt(exchange, EndKind::kCancelled);
+    return;
+  }
+  const RequestId dispatch_id = exchange.attempt.dispatch_id;
+  if (dispatch_id.empty()) return;
+  exchange.attempt.dispatch_id = RequestId();
+  by_dispatch_.erase(dispatch_id);
+  Tell(exchange.service->id, schedule::CallerGone{dispatch_id});
+}
+
+void Forwarder::Remove(ExchangeId id) {
+  const auto found = exchanges_.find(id);
+  if (found == exchanges_.end()) return;
+  timers_->Cancel(found->second->deadline_timer);
+  exchanges_.erase(found);
+}
+
+void Forwarder::Drain(absl::Time no_streams_from) {
+  draining_ = true;
+  no_streams_from_ = no_streams_from;
+}
+
+}  // namespace gentianlb::gateway
--- /dev/null
+++ b/src/gateway/host.cc
@@ -0,0 +1,267 @@
+#include "gateway/host.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace gentianlb::gateway {
+namespace {
+
+// Lines that a killed process takes with it are those of the last moments.
+constexpr absl::Duration kLogFlush = absl::Milliseconds(200);
+
+// After SIGTERM. The platform asks once a second and takes a host out after
+// two misses, so that callers still come for more than two seconds.
+constexpr absl::Duration kCallersStillCome = absl::Seconds(3);
+// When connections without a request begin to be closed: those that are in use
+// were told to close with their last answer.
+constexpr absl::Duration kCloseIdleAfter = absl::Milliseconds(2500);
+constexpr absl::Duration kIdleWhileDraining = absl::Seconds(1);
+constexpr absl::Duration kDrainLook = absl::Milliseconds(50);
+// Left for the exit itself.
+constexpr absl::Duration kExitTime = absl::Milliseconds(400);
+
+// Callers' connections beyond this are not taken; each costs some kilobytes.
+constexpr unsigned kMostCallers = 1500;
+
+// The part of the descriptors' work that all hosts share a retry burst over is
+// not known here; a dozen hosts stay within it together.
+constexpr double kHostsSharingRetries = 12;
+
+// A part below the bound, since retries and the requests that earn them are
+// not counted at the same moment by those who check.
+constexpr double kRetryMargin = 0.75;
+
+ForwarderOptions OptionsOf(const settings::GatewaySettings& settings) {
+  ForwarderOptions options;
+  options.host = settings.id;
+  options.queue.dispatcher.seed = absl::HashOf(settings.id);
+  options.queue.dispatcher.preempts = false;
+  options.queue.dispatcher.shortest_come_back = absl::Milliseconds(300);
+  options.queue.retries.retries_per_call =
+      kRetryMargin * settings.retries_per_request;
+  options.queue.retries.saved_retries =
+      std::max(1.0, settings.retry_burst / kHostsSharingRetries);
+  return options;
+}
+
+std::uint64_t SeedOf(const settings::GatewaySettings& settings) {
+  return absl::HashOf(settings.id);
+}
+
+}  // namespace
+
+Host::Host(const settings::GatewaySettings& settings, Platform platform,
+           loop::EventLoop* loop, log::BoundedLog* log)
+    : settings_(settings),
+      platform_(std::move(platform)),
+      loop_(loop),
+      log_(log),
+      forwarder_(
+          OptionsOf(settings), platform_.servers, &loop->timers(),
+          [loop] { return loop->now(); }, &directory_, &metrics_),
+      configuration_(
+          {.table = platform_.configuration_table}, platform_.table,
+          &loop->timers(), [loop] { return loop->now(); }, SeedOf(settings),
+          [this](const auto& rows, bool, absl::Time) {
+            TakeConfiguration(rows);
+          },
+          [](bool, absl::Time) {}),
+      servers_(
+          {.table = platform_.server_table}, platform_.table, &loop->timers(),
+          [loop] { return loop->now(); }, SeedOf(settings) + 1,
+          [this](const auto& rows, bool whole, absl::Time now) {
+            TakeServers(rows, whole, now);
+          },
+          [this](bool up, absl::Time now) {
+            if (up) directory_.ServiceReturned(now);
+          }) {}
+
+Host::~Host() {
+  for (const TimerId timer : timers_) loop_->timers().Cancel(timer);
+  loop_->timers().Cancel(expiry_);
+}
+
+Outcome<std::unique_ptr<Host>> Host::Start(
+    const settings::GatewaySettings& settings, Platform platform,
+    loop::EventLoop* loop, log::BoundedLog* log) {
+  std::unique_ptr<Host> host(
+      new Host(settings, std::move(platform), loop, log));
+  if (auto error = host->Listen()) return *error;
+  host->forwarder_.OnWrongServer([self = host.get()](const ServerId& server) {
+    // Whatever its registration says, another server answers there.
+    if (self->directory_.Change(server.str(), std::nullopt,
+                                self->loop_->now())) {
+      self->ServersChanged();
+    }
+  });
+  host->timers_.push_back(loop->timers().Every(
+      loop->now() + kLogFlush, kLogFlush, [log](absl::Time) { log->Flush(); }));
+  host->configuration_.Start();
+  host->servers_.Start();
+  LOG(INFO) << "event=started zone=" << settings.zone
+            << " callers=" << settings::Format(settings.callers)
+            << " table=" << settings::Format(settings.table);
+  return host;
+}
+
+std::optional<Error> Host::Listen() {
+  auto listen =
+      [this](const settings::Endpoint& endpoint, unsigned connections,
+             http::Server::Handler handler,
+             std::unique_ptr<http::Server>* server) -> std::optional<Error> {
+    http::ServerSettings chosen;
+    chosen.address = endpoint.ip;
+    chosen.port = static_cast<std::uint16_t>(endpoint.port);
+    chosen.limits.max_connections = connections;
+    chosen.loop = loop_;
+    auto started = http::Server::Start(chosen, std::move(handler));
+    if (!started.ok()) return started.error();
+    *server = std::move(started.value());
+    return std::nullopt;
+  };
+  constexpr unsigned kFewConnections = 32;
+  if (auto error = listen(
+          settings_.callers, kMostCallers,
+          [this](http::Request request, auto responder) {
+            TakeRequest(std::move(request), std::move(responder));
+          },
+          &callers_)) {
+    return error;
+  }
+  if (auto error = listen(
+          settings_.ready, kFewConnections,
+          [this](const http::Request& request, auto responder) {
+            TakeQuestion(request, *responder);
+          },
+          &ready_)) {
+    return error;
+  }
+  return listen(
+      settings_.metrics, kFewConnections,
+      [this](const http::Request&, auto responder) {
+        responder->Respond(200, {{"Content-Type", "text/plain"}},
+                           MetricsText());
+      },
+      &metrics_server_);
+}
+
+void Host::TakeRequest(http::Request request,
+                       std::shared_ptr<http::Responder> responder) {
+  auto read = platform_.read_request(std::move(request));
+  if (!read.ok()) {
+    LOG(INFO) << "event=malformed code=" << static_cast<int>(read.error().code)
+              << " cause=\"" << read.error().detail << "\"";
+    metrics_.CountMalformed(read.error().code);
+    return http::RespondProblem(*responder, read.error());
+  }
+  forwarder_.Accept(std::move(read.value()), std::move(responder));
+}
+
+void Host::TakeQuestion(const http::Request& request,
+                        http::Responder& responder) const {
+  if (request.path != settings_.ready_path) {
+    return http::RespondProblem(responder,
+                                {Code::kUnknownPath, settings_.ready_path});
+  }
+  responder.Respond(ready() ? 200 : 503, {}, "");
+}
+
+bool Host::ready() const {
+  return forwarder_.configured() && servers_.complete() && !draining_;
+}
+
+std::string Host::MetricsText() {
+  metrics_.Set("gentianlb_configuration_version", "In force", {},
+               static_cast<double>(forwarder_.version()));
+  metrics_.Set("gentianlb_open_requests", "Being served", {},
+               static_cast<double>(forwarder_.open_requests()));
+  metrics_.Set("gentianlb_callers", "Open connections", {},
+               static_cast<double>(callers_->open_connections()));
+  metrics_.Set("gentianlb_servers", "Registered backend servers", {},
+               static_cast<double>(directory_.size()));
+  metrics_.Set("gentianlb_ready", "1 when callers may come", {},
+               ready() ? 1 : 0);
+  metrics_.Set("gentianlb_table_up", "1 while the table service answers",
+               {{"table", platform_.configuration_table}},
+               configuration_.up() ? 1 : 0);
+  metrics_.Set("gentianlb_table_up", "1 while the table service answers",
+               {{"table", platform_.server_table}}, servers_.up() ? 1 : 0);
+  metrics_.Set("gentianlb_log_lines_left_out", "For the log's bound", {},
+               static_cast<double>(log_->left_out()));
+  return metrics_.Text();
+}
+
+void Host::TakeConfiguration(const std::vector<TableRow>& rows) {
+  for (const TableRow& row : rows) {
+    if (row.key != platform_.configuration_key || row.removed) continue;
+    auto read = platform_.read_configuration(row.value);
+    if (!read.ok()) {
+      LOG(ERROR) << "event=configuration-unreadable code="
+                 << static_cast<int>(read.error().code) << " cause=\""
+                 << read.error().detail << "\"";
+      continue;
+    }
+    callers_->SetIdleTimeout(read.value().limits.idle_timeout);
+    forwarder_.SetConfiguration(std::move(read.value()));
+  }
+}
+
+void Host::TakeServers(const std::vector<TableRow>& rows, bool whole,
+                       absl::Time now) {
+  std::vector<std::pair<std::string, ServerEntry>> named;
+  bool changed = false;
+  for (const TableRow& row : rows) {
+    std::optional<ServerEntry> entry;
+    if (!row.removed) {
+      auto read = platform_.read_server(row.key, row.value);
+      if (read.ok()) entry = std::move(read.value());
+      if (!read.ok()) {
+        LOG(WARNING) << "event=server-unreadable cause=\""
+                     << read.error().detail << "\"";
+      }
+    }
+    LOG(INFO) << "event=server-registration server=" << row.key
+              << " usable=" << entry.has_value()
+              << " draining=" << (entry && entry->draining)
+              << " started=" << (entry ? entry->started : 0);
+    if (whole && entry) named.emplace_back(row.key, *entry);
+    if (!whole) changed |= directory_.Change(row.key, entry, now);
+  }
+  if (whole) changed = directory_.Replace(named, now);
+  if (changed || whole) ServersChanged();
+  loop_->timers().Cancel(expiry_);
+  if (directory_.NextExpiry() == absl::InfiniteFuture()) return;
+  expiry_ = loop_->timers().At(directory_.NextExpiry(), [this](absl::Time at) {
+    if (directory_.Expire(at)) ServersChanged();
+  });
+}
+
+void Host::ServersChanged() { forwarder_.ServersChanged(); }
+
+void Host::Drain() {
+  if (draining_) return;
+  draining_ = true;
+  drain_began_ = loop_->now();
+  LOG(INFO) << "event=draining open=" << forwarder_.open_requests();
+  forwarder_.Drain(drain_began_ + kCallersStillCome);
+  timers_.push_back(loop_->timers().At(
+      drain_began_ + kCloseIdleAfter,
+      [this](absl::Time) { callers_->SetIdleTimeout(kIdleWhileDraining); }));
+  timers_.push_back(loop_->timers().Every(
+      drain_began_ + kCallersStillCome, kDrainLook,
+      [this](absl::Time now) { LookWhetherDrained(now); }));
+}
+
+void Host::LookWhetherDrained(absl::Time now) {
+  const bool done =
+      forwarder_.open_requests() == 0 && callers_->open_connections() == 0;
+  const bool out_of_time = now >= drain_began_ + settings_.grace - kExitTime;
+  if (!done && !out_of_time) return;
+  LOG(INFO) << "event=stopped open=" << forwarder_.open_requests()
+            << " connections=" << callers_->open_connections();
+  loop_->Stop();
+}
+
+}  // namespace gentianlb::gateway
--- /dev/null
+++ b/src/gateway/host.h
@@ -0,0 +1,97 @@
+// An entry host as a gateway on a platform: takes callers' connections, keeps
+// up with the configuration and the servers, says whether it is ready, and
+// drains. Everything runs on one event loop.
+
+#ifndef GENTIANLB_GATEWAY_HOST_H_
+#define GENTIANLB_GATEWAY_HOST_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gateway/directory.h"
+#include "gateway/forwarder.h"
+#include "gateway/messages.h"
+#include "gateway/table_follower.h"
+#include "http/server.h"
+#include "log/bounded_log.h"
+#include "loop/event_loop.h"
+#include "metrics/metrics.h"
+#include "settings/gateway_settings.h"
+
+namespace gentianlb::gateway {
+
+// What an adapter to a platform provides.
+struct Platform {
+  std::function<Outcome<CallerRequest>(http::Request)> read_request;
+  ServerPort servers;
+  TablePort table;
+  // Where the operator's configuration and the servers' registrations stand.
+  std::string configuration_table;
+  std::string configuration_key;
+  std::string server_table;
+  std::function<Outcome<Configuration>(std::string_view row)>
+      read_configuration;
+  std::function<Outcome<ServerEntry>(const std::string& key,
+                                     std::string_view row)>
+      read_server;
+};
+
+class Host {
+ public:
+  // `loop` and `log` outlive the host.
+  static Outcome<std::unique_ptr<Host>> Start(
+      const settings::GatewaySettings& settings, Platform platform,
+      loop::EventLoop* loop, log::BoundedLog* log);
+  ~Host();
+  Host(const Host&) = delete;
+  Host& operator=(const Host&) = delete;
+
+  // Takes no more callers, finishes what is in progress, and stops the loop.
+  void Drain();
+
+  bool ready() const;
+  std::uint16_t callers_port() const { return callers_->port(); }
+  std::uint16_t ready_port() const { return ready_->port(); }
+
+ private:
+  Host(const settings::GatewaySettings& settings, Platform platform,
+       loop::EventLoop* loop, log::BoundedLog* log);
+
+  std::optional<Error> Listen();
+  void TakeRequest(http::Request request,
+                   std::shared_ptr<http::Responder> responder);
+  void TakeQuestion(const http::Request& request,
+                    http::Responder& responder) const;
+  std::string MetricsText();
+
+  void TakeConfiguration(const std::vector<TableRow>& rows);
+  void TakeServers(const std::vector<TableRow>& rows, bool whole,
+                   absl::Time now);
+  void ServersChanged();
+  void LookWhetherDrained(absl::Time now);
+
+  const settings::GatewaySettings settings_;
+  const Platform platform_;
+  loop::EventLoop* const loop_;
+  log::BoundedLog* const log_;
+
+  metrics::Metrics metrics_;
+  Directory directory_;
+  Forwarder forwarder_;
+  TableFollower configuration_;
+  TableFollower servers_;
+  std::unique_ptr<http::Server> callers_;
+  std::unique_ptr<http::Server> ready_;
+  std::unique_ptr<http::Server> metrics_server_;
+  std::vector<TimerId> timers_;
+  TimerId expiry_ = 0;
+  bool draining_ = false;
+  absl::Time drain_began_;
+};
+
+}  // namespace gentianlb::gateway
+
+#endif  // GENTIANLB_GATEWAY_HOST_H_
--- /dev/null
+++ b/src/gateway/service_queue.cc
@@ -0,0 +1,68 @@
+#include "gateway/service_queue.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace gentianlb::gateway {
+
+ServiceQueue::ServiceQueue(const ServiceQueueOptions& options)
+    : guess_(options.guess),
+      dispatcher_(options.dispatcher),
+      retries_(options.retries) {}
+
+schedule::ServerSpec ServiceQueue::SpecOf(const Service& service,
+                                          const ServerEntry& entry) const {
+  schedule::ServerSpec spec;
+  spec.id = entry.id;
+  spec.max_streams = entry.streams;
+  if (!service.engine) return spec;
+  spec.models = service.engine->models;
+  spec.prefill_tokens_per_second = guess_.prefill_tokens_per_second;
+  spec.decode_tokens_per_second = guess_.decode_tokens_per_second;
+  spec.kv_tokens = service.engine->kv_tokens;
+  spec.cache_tokens = service.engine->kv_tokens;
+  return spec;
+}
+
+void ServiceQueue::SetServers(const Service& service,
+                              const std::vector<ServerEntry>& servers,
+                              absl::Time now,
+                              std::vector<schedule::Decision>* decisions) {
+  if (service.engine && !service.engine->models.empty()) {
+    default_model_ = service.engine->models.front();
+  }
+  std::vector<schedule::ServerSpec> specs;
+  absl::flat_hash_map<ServerId, ServerEntry> known;
+  for (const ServerEntry& entry : servers) {
+    specs.push_back(SpecOf(service, entry));
+    known.emplace(entry.id, entry);
+  }
+  known.swap(servers_);
+  if (specs != specs_) {
+    specs_ = std::move(specs);
+    dispatcher_.Handle(schedule::ServersConfigured{specs_}, now, decisions);
+  }
+  for (const ServerEntry& entry : servers) {
+    const auto before = known.find(entry.id);
+    const bool restarted =
+        before != known.end() && before->second.started != entry.started;
+    using schedule::ServerHealth;
+    using schedule::ServerHealthChanged;
+    // A server that was started anew holds nothing of before.
+    if (restarted) {
+      dispatcher_.Handle(ServerHealthChanged{entry.id, ServerHealth::kDead},
+                         now, decisions);
+    }
+    const ServerHealth health =
+        entry.draining ? ServerHealth::kLeaving : ServerHealth::kAlive;
+    dispatcher_.Handle(ServerHealthChanged{entry.id, health}, now, decisions);
+  }
+}
+
+const ServerEntry* ServiceQueue::FindServer(const ServerId& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : &found->second;
+}
+
+}  // namespace gentianlb::gateway
--- /dev/null
+++ b/src/gateway/service_queue.h
@@ -0,0 +1,78 @@
+// The requests that wait for one service and its servers: the dispatcher of
+// this host for it, told of servers as they come, drain, restart and go.
+
+#ifndef GENTIANLB_GATEWAY_SERVICE_QUEUE_H_
+#define GENTIANLB_GATEWAY_SERVICE_QUEUE_H_
+
+#include <functional>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "base/retry.h"
+#include "base/timer_service.h"
+#include "gateway/configuration.h"
+#include "gateway/messages.h"
+#include "schedule/dispatcher.h"
+
+namespace gentianlb::gateway {
+
+// What servers are taken for before their answers have shown it.
+struct ServerGuess {
+  // The slowest engines in use do about a third of this; the dispatcher takes
+  // one for a straggler only below a third of what it expects.
+  double prefill_tokens_per_second = 60000;
+  double decode_tokens_per_second = 150;
+  bool operator==(const ServerGuess&) const = default;
+};
+
+struct ServiceQueueOptions {
+  schedule::DispatcherOptions dispatcher;
+  ServerGuess guess;
+  RetryOptions retries;
+};
+
+// Not thread-safe: owned by the loop's thread.
+class ServiceQueue {
+ public:
+  explicit ServiceQueue(const ServiceQueueOptions& options);
+
+  // All servers of the service, also those that are draining. The decisions are
+  // appended.
+  void SetServers(const Service& service,
+                  const std::vector<ServerEntry>& servers, absl::Time now,
+                  std::vector<schedule::Decision>* decisions);
+
+  void Handle(const schedule::Event& event, absl::Time now,
+              std::vector<schedule::Decision>* decisions) {
+    dispatcher_.Handle(event, now, decisions);
+  }
+
+  // Null when it isn't known any more.
+  const ServerEntry* FindServer(const ServerId& id) const;
+
+  const schedule::Dispatcher& dispatcher() const { return dispatcher_; }
+  RetryBudget& retries() { return retries_; }
+  bool has_servers() const { return !servers_.empty(); }
+  // For a request that names no model.
+  const ModelId& default_model() const { return default_model_; }
+
+  // The wake-up that is armed for this queue; kept here, used by the owner.
+  TimerId wakeup = 0;
+  absl::Time wakeup_at = absl::InfiniteFuture();
+
+ private:
+  schedule::ServerSpec SpecOf(const Service& service,
+                              const ServerEntry& entry) const;
+
+  const ServerGuess guess_;
+  schedule::Dispatcher dispatcher_;
+  RetryBudget retries_;
+  ModelId default_model_;
+  absl::flat_hash_map<ServerId, ServerEntry> servers_;
+  std::vector<schedule::ServerSpec> specs_;
+};
+
+}  // namespace gentianlb::gateway
+
+#endif  // GENTIANLB_GATEWAY_SERVICE_QUEUE_H_
--- /dev/null
+++ b/src/gateway/table_follower.cc
@@ -0,0 +1,111 @@
+#include "gateway/table_follower.h"
+
+#include <glog/logging.h>
+
+#include <utility>
+
+namespace gentianlb::gateway {
+
+TableFollower::TableFollower(TableFollowerOptions options, TablePort port,
+                             TimerService* timers,
+                             std::function<absl::Time()> clock,
+                             std::uint64_t seed, OnRows on_rows,
+                             OnState on_state)
+    : options_(std::move(options)),
+      port_(std::move(port)),
+      timers_(timers),
+      clock_(std::move(clock)),
+      on_rows_(std::move(on_rows)),
+      on_state_(std::move(on_state)),
+      random_(seed) {}
+
+TableFollower::~TableFollower() { timers_->Cancel(retry_); }
+
+void TableFollower::Start() { Read(""); }
+
+TableDone TableFollower::Guard(std::function<void(TableAnswer)> done) {
+  return [alive = std::weak_ptr<int>(alive_),
+          done = std::move(done)](TableAnswer answer) {
+    if (alive.lock() != nullptr) done(std::move(answer));
+  };
+}
+
+void TableFollower::Read(const std::string& from) {
+  if (from.empty()) rows_.clear();
+  port_.read(options_.table, from, Guard([this, from](TableAnswer answer) {
+               TakeRead(from, std::move(answer));
+             }));
+}
+
+void TableFollower::TakeRead(const std::string& from, TableAnswer answer) {
+  if (const auto* failure = std::get_if<TableFailure>(&answer)) {
+    Failed(*failure);
+    return Again([this, from] { Read(from); });
+  }
+  Answered();
+  auto& page = std::get<TablePage>(answer);
+  // Pages are of different moments: what changed in between comes again with
+  // the changes since the first.
+  if (from.empty()) read_from_ = page.version;
+  for (TableRow& row : page.rows) rows_.push_back(std::move(row));
+  if (page.more && !rows_.empty()) {
+    // The least key after the last one.
+    return Read(rows_.back().key + '\0');
+  }
+  version_ = read_from_;
+  complete_ = true;
+  on_rows_(rows_, /*whole=*/true, clock_());
+  rows_.clear();
+  Follow();
+}
+
+void TableFollower::Follow() {
+  port_.follow(
+      options_.table, version_, options_.wait,
+      Guard([this](TableAnswer answer) { TakeChanges(std::move(answer)); }));
+}
+
+void TableFollower::TakeChanges(TableAnswer answer) {
+  if (const auto* failure = std::get_if<TableFailure>(&answer)) {
+    if (*failure == TableFailure::kHistoryGone) {
+      LOG(INFO) << "event=history-gone table=" << options_.table
+                << " version=" << version_;
+      return Again([this] { Read(""); });
+    }
+    Failed(*failure);
+    return Again([this] { Follow(); });
+  }
+  Answered();
+  const auto& page = std::get<TablePage>(answer);
+  version_ = std::max(version_, page.version);
+  if (!page.rows.empty()) on_rows_(page.rows, /*whole=*/false, clock_());
+  Follow();
+}
+
+void TableFollower::Failed(TableFailure /*failure*/) {
+  ++failures_;
+  if (!up_) return;
+  up_ = false;
+  LOG(WARNING) << "event=table-lost table=" << options_.table
+               << " version=" << version_;
+  on_state_(false, clock_());
+}
+
+void TableFollower::Answered() {
+  failures_ = 0;
+  if (up_) return;
+  up_ = true;
+  LOG(INFO) << "event=table-back table=" << options_.table
+            << " version=" << version_;
+  on_state_(true, clock_());
+}
+
+void TableFollower::Again(std::function<void()> call) {
+  constexpr double kSteps = 1 << 20;
+  const double draw = static_cast<double>(random_() % (1 << 20)) / kSteps;
+  const absl::Duration delay = RetryDelay(options_.retry, failures_, draw);
+  retry_ = timers_->At(clock_() + delay,
+                       [call = std::move(call)](absl::Time) { call(); });
+}
+
+}  // namespace gentianlb::gateway
--- /dev/null
+++ b/src/gateway/table_follower.h
@@ -0,0 +1,127 @@
+// Keeps up with one table of the platform's table service: reads it whole once,
+// and then waits for its changes.
+//
+// What goes wrong: the service is away for seconds or minutes, answers slowly,
+// or has dropped the history that a host still needs. A host that only waited
+// would act on an old list for ever; hosts that all ask again at once when the
+// service is back would be refused for their rate. So a failed call is made
+// again after a delay that grows and is spread, a lost history means reading
+// the table again, and what is known stays in use meanwhile.
+
+#ifndef GENTIANLB_GATEWAY_TABLE_FOLLOWER_H_
+#define GENTIANLB_GATEWAY_TABLE_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "base/retry.h"
+#include "base/timer_service.h"
+
+namespace gentianlb::gateway {
+
+struct TableRow {
+  std::string key;
+  std::string value;
+  bool removed = false;
+  bool operator==(const TableRow&) const = default;
+};
+
+// Some rows, as of one moment.
+struct TablePage {
+  std::vector<TableRow> rows;
+  std::uint64_t version = 0;  // Of the whole service; changes come after it.
+  bool more = false;          // There are rows after the last one.
+  bool operator==(const TablePage&) const = default;
+};
+
+enum class TableFailure {
+  kUnavailable,  // No answer, or one that says so.
+  kHistoryGone,  // The changes since that version are no longer known.
+};
+
+using TableAnswer = std::variant<TablePage, TableFailure>;
+using TableDone = std::function<void(TableAnswer answer)>;
+
+// The table service; fulfilled by the platform's adapter and by fakes. Each
+// call is answered once, later, and never after Cancel.
+struct TablePort {
+  // Rows from key `from` on, in order.
+  std::function<void(const std::string& table, const std::string& from,
+                     TableDone done)>
+      read;
+  // What changed after `since`; waits up to `wait` until there is something.
+  std::function<void(const std::string& table, std::uint64_t since,
+                     absl::Duration wait, TableDone done)>
+      follow;
+};
+
+struct TableFollowerOptions {
+  std::string table;
+  // How long one call waits for a change. Each call costs the service as much
+  // as a read, and a dead connection shows by its own probes.
+  absl::Duration wait = absl::Seconds(20);
+  // Short against the two seconds in which a new version must be in force.
+  RetryOptions retry = {.first_delay = absl::Milliseconds(50),
+                        .longest_delay = absl::Milliseconds(800)};
+};
+
+class TableFollower {
+ public:
+  // `whole`: the rows are the table, and what is missing is not in it.
+  using OnRows = std::function<void(const std::vector<TableRow>& rows,
+                                    bool whole, absl::Time now)>;
+  // The service has stopped answering, or answers again.
+  using OnState = std::function<void(bool up, absl::Time now)>;
+
+  // `timers` outlives this object.
+  TableFollower(TableFollowerOptions options, TablePort port,
+                TimerService* timers, std::function<absl::Time()> clock,
+                std::uint64_t seed, OnRows on_rows, OnState on_state);
+  ~TableFollower();
+  TableFollower(const TableFollower&) = delete;
+  TableFollower& operator=(const TableFollower&) = delete;
+
+  void Start();
+
+  bool up() const { return up_; }
+  bool complete() const { return complete_; }  // Read whole at least once.
+  std::uint64_t version() const { return version_; }
+
+ private:
+  void Read(const std::string& from);
+  void Follow();
+  void TakeRead(const std::string& from, TableAnswer answer);
+  void TakeChanges(TableAnswer answer);
+  void Failed(TableFailure failure);
+  void Answered();
+  // Runs `call` after the delay of the next retry.
+  void Again(std::function<void()> call);
+  // `done` is called only while this object lives and waits for it.
+  TableDone Guard(std::function<void(TableAnswer)> done);
+
+  const TableFollowerOptions options_;
+  const TablePort port_;
+  TimerService* const timers_;
+  const std::function<absl::Time()> clock_;
+  const OnRows on_rows_;
+  const OnState on_state_;
+  std::mt19937_64 random_;
+
+  std::vector<TableRow> rows_;   // Of the pages read so far.
+  std::uint64_t read_from_ = 0;  // The version of the first page.
+  std::uint64_t version_ = 0;
+  bool complete_ = false;
+  bool up_ = true;
+  int failures_ = 0;
+  TimerId retry_ = 0;
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
+};
+
+}  // namespace gentianlb::gateway
+
+#endif  // GENTIANLB_GATEWAY_TABLE_FOLLOWER_H_
--- /dev/null
+++ b/src/gentianlb/gateway.cc
@@ -0,0 +1,63 @@
+#include "gentianlb/gateway.h"
+
+#include <glog/logging.h>
+#include <signal.h>
+
+#include <iostream>
+
+#include "gateway/host.h"
+#include "gentianlb/exit_code.h"
+#include "log/bounded_log.h"
+#include "platform/platform.h"
+#include "settings/gateway_settings.h"
+
+namespace gentianlb {
+namespace {
+
+// Idle connections to backend servers that are kept for later requests: more
+// than a host's requests run at once on today's deployments.
+constexpr int kKeptConnections = 64;
+
+// What a running process can't change is told, so that nobody waits for it.
+void ReadAgain(const std::string& path,
+               const settings::GatewaySettings& in_force) {
+  const auto read = settings::LoadGatewaySettings(path);
+  if (!read.ok()) {
+    LOG(ERROR) << "event=settings-refused cause=\"" << read.error().detail
+               << "\"";
+    return;
+  }
+  LOG(INFO) << "event=settings-read same=" << (read.value() == in_force);
+}
+
+}  // namespace
+
+int RunGateway(const std::string& settings_path) {
+  const auto settings = settings::LoadGatewaySettings(settings_path);
+  if (!settings.ok()) {
+    std::cerr << settings.error().detail << "\n";
+    return kBadSettings;
+  }
+  google::InitGoogleLogging("gentianlb");
+  log::BoundedLog log({}, settings.value().id.str());
+  signal(SIGPIPE, SIG_IGN);
+
+  loop::EventLoop loop;
+  http::LoopClient client(&loop, kKeptConnections);
+  auto host = gateway::Host::Start(
+      settings.value(), platform::MakePlatform(&client, settings.value().table),
+      &loop, &log);
+  if (!host.ok()) {
+    std::cerr << static_cast<int>(host.error().code) << " "
+              << host.error().detail << "\n";
+    return kRefused;
+  }
+  loop.OnSignals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
+    if (signal == SIGHUP) return ReadAgain(settings_path, settings.value());
+    host.value()->Drain();
+  });
+  loop.Run();
+  return kDone;
+}
+
+}  // namespace gentianlb
--- a/src/gentianlb/main.cc
+++ b/src/gentianlb/main.cc
@@ -10,14 +10,13 @@
 
 #include "absl/time/clock.h"
 #include "entry/entry_host.h"
+#include "gentianlb/exit_code.h"
+#include "gentianlb/gateway.h"
 #include "settings/host_settings.h"
 
 namespace gentianlb {
 namespace {
 
-// docs/RESULT_CODES.md lists them.
-enum ExitCode { kDone = 0, kRefused = 1, kBadSettings = 2, kCutShort = 4 };
-
 // How often a drain looks whether it is done.
 constexpr absl::Duration kDrainPoll = absl::Milliseconds(50);
 
@@ -92,11 +91,16 @@
       "them to backend servers and streams the answers back.");
   std::string settings;
   app.add_option("--settings", settings, "INI file with this host's settings")
+      ->envname("GENTIANLB_CONFIG")
       ->required();
+  CLI::App* gateway = app.add_subcommand(
+      "gateway", "Run on the users' platform, as docs/design/platform.md says");
+  gateway->fallthrough();
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
     return app.exit(error) == 0 ? 0 : gentianlb::kBadSettings;
   }
-  return gentianlb::Run(settings);
+  return gateway->parsed() ? gentianlb::RunGateway(settings)
+                           : gentianlb::Run(settings);
 }
--- a/src/http/answer.h
+++ b/src/http/answer.h
@@ -22,7 +22,7 @@
 namespace gentianlb::http {
 
 // Bytes handed to libmicrohttpd in one call of the stream's reader.
-inline constexpr std::size_t kStreamBlockBytes = 16 << 10;
+inline constexpr std::size_t kStreamBlockBytes = 4 << 10;
 
 // The state of one answer, shared by the connection (a server thread) and by
 // whoever answers (any thread). A connection is suspended while there is
@@ -78,6 +78,19 @@
 
   // The remaining functions are called by server threads.
 
+  // The caller has closed its side while its answer is awaited or streamed.
+  // libmicrohttpd doesn't look at a suspended connection.
+  void CallerLeft() {
+    std::function<void()> callback;
+    {
+      absl::MutexLock lock(&mutex_);
+      callback = std::move(on_gone_);
+      on_gone_ = nullptr;
+    }
+    if (callback) callback();
+    Abort();
+  }
+
   // Queues the answer if it has begun, else suspends the connection until it
   // does.
   MHD_Result QueueOrSuspend(const std::shared_ptr<Answer>& self) {
@@ -125,8 +138,9 @@
 
   void End(Phase phase) {
     absl::MutexLock lock(&mutex_);
-    if (phase_ != Phase::kStreaming &&
-        !(phase_ == Phase::kWaiting && phase == Phase::kAborted)) {
+    const bool unanswered =
+        phase_ == Phase::kWaiting && phase == Phase::kAborted;
+    if (phase_ != Phase::kStreaming && !unanswered) {
       return;
     }
     phase_ = phase;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -28,21 +28,31 @@
   kCancelled,  // Cancel() was called.
 };
 
+// On which connection a request goes, and whether libcurl may send it again by
+// itself when a reused connection turns out to be dead.
+enum class Sending {
+  kRepeatable,     // On a kept connection; may be sent again.
+  kOnce,           // On a kept connection; such a transfer ends as kBroken.
+  kOwnConnection,  // On a new connection that is closed after it.
+};
+
+// What the reader of an answer wants after its head.
+enum class Reading { kGoOn, kStop };
+
 struct ClientRequest {
   std::string method = "GET";
   std::string url;  // http://IP:PORT/path
+  // Sent in place of the path and query of `url`, byte for byte, when set.
+  std::string target;
   std::vector<Header> headers;
   std::string body;
   absl::Duration connect_timeout = absl::Seconds(1);
   absl::Duration timeout = absl::InfiniteDuration();  // For the whole transfer.
   absl::Duration silence = absl::InfiniteDuration();  // Without any byte.
 
-  // libcurl repeats a request by itself when a reused connection turns out to
-  // be dead before any answer came. What the other side may already have taken
-  // would then run twice, and nobody would notice until an order is doubled.
-  // With `at_most_once` each transfer has a connection of its own, on which
-  // libcurl never repeats.
-  bool at_most_once = false;
+  Sending sending = Sending::kRepeatable;
+  // A kept connection that was idle for longer is not used again.
+  absl::Duration most_idle = absl::InfiniteDuration();
 
   std::string ca_file;  // Checks the peer's certificate against it, for https.
 };
@@ -50,7 +60,7 @@
 // What comes back; called from the client's thread, in this order. Must not
 // block.
 struct TransferSink {
-  std::function<void(int status, std::vector<Header> headers)> on_head;
+  std::function<Reading(int status, std::vector<Header> headers)> on_head;
   std::function<void(std::string_view bytes)> on_data;
   std::function<void(TransferEnd end, std::string detail)> on_end;
 };
@@ -64,6 +74,9 @@
   std::string detail;
 };
 
+// Collects an answer and calls `done` at its end.
+TransferSink CollectReply(std::function<void(Reply)> done);
+
 class Client {
  public:
   Client();
--- /dev/null
+++ b/src/http/framing.cc
@@ -0,0 +1,53 @@
+#include "http/framing.h"
+
+#include <algorithm>
+
+#include "absl/strings/ascii.h"
+
+namespace gentianlb::http {
+namespace {
+
+bool IsNameCharacter(char c) {
+  constexpr std::string_view kMarks = "!#$%&'*+-.^_`|~";
+  return absl::ascii_isalnum(c) || kMarks.find(c) != std::string_view::npos;
+}
+
+bool IsNumber(std::string_view text) {
+  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
+    return absl::ascii_isdigit(c);
+  });
+}
+
+bool Named(const Header& header, std::string_view name) {
+  return SameName(header.name, name);
+}
+
+}  // namespace
+
+std::string_view FramingProblem(const std::vector<Header>& headers) {
+  int lengths = 0;
+  int encodings = 0;
+  int hosts = 0;
+  for (const Header& header : headers) {
+    const bool proper =
+        !header.name.empty() &&
+        std::all_of(header.name.begin(), header.name.end(), IsNameCharacter);
+    if (!proper) return "a header name holds a character that none may";
+    if (Named(header, "host")) ++hosts;
+    if (Named(header, "content-length")) {
+      ++lengths;
+      if (!IsNumber(header.value)) return "the length is not a number";
+    }
+    if (Named(header, "transfer-encoding")) {
+      ++encodings;
+      if (!SameName(header.value, "chunked")) {
+        return "the only transfer encoding taken is chunked";
+      }
+    }
+  }
+  if (lengths + encodings > 1) return "the length is given more than once";
+  if (hosts > 1) return "the host is given more than once";
+  return {};
+}
+
+}  // namespace gentianlb::http
--- /dev/null
+++ b/src/http/loop_client.cc
@@ -0,0 +1,180 @@
+#include "http/loop_client.h"
+
+#include <sys/epoll.h>
+
+#include <utility>
+
+namespace gentianlb::http {
+namespace {
+
+// A handle costs about 5 KB and 20 us to make; more than run at once on a small
+// host are not worth keeping.
+constexpr std::size_t kSpareHandles = 32;
+
+std::uint32_t EpollEvents(int what) {
+  switch (what) {
+    case CURL_POLL_IN:
+      return EPOLLIN;
+    case CURL_POLL_OUT:
+      return EPOLLOUT;
+    default:
+      return EPOLLIN | EPOLLOUT;
+  }
+}
+
+int CurlEvents(std::uint32_t events) {
+  int selected = 0;
+  if ((events & (EPOLLIN | EPOLLHUP)) != 0) selected |= CURL_CSELECT_IN;
+  if ((events & EPOLLOUT) != 0) selected |= CURL_CSELECT_OUT;
+  if ((events & EPOLLERR) != 0) selected |= CURL_CSELECT_ERR;
+  return selected;
+}
+
+}  // namespace
+
+LoopClient::LoopClient(loop::EventLoop* loop, int kept_connections)
+    : loop_(loop), multi_([] {
+        InitializeCurl();
+        return curl_multi_init();
+      }()) {
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocketChange);
+  curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimerChange);
+  curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(kept_connections));  // NOLINT
+}
+
+LoopClient::~LoopClient() {
+  for (const auto& [id, transfer] : transfers_) {
+    curl_multi_remove_handle(multi_, transfer->handle());
+  }
+  transfers_.clear();
+  for (CURL* handle : spare_handles_) curl_easy_cleanup(handle);
+  curl_multi_cleanup(multi_);
+  loop_->timers().Cancel(timer_);
+}
+
+TransferId LoopClient::Start(ClientRequest request, TransferSink sink) {
+  const TransferId id = next_id_++;
+  auto transfer = std::make_shared<Transfer>(id, std::move(request),
+                                             std::move(sink), NewHandle());
+  transfer->Prepare();
+  transfers_.emplace(id, std::move(transfer));
+  OutsideCallbacks([this, id] {
+    const auto found = transfers_.find(id);
+    if (found == transfers_.end()) return;  // Cancelled meanwhile.
+    curl_multi_add_handle(multi_, found->second->handle());
+  });
+  return id;
+}
+
+// libcurl takes no new transfer, and gives none up, while it calls back.
+void LoopClient::OutsideCallbacks(std::function<void()> change) {
+  if (inside_) {
+    loop_->Defer(std::move(change));
+  } else {
+    change();
+  }
+}
+
+void LoopClient::Cancel(TransferId id) {
+  const auto found = transfers_.find(id);
+  if (found == transfers_.end()) return;
+  std::shared_ptr<Transfer> transfer = std::move(found->second);
+  transfers_.erase(found);
+  OutsideCallbacks([this, transfer] {
+    curl_multi_remove_handle(multi_, transfer->handle());
+    Recycle(transfer);
+  });
+}
+
+CURL* LoopClient::NewHandle() {
+  if (spare_handles_.empty()) return curl_easy_init();
+  CURL* handle = spare_handles_.back();
+  spare_handles_.pop_back();
+  return handle;
+}
+
+// A transfer may be cancelled from inside one of its own callbacks, so nothing
+// of it is destroyed before libcurl has returned.
+void LoopClient::Recycle(std::shared_ptr<Transfer> transfer) {
+  loop_->Defer([this, kept = std::move(transfer)] {
+    CURL* handle = kept->ReleaseHandle();
+    if (spare_handles_.size() >= kSpareHandles) {
+      curl_easy_cleanup(handle);
+      return;
+    }
+    curl_easy_reset(handle);
+    spare_handles_.push_back(handle);
+  });
+}
+
+int LoopClient::OnSocketChange(CURL* /*handle*/, curl_socket_t socket, int what,
+                               void* closure, void* /*socket_closure*/) {
+  auto& self = *static_cast<LoopClient*>(closure);
+  if (what == CURL_POLL_REMOVE) {
+    self.loop_->Unwatch(socket);
+    return 0;
+  }
+  self.loop_->Watch(socket, EpollEvents(what),
+                    [&self, socket](std::uint32_t events) {
+                      self.Act(socket, CurlEvents(events));
+                    });
+  return 0;
+}
+
+int LoopClient::OnTimerChange(CURLM* /*multi*/, long milliseconds,  // NOLINT
+                              void* closure) {
+  static_cast<LoopClient*>(closure)->SetTimer(milliseconds);
+  return 0;
+}
+
+// -1 means none. libcurl must not be entered again from here, so even 0 waits
+// for the loop.
+void LoopClient::SetTimer(std::int64_t milliseconds) {
+  loop_->timers().Cancel(timer_);
+  timer_ = 0;
+  if (milliseconds < 0) return;
+  const absl::Time due = loop::SteadyNow() + absl::Milliseconds(milliseconds);
+  timer_ = loop_->timers().At(due, [this](absl::Time) {
+    timer_ = 0;
+    Act(CURL_SOCKET_TIMEOUT, 0);
+  });
+}
+
+void LoopClient::Act(curl_socket_t socket, int events) {
+  int running = 0;
+  inside_ = true;
+  curl_multi_socket_action(multi_, socket, events, &running);
+  inside_ = false;
+  CollectEnded();
+}
+
+void LoopClient::CollectEnded() {
+  int left = 0;
+  while (CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+    if (message->msg != CURLMSG_DONE) continue;
+    Transfer* transfer = nullptr;
+    curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+    End(transfer->id, message->data.result);
+  }
+}
+
+void LoopClient::End(TransferId id, CURLcode code) {
+  const auto found = transfers_.find(id);
+  if (found == transfers_.end()) return;
+  std::shared_ptr<Transfer> transfer = std::move(found->second);
+  transfers_.erase(found);
+  long made = 0;  // NOLINT: libcurl's own type
+  curl_easy_getinfo(transfer->handle(), CURLINFO_NUM_CONNECTS, &made);
+  connections_ += static_cast<std::uint64_t>(made);
+  const TransferEnd end = transfer->Finish(code);
+  curl_multi_remove_handle(multi_, transfer->handle());
+  std::function<void(TransferEnd, std::string)> on_end =
+      std::move(transfer->sink().on_end);
+  Recycle(std::move(transfer));
+  if (on_end) on_end(end, curl_easy_strerror(code));
+}
+
+}  // namespace gentianlb::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <json/json.h>
 #include <microhttpd.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -16,14 +17,19 @@
 #include "absl/strings/string_view.h"
 #include "absl/synchronization/mutex.h"
 #include "http/answer.h"
+#include "http/framing.h"
+#include "http/loop_connections.h"
 
 namespace gentianlb::http {
 namespace {
 
-bool SameName(std::string_view a, std::string_view b) {
-  return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
-                                absl::string_view(b.data(), b.size()));
-}
+// libmicrohttpd looks for connections that were idle for too long only when it
+// is run; its timeouts are whole seconds.
+constexpr absl::Duration kIdleSweep = absl::Seconds(1);
+
+// Callers that may wait to be accepted while the loop is busy. A full queue
+// costs a caller a second, until it sends its opening packet again.
+constexpr unsigned kListenBacklog = 512;
 
 // What the handler holds. Its end without an answer breaks the connection.
 class AnswerHandle : public Responder {
@@ -57,6 +63,7 @@
   std::size_t header_bytes = 0;
   bool begun = false;
   bool too_large = false;
+  bool caller_left = false;
   bool handed_over = false;
   std::shared_ptr<Answer> answer;
 };
@@ -70,8 +77,28 @@
   return MHD_YES;
 }
 
+// Percent-encodes all but letters, digits and `plain`.
+std::string Encode(std::string_view text, std::string_view plain) {
+  constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (char c : text) {
+    if (absl::ascii_isalnum(c) || plain.find(c) != std::string_view::npos) {
+      encoded += c;
+      continue;
+    }
+    auto byte = static_cast<unsigned char>(c);
+    encoded += {'%', kDigits[byte >> 4], kDigits[byte & 15]};
+  }
+  return encoded;
+}
+
 }  // namespace
 
+bool SameName(std::string_view a, std::string_view b) {
+  return absl::EqualsIgnoreCase(absl::string_view(a.data(), a.size()),
+                                absl::string_view(b.data(), b.size()));
+}
+
 std::string_view FindHeader(const std::vector<Header>& headers,
                             std::string_view name) {
   for (const Header& header : headers) {
@@ -94,18 +121,11 @@
 }
 
 std::string EncodePath(std::string_view path) {
-  constexpr std::string_view kPlain = "-._~!$&'()*+,;=:@/";
-  constexpr char kDigits[] = "0123456789ABCDEF";
-  std::string encoded;
-  for (char c : path) {
-    if (absl::ascii_isalnum(c) || kPlain.find(c) != std::string_view::npos) {
-      encoded += c;
-      continue;
-    }
-    auto byte = static_cast<unsigned char>(c);
-    encoded += {'%', kDigits[byte >> 4], kDigits[byte & 15]};
-  }
-  return encoded;
+  return Encode(path, "-._~!$&'()*+,;=:@/");
+}
+
+std::string EncodeArgument(std::string_view value) {
+  return Encode(value, "-._~");
 }
 
 std::string ProblemBody(const Error& error) {
@@ -136,6 +156,9 @@
 
 struct Server::Impl {
   ServerLimits limits;
+  loop::EventLoop* loop = nullptr;
+  TimerId sweep = 0;
+  std::unique_ptr<LoopConnections> connections;  // With a loop.
   Handler handler;
   MHD_Daemon* daemon = nullptr;
   std::uint16_t port = 0;
@@ -180,7 +203,7 @@
     auto& exchange = *static_cast<Exchange*>(*slot);
     if (!exchange.begun) {
       BeginExchange(connection, method, path, exchange);
-      return MHD_YES;
+      return RefuseMalformed(exchange);
     }
     // Later calls: a block of the body, or the end of it.
     if (*upload_size > 0) {
@@ -192,14 +215,27 @@
     return exchange.answer->QueueOrSuspend(exchange.answer);
   }
 
-  static void BeginExchange(MHD_Connection* connection, const char* method,
-                            const char* path, Exchange& exchange) {
+  void BeginExchange(MHD_Connection* connection, const char* method,
+                     const char* path, Exchange& exchange) {
     exchange.begun = true;
     exchange.request.method = method;
     exchange.request.path = path;
     exchange.answer = std::make_shared<Answer>(connection);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
                               &exchange);
+    if (connections == nullptr) return;
+    exchange.caller_left = !connections->Awaits(connection, exchange.answer);
+  }
+
+  // An answer before the body is read makes libmicrohttpd close the connection
+  // after it, so that nothing of the doubtful rest is taken for a request.
+  MHD_Result RefuseMalformed(Exchange& exchange) {
+    const std::string_view problem = FramingProblem(exchange.request.headers);
+    if (problem.empty()) return MHD_YES;
+    exchange.handed_over = true;
+    AnswerHandle responder(exchange.answer);
+    RespondProblem(responder, {Code::kMalformedRequest, std::string(problem)});
+    return exchange.answer->QueueOrSuspend(exchange.answer);
   }
 
   void AppendBody(Exchange& exchange, std::string_view block) const {
@@ -212,7 +248,7 @@
 
   void HandOver(Exchange& exchange) {
     exchange.handed_over = true;
-    if (!Open(exchange.answer)) {
+    if (exchange.caller_left || !Open(exchange.answer)) {
       exchange.answer->Abort();
       return;
     }
@@ -233,6 +269,26 @@
     }
     handler(std::move(exchange.request), std::move(responder));
   }
+
+  // Runs the daemon whenever one of its connections has something to do.
+  void Join() {
+    const MHD_DaemonInfo* info =
+        MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    loop->Watch(info->epoll_fd, EPOLLIN,
+                [this](std::uint32_t) { MHD_run(daemon); });
+    sweep = loop->timers().Every(loop->now() + kIdleSweep, kIdleSweep,
+                                 [this](absl::Time) { MHD_run(daemon); });
+  }
+
+  void Leave() {
+    if (daemon == nullptr) return;
+    const MHD_DaemonInfo* info =
+        MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    loop->Unwatch(info->epoll_fd);
+    loop->timers().Cancel(sweep);
+    AbortAll();
+    MHD_run(daemon);
+  }
 };
 
 namespace {
@@ -249,6 +305,7 @@
 void* OnRequestLine(void* /*closure*/, const char* target,
                     MHD_Connection* /*connection*/) {
   auto exchange = std::make_unique<Exchange>();
+  exchange->request.target = target;
   const char* question = std::strchr(target, '?');
   if (question != nullptr) exchange->request.query = question + 1;
   return exchange.release();
@@ -291,11 +348,24 @@
       exchange->answer, why == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 }
 
+void OnConnection(void* closure, MHD_Connection* connection,
+                  void** /*socket_context*/,
+                  MHD_ConnectionNotificationCode what) {
+  LoopConnections& connections =
+      *static_cast<Server::Impl*>(closure)->connections;
+  if (what == MHD_CONNECTION_NOTIFY_STARTED) {
+    connections.Opened(connection);
+  } else {
+    connections.Closed(connection);
+  }
+}
+
 }  // namespace
 
 Server::Server(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
 Server::~Server() {
+  if (impl_->loop != nullptr) impl_->Leave();
   int quiesced = impl_->quiesced_socket.load();
   if (quiesced >= 0) close(quiesced);
   impl_->AbortAll();
@@ -315,8 +385,9 @@
     return Error{Code::kOutOfRange, "not an IP number: " + settings.address};
   }
 
-  unsigned flags =
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
+  unsigned flags = MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC |
+                   (settings.loop != nullptr ? MHD_USE_EPOLL
+                                             : MHD_USE_EPOLL_INTERNAL_THREAD);
   std::vector<MHD_OptionItem> options;
   auto add = [&](MHD_OPTION option, std::intptr_t value, const void* pointer) {
     options.push_back({option, value, const_cast<void*>(pointer)});
@@ -334,7 +405,14 @@
   add(MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       static_cast<std::intptr_t>(2 * settings.limits.max_header_bytes + 4096),
       nullptr);
-  if (settings.limits.threads > 1) {
+  add(MHD_OPTION_LISTEN_BACKLOG_SIZE, kListenBacklog, nullptr);
+  if (settings.loop != nullptr) {
+    impl->loop = settings.loop;
+    impl->connections = std::make_unique<LoopConnections>(
+        settings.loop, settings.limits.idle_timeout);
+    add(MHD_OPTION_NOTIFY_CONNECTION,
+        reinterpret_cast<std::intptr_t>(&OnConnection), impl.get());
+  } else if (settings.limits.threads > 1) {
     add(MHD_OPTION_THREAD_POOL_SIZE, settings.limits.threads, nullptr);
   }
   if (!settings.certificate_pem.empty() && !settings.private_key_pem.empty()) {
@@ -354,6 +432,7 @@
   const MHD_DaemonInfo* info =
       MHD_get_daemon_info(impl->daemon, MHD_DAEMON_INFO_BIND_PORT);
   impl->port = info->port;
+  if (impl->loop != nullptr) impl->Join();
   return std::unique_ptr<Server>(new Server(std::move(impl)));
 }
 
@@ -364,4 +443,14 @@
   impl_->quiesced_socket = MHD_quiesce_daemon(impl_->daemon);
 }
 
+void Server::SetIdleTimeout(absl::Duration timeout) {
+  if (impl_->connections != nullptr) {
+    impl_->connections->SetIdleTimeout(timeout);
+  }
+}
+
+std::size_t Server::open_connections() const {
+  return impl_->connections == nullptr ? 0 : impl_->connections->size();
+}
+
 }  // namespace gentianlb::http
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -14,6 +14,7 @@
 
 #include "absl/time/time.h"
 #include "base/result.h"
+#include "loop/event_loop.h"
 
 namespace gentianlb::http {
 
@@ -24,14 +25,18 @@
   auto operator<=>(const Header&) const = default;
 };
 
+// Whether two header names are the same.
+bool SameName(std::string_view a, std::string_view b);
+
 // The value of the first header called `name`, or empty.
 std::string_view FindHeader(const std::vector<Header>& headers,
                             std::string_view name);
 
 struct Request {
   std::string method;
-  std::string path;   // Decoded, without the query.
-  std::string query;  // As it was sent, without the question mark.
+  std::string path;    // Decoded, without the query.
+  std::string query;   // As it was sent, without the question mark.
+  std::string target;  // Path and query byte for byte as they were sent.
   std::vector<Header> headers;
   std::string body;
 
@@ -46,6 +51,9 @@
 // `path` with all but the characters that a path may hold percent-encoded.
 std::string EncodePath(std::string_view path);
 
+// `value` so that it may stand as the value of a query's argument.
+std::string EncodeArgument(std::string_view value);
+
 // Takes the answer to one request. Thread-safe. Dropping the last reference
 // before Finish() breaks the connection, so that a caller never takes a cut
 // answer for a whole one.
@@ -78,7 +86,7 @@
   std::size_t max_header_bytes = 32 << 10;
   absl::Duration idle_timeout = absl::Seconds(30);
   unsigned max_connections = 4096;
-  unsigned threads = 2;
+  unsigned threads = 2;  // Without an event loop.
 };
 
 struct ServerSettings {
@@ -87,6 +95,9 @@
   ServerLimits limits;
   std::string certificate_pem;  // TLS when both are set.
   std::string private_key_pem;
+  // When set, everything runs on this loop, which outlives the server, and a
+  // caller that leaves is noticed also while its answer is awaited.
+  loop::EventLoop* loop = nullptr;
 };
 
 // `application/problem+json` for a refusal: code, title, detail, run.
@@ -114,6 +125,13 @@
   // Takes no new connection; those that are open go on.
   void StopAccepting();
 
+  // From now on a connection without a request is closed after this long.
+  // With an event loop only.
+  void SetIdleTimeout(absl::Duration timeout);
+
+  // Connections of callers that are open. With an event loop only.
+  std::size_t open_connections() const;
+
   struct Impl;  // Defined in server.cc.
 
  private:
--- /dev/null
+++ b/src/loop/event_loop_test.cc
@@ -0,0 +1,90 @@
+#include "loop/event_loop.h"
+
+#include <signal.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace gentianlb::loop {
+namespace {
+
+struct SocketPair {
+  SocketPair() {
+    BOOST_REQUIRE(socketpair(AF_UNIX, SOCK_STREAM, 0, ends) == 0);
+  }
+  ~SocketPair() {
+    close(ends[0]);
+    close(ends[1]);
+  }
+  int ends[2] = {-1, -1};
+};
+
+BOOST_AUTO_TEST_CASE(CallsBackWhenBytesArrive) {
+  EventLoop loop;
+  SocketPair pair;
+  std::string got;
+  loop.Watch(pair.ends[0], EPOLLIN, [&](std::uint32_t) {
+    char byte = 0;
+    BOOST_REQUIRE(read(pair.ends[0], &byte, 1) == 1);
+    got += byte;
+    if (got.size() == 2) loop.Stop();
+  });
+  BOOST_REQUIRE(write(pair.ends[1], "ab", 2) == 2);
+  loop.Run();
+  BOOST_TEST(got == "ab");
+}
+
+// Two sockets are ready in the same round, and what the first one brings closes
+// the second. Called all the same, the second's owner would work on a closed
+// connection, or on a stranger's that has got its number.
+BOOST_AUTO_TEST_CASE(WhatIsUnwatchedInTheSameRoundIsNotCalled) {
+  EventLoop loop;
+  SocketPair first;
+  SocketPair second;
+  int calls = 0;
+  auto call = [&](int other) {
+    ++calls;
+    loop.Unwatch(other);
+    loop.Stop();
+  };
+  loop.Watch(first.ends[0], EPOLLIN,
+             [&](std::uint32_t) { call(second.ends[0]); });
+  loop.Watch(second.ends[0], EPOLLIN,
+             [&](std::uint32_t) { call(first.ends[0]); });
+  BOOST_REQUIRE(write(first.ends[1], "a", 1) == 1);
+  BOOST_REQUIRE(write(second.ends[1], "a", 1) == 1);
+  loop.Run();
+  BOOST_TEST(calls == 1);
+}
+
+BOOST_AUTO_TEST_CASE(SignalsArriveOnTheLoop) {
+  EventLoop loop;
+  int got = 0;
+  loop.OnSignals({SIGUSR1}, [&](int signal) {
+    got = signal;
+    loop.Stop();
+  });
+  loop.Defer([] { raise(SIGUSR1); });
+  loop.Run();
+  BOOST_TEST(got == SIGUSR1);
+}
+
+BOOST_AUTO_TEST_CASE(TimersAndDeferredClosuresRun) {
+  EventLoop loop;
+  std::string order;
+  loop.timers().At(loop.now(), [&](absl::Time) {
+    order += "timer ";
+    loop.Defer([&] {
+      order += "deferred";
+      loop.Stop();
+    });
+  });
+  loop.Run();
+  BOOST_TEST(order == "timer deferred");
+}
+
+}  // namespace
+}  // namespace gentianlb::loop
--- a/src/entry/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -1,8 +1,8 @@
-#include "entry/metrics.h"
+#include "metrics/metrics.h"
 
 #include <prometheus/text_serializer.h>
 
-namespace gentianlb::entry {
+namespace gentianlb::metrics {
 namespace {
 
 // Seconds; 1.1 s is the bound that 95 in 100 first tokens must keep.
@@ -91,4 +91,4 @@
   return prometheus::TextSerializer().Serialize(registry_->Collect());
 }
 
-}  // namespace gentianlb::entry
+}  // namespace gentianlb::metrics
--- a/src/entry/metrics.h
+++ b/src/metrics/metrics.h
@@ -1,7 +1,7 @@
 // The counters and gauges that /metrics shows, by prometheus-cpp. Thread-safe.
 
-#ifndef GENTIANLB_ENTRY_METRICS_H_
-#define GENTIANLB_ENTRY_METRICS_H_
+#ifndef GENTIANLB_METRICS_METRICS_H_
+#define GENTIANLB_METRICS_METRICS_H_
 
 #include <prometheus/counter.h>
 #include <prometheus/family.h>
@@ -16,7 +16,7 @@
 #include "base/ids.h"
 #include "base/result.h"
 
-namespace gentianlb::entry {
+namespace gentianlb::metrics {
 
 class Metrics {
  public:
@@ -55,6 +55,6 @@
   prometheus::Family<prometheus::Histogram>& first_token_;
 };
 
-}  // namespace gentianlb::entry
+}  // namespace gentianlb::metrics
 
-#endif  // GENTIANLB_ENTRY_METRICS_H_
+#endif  // GENTIANLB_METRICS_METRICS_H_
--- a/src/orders/lease.cc
+++ b/src/orders/lease.cc
@@ -33,7 +33,7 @@
   return std::max(due, not_before_);
 }
 
-void Lease::OnRead(const platform::ReadResult& result, absl::Time now) {
+void Lease::OnRead(const store::ReadResult& result, absl::Time now) {
   busy_ = false;
   if (!result.ok()) {
     not_before_ = now + options_.retry_after;
@@ -48,7 +48,7 @@
   until_ = absl::InfinitePast();
 }
 
-void Lease::OnRow(const platform::Row& row, absl::Time now) {
+void Lease::OnRow(const store::Row& row, absl::Time now) {
   // Another version, another life: counted anew from when it is first seen.
   if (row.version != version_ || seen_since_ == absl::InfiniteFuture()) {
     seen_since_ = now;
@@ -63,9 +63,9 @@
   until_ = absl::InfinitePast();
 }
 
-void Lease::OnCommitted(const platform::CommitResult& result, absl::Time now) {
+void Lease::OnCommitted(const store::CommitResult& result, absl::Time now) {
   busy_ = false;
-  bool committed = result.state == platform::CommitState::kCommitted;
+  bool committed = result.state == store::CommitState::kCommitted;
   if (committed && !result.versions.empty()) {
     seen_since_ = now;
     row_ = sent_;
@@ -73,12 +73,12 @@
   }
   not_before_ = now + options_.retry_after;
   // Certain that nothing changed: what is known still holds.
-  if (result.state == platform::CommitState::kNotApplied) return;
+  if (result.state == store::CommitState::kNotApplied) return;
   // The row decides who won, or whether the write took effect.
   known_ = false;
 }
 
-void Lease::Take(platform::RowVersion version) {
+void Lease::Take(store::RowVersion version) {
   known_ = true;
   version_ = version;
   if (sent_.fence != fence_) acquired_at_ = sent_at_;
@@ -100,7 +100,7 @@
          row.fence == fence_;
 }
 
-platform::Transaction Lease::Write(Fence fence, absl::Time now) {
+store::Transaction Lease::Write(Fence fence, absl::Time now) {
   sent_ = LeaseRow{self_, incarnation_, fence, options_.lease, ++serial_};
   sent_at_ = now;
   return {absl::StrCat(kLeaseKey, "/", self_.str(), "/", incarnation_, "/",
--- a/src/orders/lease.h
+++ b/src/orders/lease.h
@@ -16,7 +16,7 @@
 
 #include "absl/time/time.h"
 #include "orders/rows.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::orders {
 
@@ -38,7 +38,7 @@
   bool operator==(const ReadLease&) const = default;
 };
 
-using LeaseCall = std::variant<ReadLease, platform::Transaction>;
+using LeaseCall = std::variant<ReadLease, store::Transaction>;
 
 class Lease {
  public:
@@ -49,8 +49,8 @@
   absl::Time NextDue(absl::Time now) const;
 
   // The answer to ReadLease: the row or none. An error: no answer.
-  void OnRead(const platform::ReadResult& result, absl::Time now);
-  void OnCommitted(const platform::CommitResult& result, absl::Time now);
+  void OnRead(const store::ReadResult& result, absl::Time now);
+  void OnCommitted(const store::CommitResult& result, absl::Time now);
 
   // Ask right before each action.
   bool Held(absl::Time now) const { return now < until_ - options_.margin; }
@@ -66,9 +66,9 @@
   }
 
  private:
-  platform::Transaction Write(Fence fence, absl::Time now);
-  void OnRow(const platform::Row& row, absl::Time now);
-  void Take(platform::RowVersion version);
+  store::Transaction Write(Fence fence, absl::Time now);
+  void OnRow(const store::Row& row, absl::Time now);
+  void Take(store::RowVersion version);
   bool Free(absl::Time now) const;
   // Own writes of one holding, whichever of them took effect last.
   bool Ours(const LeaseRow& row) const;
@@ -80,7 +80,7 @@
   bool known_ = false;  // The fields of the row are as last read.
   bool corrupt_ = false;
   std::optional<LeaseRow> row_;
-  platform::RowVersion version_ = 0;
+  store::RowVersion version_ = 0;
   absl::Time seen_since_ = absl::InfiniteFuture();
   absl::Time read_at_ = absl::InfinitePast();
 
--- a/src/orders/lease_test.cc
+++ b/src/orders/lease_test.cc
@@ -16,8 +16,8 @@
 
 struct Flight {
   LeaseCall call;
-  std::optional<platform::CommitResult> committed;  // Set: took effect.
-  std::optional<std::vector<platform::Row>> read;
+  std::optional<store::CommitResult> committed;  // Set: took effect.
+  std::optional<std::vector<store::Row>> read;
 };
 
 // Two hosts, one row; copied at each branch.
@@ -26,7 +26,7 @@
                                 Lease(kOptions, EntryHostId("b"), 1)};
   std::array<std::optional<Flight>, 2> flights;
   std::optional<Flight> late;  // Given up by its sender; may yet take effect.
-  std::vector<platform::Row> table;
+  std::vector<store::Row> table;
   absl::Time now = absl::UnixEpoch();
 
   void Call(int host) {
@@ -40,15 +40,15 @@
       flight->read = table;
       return;
     }
-    const auto& commit = std::get<platform::Transaction>(flight->call);
-    platform::RowVersion version = table.empty() ? 0 : table[0].version;
-    flight->committed = platform::CommitResult{};
-    flight->committed->state = platform::CommitState::kConflict;
+    const auto& commit = std::get<store::Transaction>(flight->call);
+    store::RowVersion version = table.empty() ? 0 : table[0].version;
+    flight->committed = store::CommitResult{};
+    flight->committed->state = store::CommitState::kConflict;
     if (commit.conditions[0].version != version) return;
     Fence before = table.empty() ? 0 : DecodeLease(table[0].value)->fence;
     table = {{kLeaseKey, *commit.writes[0].value, version + 1}};
     BOOST_REQUIRE_GE(DecodeLease(table[0].value)->fence, before);
-    flight->committed->state = platform::CommitState::kCommitted;
+    flight->committed->state = store::CommitState::kCommitted;
     flight->committed->versions = {{kLeaseKey, "", version + 1}};
   }
 
@@ -57,11 +57,11 @@
     flights[host].reset();
     if (lost && !flight.read && !flight.committed) late = flight;
     if (std::holds_alternative<ReadLease>(flight.call)) {
-      platform::ReadResult none = Error{Code::kPlatformUnavailable, ""};
-      hosts[host].OnRead(lost ? none : platform::ReadResult(*flight.read), now);
+      store::ReadResult none = Error{Code::kPlatformUnavailable, ""};
+      hosts[host].OnRead(lost ? none : store::ReadResult(*flight.read), now);
       return;
     }
-    hosts[host].OnCommitted(lost ? platform::CommitResult{} : *flight.committed,
+    hosts[host].OnCommitted(lost ? store::CommitResult{} : *flight.committed,
                             now);
   }
 
--- a/src/orders/order_runner.h
+++ b/src/orders/order_runner.h
@@ -67,7 +67,7 @@
   { clock() } -> std::convertible_to<absl::Time>;
 };
 
-template <platform::TableService Table, EngineService Engine,
+template <store::TableService Table, EngineService Engine,
           MonotonicClock Now>
 class OrderRunner {
  public:
@@ -121,7 +121,7 @@
     Phase phase = Phase::kAsk;
     bool busy = false;
     absl::Time due = absl::InfinitePast();
-    platform::RowVersion version = 0;  // Of the step's row.
+    store::RowVersion version = 0;  // Of the step's row.
     StepState closing = StepState::kDone;
     bool checks = true;  // The engine checks fencing numbers.
   };
@@ -130,14 +130,14 @@
     std::optional<LeaseCall> call = lease_.Next(now_());
     if (!call) return;
     if (std::holds_alternative<ReadLease>(*call)) {
-      table_->Read({kLeaseKey}, [this](platform::ReadResult result) {
+      table_->Read({kLeaseKey}, [this](store::ReadResult result) {
         lease_.OnRead(result, now_());
         answered_ = true;
       });
       return;
     }
-    table_->Commit(std::get<platform::Transaction>(*call),
-                   [this](platform::CommitResult result) {
+    table_->Commit(std::get<store::Transaction>(*call),
+                   [this](store::CommitResult result) {
                      lease_.OnCommitted(result, now_());
                      answered_ = true;
                    });
@@ -157,18 +157,18 @@
   void Scan() {
     if (scanning_ || now_() < scan_due_) return;
     scanning_ = true;
-    table_->Scan(kStepPrefix, Guard([this](platform::ReadResult result) {
+    table_->Scan(kStepPrefix, Guard([this](store::ReadResult result) {
                    scanning_ = false;
                    scan_due_ = now_() + options_.lease.retry_after;
                    if (result.ok()) OnScan(result.value());
                  }));
   }
 
-  void OnScan(const std::vector<platform::Row>& rows) {
+  void OnScan(const std::vector<store::Row>& rows) {
     scanned_ = true;
     ++round_;  // Answers to what was asked before don't count any more.
     works_.clear();
-    for (const platform::Row& row : rows) {
+    for (const store::Row& row : rows) {
       ServerId server(row.key.substr(std::string_view(kStepPrefix).size()));
       works_[server].version = row.version;
       ServerView& view = views_[server];
@@ -363,29 +363,29 @@
     work.busy = true;
     ++writing_;
     row.fence = lease_.fence();
-    platform::Transaction transaction{
+    store::Transaction transaction{
         absl::StrCat("orders/", self_.str(), "/", incarnation_, "/", ++token_),
         {{StepKey(id), work.version}},
         {{StepKey(id), Encode(row)}}};
-    auto answered = Guard([this, id, row](platform::CommitResult result) {
+    auto answered = Guard([this, id, row](store::CommitResult result) {
       OnWritten(id, row, result);
     });
     table_->Commit(transaction,
-                   [this, answered](platform::CommitResult result) {
+                   [this, answered](store::CommitResult result) {
                      --writing_;
                      answered(std::move(result));
                    });
   }
 
   void OnWritten(const ServerId& id, const StepRow& row,
-                 const platform::CommitResult& result) {
+                 const store::CommitResult& result) {
     Work& work = works_[id];
     work.busy = false;
-    if (result.state == platform::CommitState::kNotApplied) {
+    if (result.state == store::CommitState::kNotApplied) {
       work.due = now_() + options_.lease.retry_after;
       return;
     }
-    if (result.state != platform::CommitState::kCommitted ||
+    if (result.state != store::CommitState::kCommitted ||
         result.versions.empty()) {
       // Lost, or another holder's row: only the table knows what stands there.
       scanned_ = false;
--- a/src/orders/order_runner_test.cc
+++ b/src/orders/order_runner_test.cc
@@ -30,7 +30,7 @@
 // at each of them in turn.
 struct World {
   absl::Time now = absl::UnixEpoch() + absl::Hours(1);
-  std::map<std::string, platform::Row> table;
+  std::map<std::string, store::Row> table;
   std::map<ServerId, FakeEngine> engines;
   std::deque<std::function<void()>> answers;
   std::function<bool()> loses = [] { return false; };  // The next answer.
@@ -79,15 +79,15 @@
     return OrderReply::kTaken;
   }
 
-  platform::CommitResult Commit(const platform::Transaction& transaction) {
+  store::CommitResult Commit(const store::Transaction& transaction) {
     const std::string& key = transaction.conditions[0].key;
-    platform::Row& row = table[key];
-    platform::CommitResult result;
-    result.state = platform::CommitState::kConflict;
+    store::Row& row = table[key];
+    store::CommitResult result;
+    result.state = store::CommitState::kConflict;
     if (row.version != transaction.conditions[0].version) return result;
     row = {key, *transaction.writes[0].value, row.version + 1};
     if (key == kLeaseKey) leased = now;
-    result.state = platform::CommitState::kCommitted;
+    result.state = store::CommitState::kCommitted;
     result.versions = {{key, "", row.version}};
     return result;
   }
@@ -125,30 +125,30 @@
       asleep.push_back([done, result] { done(result); });
     });
   }
-  void Commit(platform::Transaction transaction,
-              std::function<void(platform::CommitResult)> done) {
-    platform::CommitResult lost;
+  void Commit(store::Transaction transaction,
+              std::function<void(store::CommitResult)> done) {
+    store::CommitResult lost;
     if (stopped) return Answer(done, lost, lost);
     auto result = world->Commit(transaction);
     Step();
     Answer(done, result, lost);
   }
   void Read(std::vector<std::string> keys,
-            std::function<void(platform::ReadResult)> done) {
-    std::vector<platform::Row> rows;
+            std::function<void(store::ReadResult)> done) {
+    std::vector<store::Row> rows;
     auto row = world->table.find(keys[0]);
     if (row != world->table.end()) rows.push_back(row->second);
-    Answer(done, platform::ReadResult(rows),
-           Gone<std::vector<platform::Row>>());
+    Answer(done, store::ReadResult(rows),
+           Gone<std::vector<store::Row>>());
   }
   void Scan(std::string prefix,
-            std::function<void(platform::ReadResult)> done) {
-    std::vector<platform::Row> rows;
+            std::function<void(store::ReadResult)> done) {
+    std::vector<store::Row> rows;
     for (const auto& [key, row] : world->table) {
       if (key.starts_with(prefix)) rows.push_back(row);
     }
-    Answer(done, platform::ReadResult(rows),
-           Gone<std::vector<platform::Row>>());
+    Answer(done, store::ReadResult(rows),
+           Gone<std::vector<store::Row>>());
   }
   void ReadState(ServerId server,
                  std::function<void(Outcome<EngineState>)> done) {
--- a/src/replay/baseline.cc
+++ b/src/replay/baseline.cc
@@ -146,6 +146,11 @@
   if (server != nullptr) server->reported = event.running + event.queued;
 }
 
+void BaselineState::On(const schedule::LoadAnswered& event) {
+  BaselineServer* server = Find(event.server);
+  if (server != nullptr) server->reported = event.running + event.queued;
+}
+
 void BaselineState::On(const schedule::CacheChanged&) {}
 
 void BaselineState::On(const schedule::ServerHealthChanged& event) {
--- a/src/schedule/answers.cc
+++ b/src/schedule/answers.cc
@@ -90,7 +90,7 @@
                      const RequestEnded& event) {
   const Waiting& origin = running.origin;
   Server& server = state.fleet.at(running.server);
-  state.retries.Success();
+  state.retries.OnCall();
   if (running.demand.plain) {
     if (running.taken_over) return;
     server.pace.AddCall(absl::ToDoubleSeconds(state.now - running.granted));
@@ -232,6 +232,10 @@
       ++state.counters.cancelled;
       CountPrefill(state, running, event);
       break;
+    case EndKind::kShed:
+      ++state.counters.shed_by_server;
+      CutWindow(state, server);
+      break;
     case EndKind::kNotSent:
       server.window.Unreachable(state.now);
       // A cancel was its final answer already.
--- a/src/schedule/counters.h
+++ b/src/schedule/counters.h
@@ -37,6 +37,7 @@
   std::uint64_t inversions = 0;
   double prefill_computed = 0;  // Tokens, as predicted or reported.
   std::array<double, kWasteCauses> prefill_wasted{};
+  std::uint64_t shed_by_server = 0;  // Sent to a server that had no room.
   std::uint64_t window_cuts = 0;
   std::uint64_t silences = 0;  // First tokens long overdue.
   bool operator==(const Counters&) const = default;
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -62,6 +62,13 @@
   RoomOn(state, server);
 }
 
+void AnswerLoad(State& state, const LoadAnswered& event) {
+  const ServerIndex server = state.fleet.Find(event.server);
+  if (server == kNoIndex) return;
+  state.fleet.at(server).Answered(event, state.now);
+  RoomOn(state, server);
+}
+
 struct EventHandler {
   State& state;
 
@@ -71,6 +78,7 @@
   void operator()(const TokensStreamed& event) { Streamed(state, event); }
   void operator()(const RequestEnded& event) { Ended(state, event); }
   void operator()(const LoadReported& event) { ReportLoad(state, event); }
+  void operator()(const LoadAnswered& event) { AnswerLoad(state, event); }
   void operator()(const CacheChanged& event) {
     const ServerIndex server = state.fleet.Find(event.server);
     if (server != kNoIndex) state.cache.Changed(server, event, state.now);
--- a/src/schedule/estimate.cc
+++ b/src/schedule/estimate.cc
@@ -83,6 +83,15 @@
 OutputEstimate OutputEstimator::Estimate(const Request& request,
                                          WorkspaceIndex workspace) const {
   const int bound = request.max_output_tokens;
+  if (request.expected_output_tokens > 0) {
+    // Right in the middle and often far off: nine in ten stay under thrice.
+    constexpr double kHintSpread = 3;
+    const int hint = request.expected_output_tokens;
+    return Bounded(OutputEstimate{.median = hint,
+                                  .high = Bounded(hint * kHintSpread, 0),
+                                  .learnt = true},
+                   bound);
+  }
   const auto found = sketches_.find(KeyOf(request, workspace));
   if (found != sketches_.end()) {
     if (const auto own = found->second.Quantiles()) return Bounded(*own, bound);
--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -51,6 +51,14 @@
   if (!waiting.is_long) activity.last_short = state.now;
 }
 
+// The last moment at which the fastest server would put out the first token in
+// time.
+absl::Time LatestForFirstToken(const State& state, const Waiting& waiting) {
+  const absl::Time due = waiting.request.first_token_due;
+  if (due == absl::InfiniteFuture()) return due;
+  return due - absl::Seconds(BestServiceSeconds(state, waiting, /*output=*/0));
+}
+
 // How long until the turn of `waiting` comes, counting only what the order puts
 // ahead of it.
 double WaitSeconds(const State& state, const Waiting& waiting) {
@@ -70,7 +78,16 @@
       .wait = WaitSeconds(state, waiting),
       .service = absl::ToDoubleSeconds(waiting.best_service),
       .deadline = absl::ToDoubleSeconds(request.deadline - state.now)};
-  if (!Unreachable(outlook) && !Overloaded(outlook)) return false;
+  const absl::Duration start_left = waiting.latest_start - state.now;
+  const Outlook first_token{.wait = outlook.wait,
+                            .service = 0,
+                            .deadline = absl::ToDoubleSeconds(start_left)};
+  const bool first_too_late =
+      request.first_token_due < absl::InfiniteFuture() &&
+      (Unreachable(first_token) || Overloaded(first_token));
+  if (!Unreachable(outlook) && !Overloaded(outlook) && !first_too_late) {
+    return false;
+  }
   // Power is named only when no lower tier could give up some.
   const bool lower_waits = state.queue.LowestTier() > request.tier;
   const bool for_power =
@@ -142,8 +159,11 @@
                  WorkspaceIndex workspace, PoolIndex pool) {
   Waiting waiting;
   waiting.request = request;
-  waiting.marks = MarksOf(request.prefix);
+  waiting.marks =
+      request.parts.empty() ? MarksOf(request.prefix) : request.parts;
   waiting.request.prefix = {};  // The marks are enough, and far smaller.
+  waiting.request.parts = {};
+  waiting.avoid = state.fleet.Find(request.avoid);
   waiting.workspace = workspace;
   waiting.pool = pool;
   waiting.weight = state.limits.weight(workspace);
@@ -159,9 +179,12 @@
       BestServiceSeconds(state, waiting, HopefulOutput(waiting.output)));
   const absl::Duration usual =
       absl::Seconds(BestServiceSeconds(state, waiting, waiting.output.median));
-  waiting.latest_start = request.deadline - waiting.best_service;
+  waiting.latest_start = std::min(request.deadline - waiting.best_service,
+                                  LatestForFirstToken(state, waiting));
+  const absl::Time last_usual_start =
+      std::min(request.deadline - usual, LatestForFirstToken(state, waiting));
   waiting.urgent_at =
-      request.deadline - usual - std::max(kUrgentBefore, kUrgentPart * usual);
+      last_usual_start - std::max(kUrgentBefore, kUrgentPart * usual);
   waiting.since = state.now;
   return waiting;
 }
--- a/src/schedule/limits.cc
+++ b/src/schedule/limits.cc
@@ -9,11 +9,6 @@
 // sent are let through, a loop is not.
 constexpr double kBurstSeconds = 10;
 
-// One retry for ten successes adds at most a tenth to the load, a usual figure
-// for retry budgets; the capacity lets a quiet system ride over one failed
-// server.
-constexpr double kRetriesPerSuccess = 0.1;
-
 // Weights come from operators; zero would stop a workspace for ever.
 constexpr double kMinWeight = 0.001;
 
@@ -28,6 +23,14 @@
   filled_ = now;
 }
 
+void TokenBucket::Rescale(double per_second, double capacity, absl::Time now) {
+  if (capacity_ <= 0) return SetRate(per_second, capacity, now);
+  Empty(now);  // Earned so far at the old rate.
+  level_ *= capacity / capacity_;
+  rate_ = per_second;
+  capacity_ = capacity;
+}
+
 bool TokenBucket::Empty(absl::Time now) {
   const double earned = rate_ * absl::ToDoubleSeconds(now - filled_);
   level_ = std::min(capacity_, level_ + earned);
@@ -97,14 +100,4 @@
   states_[workspace].tokens.Take(tokens);
 }
 
-void RetryBudget::Success() {
-  level_ = std::min(kCapacity, level_ + kRetriesPerSuccess);
-}
-
-bool RetryBudget::Take() {
-  if (level_ < 1) return false;
-  level_ -= 1;
-  return true;
-}
-
 }  // namespace gentianlb::schedule
--- a/src/schedule/limits.h
+++ b/src/schedule/limits.h
@@ -24,6 +24,9 @@
 class TokenBucket {
  public:
   void SetRate(double per_second, double capacity, absl::Time now);
+  // The same, but what it holds changes in the same proportion: a rate that is
+  // changed often must not fill the bucket each time.
+  void Rescale(double per_second, double capacity, absl::Time now);
   bool Empty(absl::Time now);
   void Take(double tokens) { level_ -= tokens; }
   // How long until it is no longer empty.
@@ -72,18 +75,6 @@
   std::vector<State> states_;
 };
 
-// A retry budget: successes earn a tenth of a retry each.
-class RetryBudget {
- public:
-  void Success();
-  // True when a retry may be made; it is counted then.
-  bool Take();
-
- private:
-  static constexpr double kCapacity = 10;
-  double level_ = kCapacity;
-};
-
 }  // namespace gentianlb::schedule
 
 #endif  // GENTIANLB_SCHEDULE_LIMITS_H_
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -70,6 +70,14 @@
 using PrefixHash = std::uint64_t;
 inline constexpr int kPrefixBlockTokens = 64;
 
+// One of the depths at which a prompt's beginning is looked up in the picture
+// of a cache: the hash of all up to it, and how many tokens that is.
+struct PrefixMark {
+  PrefixHash hash = 0;
+  int tokens = 0;
+  auto operator<=>(const PrefixMark&) const = default;
+};
+
 // A request as its entry host describes it; the body stays there.
 struct Request {
   RequestId id;
@@ -83,6 +91,13 @@
   int max_output_tokens = 0;  // The caller's own bound; 0: none.
   std::int64_t body_bytes = 0;
   std::vector<PrefixHash> prefix;  // Empty when not known.
+  // In place of `prefix`, from callers that cut their prompts themselves: the
+  // end of each part, shallow first.
+  std::vector<PrefixMark> parts;
+  // When its first token must be out to be in time.
+  absl::Time first_token_due = absl::InfiniteFuture();
+  int expected_output_tokens = 0;  // The caller's estimate; 0: none.
+  ServerId avoid;                  // It failed there before; empty: none.
   bool operator==(const Request&) const = default;
 };
 
@@ -112,6 +127,7 @@
   kComplete,
   kBroken,     // The server broke off, or answered an error.
   kNotSent,    // Certain: the server never received it.
+  kShed,       // Certain: the server had no room and has not run it.
   kCancelled,  // After a Cancel decision or a CallerGone.
 };
 
@@ -131,6 +147,14 @@
   std::int64_t kv_used_tokens = 0;
 };
 
+// A server's load as told with one of its answers: as it is now but for the
+// way back.
+struct LoadAnswered {
+  ServerId server;
+  int running = 0;
+  int queued = 0;
+};
+
 // Prefix blocks came into a server's cache or left it. `sequence` counts a
 // server's events; a gap means that some were lost.
 struct CacheChanged {
@@ -166,10 +190,11 @@
 // Nothing happened but that time passed.
 struct TimePassed {};
 
-using Event = std::variant<RequestArrived, CallerGone, RequestRunning,
-                           TokensStreamed, RequestEnded, LoadReported,
-                           CacheChanged, ServerHealthChanged, ServersConfigured,
-                           WorkspacesConfigured, PowerShareChanged, TimePassed>;
+using Event =
+    std::variant<RequestArrived, CallerGone, RequestRunning, TokensStreamed,
+                 RequestEnded, LoadReported, LoadAnswered, CacheChanged,
+                 ServerHealthChanged, ServersConfigured, WorkspacesConfigured,
+                 PowerShareChanged, TimePassed>;
 
 // --- Decisions --------------------------------------------------------------
 
--- a/src/schedule/modules_test.cc
+++ b/src/schedule/modules_test.cc
@@ -233,11 +233,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(RetriesAreEarnedBySuccesses) {
-  RetryBudget budget;
+  RetryBudget budget{RetryOptions{}};
   int taken = 0;
   while (budget.Take()) ++taken;
   BOOST_TEST(taken == 10);
-  for (int i = 0; i < 25; ++i) budget.Success();
+  for (int i = 0; i < 25; ++i) budget.OnCall();
   BOOST_TEST(budget.Take());
   BOOST_TEST(budget.Take());
   BOOST_TEST(!budget.Take());
--- a/src/schedule/options.h
+++ b/src/schedule/options.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <limits>
 
+#include "absl/time/time.h"
 #include "schedule/messages.h"
 
 namespace gentianlb::schedule {
@@ -20,6 +21,11 @@
   // The share until the first PowerShareChanged. Where a cap is to be kept from
   // the start, set it to 0, and nothing that draws power is granted before.
   double initial_watts = std::numeric_limits<double>::infinity();
+  // Whether running requests may be stopped for more urgent ones. Off where a
+  // stopped one costs its caller the whole answer.
+  bool preempts = true;
+  // Shortest time after which a refused caller is asked to come back.
+  absl::Duration shortest_come_back = absl::Seconds(1);
   bool operator==(const DispatcherOptions&) const = default;
 };
 
--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -81,7 +81,8 @@
   const PrefixCache::Lookup& lookup;
   absl::Time now;
   double seconds_left = 0;
-  double output = 0;  // Tokens by which lateness is judged.
+  double first_token_left = 0;  // Seconds.
+  double output = 0;            // Tokens by which lateness is judged.
   bool hopeful = false;
   bool patient = false;    // May still wait for who has its prompt.
   double best_cached = 0;  // Tokens, on whichever server has most.
@@ -157,6 +158,8 @@
       .lookup = lookup,
       .now = now,
       .seconds_left = absl::ToDoubleSeconds(waiting.request.deadline - now),
+      .first_token_left =
+          absl::ToDoubleSeconds(waiting.request.first_token_due - now),
       .output = JudgedOutput(waiting, search.contended),
       .hopeful = search.hopeful,
       .patient = patient,
@@ -223,6 +226,11 @@
   if (finish * margin > choice.seconds_left) {
     return Prefer(Hindrance::kTooSlow, best);
   }
+  const double first =
+      server.FirstTokenSeconds(demand.prefill_tokens, choice.now);
+  if (!demand.plain && first * margin > choice.first_token_left) {
+    return Prefer(Hindrance::kTooSlow, best);
+  }
 
   finish += MisfitSeconds(server, demand);
   const double uncached = server.pace.PrefillSeconds(demand.prefill_tokens);
--- a/src/schedule/prefix_cache.h
+++ b/src/schedule/prefix_cache.h
@@ -31,13 +31,6 @@
 
 namespace gentianlb::schedule {
 
-// One of the depths at which a prompt's chain is looked up.
-struct PrefixMark {
-  PrefixHash hash = 0;
-  int tokens = 0;
-  auto operator<=>(const PrefixMark&) const = default;
-};
-
 // The marks of a whole chain, shallow first; the last block is always one.
 std::vector<PrefixMark> MarksOf(const std::vector<PrefixHash>& prefix);
 
--- a/src/schedule/refuse.cc
+++ b/src/schedule/refuse.cc
@@ -17,9 +17,7 @@
 // let wait: it is refused later if need be, while a refused one is lost.
 constexpr double kBenefitOfDoubt = 1.25;
 
-// Sooner than a second no caller should be back, and later than ten minutes the
-// estimate says nothing.
-constexpr double kMinComeBack = 1;
+// Later than ten minutes the estimate says nothing.
 constexpr double kMaxComeBack = 600;
 
 // Callers return over half as long again as the backlog needs.
@@ -68,7 +66,7 @@
 absl::Duration ComeBack::After(double seconds) {
   // 53 random bits make a number in [0, 1).
   const double uniform = static_cast<double>(random_() >> 11) * 0x1.0p-53;
-  const double base = std::clamp(seconds, kMinComeBack, kMaxComeBack);
+  const double base = std::clamp(seconds, shortest_, kMaxComeBack);
   const double spread = base * (1 + kSpread * uniform);
   return absl::Milliseconds(std::llround(spread * 1000));
 }
--- a/src/schedule/refuse.h
+++ b/src/schedule/refuse.h
@@ -61,13 +61,16 @@
 // times on each run and machine, which the library's distributions don't.
 class ComeBack {
  public:
-  explicit ComeBack(std::uint64_t seed) : random_(seed) {}
+  // No caller should be back sooner than after `shortest`.
+  ComeBack(std::uint64_t seed, absl::Duration shortest)
+      : random_(seed), shortest_(absl::ToDoubleSeconds(shortest)) {}
 
   // For a backlog of `seconds`.
   absl::Duration After(double seconds);
 
  private:
   std::mt19937_64 random_;
+  double shortest_;  // Seconds.
 };
 
 }  // namespace gentianlb::schedule
--- a/src/schedule/server.cc
+++ b/src/schedule/server.cc
@@ -64,6 +64,12 @@
   foreign_streams_ = std::max(0, report.running + report.queued - OwnPeak());
 }
 
+void Server::Answered(const LoadAnswered& answer, absl::Time now) {
+  foreign_measured_ = now;
+  foreign_streams_ = std::max(0, answer.running + answer.queued - running_);
+  batch_mates_ = std::max(0, answer.running - running_);
+}
+
 bool Server::Open(absl::Time now) const {
   return configured && health == ServerHealth::kAlive && window.OpenAt(now) &&
          FreeStreams(now) > 0 && PrefillFits(0);
@@ -97,13 +103,13 @@
 
 double Server::FirstTokenSeconds(double prefill_tokens, absl::Time now) const {
   return pace.PrefillSeconds(PrefillBacklog(now) + prefill_tokens) +
-         pace.TokenSeconds(running_ + 1);
+         pace.TokenSeconds(running_ + batch_mates_ + 1);
 }
 
 double Server::FinishSeconds(const Demand& demand, absl::Time now) const {
   if (demand.plain) return pace.CallSeconds();
   return FirstTokenSeconds(demand.prefill_tokens, now) +
-         demand.output_tokens * pace.TokenSeconds(running_ + 1);
+         demand.output_tokens * pace.TokenSeconds(running_ + batch_mates_ + 1);
 }
 
 double Server::ExpectedFirstToken(double prefill_tokens, absl::Time now) const {
--- a/src/schedule/server.h
+++ b/src/schedule/server.h
@@ -42,6 +42,7 @@
   void AddMemory(std::int64_t kv_tokens) { kv_tokens_ += kv_tokens; }
   void End(const Demand& demand, bool first_token, absl::Time now);
   void Report(const LoadReported& report, absl::Time now);
+  void Answered(const LoadAnswered& answer, absl::Time now);
 
   // --- Whether there is room ---
   // For any request at all.
@@ -79,7 +80,10 @@
   double prefill_tokens_ = 0;   // Granted, first token not seen.
   absl::Time prefill_since_;    // Since when the first of them is computed.
   std::int64_t kv_tokens_ = 0;  // Reserved for what runs.
-  int foreign_streams_ = 0;     // Others', by the last report.
+  int foreign_streams_ = 0;     // Others', by the last report or answer.
+  // Others' streams slow a batch as own ones do; counted there only as answers
+  // tell them, since a report is too old for it.
+  int batch_mates_ = 0;
   absl::Time foreign_measured_;
   std::array<int, 2> own_peaks_{};  // Of this period and the one before.
   absl::Time peak_since_;
--- a/src/schedule/state.h
+++ b/src/schedule/state.h
@@ -10,6 +10,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "base/retry.h"
 #include "schedule/counters.h"
 #include "schedule/estimate.h"
 #include "schedule/fleet.h"
@@ -49,7 +50,7 @@
 
 struct State {
   explicit State(const DispatcherOptions& chosen)
-      : options(chosen), come_back(chosen.seed) {
+      : options(chosen), come_back(chosen.seed, chosen.shortest_come_back) {
     power.SetShare(chosen.initial_watts);
   }
 
@@ -64,7 +65,7 @@
   PrefixCache cache;
   WorkspaceLimits limits;
   OutputEstimator estimator;
-  RetryBudget retries;
+  RetryBudget retries{RetryOptions{}};
   ComeBack come_back;
   std::vector<DrainRate> drains;  // By pool.
 
--- /dev/null
+++ b/src/settings/gateway_settings.cc
@@ -0,0 +1,85 @@
+#include "settings/gateway_settings.h"
+
+#include <utility>
+
+#include "absl/container/flat_hash_set.h"
+#include "absl/strings/str_cat.h"
+#include "settings/field_reader.h"
+
+namespace gentianlb::settings {
+namespace {
+
+constexpr Range<absl::Duration> kGrace = {absl::Seconds(1), absl::Hours(1)};
+constexpr Range<double> kBurst = {0, 1e6};
+constexpr Range<double> kRatio = {0, 10};
+
+void ReadSection(const std::string& kind, FieldReader& reader,
+                 GatewaySettings* settings) {
+  if (kind == "host") {
+    std::string id;
+    std::string zone;
+    reader.Name("id", &id, Need::kRequired);
+    reader.Name("zone", &zone, Need::kRequired);
+    settings->id = EntryHostId(id);
+    settings->zone = ZoneId(zone);
+    reader.Duration("grace", kGrace, &settings->grace, Need::kRequired);
+  } else if (kind == "callers") {
+    reader.Address("address", &settings->callers, Need::kRequired);
+  } else if (kind == "ready") {
+    reader.Address("address", &settings->ready, Need::kRequired);
+    reader.Text("path", &settings->ready_path, Need::kRequired);
+  } else if (kind == "metrics") {
+    reader.Address("address", &settings->metrics, Need::kRequired);
+  } else if (kind == "table") {
+    reader.Address("address", &settings->table, Need::kRequired);
+  } else if (kind == "retries") {
+    reader.Number("per_request", kRatio, &settings->retries_per_request);
+    reader.Number("burst", kBurst, &settings->retry_burst);
+  }
+}
+
+}  // namespace
+
+GatewaySettings ReadGatewaySettings(const Document& document,
+                                    Problems* problems) {
+  constexpr const char* kRequired[] = {"host", "callers", "ready", "metrics",
+                                       "table"};
+  const absl::flat_hash_set<std::string> known = {
+      "host", "callers", "ready", "metrics", "table", "retries"};
+  GatewaySettings settings;
+  absl::flat_hash_set<std::string> seen;
+  auto note = [&](int line, Code code, std::string text) {
+    problems->push_back({document.file, line, code, std::move(text)});
+  };
+  for (const Section& section : document.sections) {
+    if (!known.contains(section.kind) || !section.name.empty()) {
+      note(section.line, Code::kUnknownSection,
+           absl::StrCat("[", section.kind, "] is not a section of settings"));
+      continue;
+    }
+    seen.insert(section.kind);
+    FieldReader reader(document, section, problems);
+    ReadSection(section.kind, reader, &settings);
+    reader.Finish();
+  }
+  for (const char* kind : kRequired) {
+    if (seen.contains(kind)) continue;
+    note(0, Code::kMissingSetting, absl::StrCat("[", kind, "] is missing"));
+  }
+  if (!settings.ready_path.empty() && settings.ready_path[0] != '/') {
+    note(0, Code::kOutOfRange, "[ready] path must begin with a slash");
+  }
+  return settings;
+}
+
+Outcome<GatewaySettings> LoadGatewaySettings(const std::string& path) {
+  auto text = ReadFile(path);
+  if (!text.ok()) return text.error();
+  Problems problems;
+  const Document document = ParseDocument(path, text.value(), &problems);
+  GatewaySettings settings = ReadGatewaySettings(document, &problems);
+  if (!problems.empty()) return ToError(std::move(problems));
+  return settings;
+}
+
+}  // namespace gentianlb::settings
--- a/src/platform/breaker.cc
+++ b/src/store/breaker.cc
@@ -1,6 +1,6 @@
-#include "platform/breaker.h"
+#include "store/breaker.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 bool Breaker::Allow(absl::Time now) {
   if (up()) return true;
@@ -22,4 +22,4 @@
   if (!up()) retry_at_ = now + options_.open_time;
 }
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
--- a/src/platform/breaker.h
+++ b/src/store/breaker.h
@@ -1,15 +1,15 @@
 // A circuit breaker: decides whether a call to a failing service is worth
 // sending.
 
-#ifndef GENTIANLB_PLATFORM_BREAKER_H_
-#define GENTIANLB_PLATFORM_BREAKER_H_
+#ifndef GENTIANLB_STORE_BREAKER_H_
+#define GENTIANLB_STORE_BREAKER_H_
 
 #include <compare>
 #include <cstdint>
 
 #include "absl/time/time.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 struct BreakerOptions {
   // One lost answer is ordinary; five failures without any success between
@@ -51,6 +51,6 @@
   std::uint64_t times_opened_ = 0;
 };
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
 
-#endif  // GENTIANLB_PLATFORM_BREAKER_H_
+#endif  // GENTIANLB_STORE_BREAKER_H_
--- a/src/platform/call_gate.cc
+++ b/src/store/call_gate.cc
@@ -1,6 +1,6 @@
-#include "platform/call_gate.h"
+#include "store/call_gate.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 CallGate::CallGate(GateOptions options)
     : options_(options),
@@ -57,4 +57,4 @@
   return now + RetryDelay(options_.retry, retries, random);
 }
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
--- a/src/platform/call_gate.h
+++ b/src/store/call_gate.h
@@ -2,19 +2,19 @@
 // breaker, the rate shares, the retry budget and the bound of calls in flight
 // taken together. No network, thread or clock.
 
-#ifndef GENTIANLB_PLATFORM_CALL_GATE_H_
-#define GENTIANLB_PLATFORM_CALL_GATE_H_
+#ifndef GENTIANLB_STORE_CALL_GATE_H_
+#define GENTIANLB_STORE_CALL_GATE_H_
 
 #include <compare>
 #include <cstdint>
 #include <optional>
 
 #include "absl/time/time.h"
-#include "platform/breaker.h"
-#include "platform/rate_share.h"
-#include "platform/retry.h"
+#include "base/retry.h"
+#include "store/breaker.h"
+#include "store/rate_share.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 struct GateOptions {
   // Of the service, for all hosts together. "Several hundred writes and about
@@ -87,6 +87,6 @@
   GateCounters counters_;
 };
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
 
-#endif  // GENTIANLB_PLATFORM_CALL_GATE_H_
+#endif  // GENTIANLB_STORE_CALL_GATE_H_
--- a/src/platform/client.cc
+++ b/src/store/client.cc
@@ -1,4 +1,4 @@
-#include "platform/client.h"
+#include "store/client.h"
 
 #include <algorithm>
 #include <deque>
@@ -8,7 +8,7 @@
 #include "absl/random/random.h"
 #include "absl/strings/str_cat.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 namespace {
 
 constexpr int kOk = 200;
@@ -391,4 +391,4 @@
   return counters;
 }
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
--- a/src/platform/client.h
+++ b/src/store/client.h
@@ -2,8 +2,8 @@
 // belongs to the control thread; transfers run on the HTTP client's thread, and
 // nothing here blocks.
 
-#ifndef GENTIANLB_PLATFORM_CLIENT_H_
-#define GENTIANLB_PLATFORM_CLIENT_H_
+#ifndef GENTIANLB_STORE_CLIENT_H_
+#define GENTIANLB_STORE_CLIENT_H_
 
 #include <cstddef>
 #include <functional>
@@ -16,12 +16,12 @@
 #include "base/result.h"
 #include "base/timer_service.h"
 #include "http/client.h"
-#include "platform/call_gate.h"
-#include "platform/messages.h"
-#include "platform/transaction_group.h"
-#include "platform/wire.h"
+#include "store/call_gate.h"
+#include "store/messages.h"
+#include "store/transaction_group.h"
+#include "store/wire.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 struct ClientOptions {
   std::string address;  // IP:PORT of the platform.
@@ -89,6 +89,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
 
-#endif  // GENTIANLB_PLATFORM_CLIENT_H_
+#endif  // GENTIANLB_STORE_CLIENT_H_
--- a/src/platform/client_test.cc
+++ b/src/store/client_test.cc
@@ -1,4 +1,4 @@
-#include "platform/client.h"
+#include "store/client.h"
 
 #include <json/json.h>
 
@@ -9,7 +9,7 @@
 #include "absl/synchronization/mutex.h"
 #include "http/server.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 namespace {
 
 // A table service in memory that can be told to fail.
@@ -233,4 +233,4 @@
 }
 
 }  // namespace
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
--- a/src/platform/fallback_table.h
+++ b/src/store/fallback_table.h
@@ -1,17 +1,17 @@
 // A table service that asks a second way when the first is certainly out of
 // reach: the platform itself, and then a peer that still reaches it.
 
-#ifndef GENTIANLB_PLATFORM_FALLBACK_TABLE_H_
-#define GENTIANLB_PLATFORM_FALLBACK_TABLE_H_
+#ifndef GENTIANLB_STORE_FALLBACK_TABLE_H_
+#define GENTIANLB_STORE_FALLBACK_TABLE_H_
 
 #include <functional>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "platform/messages.h"
+#include "store/messages.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 // A zone that is cut off from the platform, but not from the other zones, would
 // refuse all that needs a row, for as long as the cut lasts. One would notice
@@ -59,6 +59,6 @@
   Second* second_;
 };
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
 
-#endif  // GENTIANLB_PLATFORM_FALLBACK_TABLE_H_
+#endif  // GENTIANLB_STORE_FALLBACK_TABLE_H_
--- a/src/platform/messages.h
+++ b/src/store/messages.h
@@ -1,8 +1,8 @@
 // The platform's services as the system sees them; the wire form stands in
 // docs/PROTOCOLS.md.
 
-#ifndef GENTIANLB_PLATFORM_MESSAGES_H_
-#define GENTIANLB_PLATFORM_MESSAGES_H_
+#ifndef GENTIANLB_STORE_MESSAGES_H_
+#define GENTIANLB_STORE_MESSAGES_H_
 
 #include <compare>
 #include <cstdint>
@@ -13,7 +13,7 @@
 
 #include "base/result.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 // Counts the changes of one row; 0 means that there is no such row.
 using RowVersion = std::uint64_t;
@@ -79,6 +79,6 @@
   table.Scan(prefix, read);
 };
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
 
-#endif  // GENTIANLB_PLATFORM_MESSAGES_H_
+#endif  // GENTIANLB_STORE_MESSAGES_H_
--- a/src/platform/policy_test.cc
+++ b/src/store/policy_test.cc
@@ -1,10 +1,10 @@
 #include <boost/test/unit_test.hpp>
 
-#include "platform/call_gate.h"
-#include "platform/fallback_table.h"
-#include "platform/transaction_group.h"
+#include "store/call_gate.h"
+#include "store/fallback_table.h"
+#include "store/transaction_group.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 namespace {
 
 absl::Time At(double seconds) {
@@ -158,4 +158,4 @@
 }
 
 }  // namespace
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
--- a/src/platform/rate_share.cc
+++ b/src/store/rate_share.cc
@@ -1,8 +1,8 @@
-#include "platform/rate_share.h"
+#include "store/rate_share.h"
 
 #include <algorithm>
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 double RateShare::Saved(absl::Time now) const {
   // One whole call must fit, however small the share is.
@@ -28,4 +28,4 @@
   return now + absl::Seconds(missing / rate()) + absl::Microseconds(1);
 }
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
--- a/src/platform/rate_share.h
+++ b/src/store/rate_share.h
@@ -1,11 +1,11 @@
 // This host's share of a service's rate limit, as a token bucket.
 
-#ifndef GENTIANLB_PLATFORM_RATE_SHARE_H_
-#define GENTIANLB_PLATFORM_RATE_SHARE_H_
+#ifndef GENTIANLB_STORE_RATE_SHARE_H_
+#define GENTIANLB_STORE_RATE_SHARE_H_
 
 #include "absl/time/time.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 // After a restart of all hosts each reads its whole picture anew. Together they
 // would exceed the service's rate and be refused for as long as they all try;
@@ -39,6 +39,6 @@
   absl::Time last_ = absl::InfinitePast();
 };
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
 
-#endif  // GENTIANLB_PLATFORM_RATE_SHARE_H_
+#endif  // GENTIANLB_STORE_RATE_SHARE_H_
--- a/src/platform/transaction_group.cc
+++ b/src/store/transaction_group.cc
@@ -1,9 +1,9 @@
-#include "platform/transaction_group.h"
+#include "store/transaction_group.h"
 
 #include <algorithm>
 #include <utility>
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 namespace {
 
 std::vector<std::string> KeysOf(const Transaction& transaction) {
@@ -109,4 +109,4 @@
   return settled;
 }
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
--- a/src/platform/transaction_group.h
+++ b/src/store/transaction_group.h
@@ -1,8 +1,8 @@
 // Joins small independent transactions into one, and takes the answer apart
 // again.
 
-#ifndef GENTIANLB_PLATFORM_TRANSACTION_GROUP_H_
-#define GENTIANLB_PLATFORM_TRANSACTION_GROUP_H_
+#ifndef GENTIANLB_STORE_TRANSACTION_GROUP_H_
+#define GENTIANLB_STORE_TRANSACTION_GROUP_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -13,9 +13,9 @@
 
 #include "absl/container/flat_hash_set.h"
 #include "absl/time/time.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 // Names one transaction given to a group.
 using MemberId = std::uint64_t;
@@ -76,6 +76,6 @@
   std::deque<GroupMember> waiting_;
 };
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
 
-#endif  // GENTIANLB_PLATFORM_TRANSACTION_GROUP_H_
+#endif  // GENTIANLB_STORE_TRANSACTION_GROUP_H_
--- a/src/platform/wire.cc
+++ b/src/store/wire.cc
@@ -1,10 +1,10 @@
-#include "platform/wire.h"
+#include "store/wire.h"
 
 #include <json/json.h>
 
 #include <memory>
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 namespace {
 
 constexpr int kScanLimit = 1000;  // The most that the service gives at once.
@@ -140,4 +140,4 @@
   return hosts;
 }
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
--- a/src/platform/wire.h
+++ b/src/store/wire.h
@@ -1,7 +1,7 @@
 // The JSON bodies of the platform's services, as docs/PROTOCOLS.md gives them.
 
-#ifndef GENTIANLB_PLATFORM_WIRE_H_
-#define GENTIANLB_PLATFORM_WIRE_H_
+#ifndef GENTIANLB_STORE_WIRE_H_
+#define GENTIANLB_STORE_WIRE_H_
 
 #include <string>
 #include <string_view>
@@ -9,9 +9,9 @@
 
 #include "base/ids.h"
 #include "base/result.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 
 // One line of the platform's list of hosts; the list lags.
 struct ListedHost {
@@ -39,6 +39,6 @@
 Result<ScanPage> DecodeRows(std::string_view body);
 Result<std::vector<ListedHost>> DecodeHosts(std::string_view body);
 
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
 
-#endif  // GENTIANLB_PLATFORM_WIRE_H_
+#endif  // GENTIANLB_STORE_WIRE_H_
--- a/tests/bench/claim_cost.cc
+++ b/tests/bench/claim_cost.cc
@@ -15,9 +15,9 @@
 #include "config/codec.h"
 #include "costs.h"
 #include "meter.h"
-#include "platform/rate_share.h"
-#include "platform/transaction_group.h"
-#include "platform/wire.h"
+#include "store/rate_share.h"
+#include "store/transaction_group.h"
+#include "store/wire.h"
 
 namespace gentianlb::bench {
 namespace {
@@ -116,13 +116,13 @@
   }
 
   // The claims of one host don't meet each other, so every condition holds.
-  platform::CommitResult Commit(const platform::Transaction& transaction) {
-    platform::CommitResult result{platform::CommitState::kCommitted, {}, {}};
+  store::CommitResult Commit(const store::Transaction& transaction) {
+    store::CommitResult result{store::CommitState::kCommitted, {}, {}};
     ++commits_;
     commit_bytes_ +=
-        static_cast<double>(platform::EncodeCommit(transaction).size());
-    for (const platform::Write& write : transaction.writes) {
-      platform::Row& row = rows_[write.key];
+        static_cast<double>(store::EncodeCommit(transaction).size());
+    for (const store::Write& write : transaction.writes) {
+      store::Row& row = rows_[write.key];
       row.key = write.key;
       row.value = write.value.value_or("");
       ++row.version;
@@ -132,9 +132,9 @@
     return result;
   }
 
-  std::vector<platform::Row> Rows(const std::string& prefix) {
+  std::vector<store::Row> Rows(const std::string& prefix) {
     ++reads_;
-    std::vector<platform::Row> found;
+    std::vector<store::Row> found;
     Json::Value answer(Json::arrayValue);
     for (auto row = rows_.lower_bound(prefix);
          row != rows_.end() && absl::StartsWith(row->first, prefix); ++row) {
@@ -150,7 +150,7 @@
 
   absl::Time now_ = absl::UnixEpoch() + absl::Hours(500'000);
   ClaimMachine machine_;
-  std::map<std::string, platform::Row> rows_;
+  std::map<std::string, store::Row> rows_;
   std::uint64_t requests_ = 0;
   bool proceed_ = false;
   bool allowed_ = false;
@@ -197,14 +197,14 @@
                           double seconds) {
   std::mt19937_64 random(7);
   std::exponential_distribution<double> gap(rate / groupers);
-  platform::TransactionGroup group(platform::GroupOptions{});
-  platform::RateShare share(writes, absl::Seconds(1));
+  store::TransactionGroup group(store::GroupOptions{});
+  store::RateShare share(writes, absl::Seconds(1));
   share.SetHosts(groupers);
   double commits = 0;
   double rows = 0;
   double wait_ms = 0;
   double next = gap(random);
-  platform::MemberId id = 0;
+  store::MemberId id = 0;
   absl::Time start = absl::UnixEpoch();
   absl::Time end = start + absl::Seconds(seconds);
   Stopwatch watch;
@@ -215,10 +215,10 @@
     }
     if (group.NextDue() > now || !share.Take(now)) continue;
     watch.Start();
-    platform::Batch batch = *group.Take(now);
+    store::Batch batch = *group.Take(now);
     watch.Stop();
     ++commits;
-    for (const platform::GroupMember& member : batch.members) {
+    for (const store::GroupMember& member : batch.members) {
       wait_ms += absl::ToDoubleMilliseconds(now - member.added);
       ++rows;
     }
--- a/tests/bench/host_list_cost.cc
+++ b/tests/bench/host_list_cost.cc
@@ -9,7 +9,7 @@
 #include "config/codec.h"
 #include "costs.h"
 #include "meter.h"
-#include "platform/wire.h"
+#include "store/wire.h"
 
 namespace gentianlb::bench {
 namespace {
@@ -38,7 +38,7 @@
   bool whole = true;
   watch.Start();
   for (int i = 0; i < kRounds; ++i) {
-    auto hosts = Capture([&] { return platform::DecodeHosts(text); });
+    auto hosts = Capture([&] { return store::DecodeHosts(text); });
     whole = whole && hosts.ok();
   }
   watch.Stop();
