--- a/tests/claims/claim_groups.cc
+++ b/tests/claims/claim_groups.cc
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "platform/rate_share.h"
-#include "platform/transaction_group.h"
+#include "store/rate_share.h"
+#include "store/transaction_group.h"
 
-namespace gentianlb::platform {
+namespace gentianlb::store {
 namespace {
 
 constexpr double kServiceWrites = 300;  // A second, for all together.
@@ -77,14 +77,14 @@
 }
 
 }  // namespace
-}  // namespace gentianlb::platform
+}  // namespace gentianlb::store
 
 int main() {
   std::puts(
       "| grouped by | keyed requests/s | groupers | commits/s | rows/commit | "
       "median wait ms | 95 % wait ms |");
   std::puts("| --- | --- | --- | --- | --- | --- | --- |");
-  using gentianlb::platform::Print;
+  using gentianlb::store::Print;
   Print({"entry host (today)", 20, 8});
   Print({"entry host (today, burst)", 400, 8});
   Print({"entry host", 10000, 350});
--- a/tests/claims/claim_outage.cc
+++ b/tests/claims/claim_outage.cc
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "claim/claim_table.h"
-#include "platform/fallback_table.h"
+#include "store/fallback_table.h"
 
 namespace gentianlb::claim {
 namespace {
@@ -73,21 +73,21 @@
 // The platform's table, as one host sees it.
 class FakeTable {
  public:
-  using Rows = std::map<std::string, platform::Row>;
+  using Rows = std::map<std::string, store::Row>;
   FakeTable(Agenda* agenda, Rows* rows) : agenda_(agenda), rows_(rows) {}
 
   void SetReachable(bool reachable) { reachable_ = reachable; }
 
-  void Commit(platform::Transaction transaction,
-              std::function<void(platform::CommitResult)> done) {
+  void Commit(store::Transaction transaction,
+              std::function<void(store::CommitResult)> done) {
     agenda_->Soon([this, transaction = std::move(transaction),
                    done = std::move(done)] { done(Apply(transaction)); });
   }
   void Read(std::vector<std::string> keys,
-            std::function<void(platform::ReadResult)> done) {
+            std::function<void(store::ReadResult)> done) {
     agenda_->Soon([this, keys = std::move(keys), done = std::move(done)] {
       if (!reachable_) return done(Error{Code::kPlatformUnavailable, ""});
-      std::vector<platform::Row> found;
+      std::vector<store::Row> found;
       for (const std::string& key : keys) {
         if (rows_->contains(key)) found.push_back((*rows_)[key]);
       }
@@ -95,10 +95,10 @@
     });
   }
   void Scan(std::string prefix,
-            std::function<void(platform::ReadResult)> done) {
+            std::function<void(store::ReadResult)> done) {
     agenda_->Soon([this, prefix = std::move(prefix), done = std::move(done)] {
       if (!reachable_) return done(Error{Code::kPlatformUnavailable, ""});
-      std::vector<platform::Row> found;
+      std::vector<store::Row> found;
       for (auto row = rows_->lower_bound(prefix);
            row != rows_->end() && row->first.starts_with(prefix); ++row) {
         found.push_back(row->second);
@@ -108,23 +108,23 @@
   }
 
  private:
-  platform::CommitResult Apply(const platform::Transaction& transaction) {
-    using platform::CommitState;
+  store::CommitResult Apply(const store::Transaction& transaction) {
+    using store::CommitState;
     if (!reachable_) return {CommitState::kNotApplied, {}, {}};
-    for (const platform::Condition& condition : transaction.conditions) {
+    for (const store::Condition& condition : transaction.conditions) {
       auto row = rows_->find(condition.key);
       auto version = row == rows_->end() ? 0 : row->second.version;
       if (version != condition.version) {
         return {CommitState::kConflict, {condition.key}, {}};
       }
     }
-    platform::CommitResult result{CommitState::kCommitted, {}, {}};
-    for (const platform::Write& write : transaction.writes) {
+    store::CommitResult result{CommitState::kCommitted, {}, {}};
+    for (const store::Write& write : transaction.writes) {
       if (!write.value) {
         rows_->erase(write.key);
         continue;
       }
-      platform::Row& row = (*rows_)[write.key];
+      store::Row& row = (*rows_)[write.key];
       row = {write.key, *write.value, row.version + 1};
       result.versions.push_back({write.key, "", row.version});
     }
@@ -150,29 +150,29 @@
   Site* site;
   int self;
   FakeTable* Carrier();
-  void Commit(platform::Transaction transaction,
-              std::function<void(platform::CommitResult)> done) {
+  void Commit(store::Transaction transaction,
+              std::function<void(store::CommitResult)> done) {
     FakeTable* carrier = Carrier();
     if (carrier == nullptr) {
-      return done({platform::CommitState::kNotApplied, {}, {}});
+      return done({store::CommitState::kNotApplied, {}, {}});
     }
     carrier->Commit(std::move(transaction), std::move(done));
   }
   void Read(std::vector<std::string> keys,
-            std::function<void(platform::ReadResult)> done) {
+            std::function<void(store::ReadResult)> done) {
     FakeTable* carrier = Carrier();
     if (carrier == nullptr) return done(Error{Code::kPeerUnreachable, ""});
     carrier->Read(std::move(keys), std::move(done));
   }
   void Scan(std::string prefix,
-            std::function<void(platform::ReadResult)> done) {
+            std::function<void(store::ReadResult)> done) {
     FakeTable* carrier = Carrier();
     if (carrier == nullptr) return done(Error{Code::kPeerUnreachable, ""});
     carrier->Scan(std::move(prefix), std::move(done));
   }
 };
 
-using Table = platform::FallbackTable<FakeTable, PeerTable>;
+using Table = store::FallbackTable<FakeTable, PeerTable>;
 using Claims = ClaimTable<Table, FakePeers, std::function<absl::Time()>>;
 
 struct Host {
--- a/tests/process/callers.cc
+++ b/tests/process/callers.cc
@@ -78,6 +78,7 @@
     absl::MutexLock lock(&state->mutex);
     state->answer.status = status;
     state->answer.headers = std::move(headers);
+    return http::Reading::kGoOn;
   };
   sink.on_data = [state = state_](std::string_view bytes) {
     absl::MutexLock lock(&state->mutex);
--- a/tests/standins/platform.cc
+++ b/tests/standins/platform.cc
@@ -19,8 +19,8 @@
 // Half a second's flow may come at once.
 constexpr double kBurstSeconds = 0.5;
 
-platform::Transaction ParseTransaction(const Json::Value& body) {
-  platform::Transaction transaction;
+store::Transaction ParseTransaction(const Json::Value& body) {
+  store::Transaction transaction;
   transaction.token = body["token"].asString();
   for (const Json::Value& condition : body["conditions"]) {
     transaction.conditions.push_back(
@@ -34,9 +34,9 @@
   return transaction;
 }
 
-Json::Value ToJson(const std::vector<platform::Row>& rows) {
+Json::Value ToJson(const std::vector<store::Row>& rows) {
   Json::Value list(Json::arrayValue);
-  for (const platform::Row& row : rows) {
+  for (const store::Row& row : rows) {
     Json::Value entry;
     entry["key"] = row.key;
     entry["value"] = row.value;
@@ -47,9 +47,9 @@
 }
 
 void RespondCommit(http::Responder& answer,
-                   const platform::CommitResult& result) {
+                   const store::CommitResult& result) {
   Json::Value body;
-  if (result.state != platform::CommitState::kCommitted) {
+  if (result.state != store::CommitState::kCommitted) {
     for (const std::string& key : result.conflicts) {
       body["conflicts"].append(key);
     }
@@ -58,7 +58,7 @@
   }
   body["committed"] = true;
   body["versions"] = Json::Value(Json::arrayValue);
-  for (const platform::Row& row : result.versions) {
+  for (const store::Row& row : result.versions) {
     Json::Value entry;
     entry["key"] = row.key;
     entry["version"] = row.version;
@@ -148,9 +148,9 @@
 }
 
 void Platform::Commit(const Json::Value& body, const Answer& answer) {
-  platform::Transaction transaction = ParseTransaction(body);
+  store::Transaction transaction = ParseTransaction(body);
   std::size_t bytes = 0;
-  for (const platform::Write& write : transaction.writes) {
+  for (const store::Write& write : transaction.writes) {
     bytes += write.key.size() + write.value.value_or("").size();
   }
   if (transaction.writes.size() > kMaxRows ||
@@ -158,8 +158,8 @@
     return RespondError(*answer, 413, "too large a transaction");
   }
   absl::MutexLock lock(&mutex_);
-  platform::CommitResult result = table_.Commit(transaction);
-  bool committed = result.state == platform::CommitState::kCommitted;
+  store::CommitResult result = table_.Commit(transaction);
+  bool committed = result.state == store::CommitState::kCommitted;
   control_.Count(committed ? "committed" : "conflicts");
   if (committed) {
     control_.Count("rows_written",
@@ -187,7 +187,7 @@
       body.isMember("limit") ? body["limit"].asUInt() : kMaxScanRows;
   limit = std::clamp<std::size_t>(limit, 1, kMaxScanRows);
   absl::MutexLock lock(&mutex_);
-  std::vector<platform::Row> rows = table_.Scan(
+  std::vector<store::Row> rows = table_.Scan(
       body["prefix"].asString(), body["after"].asString(), limit + 1);
   bool more = rows.size() > limit;
   if (more) rows.pop_back();
--- a/tests/standins/table.cc
+++ b/tests/standins/table.cc
@@ -5,21 +5,21 @@
 namespace gentianlb::standins {
 namespace {
 
-using platform::CommitResult;
-using platform::CommitState;
-using platform::Row;
+using store::CommitResult;
+using store::CommitState;
+using store::Row;
 
 // Far more than any test sends; keeps a long demo's memory bounded.
 constexpr std::size_t kMaxTokens = 200'000;
 
 }  // namespace
 
-CommitResult Table::Commit(const platform::Transaction& transaction) {
+CommitResult Table::Commit(const store::Transaction& transaction) {
   auto seen = answers_.find(transaction.token);
   if (!transaction.token.empty() && seen != answers_.end()) return seen->second;
 
   CommitResult result;
-  for (const platform::Condition& condition : transaction.conditions) {
+  for (const store::Condition& condition : transaction.conditions) {
     if (VersionOf(condition.key) == condition.version) continue;
     result.conflicts.push_back(condition.key);
   }
@@ -27,8 +27,8 @@
   if (result.conflicts.empty()) {
     result.state = CommitState::kCommitted;
     ++last_version_;
-    for (const platform::Write& write : transaction.writes) {
-      platform::RowVersion version = 0;
+    for (const store::Write& write : transaction.writes) {
+      store::RowVersion version = 0;
       if (write.value.has_value()) {
         version = last_version_;
         rows_[write.key] = {write.key, *write.value, version};
@@ -65,7 +65,7 @@
   return found;
 }
 
-platform::RowVersion Table::VersionOf(const std::string& key) const {
+store::RowVersion Table::VersionOf(const std::string& key) const {
   auto row = rows_.find(key);
   return row == rows_.end() ? 0 : row->second.version;
 }
--- a/tests/standins/table.h
+++ b/tests/standins/table.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "platform/messages.h"
+#include "store/messages.h"
 
 namespace gentianlb::standins {
 
@@ -18,25 +18,25 @@
 class Table {
  public:
   // Writes all or nothing. A token that was seen gets its first answer.
-  platform::CommitResult Commit(const platform::Transaction& transaction);
+  store::CommitResult Commit(const store::Transaction& transaction);
 
   // Rows that exist, in the order of `keys`.
-  std::vector<platform::Row> Read(const std::vector<std::string>& keys) const;
+  std::vector<store::Row> Read(const std::vector<std::string>& keys) const;
 
   // At most `limit` rows whose keys begin with `prefix` and follow `after`.
-  std::vector<platform::Row> Scan(const std::string& prefix,
+  std::vector<store::Row> Scan(const std::string& prefix,
                                   const std::string& after,
                                   std::size_t limit) const;
 
  private:
-  platform::RowVersion VersionOf(const std::string& key) const;
-  void Remember(const std::string& token, const platform::CommitResult& result);
+  store::RowVersion VersionOf(const std::string& key) const;
+  void Remember(const std::string& token, const store::CommitResult& result);
 
   // One counter for all rows, so that a row that was deleted and made again
   // never shows a version it had before.
-  platform::RowVersion last_version_ = 0;
-  std::map<std::string, platform::Row> rows_;
-  absl::flat_hash_map<std::string, platform::CommitResult> answers_;
+  store::RowVersion last_version_ = 0;
+  std::map<std::string, store::Row> rows_;
+  absl::flat_hash_map<std::string, store::CommitResult> answers_;
   std::deque<std::string> tokens_;  // Oldest first.
 };
 
--- a/tests/standins/table_test.cc
+++ b/tests/standins/table_test.cc
@@ -5,9 +5,9 @@
 namespace gentianlb::standins {
 namespace {
 
-using platform::CommitResult;
-using platform::CommitState;
-using platform::Row;
+using store::CommitResult;
+using store::CommitState;
+using store::Row;
 
 // Two hosts insert the same row on the condition that it is absent. Were both
 // told that it worked, both would run the request.
@@ -37,7 +37,7 @@
 // the first answer and takes effect only once.
 BOOST_AUTO_TEST_CASE(ATokenIsAppliedOnce) {
   Table table;
-  platform::Transaction insert{"a", {{"k", 0}}, {{"k", "one"}}};
+  store::Transaction insert{"a", {{"k", 0}}, {{"k", "one"}}};
   CommitResult first = table.Commit(insert);
   CommitResult again = table.Commit(insert);
   BOOST_TEST((first == again));
