Hosts tell each other their load and what they let through

Change: datagrams ten times a second with running requests by server and tokens let through; the whole limit is counted while all hosts are heard, a part of it otherwise. Speeds that are guesses are replaced by the first answers; three failures in a row close a server, one does not; connections are run in the round in which their answer is ready (answers came 290 ms late before).

--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -71,7 +71,7 @@
 struct Workspace {
   WorkspaceId id;
   std::vector<std::string> keys;
-  std::optional<Tier> tier;  // Goes before the route's.
+  std::optional<Tier> tier;  // Orders workspaces before routes are compared.
   Quota quota;
   bool operator==(const Workspace&) const = default;
 };
--- /dev/null
+++ b/src/gateway/demand.h
@@ -0,0 +1,90 @@
+// What the entry hosts know of each other's use of the workspaces' limits.
+//
+// Load pattern: callers come to hosts unevenly, requests differ a hundredfold,
+// and one workspace may send many times its usual through a single host. A
+// fixed part of the limit for each host would refuse callers at one host while
+// the limit is far from used up. So hosts tell each other what they let
+// through, and each counts it against the whole limit; what several let through
+// before they hear of each other is paid back before anything else goes.
+//
+// While a host is not heard, nobody knows what it lets through. Then each host,
+// also the silent one, keeps to the part of the limit that its callers had of
+// late. The sum stays at the limit while hosts are cut off from each other;
+// without this, each side would take the whole limit for itself.
+
+#ifndef GENTIANLB_GATEWAY_DEMAND_H_
+#define GENTIANLB_GATEWAY_DEMAND_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/time/time.h"
+#include "gateway/peer_news.h"
+
+namespace gentianlb::gateway {
+
+// Tokens that another host has let through since it was heard last.
+struct Spent {
+  NameHash workspace = 0;
+  double tokens = 0;
+  auto operator<=>(const Spent&) const = default;
+};
+
+class Demand {
+ public:
+  // A caller of this host asks for `tokens`, whatever comes of it.
+  void Asked(NameHash workspace, double tokens, absl::Time now);
+  // They were let through.
+  void LetThrough(NameHash workspace, double tokens);
+
+  std::vector<Spent> Heard(const PeerNews& news, absl::Time now);
+
+  // The hosts that are registered, without this one.
+  void SetHosts(const std::vector<std::string>& hosts, absl::Time now);
+
+  // This host's own, to be told to others.
+  std::vector<WorkspaceUse> Own(absl::Time now) const;
+
+  // Notes the parts of all limits while all hosts are heard; to be called
+  // several times a second.
+  void Agree(absl::Time now);
+
+  // This host's part of a limit while somebody isn't heard: as of the last
+  // Agree(), or an equal part when there was none.
+  double Part(NameHash workspace, absl::Time now) const;
+
+  // Hosts that count, this one included.
+  int hosts(absl::Time now) const;
+  // Whether all of them were heard lately.
+  bool AllHeard(absl::Time now) const;
+
+ private:
+  struct Own {
+    double per_second = 0;  // As of `counted`.
+    absl::Time counted;
+    std::uint64_t let_through = 0;
+    double At(absl::Time now) const;
+  };
+
+  struct Peer {
+    absl::Time heard = absl::InfinitePast();
+    absl::Time registered = absl::InfinitePast();
+    bool is_registered = false;
+    std::int64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    absl::flat_hash_map<NameHash, WorkspaceUse> uses;
+  };
+
+  bool Counts(const Peer& peer, absl::Time now) const;
+  double PartOfDemand(NameHash workspace, absl::Time now) const;
+
+  absl::flat_hash_map<NameHash, struct Own> own_;
+  absl::flat_hash_map<std::string, Peer> peers_;
+  absl::flat_hash_map<NameHash, double> agreed_;
+};
+
+}  // namespace gentianlb::gateway
+
+#endif  // GENTIANLB_GATEWAY_DEMAND_H_
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -57,12 +57,14 @@
 
 Forwarder::Forwarder(ForwarderOptions options, ServerPort servers,
                      TimerService* timers, std::function<absl::Time()> clock,
-                     const Directory* directory, metrics::Metrics* metrics)
+                     const Directory* directory, Demand* demand,
+                     metrics::Metrics* metrics)
     : options_(std::move(options)),
       servers_(std::move(servers)),
       timers_(timers),
       clock_(std::move(clock)),
       directory_(directory),
+      demand_(demand),
       metrics_(metrics) {}
 
 Forwarder::~Forwarder() {
@@ -133,10 +135,7 @@
   if (const auto error = Check(exchange)) {
     return Refuse(exchange, *error, kComeBackSoon);
   }
-  exchange.tier = exchange.route->tier;
-  if (exchange.workspace != nullptr && exchange.workspace->tier) {
-    exchange.tier = *exchange.workspace->tier;
-  }
+  exchange.tier = TierOf(*exchange.route, exchange.workspace);
   const absl::Duration time_left =
       std::min(exchange.request->time_left, exchange.route->timeout);
   exchange.deadline = exchange.arrival + time_left;
@@ -193,7 +192,11 @@
   const auto& prompt = exchange.request->prompt;
   const int tokens = prompt ? prompt->prompt_tokens + prompt->max_output_tokens
                             : exchange.workspace->quota.tokens_without_count;
-  return quotas_.Take(exchange.workspace->id, tokens, clock_());
+  const NameHash workspace = HashName(exchange.workspace->id.str());
+  demand_->Asked(workspace, tokens, clock_());
+  const auto wait = quotas_.Take(workspace, tokens, clock_());
+  if (!wait) demand_->LetThrough(workspace, tokens);
+  return wait;
 }
 
 schedule::Request Forwarder::Describe(const Exchange& exchange,
@@ -338,6 +341,38 @@
     if (Exchange* found = current()) TakeEnd(*found, end, detail);
   };
   exchange.attempt.transfer = servers_.send(std::move(call), std::move(sink));
+  ++running_[server.id];
+}
+
+void Forwarder::EndTransfer(Exchange& exchange) {
+  if (exchange.attempt.transfer == 0) return;
+  exchange.attempt.transfer = 0;
+  const auto found = running_.find(exchange.attempt.server->id);
+  if (found == running_.end()) return;
+  if (--found->second <= 0) running_.erase(found);
+}
+
+std::vector<ServerUse> Forwarder::Running() const {
+  std::vector<ServerUse> uses;
+  for (const auto& [server, count] : running_) {
+    uses.push_back({HashName(server.str()), static_cast<std::uint16_t>(count)});
+  }
+  return uses;
+}
+
+void Forwarder::RunningElsewhere(
+    const absl::flat_hash_map<NameHash, int>& running) {
+  if (index_ == nullptr) return;
+  for (const Service& service : index_->configuration().services) {
+    for (const ServerEntry& server : directory_->ServersOf(service.id)) {
+      const auto found = running.find(HashName(server.id.str()));
+      const int count = found == running.end() ? 0 : found->second;
+      int& told = told_elsewhere_[server.id];
+      if (told == count) continue;
+      told = count;
+      Tell(service.id, schedule::LoadElsewhere{server.id, count});
+    }
+  }
 }
 
 http::Reading Forwarder::TakeHead(Exchange& exchange, AnswerHead head) {
@@ -396,7 +431,7 @@
 void Forwarder::TakeEnd(Exchange& exchange, http::TransferEnd end,
                         const std::string& detail) {
   Attempt& attempt = exchange.attempt;
-  attempt.transfer = 0;
+  EndTransfer(exchange);
   if (end == http::TransferEnd::kNotSent) {
     LOG(WARNING) << "event=not-sent request=" << exchange.request->id
                  << " server=" << attempt.server->id << " cause=\"" << detail
@@ -558,7 +593,8 @@
   }
   LOG(INFO) << "event=refused request=" << exchange.request->id
             << " code=" << static_cast<int>(error.code) << " cause=\""
-            << error.detail << "\" tier=" << exchange.tier.rank
+            << error.detail << "\" tier=" << exchange.tier.rank << " workspace="
+            << (exchange.workspace ? exchange.workspace->id.str() : "-")
             << " waiting=" << waiting
             << " after_ms=" << Milliseconds(now - exchange.arrival)
             << " retry_after_ms=" << Milliseconds(retry_after)
@@ -610,7 +646,7 @@
 void Forwarder::Withdraw(Exchange& exchange) {
   if (exchange.attempt.transfer != 0) {
     servers_.cancel(exchange.attempt.transfer);
-    exchange.attempt.transfer = 0;
+    EndTransfer(exchange);
     EndAttempt(exchange, EndKind::kCancelled);
     return;
   }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -21,9 +21,11 @@
 #include "absl/time/time.h"
 #include "base/timer_service.h"
 #include "gateway/configuration.h"
+#include "gateway/demand.h"
 #include "gateway/directory.h"
 #include "gateway/exchange.h"
 #include "gateway/messages.h"
+#include "gateway/peer_news.h"
 #include "gateway/quota.h"
 #include "gateway/route_index.h"
 #include "gateway/service_queue.h"
@@ -39,10 +41,10 @@
 // Not thread-safe: owned by the loop's thread.
 class Forwarder {
  public:
-  // `timers`, `directory` and `metrics` outlive this object.
+  // The pointers outlive this object.
   Forwarder(ForwarderOptions options, ServerPort servers, TimerService* timers,
             std::function<absl::Time()> clock, const Directory* directory,
-            metrics::Metrics* metrics);
+            Demand* demand, metrics::Metrics* metrics);
   ~Forwarder();
   Forwarder(const Forwarder&) = delete;
   Forwarder& operator=(const Forwarder&) = delete;
@@ -65,6 +67,11 @@
     on_wrong_server_ = std::move(callback);
   }
 
+  // What this host has running on each server.
+  std::vector<ServerUse> Running() const;
+  // What all others have there.
+  void RunningElsewhere(const absl::flat_hash_map<NameHash, int>& running);
+
   // Some configuration is in force.
   bool configured() const { return index_ != nullptr; }
   std::int64_t version() const;
@@ -102,6 +109,8 @@
   void Failed(Exchange& exchange, const std::string& detail);
   // True when it is sent to another server.
   bool Resend(Exchange& exchange, std::string_view why);
+  // The server has no more to do with the sending that was under way.
+  void EndTransfer(Exchange& exchange);
   void EndAttempt(Exchange& exchange, schedule::EndKind kind);
 
   // How a request may end.
@@ -129,6 +138,7 @@
   TimerService* const timers_;
   const std::function<absl::Time()> clock_;
   const Directory* const directory_;
+  Demand* const demand_;
   metrics::Metrics* const metrics_;
   std::function<void(const ServerId&)> on_wrong_server_;
 
@@ -139,6 +149,8 @@
   std::uint64_t next_dispatch_ = 1;
   absl::flat_hash_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
   absl::flat_hash_map<RequestId, ExchangeId> by_dispatch_;
+  absl::flat_hash_map<ServerId, int> running_;
+  absl::flat_hash_map<ServerId, int> told_elsewhere_;
   bool draining_ = false;
   absl::Time no_streams_from_ = absl::InfiniteFuture();
 };
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -60,7 +60,7 @@
       log_(log),
       forwarder_(
           OptionsOf(settings), platform_.servers, &loop->timers(),
-          [loop] { return loop->now(); }, &directory_, &metrics_),
+          [loop] { return loop->now(); }, &directory_, &demand_, &metrics_),
       configuration_(
           {.table = platform_.configuration_table}, platform_.table,
           &loop->timers(), [loop] { return loop->now(); }, SeedOf(settings),
@@ -89,6 +89,7 @@
   std::unique_ptr<Host> host(
       new Host(settings, std::move(platform), loop, log));
   if (auto error = host->Listen()) return *error;
+  if (auto error = host->MeetPeers()) return *error;
   host->forwarder_.OnWrongServer([self = host.get()](const ServerId& server) {
     // Whatever its registration says, another server answers there.
     if (self->directory_.Change(server.str(), std::nullopt,
@@ -147,6 +148,43 @@
       &metrics_server_);
 }
 
+std::optional<Error> Host::MeetPeers() {
+  PeersOptions options;
+  options.host = settings_.id;
+  options.address = settings_.peers;
+  options.table = platform_.host_table;
+  auto started = Peers::Start(
+      options, platform_.table, loop_,
+      [this](PeerNews* news) {
+        news->servers = forwarder_.Running();
+        news->workspaces = demand_.Own(loop_->now());
+      },
+      [this](const PeerNews& news) {
+        for (const Spent& spent : demand_.Heard(news, loop_->now())) {
+          forwarder_.quotas().Spend(spent.workspace, spent.tokens,
+                                    loop_->now());
+        }
+        peer_loads_.Heard(news, loop_->now());
+      },
+      [this](const std::vector<std::string>& hosts) {
+        demand_.SetHosts(hosts, loop_->now());
+      },
+      [this](absl::Time now) { UsePeersNews(now); });
+  if (!started.ok()) return started.error();
+  peers_ = std::move(started.value());
+  return std::nullopt;
+}
+
+void Host::UsePeersNews(absl::Time now) {
+  forwarder_.RunningElsewhere(peer_loads_.Sum(now));
+  demand_.Agree(now);
+  const bool together = demand_.AllHeard(now);
+  Quotas& quotas = forwarder_.quotas();
+  for (const NameHash workspace : quotas.Limited()) {
+    quotas.SetPart(workspace, together ? 1 : demand_.Part(workspace, now), now);
+  }
+}
+
 void Host::TakeRequest(http::Request request,
                        std::shared_ptr<http::Responder> responder) {
   auto read = platform_.read_request(std::move(request));
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -11,9 +11,12 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/demand.h"
 #include "gateway/directory.h"
 #include "gateway/forwarder.h"
 #include "gateway/messages.h"
+#include "gateway/peer_loads.h"
+#include "gateway/peers.h"
 #include "gateway/table_follower.h"
 #include "http/server.h"
 #include "log/bounded_log.h"
@@ -32,6 +35,7 @@
   std::string configuration_table;
   std::string configuration_key;
   std::string server_table;
+  std::string host_table;  // Of this system's own.
   std::function<Outcome<Configuration>(std::string_view row)>
       read_configuration;
   std::function<Outcome<ServerEntry>(const std::string& key,
@@ -61,6 +65,8 @@
        loop::EventLoop* loop, log::BoundedLog* log);
 
   std::optional<Error> Listen();
+  std::optional<Error> MeetPeers();
+  void UsePeersNews(absl::Time now);
   void TakeRequest(http::Request request,
                    std::shared_ptr<http::Responder> responder);
   void TakeQuestion(const http::Request& request,
@@ -80,9 +86,12 @@
 
   metrics::Metrics metrics_;
   Directory directory_;
+  Demand demand_;
+  PeerLoads peer_loads_;
   Forwarder forwarder_;
   TableFollower configuration_;
   TableFollower servers_;
+  std::unique_ptr<Peers> peers_;
   std::unique_ptr<http::Server> callers_;
   std::unique_ptr<http::Server> ready_;
   std::unique_ptr<http::Server> metrics_server_;
--- /dev/null
+++ b/src/gateway/peer_loads.cc
@@ -0,0 +1,36 @@
+#include "gateway/peer_loads.h"
+
+#include <tuple>
+
+namespace gentianlb::gateway {
+namespace {
+
+// A host that is silent for longer is frozen, cut off or gone; what it had
+// running then is mostly over.
+constexpr absl::Duration kBelieved = absl::Seconds(1);
+
+}  // namespace
+
+void PeerLoads::Heard(const PeerNews& news, absl::Time now) {
+  Peer& peer = peers_[news.host];
+  // Datagrams may overtake each other.
+  if (std::tie(news.incarnation, news.sequence) <=
+      std::tie(peer.incarnation, peer.sequence)) {
+    return;
+  }
+  peer.incarnation = news.incarnation;
+  peer.sequence = news.sequence;
+  peer.heard = now;
+  peer.servers = news.servers;
+}
+
+absl::flat_hash_map<NameHash, int> PeerLoads::Sum(absl::Time now) const {
+  absl::flat_hash_map<NameHash, int> sum;
+  for (const auto& [name, peer] : peers_) {
+    if (now - peer.heard > kBelieved) continue;
+    for (const ServerUse& use : peer.servers) sum[use.server] += use.running;
+  }
+  return sum;
+}
+
+}  // namespace gentianlb::gateway
--- /dev/null
+++ b/src/gateway/peer_news.h
@@ -0,0 +1,48 @@
+// What entry hosts tell each other several times a second: how much each has
+// running on which server, and how many tokens its workspaces ask for.
+
+#ifndef GENTIANLB_GATEWAY_PEER_NEWS_H_
+#define GENTIANLB_GATEWAY_PEER_NEWS_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace gentianlb::gateway {
+
+// Stands for the name of a server or a workspace in messages.
+using NameHash = std::uint32_t;
+NameHash HashName(std::string_view name);
+
+struct ServerUse {
+  NameHash server = 0;
+  std::uint16_t running = 0;  // Requests of the sender there.
+  auto operator<=>(const ServerUse&) const = default;
+};
+
+struct WorkspaceUse {
+  NameHash workspace = 0;
+  float tokens_per_second = 0;    // Asked of the sender, served or not.
+  std::uint64_t let_through = 0;  // Tokens, since the sender's start.
+  auto operator<=>(const WorkspaceUse&) const = default;
+};
+
+struct PeerNews {
+  std::string host;
+  std::int64_t incarnation = 0;  // Higher after each start of the host.
+  std::uint64_t sequence = 0;    // Counts its messages.
+  std::vector<ServerUse> servers;
+  std::vector<WorkspaceUse> workspaces;
+  bool operator==(const PeerNews&) const = default;
+};
+
+std::string Encode(const PeerNews& news);
+
+// None when the bytes are no news: cut, or from somebody else.
+std::optional<PeerNews> DecodePeerNews(std::string_view bytes);
+
+}  // namespace gentianlb::gateway
+
+#endif  // GENTIANLB_GATEWAY_PEER_NEWS_H_
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -3,14 +3,24 @@
 #include "absl/container/flat_hash_set.h"
 
 namespace gentianlb::gateway {
+namespace {
+
+// The part of the burst that is given out. What several hosts let through
+// before they hear of each other comes on top: with a tenth of a second between
+// messages and a workspace that asks for four times its limit, about four
+// tenths of a second's worth.
+constexpr double kBurstPart = 0.6;
+
+}  // namespace
 
 void Quotas::Configure(const std::vector<Workspace>& workspaces,
                        absl::Time now) {
-  absl::flat_hash_set<WorkspaceId> limited;
+  absl::flat_hash_set<NameHash> limited;
   for (const Workspace& workspace : workspaces) {
     if (workspace.quota.tokens_per_second <= 0) continue;
-    limited.insert(workspace.id);
-    Bucket& bucket = buckets_[workspace.id];
+    const NameHash name = HashName(workspace.id.str());
+    limited.insert(name);
+    Bucket& bucket = buckets_[name];
     bucket.quota = workspace.quota;
     Fill(&bucket, now);
   }
@@ -19,20 +29,35 @@
   });
 }
 
-void Quotas::SetShare(double share, absl::Time now) {
-  if (share == share_) return;
-  share_ = share;
-  for (auto& [id, bucket] : buckets_) Fill(&bucket, now);
+void Quotas::SetPart(NameHash workspace, double part, absl::Time now) {
+  const auto found = buckets_.find(workspace);
+  if (found == buckets_.end() || found->second.part == part) return;
+  found->second.part = part;
+  Fill(&found->second, now);
+}
+
+void Quotas::Spend(NameHash workspace, double tokens, absl::Time now) {
+  const auto found = buckets_.find(workspace);
+  if (found == buckets_.end() || found->second.part < 1) return;
+  found->second.tokens.Empty(now);  // Earns what is due first.
+  found->second.tokens.Take(tokens);
+}
+
+std::vector<NameHash> Quotas::Limited() const {
+  std::vector<NameHash> limited;
+  for (const auto& [workspace, bucket] : buckets_) limited.push_back(workspace);
+  return limited;
 }
 
-void Quotas::Fill(Bucket* bucket, absl::Time now) const {
-  bucket->tokens.Rescale(bucket->quota.tokens_per_second * share_,
-                         bucket->quota.burst_tokens * share_, now);
+void Quotas::Fill(Bucket* bucket, absl::Time now) {
+  const Quota& quota = bucket->quota;
+  bucket->tokens.Rescale(quota.tokens_per_second * bucket->part,
+                         quota.burst_tokens * bucket->part * kBurstPart, now);
 }
 
-std::optional<absl::Duration> Quotas::Take(const WorkspaceId& id, double tokens,
+std::optional<absl::Duration> Quotas::Take(NameHash workspace, double tokens,
                                            absl::Time now) {
-  const auto found = buckets_.find(id);
+  const auto found = buckets_.find(workspace);
   if (found == buckets_.end()) return std::nullopt;
   schedule::TokenBucket& bucket = found->second.tokens;
   if (bucket.Empty(now)) return bucket.UntilFilled();
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -1,9 +1,7 @@
 // The tokens that workspaces may use, over all entry hosts.
 //
 // Load pattern: one workspace sends many times its usual. Without a limit the
-// others wait behind it. Each host lets through a share of the limit without
-// asking anybody; the shares of all hosts add up to no more than the limit, so
-// that it holds also while hosts can't hear each other.
+// others wait behind it. demand.h tells how the hosts keep to it together.
 
 #ifndef GENTIANLB_GATEWAY_QUOTA_H_
 #define GENTIANLB_GATEWAY_QUOTA_H_
@@ -14,6 +12,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "gateway/configuration.h"
+#include "gateway/peer_news.h"
 #include "schedule/limits.h"
 
 namespace gentianlb::gateway {
@@ -23,25 +22,32 @@
   // A workspace that stays keeps what its bucket holds.
   void Configure(const std::vector<Workspace>& workspaces, absl::Time now);
 
-  // The part of every limit that this host may use, over 0 and up to 1.
-  void SetShare(double share, absl::Time now);
+  // The part of the workspace's limit that is counted here, over 0 and up to 1:
+  // the whole while the other hosts' use is told by Spend().
+  void SetPart(NameHash workspace, double part, absl::Time now);
 
-  // Takes `tokens`. When the share is used up nothing is taken, and the answer
-  // is how long until it is filled again. One request may overdraw it, or one
-  // larger than the share could never run.
-  std::optional<absl::Duration> Take(const WorkspaceId& id, double tokens,
+  // Another host has let through `tokens`.
+  void Spend(NameHash workspace, double tokens, absl::Time now);
+
+  // Those that have a limit.
+  std::vector<NameHash> Limited() const;
+
+  // Takes `tokens`. When the limit is used up nothing is taken, and the answer
+  // is how long until there is some again. One request may overdraw it, or one
+  // larger than it holds could never run.
+  std::optional<absl::Duration> Take(NameHash workspace, double tokens,
                                      absl::Time now);
 
  private:
   struct Bucket {
     Quota quota;
+    double part = 1;
     schedule::TokenBucket tokens;
   };
 
-  void Fill(Bucket* bucket, absl::Time now) const;
+  static void Fill(Bucket* bucket, absl::Time now);
 
-  double share_ = 1;
-  absl::flat_hash_map<WorkspaceId, Bucket> buckets_;
+  absl::flat_hash_map<NameHash, Bucket> buckets_;
 };
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/route_index.cc
+++ b/src/gateway/route_index.cc
@@ -1,5 +1,6 @@
 #include "gateway/route_index.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gentianlb::gateway {
@@ -52,6 +53,15 @@
   return found == services_.end() ? nullptr : found->second;
 }
 
+Tier TierOf(const Route& route, const Workspace* workspace) {
+  // Operators use a handful of ranks.
+  constexpr int kRanks = 16;
+  const int inner = std::clamp(route.tier.rank, 0, kRanks - 1);
+  const bool ranked = workspace != nullptr && workspace->tier;
+  const int outer = ranked ? std::max(0, workspace->tier->rank) : 0;
+  return Tier{outer * kRanks + inner};
+}
+
 const ServiceId& ChooseService(const Route& route, std::uint64_t draw) {
   double total = 0;
   for (const ServiceShare& share : route.services) total += share.weight;
--- a/src/gateway/route_index.h
+++ b/src/gateway/route_index.h
@@ -39,6 +39,10 @@
   absl::flat_hash_map<ServiceId, const Service*> services_;
 };
 
+// The tier of a request. The workspace's goes first; the route's decides among
+// those of one tier. `workspace` may be null.
+Tier TierOf(const Route& route, const Workspace* workspace);
+
 // The service that gets a request of `route`: by weight, and always the same
 // for the same `draw`, which is any number spread evenly.
 const ServiceId& ChooseService(const Route& route, std::uint64_t draw);
--- a/src/gateway/service_queue.cc
+++ b/src/gateway/service_queue.cc
@@ -20,6 +20,7 @@
   spec.models = service.engine->models;
   spec.prefill_tokens_per_second = guess_.prefill_tokens_per_second;
   spec.decode_tokens_per_second = guess_.decode_tokens_per_second;
+  spec.speeds_guessed = true;
   spec.kv_tokens = service.engine->kv_tokens;
   spec.cache_tokens = service.engine->kv_tokens;
   return spec;
--- a/src/gateway/service_queue.h
+++ b/src/gateway/service_queue.h
@@ -17,12 +17,12 @@
 
 namespace gentianlb::gateway {
 
-// What servers are taken for before their answers have shown it.
+// What servers are taken for before their answers have shown it: the middle of
+// today's engines, which compute 112 to 157 prompt tokens in a millisecond and
+// need 3.4 to 3.6 ms for a step of one stream.
 struct ServerGuess {
-  // The slowest engines in use do about a third of this; the dispatcher takes
-  // one for a straggler only below a third of what it expects.
-  double prefill_tokens_per_second = 60000;
-  double decode_tokens_per_second = 150;
+  double prefill_tokens_per_second = 112000;
+  double decode_tokens_per_second = 280;
   bool operator==(const ServerGuess&) const = default;
 };
 
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -58,6 +58,10 @@
   std::function<void(const std::string& table, std::uint64_t since,
                      absl::Duration wait, TableDone done)>
       follow;
+  // Sets one row, whatever stands there. False: it may not have been done.
+  std::function<void(const std::string& table, const std::string& key,
+                     const std::string& value, std::function<void(bool)> done)>
+      write;
 };
 
 struct TableFollowerOptions {
--- a/src/http/answer.h
+++ b/src/http/answer.h
@@ -29,7 +29,10 @@
 // nothing to send, so that no thread waits on it.
 class Answer {
  public:
-  explicit Answer(MHD_Connection* connection) : connection_(connection) {}
+  // `on_resume` is called after each change that gives libmicrohttpd something
+  // to do; empty when the daemon's own thread looks for it.
+  Answer(MHD_Connection* connection, std::function<void()> on_resume)
+      : connection_(connection), on_resume_(std::move(on_resume)) {}
 
   void Respond(int status, std::vector<Header> headers, std::string body) {
     absl::MutexLock lock(&mutex_);
@@ -157,6 +160,7 @@
     if (!suspended_ || gone_) return;
     suspended_ = false;
     MHD_resume_connection(connection_);
+    if (on_resume_) on_resume_();
   }
 
   static ssize_t Read(void* closure, std::uint64_t /*position*/, char* out,
@@ -190,6 +194,7 @@
 
   mutable absl::Mutex mutex_;
   MHD_Connection* const connection_;
+  const std::function<void()> on_resume_;
   Phase phase_ = Phase::kWaiting;
   bool suspended_ = false;
   bool gone_ = false;
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -158,6 +158,8 @@
   ServerLimits limits;
   loop::EventLoop* loop = nullptr;
   TimerId sweep = 0;
+  bool run_pending = false;
+  std::shared_ptr<int> alive = std::make_shared<int>(0);
   std::unique_ptr<LoopConnections> connections;  // With a loop.
   Handler handler;
   MHD_Daemon* daemon = nullptr;
@@ -220,7 +222,10 @@
     exchange.begun = true;
     exchange.request.method = method;
     exchange.request.path = path;
-    exchange.answer = std::make_shared<Answer>(connection);
+    std::function<void()> on_resume;
+    if (loop != nullptr) on_resume = [this] { RunSoon(); };
+    exchange.answer =
+        std::make_shared<Answer>(connection, std::move(on_resume));
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
                               &exchange);
     if (connections == nullptr) return;
@@ -280,6 +285,18 @@
                                  [this](absl::Time) { MHD_run(daemon); });
   }
 
+  // Once for all answers that have something to send after this round of
+  // events. The daemon's own wake-up would come a round later.
+  void RunSoon() {
+    if (run_pending) return;
+    run_pending = true;
+    loop->Defer([this, alive = std::weak_ptr<int>(alive)] {
+      if (alive.expired()) return;
+      run_pending = false;
+      MHD_run(daemon);
+    });
+  }
+
   void Leave() {
     if (daemon == nullptr) return;
     const MHD_DaemonInfo* info =
--- /dev/null
+++ b/src/loop/datagram_socket.cc
@@ -0,0 +1,85 @@
+#include "loop/datagram_socket.h"
+
+#include <arpa/inet.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <utility>
+
+namespace gentianlb::loop {
+namespace {
+
+// No message is larger; what is longer is cut and then doesn't decode.
+constexpr std::size_t kMostBytes = 16 << 10;
+
+bool MakeAddress(const std::string& ip, std::uint16_t port,
+                 sockaddr_in* address) {
+  *address = {};
+  address->sin_family = AF_INET;
+  address->sin_port = htons(port);
+  return inet_pton(AF_INET, ip.c_str(), &address->sin_addr) == 1;
+}
+
+}  // namespace
+
+DatagramSocket::DatagramSocket(EventLoop* loop, int descriptor,
+                               std::uint16_t port, OnMessage on_message)
+    : loop_(loop),
+      descriptor_(descriptor),
+      port_(port),
+      on_message_(std::move(on_message)) {
+  loop_->Watch(descriptor_, EPOLLIN, [this](std::uint32_t) { Receive(); });
+}
+
+DatagramSocket::~DatagramSocket() {
+  loop_->Unwatch(descriptor_);
+  close(descriptor_);
+}
+
+Outcome<std::unique_ptr<DatagramSocket>> DatagramSocket::Bind(
+    EventLoop* loop, const std::string& ip, std::uint16_t port,
+    OnMessage on_message) {
+  sockaddr_in address;
+  if (!MakeAddress(ip, port, &address)) {
+    return Error{Code::kOutOfRange, "not an IP number: " + ip};
+  }
+  const int descriptor =
+      socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) return Error{Code::kInternal, "no socket for datagrams"};
+  const auto* generic = reinterpret_cast<const sockaddr*>(&address);
+  if (bind(descriptor, generic, sizeof address) != 0) {
+    close(descriptor);
+    return Error{Code::kContradiction,
+                 "can't take datagrams on " + ip + ":" + std::to_string(port)};
+  }
+  sockaddr_in bound = {};
+  socklen_t size = sizeof bound;
+  getsockname(descriptor, reinterpret_cast<sockaddr*>(&bound), &size);
+  return std::unique_ptr<DatagramSocket>(new DatagramSocket(
+      loop, descriptor, ntohs(bound.sin_port), std::move(on_message)));
+}
+
+bool DatagramSocket::Send(const std::string& ip, std::uint16_t port,
+                          std::string_view bytes) {
+  sockaddr_in address;
+  if (!MakeAddress(ip, port, &address)) return false;
+  const ssize_t sent =
+      sendto(descriptor_, bytes.data(), bytes.size(), 0,
+             reinterpret_cast<const sockaddr*>(&address), sizeof address);
+  return sent == static_cast<ssize_t>(bytes.size());
+}
+
+void DatagramSocket::Receive() {
+  std::array<char, kMostBytes> buffer;
+  // More than one may wait; the rest is reported again in the next round.
+  constexpr int kPerRound = 32;
+  for (int i = 0; i < kPerRound; ++i) {
+    const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
+    if (count < 0) return;
+    on_message_({buffer.data(), static_cast<std::size_t>(count)});
+  }
+}
+
+}  // namespace gentianlb::loop
--- /dev/null
+++ b/src/loop/datagram_socket.h
@@ -0,0 +1,49 @@
+// A UDP socket on an event loop, for small messages that may be lost.
+
+#ifndef GENTIANLB_LOOP_DATAGRAM_SOCKET_H_
+#define GENTIANLB_LOOP_DATAGRAM_SOCKET_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "base/result.h"
+#include "loop/event_loop.h"
+
+namespace gentianlb::loop {
+
+class DatagramSocket {
+ public:
+  using OnMessage = std::function<void(std::string_view bytes)>;
+
+  // Binds to `ip` and `port`; port 0: the kernel picks one. `loop` outlives the
+  // socket.
+  static Outcome<std::unique_ptr<DatagramSocket>> Bind(EventLoop* loop,
+                                                       const std::string& ip,
+                                                       std::uint16_t port,
+                                                       OnMessage on_message);
+  ~DatagramSocket();
+  DatagramSocket(const DatagramSocket&) = delete;
+  DatagramSocket& operator=(const DatagramSocket&) = delete;
+
+  // False when it was certainly not sent. Losses on the way don't show.
+  bool Send(const std::string& ip, std::uint16_t port, std::string_view bytes);
+
+  std::uint16_t port() const { return port_; }
+
+ private:
+  DatagramSocket(EventLoop* loop, int descriptor, std::uint16_t port,
+                 OnMessage on_message);
+  void Receive();
+
+  EventLoop* const loop_;
+  const int descriptor_;
+  const std::uint16_t port_;
+  const OnMessage on_message_;
+};
+
+}  // namespace gentianlb::loop
+
+#endif  // GENTIANLB_LOOP_DATAGRAM_SOCKET_H_
--- a/src/replay/baseline.cc
+++ b/src/replay/baseline.cc
@@ -151,6 +151,8 @@
   if (server != nullptr) server->reported = event.running + event.queued;
 }
 
+void BaselineState::On(const schedule::LoadElsewhere&) {}
+
 void BaselineState::On(const schedule::CacheChanged&) {}
 
 void BaselineState::On(const schedule::ServerHealthChanged& event) {
--- a/src/schedule/answers.cc
+++ b/src/schedule/answers.cc
@@ -215,6 +215,7 @@
   switch (event.kind) {
     case EndKind::kComplete:
       ++state.counters.completed;
+      server.CountEnd(/*failed=*/false);
       CountPrefill(state, running, event);
       LearnFromAnswer(state, running, event);
       break;
@@ -222,10 +223,11 @@
       CountPrefill(state, running, event);
       // A server that breaks everything at once looks idle and would draw all
       // work to itself.
+      server.CountEnd(/*failed=*/true);
       if (running.first_token) {
         CutWindow(state, server);
       } else {
-        server.window.Unreachable(state.now);
+        server.window.Failed(state.now);
       }
       break;
     case EndKind::kCancelled:
@@ -234,6 +236,7 @@
       break;
     case EndKind::kShed:
       ++state.counters.shed_by_server;
+      server.CountEnd(/*failed=*/true);
       CutWindow(state, server);
       break;
     case EndKind::kNotSent:
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -69,6 +69,13 @@
   RoomOn(state, server);
 }
 
+void LoadOthers(State& state, const LoadElsewhere& event) {
+  const ServerIndex server = state.fleet.Find(event.server);
+  if (server == kNoIndex) return;
+  state.fleet.at(server).Elsewhere(event, state.now);
+  RoomOn(state, server);
+}
+
 struct EventHandler {
   State& state;
 
@@ -79,6 +86,7 @@
   void operator()(const RequestEnded& event) { Ended(state, event); }
   void operator()(const LoadReported& event) { ReportLoad(state, event); }
   void operator()(const LoadAnswered& event) { AnswerLoad(state, event); }
+  void operator()(const LoadElsewhere& event) { LoadOthers(state, event); }
   void operator()(const CacheChanged& event) {
     const ServerIndex server = state.fleet.Find(event.server);
     if (server != kNoIndex) state.cache.Changed(server, event, state.now);
--- a/src/schedule/limits.cc
+++ b/src/schedule/limits.cc
@@ -26,7 +26,7 @@
 void TokenBucket::Rescale(double per_second, double capacity, absl::Time now) {
   if (capacity_ <= 0) return SetRate(per_second, capacity, now);
   Empty(now);  // Earned so far at the old rate.
-  level_ *= capacity / capacity_;
+  if (level_ > 0) level_ *= capacity / capacity_;  // A debt stays what it is.
   rate_ = per_second;
   capacity_ = capacity;
 }
--- a/src/schedule/limits.h
+++ b/src/schedule/limits.h
@@ -25,7 +25,7 @@
  public:
   void SetRate(double per_second, double capacity, absl::Time now);
   // The same, but what it holds changes in the same proportion: a rate that is
-  // changed often must not fill the bucket each time.
+  // changed often must not fill the bucket each time. A debt stays.
   void Rescale(double per_second, double capacity, absl::Time now);
   bool Empty(absl::Time now);
   void Take(double tokens) { level_ -= tokens; }
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -38,9 +38,11 @@
   std::vector<ModelId> models;  // Loaded models, adapters and versions.
   double prefill_tokens_per_second = 0;
   double decode_tokens_per_second = 0;  // Of one stream on an idle server.
-  int max_streams = 0;                  // Bound of the window.
-  std::int64_t kv_tokens = 0;           // Memory for running streams.
-  std::int64_t cache_tokens = 0;        // Memory for kept prompt prefixes.
+  // The speeds are no more than a guess, and the first answers replace them.
+  bool speeds_guessed = false;
+  int max_streams = 0;            // Bound of the window.
+  std::int64_t kv_tokens = 0;     // Memory for running streams.
+  std::int64_t cache_tokens = 0;  // Memory for kept prompt prefixes.
   PowerModel power;
   bool operator==(const ServerSpec&) const = default;
 };
@@ -165,6 +167,13 @@
   bool cleared = false;
 };
 
+// What other dispatchers have running on a server, as they tell it themselves
+// several times a second.
+struct LoadElsewhere {
+  ServerId server;
+  int running = 0;
+};
+
 enum class ServerHealth { kAlive, kSuspect, kDead, kLeaving };
 
 struct ServerHealthChanged {
@@ -192,9 +201,9 @@
 
 using Event =
     std::variant<RequestArrived, CallerGone, RequestRunning, TokensStreamed,
-                 RequestEnded, LoadReported, LoadAnswered, CacheChanged,
-                 ServerHealthChanged, ServersConfigured, WorkspacesConfigured,
-                 PowerShareChanged, TimePassed>;
+                 RequestEnded, LoadReported, LoadAnswered, LoadElsewhere,
+                 CacheChanged, ServerHealthChanged, ServersConfigured,
+                 WorkspacesConfigured, PowerShareChanged, TimePassed>;
 
 // --- Decisions --------------------------------------------------------------
 
--- a/src/schedule/pace.cc
+++ b/src/schedule/pace.cc
@@ -52,6 +52,13 @@
 
 void Stretch::Add(double sample) {
   sample = std::clamp(sample, kMinSample, kMaxSample);
+  if (samples_ < kEnough) {
+    // A plain mean at first, and the quick average as soon as it is quicker.
+    const double weight = 1.0 / ++samples_;
+    quick_ += std::max(kQuickWeight, weight) * (sample - quick_);
+    normal_ += weight * (sample - normal_);
+    return;
+  }
   const bool usual = sample < normal_ * kStragglerStretch;
   quick_ += kQuickWeight * (sample - quick_);
   normal_ += (usual ? kNormalWeight : kStragglerWeight) * (sample - normal_);
@@ -78,6 +85,8 @@
           SecondsEach(spec.prefill_tokens_per_second, kDefaultPrefillSpeed)),
       decode_token_(
           SecondsEach(spec.decode_tokens_per_second, kDefaultDecodeSpeed)),
+      prefill_(spec.speeds_guessed),
+      decode_(spec.speeds_guessed),
       call_seconds_(kCallSeconds) {}
 
 double Pace::PrefillSeconds(double tokens) const {
--- a/src/schedule/pace.h
+++ b/src/schedule/pace.h
@@ -19,6 +19,9 @@
 // Measured over expected time, as a quick and a slow average.
 class Stretch {
  public:
+  // When the expectation is a guess, the first samples replace it.
+  explicit Stretch(bool guessed) : samples_(guessed ? 0 : kEnough) {}
+
   void Add(double sample);
   double quick() const { return quick_; }
   bool straggling() const;
@@ -27,8 +30,12 @@
   void Forget();
 
  private:
+  // Samples after which an average stands on its own.
+  static constexpr int kEnough = 20;
+
   double quick_ = 1;
   double normal_ = 1;
+  int samples_;
 };
 
 class Pace {
--- a/src/schedule/server.cc
+++ b/src/schedule/server.cc
@@ -57,6 +57,19 @@
   kv_tokens_ = std::max<std::int64_t>(0, kv_tokens_ - demand.kv_tokens);
 }
 
+void Server::CountEnd(bool failed) {
+  // Some ten requests tell a server that fails two in five from a good one.
+  constexpr double kWeight = 0.1;
+  failure_rate_ += kWeight * ((failed ? 1 : 0) - failure_rate_);
+}
+
+double Server::WithFailures(double seconds) const {
+  // A failure costs the time until it shows, a second sending, and for what may
+  // not be repeated the whole answer.
+  constexpr double kFailureCost = 5;
+  return seconds * (1 + kFailureCost * failure_rate_);
+}
+
 void Server::Report(const LoadReported& report, absl::Time now) {
   if (report.measured < foreign_measured_) return;  // Overtaken on the way.
   CountPeak(now);
@@ -70,6 +83,12 @@
   batch_mates_ = std::max(0, answer.running - running_);
 }
 
+void Server::Elsewhere(const LoadElsewhere& load, absl::Time now) {
+  foreign_measured_ = now;
+  foreign_streams_ = load.running;
+  batch_mates_ = load.running;
+}
+
 bool Server::Open(absl::Time now) const {
   return configured && health == ServerHealth::kAlive && window.OpenAt(now) &&
          FreeStreams(now) > 0 && PrefillFits(0);
@@ -107,9 +126,10 @@
 }
 
 double Server::FinishSeconds(const Demand& demand, absl::Time now) const {
-  if (demand.plain) return pace.CallSeconds();
-  return FirstTokenSeconds(demand.prefill_tokens, now) +
-         demand.output_tokens * pace.TokenSeconds(running_ + batch_mates_ + 1);
+  if (demand.plain) return WithFailures(pace.CallSeconds());
+  return WithFailures(FirstTokenSeconds(demand.prefill_tokens, now) +
+                      demand.output_tokens *
+                          pace.TokenSeconds(running_ + batch_mates_ + 1));
 }
 
 double Server::ExpectedFirstToken(double prefill_tokens, absl::Time now) const {
--- a/src/schedule/server.h
+++ b/src/schedule/server.h
@@ -41,8 +41,11 @@
   // The reservation of a running stream grew.
   void AddMemory(std::int64_t kv_tokens) { kv_tokens_ += kv_tokens; }
   void End(const Demand& demand, bool first_token, absl::Time now);
+  // Whether one more request failed there, or came to a good end.
+  void CountEnd(bool failed);
   void Report(const LoadReported& report, absl::Time now);
   void Answered(const LoadAnswered& answer, absl::Time now);
+  void Elsewhere(const LoadElsewhere& load, absl::Time now);
 
   // --- Whether there is room ---
   // For any request at all.
@@ -75,6 +78,10 @@
   int OwnPeak() const;
   void CountPeak(absl::Time now);
 
+  // Time that failures cost: `seconds` stretched by how often they come.
+  double WithFailures(double seconds) const;
+
+  double failure_rate_ = 0;  // Of the last ten or so.
   int running_ = 0;
   int prefilling_ = 0;
   double prefill_tokens_ = 0;   // Granted, first token not seen.
--- a/src/schedule/window.cc
+++ b/src/schedule/window.cc
@@ -35,6 +35,7 @@
 void Window::Good(absl::Time now, bool full) {
   // A good answer ends the probing; what it shows is that the server is back.
   probing_ = false;
+  failures_ = 0;
   backoff_ = kFirstBackoff;
   closed_until_ = absl::InfinitePast();
   if (!full || now < last_growth_ + kGrowthInterval) return;
@@ -55,6 +56,12 @@
   Close(now);
 }
 
+void Window::Failed(absl::Time now) {
+  // Even where two calls in five fail, three in a row are seldom chance.
+  constexpr int kFailuresInARow = 3;
+  if (probing_ || ++failures_ >= kFailuresInARow) Unreachable(now);
+}
+
 void Window::Close(absl::Time now) {
   if (now < closed_until_) return;
   probing_ = true;
--- a/src/schedule/window.h
+++ b/src/schedule/window.h
@@ -35,6 +35,11 @@
   // No connection came about.
   void Unreachable(absl::Time now);
 
+  // A request failed there. One alone says little: some calls fail on any
+  // server. Several in a row, with no good answer in between, count as
+  // unreachable.
+  void Failed(absl::Time now);
+
   // New work went there; if it is slow again, the next probe is later.
   void Granted() { tried_ = true; }
 
@@ -52,6 +57,7 @@
   double size_;
   bool probing_ = false;
   bool tried_ = true;  // Since it was closed last.
+  int failures_ = 0;   // In a row.
   absl::Duration backoff_;
   absl::Time closed_until_ = absl::InfinitePast();
   absl::Time last_cut_ = absl::InfinitePast();
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -30,6 +30,8 @@
     reader.Text("path", &settings->ready_path, Need::kRequired);
   } else if (kind == "metrics") {
     reader.Address("address", &settings->metrics, Need::kRequired);
+  } else if (kind == "peers") {
+    reader.Address("address", &settings->peers, Need::kRequired);
   } else if (kind == "table") {
     reader.Address("address", &settings->table, Need::kRequired);
   } else if (kind == "retries") {
@@ -42,10 +44,10 @@
 
 GatewaySettings ReadGatewaySettings(const Document& document,
                                     Problems* problems) {
-  constexpr const char* kRequired[] = {"host", "callers", "ready", "metrics",
-                                       "table"};
+  constexpr const char* kRequired[] = {"host",    "callers", "ready",
+                                       "metrics", "peers",   "table"};
   const absl::flat_hash_set<std::string> known = {
-      "host", "callers", "ready", "metrics", "table", "retries"};
+      "host", "callers", "ready", "metrics", "peers", "table", "retries"};
   GatewaySettings settings;
   absl::flat_hash_set<std::string> seen;
   auto note = [&](int line, Code code, std::string text) {
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -21,6 +21,7 @@
   Endpoint ready;          // Where the platform asks whether to send callers.
   std::string ready_path;  // Of that question.
   Endpoint metrics;
+  Endpoint peers;        // Where messages of other entry hosts come in.
   Endpoint table;        // The platform's table service.
   absl::Duration grace;  // From SIGTERM until the process is killed.
   double retries_per_request = 0.1;  // Of all hosts together.
