--- a/src/gateway/fake_site_test.h
+++ b/src/gateway/fake_site_test.h
@@ -3,6 +3,8 @@
 #ifndef GENTIANLB_GATEWAY_FAKE_SITE_TEST_H_
 #define GENTIANLB_GATEWAY_FAKE_SITE_TEST_H_
 
+#include <glog/logging.h>
+
 #include <map>
 #include <memory>
 #include <string>
@@ -76,6 +78,7 @@
  public:
   // Two servers of a model service "llm" and two of a plain one, "plain".
   FakeSite() {
+    FLAGS_minloglevel = google::GLOG_FATAL;  // The tests read no lines.
     ServerPort port;
     port.send = [this](ServerCall call, CallSink sink) {
       calls.push_back(std::make_shared<FakeCall>());
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -65,7 +65,8 @@
       clock_(std::move(clock)),
       directory_(directory),
       demand_(demand),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      quotas_(options_.limit_tolerance_tokens) {}
 
 Forwarder::~Forwarder() {
   for (auto& [id, exchange] : exchanges_) {
@@ -87,6 +88,7 @@
   LOG(INFO) << "event=configuration-in-force version=" << configuration.version
             << " before=" << version()
             << " routes=" << configuration.routes.size();
+  longest_time_left_.clear();
   index_ = std::make_shared<const RouteIndex>(std::move(configuration));
   quotas_.Configure(index_->configuration().workspaces, clock_());
   ServersChanged();
@@ -136,6 +138,7 @@
     return Refuse(exchange, *error, kComeBackSoon);
   }
   exchange.tier = TierOf(*exchange.route, exchange.workspace);
+  exchange.asked_before = AskedBefore(exchange);
   const absl::Duration time_left =
       std::min(exchange.request->time_left, exchange.route->timeout);
   exchange.deadline = exchange.arrival + time_left;
@@ -189,6 +192,18 @@
   return std::nullopt;
 }
 
+// Callers of one route give themselves the same time. Whoever has clearly less
+// left has spent the rest on an earlier try.
+absl::Duration Forwarder::AskedBefore(const Exchange& exchange) {
+  constexpr absl::Duration kClearly = absl::Milliseconds(100);
+  const absl::Duration left = exchange.request->time_left;
+  if (left == absl::InfiniteDuration()) return absl::ZeroDuration();
+  absl::Duration& longest = longest_time_left_[exchange.route->name];
+  longest = std::max(longest, left);
+  const absl::Duration spent = longest - left;
+  return spent > kClearly ? spent : absl::ZeroDuration();
+}
+
 std::optional<absl::Duration> Forwarder::TakeQuota(const Exchange& exchange) {
   if (exchange.workspace == nullptr) return std::nullopt;
   const auto& prompt = exchange.request->prompt;
@@ -597,7 +612,7 @@
             << " code=" << static_cast<int>(error.code) << " cause=\""
             << error.detail << "\" tier=" << exchange.tier.rank << " workspace="
             << (exchange.workspace ? exchange.workspace->id.str() : "-")
-            << " waiting=" << waiting
+            << " returned=" << exchange.returned() << " waiting=" << waiting
             << " after_ms=" << Milliseconds(now - exchange.arrival)
             << " retry_after_ms=" << Milliseconds(retry_after)
             << " version=" << version()
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -30,6 +30,7 @@
 ForwarderOptions OptionsOf(const settings::GatewaySettings& settings) {
   ForwarderOptions options;
   options.host = settings.id;
+  options.limit_tolerance_tokens = settings.limit_tolerance_tokens;
   options.queue.dispatcher.seed = absl::HashOf(settings.id);
   options.queue.dispatcher.preempts = false;
   options.queue.dispatcher.shortest_come_back = absl::Milliseconds(300);
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -5,10 +5,10 @@
 namespace gentianlb::gateway {
 namespace {
 
-// The part of the burst that is given out. What several hosts let through
-// before they hear of each other comes on top: with a tenth of a second between
-// messages and a workspace that asks for four times its limit, about four
-// tenths of a second's worth.
+// The part of what may be let through at once that is given out. What several
+// hosts let through before they hear of each other comes on top: with a tenth
+// of a second between messages and a workspace that asks for four times its
+// limit, about four tenths of a second's worth.
 constexpr double kBurstPart = 0.5;
 
 }  // namespace
@@ -26,7 +26,7 @@
     Fill(&bucket, now);
     // Nobody knows what was used just before. A host that begins with a full
     // burst after each restart would let it through on top of the limit.
-    if (is_new) bucket.tokens.Take(workspace.quota.burst_tokens * kBurstPart);
+    if (is_new) bucket.tokens.Take(AtOnce(bucket.quota));
   }
   absl::erase_if(buckets_, [&](const auto& item) {
     return !limited.contains(item.first);
@@ -53,10 +53,13 @@
   return limited;
 }
 
-void Quotas::Fill(Bucket* bucket, absl::Time now) {
-  const Quota& quota = bucket->quota;
-  bucket->tokens.Rescale(quota.tokens_per_second * bucket->part,
-                         quota.burst_tokens * bucket->part * kBurstPart, now);
+double Quotas::AtOnce(const Quota& quota) const {
+  return (quota.burst_tokens + tolerance_tokens_) * kBurstPart;
+}
+
+void Quotas::Fill(Bucket* bucket, absl::Time now) const {
+  bucket->tokens.Rescale(bucket->quota.tokens_per_second * bucket->part,
+                         AtOnce(bucket->quota) * bucket->part, now);
 }
 
 std::optional<absl::Duration> Quotas::Take(NameHash workspace, double tokens,
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -19,6 +19,11 @@
 
 class Quotas {
  public:
+  // Operators tolerate `tolerance_tokens` above each limit. A small workspace
+  // needs them: one of its requests may be larger than its burst.
+  explicit Quotas(double tolerance_tokens)
+      : tolerance_tokens_(tolerance_tokens) {}
+
   // A workspace that stays keeps what its bucket holds.
   void Configure(const std::vector<Workspace>& workspaces, absl::Time now);
 
@@ -45,7 +50,10 @@
     schedule::TokenBucket tokens;
   };
 
-  static void Fill(Bucket* bucket, absl::Time now);
+  void Fill(Bucket* bucket, absl::Time now) const;
+  double AtOnce(const Quota& quota) const;
+
+  double tolerance_tokens_;
 
   absl::flat_hash_map<NameHash, Bucket> buckets_;
 };
--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -156,6 +156,17 @@
          std::abs(key - entry.key) <= kKeyTolerance * entry.key;
 }
 
+double Fleet::OwnPart(PoolIndex pool, absl::Time now) const {
+  int own = 0;
+  int all = 0;
+  for (const ServerIndex index : pools_[pool].servers) {
+    const Server& server = servers_[index];
+    own += server.running();
+    all += server.running() + server.ForeignStreams(now);
+  }
+  return (own + 1.0) / (all + 1.0);
+}
+
 absl::Time Fleet::NextReopening() const {
   if (reopenings_.empty()) return absl::InfiniteFuture();
   return reopenings_.begin()->first;
--- a/src/schedule/fleet.h
+++ b/src/schedule/fleet.h
@@ -59,6 +59,10 @@
   // To be called after any change to a server, or its index entry is stale.
   void Reindex(ServerIndex server, absl::Time now);
 
+  // The part of what runs on a pool's servers that this dispatcher has granted,
+  // as far as the others' is known.
+  double OwnPart(PoolIndex pool, absl::Time now) const;
+
   // When the next closed server may be probed, or an idle one be forgiven.
   absl::Time NextReopening() const;
   // Takes up those that are due; true when there were any.
--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -67,8 +67,17 @@
       state.queue.WorkAbove(lane.tier, lane.pool) +
       state.queue.WorkAhead(lane, waiting.workspace, waiting.weight,
                             waiting.latest_start);
-  const double capacity = state.fleet.pool(waiting.pool).capacity;
-  return ahead / state.drains[waiting.pool].PerSecond(capacity, state.now);
+  return ahead <= 0 ? 0 : ahead / DrainPerSecond(state, waiting.pool);
+}
+
+// Whether its first token can't be out in time, by the backlog.
+bool MissesObjective(const State& state, const Waiting& waiting) {
+  if (waiting.request.first_token_due == absl::InfiniteFuture()) return false;
+  const Outlook outlook{
+      .wait = WaitSeconds(state, waiting),
+      .service = 0,
+      .deadline = absl::ToDoubleSeconds(waiting.latest_start - state.now)};
+  return Unreachable(outlook) || Overloaded(outlook);
 }
 
 // True when it was refused, because it can't finish in time.
@@ -78,14 +87,8 @@
       .wait = WaitSeconds(state, waiting),
       .service = absl::ToDoubleSeconds(waiting.best_service),
       .deadline = absl::ToDoubleSeconds(request.deadline - state.now)};
-  const absl::Duration start_left = waiting.latest_start - state.now;
-  const Outlook first_token{.wait = outlook.wait,
-                            .service = 0,
-                            .deadline = absl::ToDoubleSeconds(start_left)};
-  const bool first_too_late =
-      request.first_token_due < absl::InfiniteFuture() &&
-      (Unreachable(first_token) || Overloaded(first_token));
-  if (!Unreachable(outlook) && !Overloaded(outlook) && !first_too_late) {
+  if (!Unreachable(outlook) && !Overloaded(outlook) &&
+      !MissesObjective(state, waiting)) {
     return false;
   }
   // Power is named only when no lower tier could give up some.
@@ -179,6 +182,11 @@
       BestServiceSeconds(state, waiting, HopefulOutput(waiting.output)));
   const absl::Duration usual =
       absl::Seconds(BestServiceSeconds(state, waiting, waiting.output.median));
+  // A prompt so long that no server could be in time, also alone, has only its
+  // deadline; refused for its size, it could never run.
+  if (LatestForFirstToken(state, waiting) < state.now) {
+    waiting.request.first_token_due = absl::InfiniteFuture();
+  }
   waiting.latest_start = std::min(request.deadline - waiting.best_service,
                                   LatestForFirstToken(state, waiting));
   const absl::Time last_usual_start =
--- a/src/schedule/limits.cc
+++ b/src/schedule/limits.cc
@@ -38,9 +38,9 @@
   return level_ <= 0;
 }
 
-absl::Duration TokenBucket::UntilFilled() const {
-  if (level_ > 0 || rate_ <= 0) return absl::ZeroDuration();
-  return absl::Seconds(-level_ / rate_);
+absl::Duration TokenBucket::UntilFilled(double level) const {
+  if (level_ > level || rate_ <= 0) return absl::ZeroDuration();
+  return absl::Seconds((level - level_) / rate_);
 }
 
 WorkspaceIndex WorkspaceLimits::Number(const WorkspaceId& id) {
--- a/src/schedule/limits.h
+++ b/src/schedule/limits.h
@@ -29,8 +29,9 @@
   void Rescale(double per_second, double capacity, absl::Time now);
   bool Empty(absl::Time now);
   void Take(double tokens) { level_ -= tokens; }
-  // How long until it is no longer empty.
-  absl::Duration UntilFilled() const;
+  // How long until it holds more than `level`.
+  absl::Duration UntilFilled(double level = 0) const;
+  double level() const { return level_; }
 
  private:
   double rate_ = 0;
--- a/src/schedule/server.h
+++ b/src/schedule/server.h
@@ -63,6 +63,8 @@
   double ExpectedFirstToken(double prefill_tokens, absl::Time now) const;
 
   int running() const { return running_; }
+  // What others have there, as far as it is known.
+  int ForeignStreams(absl::Time now) const;
   int prefilling() const { return prefilling_; }
 
   ServerSpec spec;
@@ -74,7 +76,6 @@
 
  private:
   double PrefillBacklog(absl::Time now) const;
-  int ForeignStreams(absl::Time now) const;
   int OwnPeak() const;
   void CountPeak(absl::Time now);
 
--- a/src/schedule/state.cc
+++ b/src/schedule/state.cc
@@ -70,12 +70,17 @@
                      ComeBackAfter(state, lane)});
 }
 
+double DrainPerSecond(const State& state, PoolIndex pool) {
+  // Several dispatchers may share the pool; the first guess is this one's part.
+  const double capacity =
+      state.fleet.pool(pool).capacity * state.fleet.OwnPart(pool, state.now);
+  return state.drains[pool].PerSecond(capacity, state.now);
+}
+
 absl::Duration ComeBackAfter(State& state, const LaneKey& lane) {
   const double ahead =
       state.queue.WorkAbove(lane.tier, lane.pool) + state.queue.LaneWork(lane);
-  const double capacity = state.fleet.pool(lane.pool).capacity;
-  return state.come_back.After(
-      ahead / state.drains[lane.pool].PerSecond(capacity, state.now));
+  return state.come_back.After(ahead / DrainPerSecond(state, lane.pool));
 }
 
 void RoomOn(State& state, ServerIndex server) {
--- a/src/schedule/state.h
+++ b/src/schedule/state.h
@@ -102,6 +102,9 @@
 // that it may have run, whatever the cause.
 void CancelRunning(State& state, RunIndex index, WasteCause cause);
 
+// Work that this dispatcher's part of a pool takes in a second.
+double DrainPerSecond(const State& state, PoolIndex pool);
+
 // When a caller of this lane may come back: when its backlog has drained.
 absl::Duration ComeBackAfter(State& state, const LaneKey& lane);
 
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -34,6 +34,9 @@
     reader.Address("address", &settings->peers, Need::kRequired);
   } else if (kind == "table") {
     reader.Address("address", &settings->table, Need::kRequired);
+  } else if (kind == "limits") {
+    reader.Number("tolerance_tokens", kNotNegative,
+                  &settings->limit_tolerance_tokens);
   } else if (kind == "retries") {
     reader.Number("per_request", kRatio, &settings->retries_per_request);
     reader.Number("burst", kBurst, &settings->retry_burst);
@@ -46,8 +49,9 @@
                                     Problems* problems) {
   constexpr const char* kRequired[] = {"host",    "callers", "ready",
                                        "metrics", "peers",   "table"};
-  const absl::flat_hash_set<std::string> known = {
-      "host", "callers", "ready", "metrics", "peers", "table", "retries"};
+  const absl::flat_hash_set<std::string> known = {"host",    "callers", "ready",
+                                                  "metrics", "peers",   "table",
+                                                  "retries", "limits"};
   GatewaySettings settings;
   absl::flat_hash_set<std::string> seen;
   auto note = [&](int line, Code code, std::string text) {
--- /dev/null
+++ b/tests/standins/platform_server.cc
@@ -0,0 +1,96 @@
+#include "standins/platform_server.h"
+
+#include <json/json.h>
+
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "base/json_text.h"
+
+namespace gentianlb::standins {
+
+PlatformServer::PlatformServer(std::string id, int events)
+    : id_(std::move(id)), events_(events) {
+  http::ServerSettings settings;
+  server_ = std::move(
+      http::Server::Start(settings, [this](const http::Request& request,
+                                           auto answer) {
+        Handle(request, *answer);
+      }).value());
+}
+
+std::string PlatformServer::Registration(const std::string& service,
+                                         const std::string& state) const {
+  Json::Value row;
+  row["service"] = service;
+  row["address"] = absl::StrCat("127.0.0.1:", server_->port());
+  row["zone"] = "z";
+  row["slots"] = 8;
+  row["state"] = state;
+  row["seq"] = 1;
+  row["born"] = 1;
+  return ToText(row);
+}
+
+void PlatformServer::SetFaults(const Faults& faults) {
+  absl::MutexLock lock(&mutex_);
+  faults_ = faults;
+}
+
+std::map<std::string, int> PlatformServer::Runs() const {
+  absl::MutexLock lock(&mutex_);
+  return runs_;
+}
+
+http::Request PlatformServer::LastRequest() const {
+  absl::MutexLock lock(&mutex_);
+  return last_;
+}
+
+void PlatformServer::Handle(const http::Request& request,
+                            http::Responder& answer) {
+  const std::string request_id(request.header("Request-Id"));
+  if (request.header("Expect-Instance") != id_) {
+    return answer.Respond(421, {{"Instance-Id", id_}}, "");
+  }
+  Faults faults;
+  {
+    absl::MutexLock lock(&mutex_);
+    faults = faults_;
+    last_ = request;
+    if (!faults.sheds) ++runs_[request_id];
+  }
+  if (faults.sheds) return answer.Respond(503, {{"Not-Executed", "1"}}, "");
+  if (faults.loses_answers) return answer.Abort();
+  if (!request.header("Model").empty()) {
+    return Stream(request, answer, faults);
+  }
+  answer.Respond(200,
+                 {{"Request-Id", request_id},
+                  {"Server-Stamp", id_},
+                  {"Server-Load", "1,0,8"}},
+                 absl::StrCat("done by ", id_, ": ", request.body));
+}
+
+void PlatformServer::Stream(const http::Request& request,
+                            http::Responder& answer,
+                            const Faults& faults) const {
+  int last = 0;
+  const std::string resumed(request.header("Last-Event-Id"));
+  if (!absl::SimpleAtoi(resumed, &last)) last = 0;
+  answer.Begin(200, {{"Request-Id", std::string(request.header("Request-Id"))},
+                     {"Server-Stamp", id_},
+                     {"Content-Type", "text/event-stream"}});
+  for (int i = last + 1; i <= events_; ++i) {
+    const std::string event = absl::StrCat("id: ", i, "\ndata: word\n\n");
+    if (i - 1 == faults.cut_after_events) {
+      answer.Write(event.substr(0, event.size() / 2));
+      return answer.Abort();
+    }
+    answer.Write(event);
+  }
+  answer.Finish();
+}
+
+}  // namespace gentianlb::standins
--- /dev/null
+++ b/tests/standins/platform_server.h
@@ -0,0 +1,54 @@
+// Stands in for a backend server of the users' platform: runs calls, streams
+// events, refuses what is for another server, and counts what it has run.
+
+#ifndef GENTIANLB_STANDINS_PLATFORM_SERVER_H_
+#define GENTIANLB_STANDINS_PLATFORM_SERVER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/synchronization/mutex.h"
+#include "http/server.h"
+
+namespace gentianlb::standins {
+
+class PlatformServer {
+ public:
+  struct Faults {
+    int cut_after_events = -1;   // Streams break off there; -1: never.
+    bool sheds = false;          // Says of everything that it has not run it.
+    bool loses_answers = false;  // Runs it, and breaks the connection.
+  };
+
+  // Listens on a port that the kernel picks.
+  explicit PlatformServer(std::string id, int events = 5);
+
+  // Its row in the table of servers.
+  std::string Registration(const std::string& service,
+                           const std::string& state = "ready") const;
+  const std::string& id() const { return id_; }
+
+  void SetFaults(const Faults& faults);
+  // How often each request has run here, by its id.
+  std::map<std::string, int> Runs() const;
+  // What the last request looked like here.
+  http::Request LastRequest() const;
+
+ private:
+  void Handle(const http::Request& request, http::Responder& answer);
+  void Stream(const http::Request& request, http::Responder& answer,
+              const Faults& faults) const;
+
+  const std::string id_;
+  const int events_;
+  mutable absl::Mutex mutex_;
+  Faults faults_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
+  http::Request last_ ABSL_GUARDED_BY(mutex_);
+  std::unique_ptr<http::Server> server_;  // Ends first.
+};
+
+}  // namespace gentianlb::standins
+
+#endif  // GENTIANLB_STANDINS_PLATFORM_SERVER_H_
