Hosts learn of each other from messages; feed calls at least 300 ms apart

Change: a host reads the hosts' table once; messages carry their sender's address; a host that is silent for a minute is forgotten by a majority only; the period of messages grows with the number of hosts.

--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -11,14 +11,14 @@
 // requests, short against the seconds over which limits are checked.
 constexpr double kMemorySeconds = 3;
 
-// Ten messages are sent in a second. Until a cut shows, every side uses the
-// whole limit, so that little more than one that is missing is taken for one.
-// Where it was lost by chance, leaving out that host's part for a tenth of a
-// second harms nobody.
-constexpr absl::Duration kSilent = absl::Milliseconds(180);
+// Until a cut shows, every side uses the whole limit, so that little more than
+// one message that is missing is taken for one. Where it was lost by chance,
+// leaving out that host's part for a moment harms nobody.
+constexpr double kSilentPeriods = 1.8;
 
-// A host that is not registered counts for this long after it was heard.
-constexpr absl::Duration kGone = absl::Seconds(15);
+// A host that was replaced never comes back; one that is cut off is back within
+// seconds, or a minute at the most.
+constexpr absl::Duration kForgetAfter = absl::Minutes(1);
 
 // Demand that is counted for every host, as a part of all demand together, so
 // that the first callers at a quiet host find some.
@@ -64,12 +64,17 @@
   peer.incarnation = news.incarnation;
   peer.sequence = news.sequence;
   peer.heard = now;
+  peer.forgotten = false;
   return spent;
 }
 
-void Demand::SetHosts(const std::vector<std::string>& hosts) {
-  for (auto& [name, peer] : peers_) peer.registered = false;
-  for (const std::string& host : hosts) peers_[host].registered = true;
+void Demand::SetHosts(const std::vector<std::string>& hosts,
+                      absl::Duration period, absl::Time now) {
+  period_ = period;
+  for (const std::string& host : hosts) {
+    Peer& peer = peers_[host];
+    peer.known = std::min(peer.known, now);
+  }
 }
 
 std::vector<WorkspaceUse> Demand::Own(absl::Time now) const {
@@ -83,25 +88,30 @@
   return uses;
 }
 
-// A host that is registered and silent may be cut off and serve on, for however
-// long. Only when its registration is removed is it taken for gone.
-bool Demand::Counts(const Peer& peer, absl::Time now) {
-  return peer.registered || now - peer.heard <= kGone;
+bool Demand::IsHeard(const Peer& peer, absl::Time now) const {
+  return now - peer.heard <= kSilentPeriods * period_;
 }
 
-bool Demand::IsHeard(const Peer& peer, absl::Time now) {
-  return now - peer.heard <= kSilent;
+void Demand::ForgetSilent(absl::Time now) {
+  const auto heard = std::count_if(
+      peers_.begin(), peers_.end(),
+      [&](const auto& item) { return IsHeard(item.second, now); });
+  if (2 * (heard + 1) <= static_cast<std::ptrdiff_t>(peers_.size()) + 1) return;
+  for (auto& [name, peer] : peers_) {
+    const absl::Time last = std::max(peer.heard, std::min(peer.known, now));
+    peer.forgotten = now - last > kForgetAfter;
+  }
 }
 
-int Demand::hosts(absl::Time now) const {
+int Demand::hosts() const {
   return 1 + static_cast<int>(std::count_if(
                  peers_.begin(), peers_.end(),
-                 [&](const auto& item) { return Counts(item.second, now); }));
+                 [](const auto& item) { return !item.second.forgotten; }));
 }
 
 bool Demand::AllHeard(absl::Time now) const {
   return std::all_of(peers_.begin(), peers_.end(), [&](const auto& item) {
-    return !Counts(item.second, now) || IsHeard(item.second, now);
+    return item.second.forgotten || IsHeard(item.second, now);
   });
 }
 
@@ -110,24 +120,25 @@
   const double own = mine == own_.end() ? 0 : mine->second.At(now);
   double total = own;
   for (const auto& [name, peer] : peers_) {
-    if (!Counts(peer, now)) continue;
+    if (peer.forgotten) continue;
     const auto found = peer.uses.find(workspace);
     if (found == peer.uses.end()) continue;
     total += std::max(0.0F, found->second.tokens_per_second);
   }
-  const int count = hosts(now);
+  const int count = hosts();
   const double floor = std::max(1.0, total) * kFloorPart / count;
   return (own + floor) / (total + floor * count);
 }
 
 void Demand::Agree(absl::Time now) {
+  ForgetSilent(now);
   if (!AllHeard(now)) return;
   for (const auto& [workspace, own] : own_) {
     agreed_[workspace] = PartOfDemand(workspace, now);
   }
 }
 
-double Demand::OwnPart(NameHash workspace, absl::Time now) const {
+double Demand::OwnPart(NameHash workspace) const {
   const auto agreed = agreed_.find(workspace);
   if (agreed != agreed_.end()) return agreed->second;
   // Started anew: what the others leave, divided among those of whom nothing is
@@ -135,7 +146,7 @@
   double left = 1;
   int unknown = 1;
   for (const auto& [name, peer] : peers_) {
-    if (!Counts(peer, now)) continue;
+    if (peer.forgotten) continue;
     const auto use = peer.uses.find(workspace);
     const bool known = use != peer.uses.end() && use->second.part > 0;
     if (known) left -= use->second.part;
@@ -148,7 +159,7 @@
   // Nothing is let through with no part at all.
   constexpr double kLeast = 0.001;
   if (AllHeard(now)) return 1;
-  double part = OwnPart(workspace, now);
+  double part = OwnPart(workspace);
   for (const auto& [name, peer] : peers_) {
     if (!IsHeard(peer, now)) continue;
     const auto use = peer.uses.find(workspace);
--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -43,8 +43,12 @@
 
   std::vector<Spent> Heard(const PeerNews& news, absl::Time now);
 
-  // The hosts that are registered, without this one.
-  void SetHosts(const std::vector<std::string>& hosts);
+  // The hosts that are known, without this one, and how often each tells the
+  // others. Who is silent for a minute is forgotten, but only while more than
+  // half of all are heard: a few hosts that are cut off from the rest must not
+  // take the limits for themselves.
+  void SetHosts(const std::vector<std::string>& hosts, absl::Duration period,
+                absl::Time now);
 
   // This host's own, to be told to others.
   std::vector<WorkspaceUse> Own(absl::Time now) const;
@@ -58,7 +62,7 @@
   double Part(NameHash workspace, absl::Time now) const;
 
   // Hosts that count, this one included.
-  int hosts(absl::Time now) const;
+  int hosts() const;
   // Whether all of them were heard lately.
   bool AllHeard(absl::Time now) const;
 
@@ -72,18 +76,20 @@
 
   struct Peer {
     absl::Time heard = absl::InfinitePast();
-    bool registered = false;
+    absl::Time known = absl::InfiniteFuture();  // Since when.
+    bool forgotten = false;
     std::int64_t incarnation = 0;
     std::uint64_t sequence = 0;
     absl::flat_hash_map<NameHash, WorkspaceUse> uses;
   };
 
-  static bool Counts(const Peer& peer, absl::Time now);
-  static bool IsHeard(const Peer& peer, absl::Time now);
+  bool IsHeard(const Peer& peer, absl::Time now) const;
+  void ForgetSilent(absl::Time now);
   // This host's own part.
-  double OwnPart(NameHash workspace, absl::Time now) const;
+  double OwnPart(NameHash workspace) const;
   double PartOfDemand(NameHash workspace, absl::Time now) const;
 
+  absl::Duration period_ = absl::Milliseconds(100);
   absl::flat_hash_map<NameHash, struct Own> own_;
   absl::flat_hash_map<std::string, Peer> peers_;
   absl::flat_hash_map<NameHash, double> agreed_;  // Own parts.
--- a/src/gateway/demand_test.cc
+++ b/src/gateway/demand_test.cc
@@ -155,7 +155,7 @@
       for (auto& other : hosts_) {
         if (other != host) others.push_back(other->name);
       }
-      host->demand.SetHosts(others);
+      host->demand.SetHosts(others, kTick, now_);
     }
   }
 
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -168,7 +168,7 @@
         peer_loads_.Heard(news, loop_->now());
       },
       [this](const std::vector<std::string>& hosts) {
-        demand_.SetHosts(hosts);
+        demand_.SetHosts(hosts, peers_->Period(), loop_->now());
       },
       [this](absl::Time now) { UsePeersNews(now); });
   if (!started.ok()) return started.error();
--- a/src/gateway/peer_news.cc
+++ b/src/gateway/peer_news.cc
@@ -50,6 +50,7 @@
   Writer writer(out);
   writer(news.incarnation, news.sequence);
   WriteList(writer, news.host, [&](char c) { writer(c); });
+  WriteList(writer, news.address, [&](char c) { writer(c); });
   WriteList(writer, news.servers,
             [&](const ServerUse& use) { writer(use.server, use.running); });
   WriteList(writer, news.workspaces, [&](const WorkspaceUse& use) {
@@ -67,6 +68,7 @@
     Reader reader(in);
     reader(news.incarnation, news.sequence);
     ReadList(reader, &news.host, [&](char& c) { reader(c); });
+    ReadList(reader, &news.address, [&](char& c) { reader(c); });
     ReadList(reader, &news.servers,
              [&](ServerUse& use) { reader(use.server, use.running); });
     ReadList(reader, &news.workspaces, [&](WorkspaceUse& use) {
--- a/src/gateway/peer_news.h
+++ b/src/gateway/peer_news.h
@@ -32,6 +32,7 @@
 
 struct PeerNews {
   std::string host;
+  std::string address;           // Where the sender takes messages, IP:PORT.
   std::int64_t incarnation = 0;  // Higher after each start of the host.
   std::uint64_t sequence = 0;    // Counts its messages.
   std::vector<ServerUse> servers;
--- a/src/gateway/peer_news_test.cc
+++ b/src/gateway/peer_news_test.cc
@@ -10,6 +10,7 @@
 PeerNews Sample() {
   PeerNews news;
   news.host = "edge-1";
+  news.address = "10.0.0.1:7600";
   news.incarnation = 1'700'000'000'000'000;
   news.sequence = 9;
   news.servers = {{HashName("s"), 14}, {HashName("t"), 2}};
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/hash/hash.h"
@@ -24,6 +25,12 @@
 constexpr RetryOptions kAnnounceRetry = {.first_delay = absl::Milliseconds(100),
                                          .longest_delay = absl::Seconds(1)};
 
+// Decisions rest on what was heard last. A tenth of a second is less than most
+// requests take; with many hosts each sends no more than 200 messages a second,
+// about a hundredth of a core.
+constexpr absl::Duration kShortestPeriod = absl::Milliseconds(100);
+constexpr absl::Duration kPeriodPerHost = absl::Milliseconds(5);
+
 // None when the row names no address.
 std::optional<settings::Endpoint> AddressIn(const std::string& row) {
   const auto json = ParseObject(row);
@@ -44,14 +51,7 @@
       on_news_(std::move(on_news)),
       on_hosts_(std::move(on_hosts)),
       on_tick_(std::move(on_tick)),
-      incarnation_(absl::ToUnixMicros(absl::Now())),
-      follower_(
-          {.table = options_.table}, table_, &loop->timers(),
-          [loop] { return loop->now(); }, absl::HashOf(options_.host) + 2,
-          [this](const auto& rows, bool whole, absl::Time) {
-            TakeRows(rows, whole);
-          },
-          [](bool, absl::Time) {}) {}
+      incarnation_(absl::ToUnixMicros(absl::Now())) {}
 
 Peers::~Peers() {
   loop_->timers().Cancel(tick_);
@@ -73,48 +73,70 @@
       [self](std::string_view bytes) { self->Take(bytes); });
   if (!socket.ok()) return socket.error();
   self->socket_ = std::move(socket.value());
+  self->address_ = self->options_.address;
+  self->address_.port = self->socket_->port();
   self->Announce(0);
-  self->follower_.Start();
-  self->tick_ = loop->timers().Every(
-      loop->now() + self->options_.period, self->options_.period,
-      [self](absl::Time now) { self->Tell(now); });
+  self->tick_ = loop->timers().At(loop->now() + self->Period(),
+                                  [self](absl::Time now) { self->Tell(now); });
   return peers;
 }
 
+absl::Duration Peers::Period() const {
+  const auto hosts = static_cast<std::int64_t>(addresses_.size()) + 1;
+  return std::max(kShortestPeriod, hosts * kPeriodPerHost);
+}
+
 void Peers::Announce(int tries) {
-  settings::Endpoint address = options_.address;
-  address.port = socket_->port();
-  table_.write(
-      options_.table, options_.host.str(), AnnouncementOf(address),
-      [this, tries, alive = std::weak_ptr<int>(alive_)](bool done) {
-        if (alive.expired()) return;
-        if (done) return;
-        LOG(WARNING) << "event=announcing-failed tries=" << tries + 1;
-        // The hash spreads hosts that were started together.
-        const double draw =
-            static_cast<double>(absl::HashOf(options_.host, tries) % 1024) /
-            1024;
-        announcing_ = loop_->timers().At(
-            loop_->now() + RetryDelay(kAnnounceRetry, tries, draw),
-            [this, tries](absl::Time) { Announce(tries + 1); });
-      });
+  table_.write(options_.table, options_.host.str(), AnnouncementOf(address_),
+               [this, tries, alive = std::weak_ptr<int>(alive_)](bool done) {
+                 if (alive.expired()) return;
+                 if (done) return ReadOthers(0, "");
+                 LOG(WARNING) << "event=announcing-failed tries=" << tries + 1;
+                 Again(tries, [this, tries] { Announce(tries + 1); });
+               });
 }
 
-void Peers::TakeRows(const std::vector<TableRow>& rows, bool whole) {
-  if (whole) addresses_.clear();
-  for (const TableRow& row : rows) {
-    if (row.key == options_.host.str()) continue;
-    const auto address = row.removed ? std::nullopt : AddressIn(row.value);
-    LOG(INFO) << "event=peer host=" << row.key
-              << " address=" << (address ? settings::Format(*address) : "none");
-    if (address) {
-      addresses_[row.key] = *address;
-    } else {
-      addresses_.erase(row.key);
-    }
-  }
+void Peers::ReadOthers(int tries, const std::string& from) {
+  table_.read(options_.table, from,
+              [this, tries, from,
+               alive = std::weak_ptr<int>(alive_)](const TableAnswer& answer) {
+                if (alive.expired()) return;
+                const auto* page = std::get_if<TablePage>(&answer);
+                if (page == nullptr) {
+                  LOG(WARNING) << "event=hosts-unread tries=" << tries + 1;
+                  return Again(tries, [this, tries, from] {
+                    ReadOthers(tries + 1, from);
+                  });
+                }
+                for (const TableRow& row : page->rows) {
+                  if (auto address = AddressIn(row.value)) {
+                    Learn(row.key, *address);
+                  }
+                }
+                if (page->more && !page->rows.empty()) {
+                  ReadOthers(0, page->rows.back().key + '\0');
+                }
+              });
+}
+
+void Peers::Again(int tries, std::function<void()> call) {
+  // The hash spreads hosts that were started together.
+  const double draw =
+      static_cast<double>(absl::HashOf(options_.host, tries) % 1024) / 1024;
+  announcing_ =
+      loop_->timers().At(loop_->now() + RetryDelay(kAnnounceRetry, tries, draw),
+                         [call = std::move(call)](absl::Time) { call(); });
+}
+
+void Peers::Learn(const std::string& host, const settings::Endpoint& address) {
+  if (host == options_.host.str()) return;
+  settings::Endpoint& known = addresses_[host];
+  if (known == address) return;
+  known = address;
+  LOG(INFO) << "event=peer host=" << host
+            << " address=" << settings::Format(address);
   std::vector<std::string> hosts;
-  for (const auto& [host, address] : addresses_) hosts.push_back(host);
+  for (const auto& [name, endpoint] : addresses_) hosts.push_back(name);
   on_hosts_(hosts);
 }
 
@@ -124,12 +146,16 @@
     ++malformed_;
     return;
   }
-  if (news->host != options_.host.str()) on_news_(*news);
+  if (news->host == options_.host.str()) return;
+  const auto address = settings::ParseEndpoint(news->address);
+  if (address.ok()) Learn(news->host, address.value());
+  on_news_(*news);
 }
 
 void Peers::Tell(absl::Time now) {
   PeerNews news;
   news.host = options_.host.str();
+  news.address = settings::Format(address_);
   news.incarnation = incarnation_;
   news.sequence = ++sequence_;
   compose_(&news);
@@ -138,6 +164,8 @@
     socket_->Send(address.ip, static_cast<std::uint16_t>(address.port), bytes);
   }
   on_tick_(now);
+  tick_ =
+      loop_->timers().At(now + Period(), [this](absl::Time at) { Tell(at); });
 }
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -1,8 +1,10 @@
 // The other entry hosts: where they are, and what they tell.
 //
-// Each host writes its address into a table once, when it starts, and follows
-// that table; from then on hosts speak to each other directly. So the table
-// service costs a write a start, and hosts that lose it still know each other.
+// Each host writes its address into a table when it starts, and then reads the
+// table once. Of two hosts the one that wrote later finds the other there and
+// speaks to it, and each message says where its sender is; so all know each
+// other without following the table, which would cost a call of every host for
+// every start of another. Hosts that lose the table service still speak.
 
 #ifndef GENTIANLB_GATEWAY_PEERS_H_
 #define GENTIANLB_GATEWAY_PEERS_H_
@@ -29,9 +31,6 @@
   EntryHostId host;
   settings::Endpoint address;  // Port 0: the kernel picks one.
   std::string table;           // Where hosts write their addresses.
-  // Decisions rest on what was heard last; a tenth of a second is less than
-  // most requests take, and costs each host ten small messages to every other.
-  absl::Duration period = absl::Milliseconds(100);
 };
 
 class Peers {
@@ -39,7 +38,7 @@
   // Fills in what this host has to tell.
   using Compose = std::function<void(PeerNews* news)>;
   using OnNews = std::function<void(const PeerNews& news)>;
-  // The names of the registered hosts have changed.
+  // The other hosts that are known have changed.
   using OnHosts = std::function<void(const std::vector<std::string>& hosts)>;
   // Called after each sending.
   using OnTick = std::function<void(absl::Time now)>;
@@ -53,14 +52,18 @@
   Peers& operator=(const Peers&) = delete;
 
   std::uint64_t malformed() const { return malformed_; }
+  // How often this host tells the others; they take it that they do the same.
+  absl::Duration Period() const;
 
  private:
   Peers(PeersOptions options, TablePort table, loop::EventLoop* loop,
         Compose compose, OnNews on_news, OnHosts on_hosts, OnTick on_tick);
 
-  // Writes this host's address, again until it is done.
+  // Writes this host's address and reads the others', again until it is done.
   void Announce(int tries);
-  void TakeRows(const std::vector<TableRow>& rows, bool whole);
+  void ReadOthers(int tries, const std::string& from);
+  void Again(int tries, std::function<void()> call);
+  void Learn(const std::string& host, const settings::Endpoint& address);
   void Take(std::string_view bytes);
   void Tell(absl::Time now);
 
@@ -72,7 +75,7 @@
   const OnHosts on_hosts_;
   const OnTick on_tick_;
   const std::int64_t incarnation_;
-  TableFollower follower_;
+  settings::Endpoint address_;  // Of this host, with the port in use.
   std::unique_ptr<loop::DatagramSocket> socket_;
   absl::flat_hash_map<std::string, settings::Endpoint> addresses_;
   std::uint64_t sequence_ = 0;
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -59,7 +59,14 @@
   Follow();
 }
 
+void TableFollower::FollowSoon() {
+  const absl::Time due = followed_ + options_.interval;
+  if (due <= clock_()) return Follow();
+  retry_ = timers_->At(due, [this](absl::Time) { Follow(); });
+}
+
 void TableFollower::Follow() {
+  followed_ = clock_();
   port_.follow(
       options_.table, version_, options_.wait,
       Guard([this](TableAnswer answer) { TakeChanges(std::move(answer)); }));
@@ -79,7 +86,7 @@
   const auto& page = std::get<TablePage>(answer);
   version_ = std::max(version_, page.version);
   if (!page.rows.empty()) on_rows_(page.rows, /*whole=*/false, clock_());
-  Follow();
+  FollowSoon();
 }
 
 void TableFollower::Failed(TableFailure /*failure*/) {
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -66,9 +66,14 @@
 
 struct TableFollowerOptions {
   std::string table;
-  // How long one call waits for a change. Each call costs the service as much
-  // as a read, and a dead connection shows by its own probes.
-  absl::Duration wait = absl::Seconds(20);
+  // How long one call waits for a change: as long as the service allows, since
+  // each costs it as much as a read, and a dead connection shows by its probes.
+  absl::Duration wait = absl::Seconds(29);
+  // Changes come in series, as when servers are replaced one after the other.
+  // The next call is made this long after the last one at the earliest, so that
+  // one brings several; short against the two seconds in which a change must
+  // be in force.
+  absl::Duration interval = absl::Milliseconds(300);
   // Short against the two seconds in which a new version must be in force.
   RetryOptions retry = {.first_delay = absl::Milliseconds(50),
                         .longest_delay = absl::Milliseconds(800)};
@@ -98,6 +103,8 @@
 
  private:
   void Read(const std::string& from);
+  // Once the interval is over.
+  void FollowSoon();
   void Follow();
   void TakeRead(const std::string& from, TableAnswer answer);
   void TakeChanges(TableAnswer answer);
@@ -122,6 +129,7 @@
   bool complete_ = false;
   bool up_ = true;
   int failures_ = 0;
+  absl::Time followed_ = absl::InfinitePast();  // The last call was made.
   TimerId retry_ = 0;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
--- a/src/gateway/table_follower_test.cc
+++ b/src/gateway/table_follower_test.cc
@@ -87,6 +87,9 @@
   BOOST_TEST(follow.since == 10u);
   follow.done(Page({"a"}, 15));
   BOOST_TEST((got == Strings{"whole a b c", "change a"}));
+  // Not at once: what changes next is likely to come soon.
+  BOOST_TEST(table.calls.empty());
+  Pass(absl::Milliseconds(300));
   BOOST_TEST(table.Next().since == 15u);
 }
 
@@ -125,6 +128,7 @@
   table.Next().done(Page({}, 10));
   table.Next().done(Page({}, 12));
   BOOST_TEST((got == Strings{"whole"}));
+  Pass(absl::Milliseconds(300));
   BOOST_TEST(table.Next().since == 12u);
 }
 
