Hosts tell each other servers' paces; each is reluctant to use some of them

Change: messages carry what a host has learnt of a server's pace; each host finds some servers slower than they are.

--- /dev/null
+++ b/src/gateway/early_requests_test.cc
@@ -0,0 +1,55 @@
+#include "gateway/early_requests.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace gentianlb::gateway {
+namespace {
+
+struct Fixture {
+  Fixture()
+      : early(
+            &timers, [this] { return now; },
+            [this](CallerRequest request, EarlyRequests::Responder) {
+              accepted += request.id.str();
+            }) {}
+
+  void Hold(const char* id) {
+    CallerRequest request;
+    request.id = RequestId(id);
+    early.Hold(std::move(request), nullptr);
+  }
+  void Pass(absl::Duration span) {
+    now += span;
+    timers.Advance(now);
+  }
+
+  TimerService timers;
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  std::string accepted;
+  EarlyRequests early;
+};
+
+// All hosts were restarted, and callers come before the configuration has. They
+// are served in order once it is there.
+BOOST_FIXTURE_TEST_CASE(HeldUntilTheHostKnowsEnough, Fixture) {
+  Hold("a");
+  Hold("b");
+  Pass(absl::Milliseconds(20));
+  BOOST_TEST(accepted == "");
+  early.Release();
+  BOOST_TEST(accepted == "ab");
+  Pass(absl::Seconds(1));
+  BOOST_TEST(accepted == "ab");
+}
+
+// The table service is away. Nobody is kept waiting for it.
+BOOST_FIXTURE_TEST_CASE(NobodyWaitsForLong, Fixture) {
+  Hold("a");
+  Pass(absl::Milliseconds(200));
+  BOOST_TEST(accepted == "a");
+  Hold("b");
+  BOOST_TEST(accepted == "ab");
+}
+
+}  // namespace
+}  // namespace gentianlb::gateway
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -99,8 +99,8 @@
   for (const Service& service : index_->configuration().services) {
     ServiceQueue& queue = QueueOf(service.id);
     std::vector<schedule::Decision> decisions;
-    queue.SetServers(service, directory_->ServersOf(service.id), clock_(),
-                     &decisions);
+    queue.SetServers(service, directory_->ServersOf(service.id),
+                     demand_->hosts(), clock_(), &decisions);
     CarryOut(decisions);
     ArmWakeup(service.id, queue);
   }
@@ -369,25 +369,44 @@
   if (--found->second <= 0) running_.erase(found);
 }
 
-std::vector<ServerUse> Forwarder::Running() const {
+std::vector<ServerUse> Forwarder::Uses() const {
   std::vector<ServerUse> uses;
-  for (const auto& [server, count] : running_) {
-    uses.push_back({HashName(server.str()), static_cast<std::uint16_t>(count)});
+  if (index_ == nullptr) return uses;
+  for (const auto& [service, queue] : queues_) {
+    for (const ServerEntry& server : directory_->ServersOf(service)) {
+      ServerUse use;
+      use.server = HashName(server.id.str());
+      const auto running = running_.find(server.id);
+      if (running != running_.end()) {
+        use.running = static_cast<std::uint16_t>(running->second);
+      }
+      if (const auto pace = queue.dispatcher().PaceOf(server.id)) {
+        use.prefill = static_cast<float>(pace->prefill);
+        use.decode = static_cast<float>(pace->decode);
+      }
+      if (use.running > 0 || use.decode > 0) uses.push_back(use);
+    }
   }
   return uses;
 }
 
-void Forwarder::RunningElsewhere(
-    const absl::flat_hash_map<NameHash, int>& running) {
+void Forwarder::UsedElsewhere(
+    const absl::flat_hash_map<NameHash, ServerUse>& uses) {
   if (index_ == nullptr) return;
   for (const Service& service : index_->configuration().services) {
     for (const ServerEntry& server : directory_->ServersOf(service.id)) {
-      const auto found = running.find(HashName(server.id.str()));
-      const int count = found == running.end() ? 0 : found->second;
-      int& told = told_elsewhere_[server.id];
-      if (told == count) continue;
-      told = count;
-      Tell(service.id, schedule::LoadElsewhere{server.id, count});
+      const auto found = uses.find(HashName(server.id.str()));
+      const ServerUse use = found == uses.end() ? ServerUse{} : found->second;
+      ServerUse& told = told_elsewhere_[server.id];
+      if (told.running != use.running) {
+        Tell(service.id, schedule::LoadElsewhere{server.id, use.running});
+      }
+      const bool paced = use.decode > 0 && service.engine;
+      if (paced && (told.decode != use.decode || told.prefill != use.prefill)) {
+        Tell(service.id,
+             schedule::PaceElsewhere{server.id, use.prefill, use.decode});
+      }
+      told = use;
     }
   }
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -68,10 +68,10 @@
     on_wrong_server_ = std::move(callback);
   }
 
-  // What this host has running on each server.
-  std::vector<ServerUse> Running() const;
-  // What all others have there.
-  void RunningElsewhere(const absl::flat_hash_map<NameHash, int>& running);
+  // What this host has running on each server, and knows of its pace.
+  std::vector<ServerUse> Uses() const;
+  // What all others have and know.
+  void UsedElsewhere(const absl::flat_hash_map<NameHash, ServerUse>& uses);
 
   // Some configuration is in force.
   bool configured() const { return index_ != nullptr; }
@@ -155,7 +155,7 @@
   // The longest time that callers of a route have left when they come.
   absl::flat_hash_map<std::string, absl::Duration> longest_time_left_;
   absl::flat_hash_map<ServerId, int> running_;
-  absl::flat_hash_map<ServerId, int> told_elsewhere_;
+  absl::flat_hash_map<ServerId, ServerUse> told_elsewhere_;
   bool draining_ = false;
   DrainPlan drain_;
 };
--- a/src/gateway/forwarder_test.cc
+++ b/src/gateway/forwarder_test.cc
@@ -198,7 +198,7 @@
   sent->gone();
   BOOST_TEST(site.last().cancelled);
   BOOST_TEST(site.forwarder->open_requests() == 0u);
-  BOOST_TEST(site.forwarder->Running().empty());
+  BOOST_TEST(site.forwarder->Uses().empty());
 }
 
 // The route's time is over and the server still works. The caller gets its
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -34,6 +34,7 @@
 ForwarderOptions OptionsOf(const settings::GatewaySettings& settings) {
   ForwarderOptions options;
   options.host = settings.id;
+  options.queue.host = settings.id;
   options.limit_tolerance_tokens = settings.limit_tolerance_tokens;
   options.queue.dispatcher.seed = absl::HashOf(settings.id);
   options.queue.dispatcher.preempts = false;
@@ -60,6 +61,12 @@
       forwarder_(
           OptionsOf(settings), platform_.servers, &loop->timers(),
           [loop] { return loop->now(); }, &directory_, &demand_, &metrics_),
+      early_(
+          &loop->timers(), [loop] { return loop->now(); },
+          [this](CallerRequest request,
+                 std::shared_ptr<http::Responder> responder) {
+            forwarder_.Accept(std::move(request), std::move(responder));
+          }),
       configuration_(
           {.table = platform_.configuration_table}, platform_.table,
           &loop->timers(), [loop] { return loop->now(); }, SeedOf(settings),
@@ -157,7 +164,7 @@
   auto started = Peers::Start(
       options, platform_.table, loop_,
       [this](PeerNews* news) {
-        news->servers = forwarder_.Running();
+        news->servers = forwarder_.Uses();
         news->workspaces = demand_.Own(loop_->now());
       },
       [this](const PeerNews& news) {
@@ -169,6 +176,7 @@
       },
       [this](const std::vector<std::string>& hosts) {
         demand_.SetHosts(hosts, peers_->Period(), loop_->now());
+        forwarder_.ServersChanged();
       },
       [this](absl::Time now) { UsePeersNews(now); });
   if (!started.ok()) return started.error();
@@ -177,7 +185,7 @@
 }
 
 void Host::UsePeersNews(absl::Time now) {
-  forwarder_.RunningElsewhere(peer_loads_.Sum(now));
+  forwarder_.UsedElsewhere(peer_loads_.Sum(now));
   demand_.Agree(now);
   Quotas& quotas = forwarder_.quotas();
   for (const NameHash workspace : quotas.Limited()) {
@@ -194,6 +202,9 @@
     metrics_.CountMalformed(read.error().code);
     return http::RespondProblem(*responder, read.error());
   }
+  if (!informed()) {
+    return early_.Hold(std::move(read.value()), std::move(responder));
+  }
   forwarder_.Accept(std::move(read.value()), std::move(responder));
 }
 
@@ -206,10 +217,12 @@
   responder.Respond(ready() ? 200 : 503, {}, "");
 }
 
-bool Host::ready() const {
-  return forwarder_.configured() && servers_.complete() && !draining_;
+bool Host::informed() const {
+  return forwarder_.configured() && servers_.complete();
 }
 
+bool Host::ready() const { return informed() && !draining_; }
+
 std::string Host::MetricsText() {
   metrics_.Set("gentianlb_configuration_version", "In force", {},
                static_cast<double>(forwarder_.version()));
@@ -244,6 +257,7 @@
     callers_->SetIdleTimeout(read.value().limits.idle_timeout);
     forwarder_.SetConfiguration(std::move(read.value()));
   }
+  if (informed()) early_.Release();
 }
 
 void Host::TakeServers(const std::vector<TableRow>& rows, bool whole,
@@ -276,7 +290,10 @@
   });
 }
 
-void Host::ServersChanged() { forwarder_.ServersChanged(); }
+void Host::ServersChanged() {
+  forwarder_.ServersChanged();
+  if (informed()) early_.Release();
+}
 
 void Host::Drain() {
   if (draining_) return;
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -13,6 +13,7 @@
 
 #include "gateway/demand.h"
 #include "gateway/directory.h"
+#include "gateway/early_requests.h"
 #include "gateway/forwarder.h"
 #include "gateway/messages.h"
 #include "gateway/peer_loads.h"
@@ -57,6 +58,8 @@
   void Drain();
 
   bool ready() const;
+  // Whether there is a configuration, and a list of servers.
+  bool informed() const;
   std::uint16_t callers_port() const { return callers_->port(); }
   std::uint16_t ready_port() const { return ready_->port(); }
 
@@ -89,6 +92,7 @@
   Demand demand_;
   PeerLoads peer_loads_;
   Forwarder forwarder_;
+  EarlyRequests early_;
   TableFollower configuration_;
   TableFollower servers_;
   std::unique_ptr<Peers> peers_;
--- a/src/gateway/peer_loads.cc
+++ b/src/gateway/peer_loads.cc
@@ -24,11 +24,19 @@
   peer.servers = news.servers;
 }
 
-absl::flat_hash_map<NameHash, int> PeerLoads::Sum(absl::Time now) const {
-  absl::flat_hash_map<NameHash, int> sum;
+absl::flat_hash_map<NameHash, ServerUse> PeerLoads::Sum(absl::Time now) const {
+  absl::flat_hash_map<NameHash, ServerUse> sum;
+  absl::flat_hash_map<NameHash, int> teachers;
   for (const auto& [name, peer] : peers_) {
     if (now - peer.heard > kBelieved) continue;
-    for (const ServerUse& use : peer.servers) sum[use.server] += use.running;
+    for (const ServerUse& use : peer.servers) {
+      ServerUse& total = sum[use.server];
+      total.running = static_cast<std::uint16_t>(total.running + use.running);
+      if (use.decode <= 0) continue;
+      const auto count = static_cast<float>(++teachers[use.server]);
+      total.prefill += (use.prefill - total.prefill) / count;
+      total.decode += (use.decode - total.decode) / count;
+    }
   }
   return sum;
 }
--- a/src/gateway/peer_loads.h
+++ b/src/gateway/peer_loads.h
@@ -20,8 +20,9 @@
  public:
   void Heard(const PeerNews& news, absl::Time now);
 
-  // By server, over all hosts that were heard lately.
-  absl::flat_hash_map<NameHash, int> Sum(absl::Time now) const;
+  // By server, over all hosts that were heard lately: what runs there in all,
+  // and the mean of what they have learnt of its pace.
+  absl::flat_hash_map<NameHash, ServerUse> Sum(absl::Time now) const;
 
  private:
   struct Peer {
--- a/src/gateway/peer_news.cc
+++ b/src/gateway/peer_news.cc
@@ -51,8 +51,9 @@
   writer(news.incarnation, news.sequence);
   WriteList(writer, news.host, [&](char c) { writer(c); });
   WriteList(writer, news.address, [&](char c) { writer(c); });
-  WriteList(writer, news.servers,
-            [&](const ServerUse& use) { writer(use.server, use.running); });
+  WriteList(writer, news.servers, [&](const ServerUse& use) {
+    writer(use.server, use.running, use.prefill, use.decode);
+  });
   WriteList(writer, news.workspaces, [&](const WorkspaceUse& use) {
     writer(use.workspace, use.tokens_per_second, use.let_through, use.part);
   });
@@ -69,8 +70,9 @@
     reader(news.incarnation, news.sequence);
     ReadList(reader, &news.host, [&](char& c) { reader(c); });
     ReadList(reader, &news.address, [&](char& c) { reader(c); });
-    ReadList(reader, &news.servers,
-             [&](ServerUse& use) { reader(use.server, use.running); });
+    ReadList(reader, &news.servers, [&](ServerUse& use) {
+      reader(use.server, use.running, use.prefill, use.decode);
+    });
     ReadList(reader, &news.workspaces, [&](WorkspaceUse& use) {
       reader(use.workspace, use.tokens_per_second, use.let_through, use.part);
     });
--- a/src/gateway/peer_news.h
+++ b/src/gateway/peer_news.h
@@ -19,6 +19,10 @@
 struct ServerUse {
   NameHash server = 0;
   std::uint16_t running = 0;  // Requests of the sender there.
+  // How many times slower than expected it is, as the sender has learnt from
+  // its answers; 0: it hasn't.
+  float prefill = 0;
+  float decode = 0;
   auto operator<=>(const ServerUse&) const = default;
 };
 
--- a/src/gateway/peer_news_test.cc
+++ b/src/gateway/peer_news_test.cc
@@ -13,7 +13,7 @@
   news.address = "10.0.0.1:7600";
   news.incarnation = 1'700'000'000'000'000;
   news.sequence = 9;
-  news.servers = {{HashName("s"), 14}, {HashName("t"), 2}};
+  news.servers = {{HashName("s"), 14, 0.5F, 2.5F}, {HashName("t"), 2}};
   news.workspaces = {{HashName("w"), 1234.5F, 99}};
   return news;
 }
@@ -46,7 +46,7 @@
   newer.servers = {{HashName("s"), 3}};
   loads.Heard(newer, now);
   loads.Heard(Sample(), now);
-  BOOST_TEST(loads.Sum(now)[HashName("s")] == 3);
+  BOOST_TEST(loads.Sum(now)[HashName("s")].running == 3);
   // A restarted host counts from the start again.
   PeerNews restarted = Sample();
   restarted.incarnation += 1;
@@ -56,6 +56,24 @@
   BOOST_TEST(loads.Sum(now).empty());
 }
 
+// Each of many hosts sees few answers of each server. Together they know which
+// ones are slow.
+BOOST_AUTO_TEST_CASE(WhatHostsHaveLearntOfServersIsPutTogether) {
+  const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  PeerLoads loads;
+  loads.Heard(Sample(), now);
+  PeerNews other = Sample();
+  other.host = "edge-2";
+  other.servers = {{HashName("s"), 1, 1.5F, 3.5F}};
+  loads.Heard(other, now);
+  const auto loads_now = loads.Sum(now);
+  const ServerUse& seen = loads_now.at(HashName("s"));
+  BOOST_TEST(seen.running == 15);
+  BOOST_TEST(seen.prefill == 1.0F);
+  BOOST_TEST(seen.decode == 3.0F);
+  BOOST_TEST(loads_now.at(HashName("t")).decode == 0.0F);
+}
+
 // A frozen host can't take back what it said last; its requests end meanwhile.
 BOOST_AUTO_TEST_CASE(ASilentHostsLoadIsForgotten) {
   const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -24,9 +24,10 @@
     Bucket& bucket = buckets_[name];
     bucket.quota = workspace.quota;
     Fill(&bucket, now);
-    // Nobody knows what was used just before. A host that begins with a full
-    // burst after each restart would let it through on top of the limit.
-    if (is_new) bucket.tokens.Take(AtOnce(bucket.quota));
+    // Nobody knows what was used just before. Full after each restart, it would
+    // let a burst through on top of the limit; empty, it would refuse those who
+    // come back when all hosts were restarted.
+    if (is_new) bucket.tokens.Take(AtOnce(bucket.quota) / 2);
   }
   absl::erase_if(buckets_, [&](const auto& item) {
     return !limited.contains(item.first);
--- a/src/gateway/service_queue.h
+++ b/src/gateway/service_queue.h
@@ -30,6 +30,7 @@
   schedule::DispatcherOptions dispatcher;
   ServerGuess guess;
   RetryOptions retries;
+  EntryHostId host;
 };
 
 // Not thread-safe: owned by the loop's thread.
@@ -37,11 +38,11 @@
  public:
   explicit ServiceQueue(const ServiceQueueOptions& options);
 
-  // All servers of the service, also those that are draining. The decisions are
-  // appended.
+  // All servers of the service, also those that are draining, and how many
+  // hosts send to them. The decisions are appended.
   void SetServers(const Service& service,
-                  const std::vector<ServerEntry>& servers, absl::Time now,
-                  std::vector<schedule::Decision>* decisions);
+                  const std::vector<ServerEntry>& servers, int hosts,
+                  absl::Time now, std::vector<schedule::Decision>* decisions);
 
   void Handle(const schedule::Event& event, absl::Time now,
               std::vector<schedule::Decision>* decisions) {
@@ -62,10 +63,11 @@
   absl::Time wakeup_at = absl::InfiniteFuture();
 
  private:
-  schedule::ServerSpec SpecOf(const Service& service,
-                              const ServerEntry& entry) const;
+  schedule::ServerSpec SpecOf(const Service& service, const ServerEntry& entry,
+                              int hosts) const;
 
   const ServerGuess guess_;
+  const EntryHostId host_;
   schedule::Dispatcher dispatcher_;
   RetryBudget retries_;
   ModelId default_model_;
--- a/src/loop/event_loop.cc
+++ b/src/loop/event_loop.cc
@@ -124,6 +124,7 @@
 
 void EventLoop::Run() {
   std::array<epoll_event, kEventsPerRound> events;
+  stopping_ = false;
   while (!stopping_) {
     RunDeferred();
     const int count =
--- a/src/replay/baseline.cc
+++ b/src/replay/baseline.cc
@@ -153,6 +153,8 @@
 
 void BaselineState::On(const schedule::LoadElsewhere&) {}
 
+void BaselineState::On(const schedule::PaceElsewhere&) {}
+
 void BaselineState::On(const schedule::CacheChanged&) {}
 
 void BaselineState::On(const schedule::ServerHealthChanged& event) {
--- a/src/replay/baseline.h
+++ b/src/replay/baseline.h
@@ -118,6 +118,7 @@
   void On(const schedule::LoadReported& event);
   void On(const schedule::LoadAnswered& event);
   void On(const schedule::LoadElsewhere& event);
+  void On(const schedule::PaceElsewhere& event);
   void On(const schedule::CacheChanged& event);
   void On(const schedule::ServerHealthChanged& event);
   void On(const schedule::ServersConfigured& event);
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -76,6 +76,13 @@
   RoomOn(state, server);
 }
 
+void LearnPace(State& state, const PaceElsewhere& event) {
+  const ServerIndex server = state.fleet.Find(event.server);
+  if (server == kNoIndex) return;
+  state.fleet.at(server).pace.Told(event.prefill, event.decode);
+  state.fleet.Reindex(server, state.now);
+}
+
 struct EventHandler {
   State& state;
 
@@ -87,6 +94,7 @@
   void operator()(const LoadReported& event) { ReportLoad(state, event); }
   void operator()(const LoadAnswered& event) { AnswerLoad(state, event); }
   void operator()(const LoadElsewhere& event) { LoadOthers(state, event); }
+  void operator()(const PaceElsewhere& event) { LearnPace(state, event); }
   void operator()(const CacheChanged& event) {
     const ServerIndex server = state.fleet.Find(event.server);
     if (server != kNoIndex) state.cache.Changed(server, event, state.now);
@@ -173,6 +181,14 @@
 std::size_t Dispatcher::waiting() const { return state_->queue.size(); }
 std::size_t Dispatcher::running() const { return state_->running.size(); }
 
+std::optional<PaceElsewhere> Dispatcher::PaceOf(const ServerId& server) const {
+  const ServerIndex index = state_->fleet.Find(server);
+  if (index == kNoIndex) return std::nullopt;
+  const Pace& pace = state_->fleet.at(index).pace;
+  if (!pace.learnt()) return std::nullopt;
+  return PaceElsewhere{server, pace.prefill_stretch(), pace.decode_stretch()};
+}
+
 int Dispatcher::window(const ServerId& server) const {
   const ServerIndex index = state_->fleet.Find(server);
   return index == kNoIndex ? 0 : state_->fleet.at(index).window.streams();
--- a/src/schedule/dispatcher.h
+++ b/src/schedule/dispatcher.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -45,6 +46,9 @@
   std::size_t waiting() const;
   std::size_t running() const;
 
+  // What this dispatcher has learnt of a server's pace by itself, for others.
+  std::optional<PaceElsewhere> PaceOf(const ServerId& server) const;
+
   // Streams that a server may hold, as learnt; 0 when it is unknown.
   int window(const ServerId& server) const;
 
--- a/src/schedule/fleet.cc
+++ b/src/schedule/fleet.cc
@@ -120,7 +120,9 @@
   // A probe that is due goes to the front, or a server that once was slow
   // would never be asked again while others have room.
   double key = 0;
-  if (open && !probing) key = server.FinishSeconds(kTypical, now);
+  if (open && !probing) {
+    key = server.spec.reluctance * server.FinishSeconds(kTypical, now);
+  }
   if (open && !probing && StaysInPlace(index, key)) return;
 
   Unindex(index);
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -44,6 +44,10 @@
   std::int64_t kv_tokens = 0;     // Memory for running streams.
   std::int64_t cache_tokens = 0;  // Memory for kept prompt prefixes.
   PowerModel power;
+  // 1 or more: how much longer than it does this server seems to take, when one
+  // is chosen. Many dispatchers that see the same servers would else all choose
+  // the same one before they hear of each other.
+  double reluctance = 1;
   bool operator==(const ServerSpec&) const = default;
 };
 
@@ -174,6 +178,13 @@
   int running = 0;
 };
 
+// How many times slower than expected a server is, as others have learnt it.
+struct PaceElsewhere {
+  ServerId server;
+  double prefill = 1;
+  double decode = 1;
+};
+
 enum class ServerHealth { kAlive, kSuspect, kDead, kLeaving };
 
 struct ServerHealthChanged {
@@ -199,11 +210,11 @@
 // Nothing happened but that time passed.
 struct TimePassed {};
 
-using Event =
-    std::variant<RequestArrived, CallerGone, RequestRunning, TokensStreamed,
-                 RequestEnded, LoadReported, LoadAnswered, LoadElsewhere,
-                 CacheChanged, ServerHealthChanged, ServersConfigured,
-                 WorkspacesConfigured, PowerShareChanged, TimePassed>;
+using Event = std::variant<RequestArrived, CallerGone, RequestRunning,
+                           TokensStreamed, RequestEnded, LoadReported,
+                           LoadAnswered, LoadElsewhere, PaceElsewhere,
+                           CacheChanged, ServerHealthChanged, ServersConfigured,
+                           WorkspacesConfigured, PowerShareChanged, TimePassed>;
 
 // --- Decisions --------------------------------------------------------------
 
--- a/src/schedule/pace.cc
+++ b/src/schedule/pace.cc
@@ -64,6 +64,13 @@
   normal_ += (usual ? kNormalWeight : kStragglerWeight) * (sample - normal_);
 }
 
+void Stretch::Told(double stretch) {
+  if (samples_ >= kEnough) return;
+  stretch = std::clamp(stretch, kMinSample, kMaxSample);
+  quick_ = stretch;
+  normal_ = stretch;
+}
+
 bool Stretch::straggling() const {
   return quick_ > kStragglerStretch * std::max(1.0, normal_);
 }
@@ -120,6 +127,11 @@
   called_ = true;
 }
 
+void Pace::Told(double prefill, double decode) {
+  prefill_.Told(prefill);
+  decode_.Told(decode);
+}
+
 void Pace::Forget() {
   prefill_.Forget();
   decode_.Forget();
--- a/src/schedule/pace.h
+++ b/src/schedule/pace.h
@@ -23,6 +23,9 @@
   explicit Stretch(bool guessed) : samples_(guessed ? 0 : kEnough) {}
 
   void Add(double sample);
+  // What others have learnt, until there are enough own samples.
+  void Told(double stretch);
+  bool own() const { return samples_ > 0; }
   double quick() const { return quick_; }
   bool straggling() const;
   bool stretched() const;  // Above the expectation.
@@ -55,11 +58,16 @@
   void AddFirstToken(double seconds, double expected);
   void AddTokens(double seconds_each, int streams);
   void AddCall(double seconds);
+  void Told(double prefill, double decode);
   void Forget();
 
   bool straggling() const;
   bool stretched() const;        // Slower than configured.
   double prefill_speed() const;  // Tokens a second, as learnt.
+  double prefill_stretch() const { return prefill_.quick(); }
+  double decode_stretch() const { return decode_.quick(); }
+  // Whether own answers have taught something.
+  bool learnt() const { return prefill_.own() && decode_.own(); }
 
  private:
   double prefill_token_;  // Seconds, configured.
--- a/src/schedule/place.cc
+++ b/src/schedule/place.cc
@@ -237,8 +237,9 @@
   // A probe is for finding out: whoever can bear it takes it.
   const double score =
       probe ? 0
-            : weights_.goodput * finish +
-                  weights_.wasted_prefill * kUncachedCost * uncached;
+            : server.spec.reluctance *
+                  (weights_.goodput * finish +
+                   weights_.wasted_prefill * kUncachedCost * uncached);
   if (best->hindrance == Hindrance::kNone && score >= *best_score) return;
   *best_score = score;
   *best = {Hindrance::kNone, index, demand, cached};
