Connections that are ready for more are run again at once

Cause: libmicrohttpd may return with connections that have something left to do; its descriptor says nothing then, only a timeout of zero. Change: run again while the timeout is zero; a test that fails without it.

--- a/src/http/loop_server_test.cc
+++ b/src/http/loop_server_test.cc
@@ -70,6 +70,11 @@
                      [this](absl::Time) { loop.Stop(); });
     loop.Run();
   }
+  // One round of events, without waiting for any.
+  void Round() {
+    loop.timers().At(loop::SteadyNow(), [this](absl::Time) { loop.Stop(); });
+    loop.Run();
+  }
   // Until something arrives.
   std::string Await(const Caller& caller) {
     std::string got;
@@ -95,6 +100,28 @@
   BOOST_TEST(server->open_connections() == 1u);
 }
 
+// A caller sends two requests at once. The second is in the library's buffer
+// when the first is answered, and no event tells of it; it lay there until
+// something else happened, on a quiet host for up to a second.
+BOOST_FIXTURE_TEST_CASE(WhatIsReadAlreadyIsServedWithoutAnEvent, Fixture) {
+  const Caller caller(server->port());
+  caller.Send(std::string(kGet) + kGet);
+  std::string got = Await(caller);
+  auto answers = [&] {
+    std::size_t count = 0;
+    for (auto at = got.find("fine"); at != std::string::npos;
+         at = got.find("fine", at + 1)) {
+      ++count;
+    }
+    return count;
+  };
+  for (int i = 0; i < 20 && answers() < 2; ++i) {
+    Round();
+    got += caller.Read();
+  }
+  BOOST_TEST(answers() == 2u);
+}
+
 // A host that stops keeps serving the connections that it has. Whoever comes
 // anew has to be refused at once: accepted by the kernel and read by nobody, it
 // would wait until the process ends.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -280,10 +280,20 @@
   void Join() {
     const MHD_DaemonInfo* info =
         MHD_get_daemon_info(daemon, MHD_DAEMON_INFO_EPOLL_FD);
-    loop->Watch(info->epoll_fd, EPOLLIN,
-                [this](std::uint32_t) { MHD_run(daemon); });
+    loop->Watch(info->epoll_fd, EPOLLIN, [this](std::uint32_t) { Run(); });
     sweep = loop->timers().Every(loop->now() + kIdleSweep, kIdleSweep,
-                                 [this](absl::Time) { MHD_run(daemon); });
+                                 [this](absl::Time) { Run(); });
+  }
+
+  // libmicrohttpd may come back with connections that are ready for more, and
+  // then its descriptor says nothing: a timeout of zero does. Without another
+  // run such a request lay unread until something else happened, and on a host
+  // that drained, with no other traffic, for up to a second.
+  void Run() {
+    MHD_run(daemon);
+    MHD_UNSIGNED_LONG_LONG timeout = 0;
+    const bool more = MHD_get_timeout(daemon, &timeout) == MHD_YES;
+    if (more && timeout == 0) RunSoon();
   }
 
   // Once for all answers that have something to send after this round of
@@ -294,7 +304,7 @@
     loop->Defer([this, alive = std::weak_ptr<int>(alive)] {
       if (alive.expired()) return;
       run_pending = false;
-      MHD_run(daemon);
+      Run();
     });
   }
 
