Gateway settings have a page and a test of their own; linter and formatter

Cause: the test that every documented key is known read the gateway's keys as those of the product's own settings.

--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -550,8 +550,7 @@
 }
 
 void ClaimMachine::Commit(Purpose purpose, ClaimId claim, std::string token,
-                          const std::string& row_key,
-                          store::RowVersion version,
+                          const std::string& row_key, store::RowVersion version,
                           std::optional<std::string> value) {
   ++counters_.row_writes;
   CallId call = NewCall(purpose, claim, std::move(token));
--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -99,8 +99,8 @@
     absl::Time row_sent;
     store::RowVersion base = 0;     // What the next write replaces.
     store::RowVersion version = 0;  // Of the own row; 0: not durable.
-    bool maybe_row = false;            // The row may be in the table.
-    bool without_table = false;        // Was allowed to run without a row.
+    bool maybe_row = false;         // The row may be in the table.
+    bool without_table = false;     // Was allowed to run without a row.
     bool attach_failed = false;
     bool doubt = false;  // An asked peer can't rule the key out.
     ServerId server;
@@ -166,8 +166,7 @@
   void OnRowWritten(Claim& claim, const store::CommitResult& result);
   void OnRowRead(Claim& claim, const store::Row* row);
   void OnTableFailed(Claim& claim);
-  void OnOthersRow(Claim& claim, const store::Row& row,
-                   const ClaimRow& other);
+  void OnOthersRow(Claim& claim, const store::Row& row, const ClaimRow& other);
   void OnOwnerAnswered(Claim& claim, const std::optional<PeerAnswer>& answer);
   void OnOwnerGone(Claim& claim, const ClaimRow& other);
   void TakeOver(Claim& claim);
--- a/src/claim/claim_upkeep.cc
+++ b/src/claim/claim_upkeep.cc
@@ -151,8 +151,8 @@
   Read(Purpose::kCloseRead, 0, closing.token, RowKey(closing.key));
 }
 
-void ClaimMachine::OnCloseRead(const std::string& token,
-                               const store::Row* row, bool answered) {
+void ClaimMachine::OnCloseRead(const std::string& token, const store::Row* row,
+                               bool answered) {
   auto found = closings_.find(token);
   if (found == closings_.end()) return;
   Closing& closing = found->second;
@@ -201,8 +201,8 @@
   Read(Purpose::kLateRead, 0, token, RowKey(found->second.key));
 }
 
-void ClaimMachine::OnLateRead(const std::string& token,
-                              const store::Row* row, bool answered) {
+void ClaimMachine::OnLateRead(const std::string& token, const store::Row* row,
+                              bool answered) {
   auto found = late_.find(token);
   if (found == late_.end()) return;
   Late& late = found->second;
--- a/src/claim/coverage.h
+++ b/src/claim/coverage.h
@@ -99,8 +99,7 @@
   bool Covered(const LeaseRow& lease, absl::Time row_sent,
                absl::Time now) const;
   bool Lost(const LeaseRow& lease, absl::Time first_sent) const;
-  void OnOwnRow(const LeaseRow& row, store::RowVersion version,
-                absl::Time now);
+  void OnOwnRow(const LeaseRow& row, store::RowVersion version, absl::Time now);
   void Register(absl::Time now);
   // Whether a host whose lease ended at `until` had scanned our name by then.
   bool Aware(absl::Time until) const;
--- a/src/claim/sweeper.cc
+++ b/src/claim/sweeper.cc
@@ -14,8 +14,7 @@
                               static_cast<std::uint64_t>(slice));
 }
 
-bool IsOld(const store::Row& row, const SweepOptions& options,
-           absl::Time now) {
+bool IsOld(const store::Row& row, const SweepOptions& options, absl::Time now) {
   std::optional<ClaimRow> claim = DecodeClaim(row.value);
   return claim.has_value() && now - claim->written > options.retention;
 }
@@ -34,9 +33,9 @@
       [&](const EntryHostId& other) { return Rank(slice, other) > own; });
 }
 
-std::vector<store::Transaction> DeletesOf(
-    const std::vector<store::Row>& rows, const SweepOptions& options,
-    absl::Time now) {
+std::vector<store::Transaction> DeletesOf(const std::vector<store::Row>& rows,
+                                          const SweepOptions& options,
+                                          absl::Time now) {
   std::vector<store::Transaction> deletes;
   for (const store::Row& row : rows) {
     if (!IsOld(row, options, now)) continue;
--- a/src/claim/sweeper.h
+++ b/src/claim/sweeper.h
@@ -45,9 +45,9 @@
 
 // The conditional deletes of those rows that are older than the retention, cut
 // into transactions. What does not decode is left for people to look at.
-std::vector<store::Transaction> DeletesOf(
-    const std::vector<store::Row>& rows, const SweepOptions& options,
-    absl::Time now);
+std::vector<store::Transaction> DeletesOf(const std::vector<store::Row>& rows,
+                                          const SweepOptions& options,
+                                          absl::Time now);
 
 // Owned by the control thread. The table outlives it.
 template <store::TableService Table>
--- a/src/config/answers.cc
+++ b/src/config/answers.cc
@@ -121,8 +121,8 @@
                                            "was")};
 }
 
-std::optional<HistoryEntry> FindConfirmed(
-    const std::vector<store::Row>& rows, const std::string& plan) {
+std::optional<HistoryEntry> FindConfirmed(const std::vector<store::Row>& rows,
+                                          const std::string& plan) {
   for (const store::Row& row : rows) {
     auto entry = DecodeHistory(row.value);
     if (!entry.ok()) continue;
--- a/src/config/answers.h
+++ b/src/config/answers.h
@@ -38,8 +38,8 @@
 Error NoVersion(Version version);
 
 // The entry of the confirm of `plan`, if there was one.
-std::optional<HistoryEntry> FindConfirmed(
-    const std::vector<store::Row>& rows, const std::string& plan);
+std::optional<HistoryEntry> FindConfirmed(const std::vector<store::Row>& rows,
+                                          const std::string& plan);
 
 }  // namespace gentianlb::config
 
--- a/src/config/follow.h
+++ b/src/config/follow.h
@@ -106,8 +106,7 @@
   const FollowCounters& counters() const { return counters_; }
 
   // For peers: the rows of the version in force, and its head.
-  std::vector<store::Row> RowsFor(
-      const std::vector<std::string>& keys) const {
+  std::vector<store::Row> RowsFor(const std::vector<std::string>& keys) const {
     std::vector<store::Row> rows;
     const Snapshot& snapshot = in_force_->snapshot;
     for (const std::string& key : keys) {
--- a/src/config/plan_store.h
+++ b/src/config/plan_store.h
@@ -49,16 +49,15 @@
 
   // kUnknownPlan when there is none or it has expired.
   void Load(const std::string& id, absl::Time now, Done done) {
-    table_.Read({PlanKey(id)},
-                [this, id, now, done](store::ReadResult head) {
-                  if (!head.ok()) return done(head.error());
-                  if (head.value().empty()) return done(Unknown(id));
-                  auto plan = DecodePlanHead(head.value()[0].value);
-                  if (!plan.ok()) return done(plan.error());
-                  auto rows = std::make_shared<PlanRows>();
-                  rows->head = head.value()[0].value;
-                  ReadChunks(id, now, plan.value().chunks, rows, done);
-                });
+    table_.Read({PlanKey(id)}, [this, id, now, done](store::ReadResult head) {
+      if (!head.ok()) return done(head.error());
+      if (head.value().empty()) return done(Unknown(id));
+      auto plan = DecodePlanHead(head.value()[0].value);
+      if (!plan.ok()) return done(plan.error());
+      auto rows = std::make_shared<PlanRows>();
+      rows->head = head.value()[0].value;
+      ReadChunks(id, now, plan.value().chunks, rows, done);
+    });
   }
 
   // Forgets plans that expired unconfirmed; best effort.
--- a/src/entry/calls.h
+++ b/src/entry/calls.h
@@ -22,9 +22,9 @@
 #include "entry/claims.h"
 #include "entry/control_loop.h"
 #include "entry/dispatch_board.h"
-#include "metrics/metrics.h"
 #include "entry/server_call.h"
 #include "http/client.h"
+#include "metrics/metrics.h"
 #include "timeline/recorder.h"
 
 namespace gentianlb::entry {
--- a/src/entry/claims.h
+++ b/src/entry/claims.h
@@ -9,8 +9,8 @@
 #include "claim/claim_table.h"
 #include "entry/control_loop.h"
 #include "entry/peers.h"
-#include "store/client.h"
 #include "rpc/codec.h"
+#include "store/client.h"
 
 namespace gentianlb::entry {
 
--- a/src/entry/config_link.cc
+++ b/src/entry/config_link.cc
@@ -53,24 +53,24 @@
 
 void RegisterConfigRows(rpc::AsyncMethodTable* methods,
                         const Follower* follower) {
-  methods->AddMethod(
-      kRowsMethod, [follower](const Json::Value& params,
-                              const rpc::AsyncMethodTable::Done& done) {
-        std::vector<std::string> keys;
-        if (params["keys"].isArray()) {
-          for (const Json::Value& key : params["keys"]) {
-            if (key.isString()) keys.push_back(key.asString());
-          }
-        }
-        Json::Value rows(Json::arrayValue);
-        for (const store::Row& row : follower->RowsFor(keys)) {
-          Json::Value item;
-          item["key"] = row.key;
-          item["value"] = row.value;
-          rows.append(std::move(item));
-        }
-        done(rpc::RpcError{0, ""}, std::move(rows));
-      });
+  methods->AddMethod(kRowsMethod,
+                     [follower](const Json::Value& params,
+                                const rpc::AsyncMethodTable::Done& done) {
+                       std::vector<std::string> keys;
+                       if (params["keys"].isArray()) {
+                         for (const Json::Value& key : params["keys"]) {
+                           if (key.isString()) keys.push_back(key.asString());
+                         }
+                       }
+                       Json::Value rows(Json::arrayValue);
+                       for (const store::Row& row : follower->RowsFor(keys)) {
+                         Json::Value item;
+                         item["key"] = row.key;
+                         item["value"] = row.value;
+                         rows.append(std::move(item));
+                       }
+                       done(rpc::RpcError{0, ""}, std::move(rows));
+                     });
 }
 
 }  // namespace gentianlb::entry
--- a/src/entry/config_link.h
+++ b/src/entry/config_link.h
@@ -10,8 +10,8 @@
 
 #include "config/follow.h"
 #include "entry/peers.h"
-#include "store/client.h"
 #include "rpc/codec.h"
+#include "store/client.h"
 
 namespace gentianlb::entry {
 
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -17,14 +17,14 @@
 #include "entry/control_loop.h"
 #include "entry/dispatch_board.h"
 #include "entry/engine_client.h"
-#include "metrics/metrics.h"
 #include "entry/peers.h"
 #include "entry/server_poller.h"
 #include "http/client.h"
 #include "http/server.h"
-#include "store/client.h"
+#include "metrics/metrics.h"
 #include "rpc/codec.h"
 #include "settings/host_settings.h"
+#include "store/client.h"
 #include "timeline/recorder.h"
 
 namespace gentianlb::entry {
--- a/src/gateway/drain_plan.h
+++ b/src/gateway/drain_plan.h
@@ -11,7 +11,6 @@
 #define GENTIANLB_GATEWAY_DRAIN_PLAN_H_
 
 #include <algorithm>
-#include <compare>
 
 #include "absl/time/time.h"
 
@@ -27,7 +26,7 @@
   absl::Time no_requests_from = absl::InfiniteFuture();
   // The process ends, whatever is still in progress.
   absl::Time end = absl::InfiniteFuture();
-  auto operator<=>(const DrainPlan&) const = default;
+  bool operator==(const DrainPlan&) const = default;
 };
 
 // `grace` is the time from the signal until the process is killed.
--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -39,8 +39,7 @@
   std::size_t end = rest_.find(kBoundary, searched);
   while (end != std::string::npos) {
     const std::size_t next = end + kBoundary.size();
-    const std::string_view event =
-        std::string_view(rest_).substr(start, next - start);
+    const std::string_view event(rest_.data() + start, next - start);
     if (Take(event)) whole.append(event);
     start = next;
     end = rest_.find(kBoundary, start);
--- a/src/orders/order_runner.h
+++ b/src/orders/order_runner.h
@@ -67,8 +67,7 @@
   { clock() } -> std::convertible_to<absl::Time>;
 };
 
-template <store::TableService Table, EngineService Engine,
-          MonotonicClock Now>
+template <store::TableService Table, EngineService Engine, MonotonicClock Now>
 class OrderRunner {
  public:
   // `table` and `engine` outlive this object.
@@ -370,11 +369,10 @@
     auto answered = Guard([this, id, row](store::CommitResult result) {
       OnWritten(id, row, result);
     });
-    table_->Commit(transaction,
-                   [this, answered](store::CommitResult result) {
-                     --writing_;
-                     answered(std::move(result));
-                   });
+    table_->Commit(transaction, [this, answered](store::CommitResult result) {
+      --writing_;
+      answered(std::move(result));
+    });
   }
 
   void OnWritten(const ServerId& id, const StepRow& row,
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -1,6 +1,6 @@
 // The settings of an entry host that runs as a gateway on a platform: an
 // immutable value, read from INI and checked as a whole before anything starts.
-// docs/SETTINGS.md lists them.
+// docs/GATEWAY_SETTINGS.md lists them.
 
 #ifndef GENTIANLB_SETTINGS_GATEWAY_SETTINGS_H_
 #define GENTIANLB_SETTINGS_GATEWAY_SETTINGS_H_
--- /dev/null
+++ b/src/settings/gateway_settings_test.cc
@@ -0,0 +1,96 @@
+#include "settings/gateway_settings.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <string>
+
+namespace gentianlb::settings {
+namespace {
+
+constexpr char kWhole[] = R"([host]
+id = h
+zone = z
+grace = 8s
+[callers]
+address = 10.0.0.1:80
+[ready]
+address = 10.0.0.1:81
+path = /ready
+[metrics]
+address = 10.0.0.1:82
+[peers]
+address = 10.0.0.1:83
+[table]
+address = 10.0.0.2:84
+[retries]
+per_request = 0.2
+burst = 56
+[limits]
+tolerance_tokens = 140000
+)";
+
+GatewaySettings Read(const std::string& text, Problems* problems) {
+  return ReadGatewaySettings(ParseDocument("f", text, problems), problems);
+}
+
+bool HasCode(const Problems& problems, Code code) {
+  return std::any_of(
+      problems.begin(), problems.end(),
+      [code](const auto& problem) { return problem.code == code; });
+}
+
+BOOST_AUTO_TEST_CASE(AWholeFileIsRead) {
+  Problems problems;
+  const GatewaySettings settings = Read(kWhole, &problems);
+  BOOST_TEST(problems.empty());
+  BOOST_TEST(settings.id.str() == "h");
+  BOOST_TEST((settings.grace == absl::Seconds(8)));
+  BOOST_TEST(Format(settings.table) == "10.0.0.2:84");
+  BOOST_TEST(settings.retry_burst == 56);
+  BOOST_TEST(settings.limit_tolerance_tokens == 140000);
+}
+
+// A template that was filled in with nothing, or an older one, must stop the
+// process before it takes callers, and say what is wrong.
+BOOST_AUTO_TEST_CASE(EveryProblemIsNumbered) {
+  Problems problems;
+  Read("[host]\nid =\nzone = z\ngrace = 8\n[other]\n[ready]\npath = x\n",
+       &problems);
+  BOOST_TEST(HasCode(problems, Code::kUnknownSection));
+  BOOST_TEST(HasCode(problems, Code::kMissingSetting));
+  BOOST_TEST(HasCode(problems, Code::kBadUnit));
+  BOOST_TEST(HasCode(problems, Code::kOutOfRange));
+}
+
+// Operators copy keys from the page; one that the program refuses would keep
+// every host from starting.
+BOOST_AUTO_TEST_CASE(TheTemplateAndThePageNameOnlyKnownKeys) {
+  std::ifstream page(GENTIANLB_SOURCE_DIR "/docs/GATEWAY_SETTINGS.md");
+  std::ifstream file(GENTIANLB_SOURCE_DIR "/deploy/gateway.ini");
+  const std::string documented((std::istreambuf_iterator<char>(page)), {});
+  BOOST_REQUIRE(!documented.empty());
+  Problems problems;
+  const Document whole = ParseDocument("f", kWhole, &problems);
+  for (const Section& section : whole.sections) {
+    BOOST_TEST(documented.find("`[" + section.kind + "]`") !=
+               std::string::npos);
+    for (const Entry& entry : section.entries) {
+      BOOST_TEST(documented.find("`" + entry.key + "`") != std::string::npos,
+                 entry.key);
+    }
+  }
+  int named = 0;
+  for (std::string line; std::getline(file, line);) {
+    const std::size_t equals = line.find(" = ");
+    if (equals == std::string::npos) continue;
+    ++named;
+    BOOST_TEST(std::string(kWhole).find(line.substr(0, equals + 3)) !=
+                   std::string::npos,
+               line);
+  }
+  BOOST_TEST(named == 12);
+}
+
+}  // namespace
+}  // namespace gentianlb::settings
--- a/tests/standins/table.h
+++ b/tests/standins/table.h
@@ -25,8 +25,8 @@
 
   // At most `limit` rows whose keys begin with `prefix` and follow `after`.
   std::vector<store::Row> Scan(const std::string& prefix,
-                                  const std::string& after,
-                                  std::size_t limit) const;
+                               const std::string& after,
+                               std::size_t limit) const;
 
  private:
   store::RowVersion VersionOf(const std::string& key) const;
