--- a/src/schedule/modules_test.cc
+++ b/src/schedule/modules_test.cc
@@ -233,6 +233,57 @@
   BOOST_TEST(!limits.Check(a, request, At(6)).has_value());
 }
 
+// A limit is divided anew several times a second. If each change filled the
+// bucket, the limit would hold nobody.
+BOOST_AUTO_TEST_CASE(ARateThatChangesOftenDoesNotFillTheBucket) {
+  TokenBucket bucket;
+  bucket.Rescale(10, 100, At(0));
+  bucket.Take(60);
+  bucket.Rescale(5, 50, At(0));
+  BOOST_TEST(bucket.level() == 20);
+  bucket.Take(50);
+  bucket.Rescale(10, 100, At(0));
+  BOOST_TEST(bucket.level() == -30);  // A debt stays what it is.
+  BOOST_TEST((bucket.UntilFilled() == absl::Seconds(3)));
+}
+
+// Some calls fail on any server; one that fails must not close it. A server
+// that breaks everything looks idle and would draw all work to itself.
+BOOST_AUTO_TEST_CASE(ThreeFailuresInARowCloseAWindow) {
+  Window window(8);
+  window.Failed(At(0));
+  window.Failed(At(0));
+  window.Good(At(0), false);
+  window.Failed(At(1));
+  window.Failed(At(1));
+  BOOST_TEST(window.OpenAt(At(1)));
+  BOOST_TEST(window.streams() == 8);
+  window.Failed(At(1));
+  BOOST_TEST(!window.OpenAt(At(1)));
+}
+
+// Nobody has told how fast a server is. A slow one must not count as a
+// straggler for ever because the guess was too good.
+BOOST_AUTO_TEST_CASE(AGuessIsReplacedByTheFirstSamples) {
+  Stretch guessed(/*guessed=*/true);
+  for (int i = 0; i < 5; ++i) guessed.Add(5);
+  BOOST_TEST(guessed.quick() > 4.5);
+  BOOST_TEST(!guessed.straggling());
+  Stretch configured(/*guessed=*/false);
+  for (int i = 0; i < 5; ++i) configured.Add(5);
+  BOOST_TEST(configured.straggling());
+}
+
+// What others have learnt is used until own answers teach more.
+BOOST_AUTO_TEST_CASE(OwnSamplesGoBeforeWhatOthersTell) {
+  Stretch stretch(/*guessed=*/true);
+  stretch.Told(3);
+  BOOST_TEST(stretch.quick() == 3);
+  for (int i = 0; i < 30; ++i) stretch.Add(1);
+  stretch.Told(3);
+  BOOST_TEST(stretch.quick() < 1.1);
+}
+
 BOOST_AUTO_TEST_CASE(RetriesAreEarnedBySuccesses) {
   RetryBudget budget{RetryOptions{}};
   int taken = 0;
