Hosts share the burst of retries equally

Cause, by reading: each host saved up a twelfth of the operators' burst whatever their number; 90 hosts could repeat seven times what is allowed at once. Change: an equal part for each host that is known. A test of 90 hosts fails without it. Ruled out: shares by load, as a host's own requests earn most of its repeats.

--- a/src/base/retry.cc
+++ b/src/base/retry.cc
@@ -20,6 +20,11 @@
   return true;
 }
 
+void RetryBudget::SetSavedRetries(double most) {
+  options_.saved_retries = most;
+  saved_ = std::min(saved_, most);
+}
+
 absl::Duration RetryDelay(const RetryOptions& options, int retry,
                           double random) {
   int doublings = std::min(retry, kMostDoublings);
--- a/src/base/retry.h
+++ b/src/base/retry.h
@@ -31,6 +31,8 @@
   void OnCall();
   // Takes one retry; false when there is none left.
   bool Take();
+  // What may be saved up changes, as when a bound is divided among more users.
+  void SetSavedRetries(double most);
 
  private:
   RetryOptions options_;
--- a/src/gateway/fake_site_test.h
+++ b/src/gateway/fake_site_test.h
@@ -92,7 +92,7 @@
     ForwarderOptions options;
     options.host = EntryHostId("h");
     options.queue.dispatcher.preempts = false;
-    options.queue.retries.saved_retries = 3;
+    options.retry_burst = 3;
     forwarder = std::make_unique<Forwarder>(
         options, port, &timers, [this] { return now; }, &directory, &demand,
         &metrics);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -76,6 +76,7 @@
   if (index_ == nullptr) return;
   for (const Service& service : index_->configuration().services) {
     ServiceQueue& queue = QueueOf(service.id);
+    queue.retries().SetSavedRetries(options_.retry_burst / demand_->hosts());
     std::vector<schedule::Decision> decisions;
     queue.SetServers(service, directory_->ServersOf(service.id),
                      demand_->hosts(), clock_(), &decisions);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -37,6 +37,8 @@
 struct ForwarderOptions {
   EntryHostId host;
   ServiceQueueOptions queue;
+  // Retries that all hosts together may save up; each has an equal part.
+  double retry_burst = 10;
   double limit_tolerance_tokens = 0;  // Of workspaces, over all hosts.
 };
 
--- a/src/gateway/forwarder_test.cc
+++ b/src/gateway/forwarder_test.cc
@@ -129,6 +129,22 @@
   BOOST_TEST(caller->body == "broken");
 }
 
+// Ninety hosts share what the operators allow as a burst of repeats. Were each
+// to save up as much as one of a dozen, a fault of one server would be answered
+// by several times the allowed repeats, all at once.
+BOOST_AUTO_TEST_CASE(ManyHostsShareTheRetryBurst) {
+  FakeSite site;
+  std::vector<std::string> others;
+  others.reserve(89);
+  for (int i = 0; i < 89; ++i) others.push_back("h" + std::to_string(i));
+  site.demand.SetHosts(others, absl::Milliseconds(450), site.now);
+  site.Configure();
+  const auto caller = site.Ask("/read/1");
+  site.last().End(TransferEnd::kBroken);
+  BOOST_TEST(site.calls.size() == 1u);  // A thirtieth of a repeat was saved.
+  BOOST_TEST(caller->status == 502);
+}
+
 // A connection could not be made: nothing was sent, so even a payment may go
 // elsewhere.
 BOOST_AUTO_TEST_CASE(WhatWasNeverSentGoesElsewhere) {
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -23,10 +23,6 @@
 // Callers' connections beyond this are not taken; each costs some kilobytes.
 constexpr unsigned kMostCallers = 1500;
 
-// The part of the descriptors' work that all hosts share a retry burst over is
-// not known here; a dozen hosts stay within it together.
-constexpr double kHostsSharingRetries = 12;
-
 // A part below the bound, since retries and the requests that earn them are
 // not counted at the same moment by those who check.
 constexpr double kRetryMargin = 0.75;
@@ -41,8 +37,7 @@
   options.queue.dispatcher.shortest_come_back = absl::Milliseconds(300);
   options.queue.retries.retries_per_call =
       kRetryMargin * settings.retries_per_request;
-  options.queue.retries.saved_retries =
-      std::max(1.0, settings.retry_burst / kHostsSharingRetries);
+  options.retry_burst = settings.retry_burst;
   return options;
 }
 
