Fake site: a stream that was told of is out of the list before it is told of

Cause: the fake kept a copy of a stream that ended as not sent while it told the dispatcher, which granted it again and cancelled it at once; the cancel then stopped both the new stream and the copy, and the request ended twice. Ruled out: the dispatcher, which sent one cancel. Change: it is taken out first.

--- a/src/schedule/fake_site_test.h
+++ b/src/schedule/fake_site_test.h
@@ -241,7 +241,10 @@
       if (stream.ending) ending_.push_back(stream);
     }
     std::erase_if(streams_, [](const Stream& s) { return s.ending; });
-    for (const Stream& stream : ending_) {
+    while (!ending_.empty()) {
+      // Out first: once told of, it may run again and is another stream.
+      const Stream stream = ending_.front();
+      ending_.erase(ending_.begin());
       if (stream.ending == EndKind::kBroken) {
         Finish(stream.id, {.kind = CallerOutcome::Kind::kBroken});
       }
@@ -264,7 +267,7 @@
   std::map<ServerId, std::set<PrefixHash>> caches_;
   std::map<RequestId, int> outputs_;
   std::vector<Stream> streams_;
-  std::vector<Stream> ending_;  // Told of in this step.
+  std::vector<Stream> ending_;  // Still to be told of in this step.
   int next_id_ = 0;
 };
 
