A silent table service is noticed: short waits after a loss, one host watches for all

Change: after a loss, and while another host knows of a newer change, calls wait for a second; messages between hosts tell the newest change of each table; one host, the first by hash of those that reach the service, always asks with short waits and so notices for all. An answer about changes has a second beyond its wait, not two.

--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -77,7 +77,8 @@
           },
           [this](bool up, absl::Time now) {
             if (up) directory_.ServiceReturned(now);
-          }) {}
+          }),
+      watch_(settings.id.str(), loop->now()) {}
 
 Host::~Host() {
   for (const TimerId timer : timers_) loop_->timers().Cancel(timer);
@@ -158,17 +159,8 @@
   options.table = platform_.host_table;
   auto started = Peers::Start(
       options, platform_.table, loop_,
-      [this](PeerNews* news) {
-        news->servers = forwarder_.Uses();
-        news->workspaces = demand_.Own(loop_->now());
-      },
-      [this](const PeerNews& news) {
-        for (const Spent& spent : demand_.Heard(news, loop_->now())) {
-          forwarder_.quotas().Spend(spent.workspace, spent.tokens,
-                                    loop_->now());
-        }
-        peer_loads_.Heard(news, loop_->now());
-      },
+      [this](PeerNews* news) { ComposeNews(news); },
+      [this](const PeerNews& news) { TakeNews(news); },
       [this](const std::vector<std::string>& hosts) {
         demand_.SetHosts(hosts, peers_->Period(), loop_->now());
         forwarder_.ServersChanged();
@@ -179,7 +171,35 @@
   return std::nullopt;
 }
 
+void Host::ComposeNews(PeerNews* news) const {
+  news->servers = forwarder_.Uses();
+  news->workspaces = demand_.Own(loop_->now());
+  for (const TableFollower* follower : {&configuration_, &servers_}) {
+    news->tables.push_back({HashName(follower->table()),
+                            follower->newest_change(), follower->up()});
+  }
+}
+
+void Host::TakeNews(const PeerNews& news) {
+  const absl::Time now = loop_->now();
+  for (const Spent& spent : demand_.Heard(news, now)) {
+    forwarder_.quotas().Spend(spent.workspace, spent.tokens, now);
+  }
+  peer_loads_.Heard(news, now);
+  watch_.Heard(news, now);
+  for (TableFollower* follower : {&configuration_, &servers_}) {
+    for (const TableNews& table : news.tables) {
+      if (table.table != HashName(follower->table())) continue;
+      follower->HeardOf(table.newest_change);
+    }
+  }
+}
+
 void Host::UsePeersNews(absl::Time now) {
+  const bool watches =
+      watch_.IsWatcher(configuration_.up() && servers_.up(), now);
+  configuration_.SetWatching(watches);
+  servers_.SetWatching(watches);
   forwarder_.UsedElsewhere(peer_loads_.Sum(now));
   demand_.Agree(now);
   Quotas& quotas = forwarder_.quotas();
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -19,6 +19,7 @@
 #include "gateway/peer_loads.h"
 #include "gateway/peers.h"
 #include "gateway/table_follower.h"
+#include "gateway/table_watch.h"
 #include "http/server.h"
 #include "log/bounded_log.h"
 #include "loop/event_loop.h"
@@ -69,6 +70,8 @@
 
   std::optional<Error> Listen();
   std::optional<Error> MeetPeers();
+  void ComposeNews(PeerNews* news) const;
+  void TakeNews(const PeerNews& news);
   void UsePeersNews(absl::Time now);
   void TakeRequest(http::Request request,
                    std::shared_ptr<http::Responder> responder);
@@ -95,6 +98,7 @@
   EarlyRequests early_;
   TableFollower configuration_;
   TableFollower servers_;
+  TableWatch watch_;
   std::unique_ptr<Peers> peers_;
   std::unique_ptr<http::Server> callers_;
   std::unique_ptr<http::Server> ready_;
--- a/src/gateway/peer_news.cc
+++ b/src/gateway/peer_news.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // Begins each message, and tells its form from others.
-constexpr std::string_view kMark = "GN1";
+constexpr std::string_view kMark = "GN2";
 
 // Lists are written with a short count of their own: cereal's would let a
 // stranger's message ask for any amount of memory.
@@ -57,6 +57,9 @@
   WriteList(writer, news.workspaces, [&](const WorkspaceUse& use) {
     writer(use.workspace, use.tokens_per_second, use.let_through, use.part);
   });
+  WriteList(writer, news.tables, [&](const TableNews& table) {
+    writer(table.table, table.newest_change, table.up);
+  });
   return out.str();
 }
 
@@ -76,6 +79,9 @@
     ReadList(reader, &news.workspaces, [&](WorkspaceUse& use) {
       reader(use.workspace, use.tokens_per_second, use.let_through, use.part);
     });
+    ReadList(reader, &news.tables, [&](TableNews& table) {
+      reader(table.table, table.newest_change, table.up);
+    });
   } catch (const std::exception&) {
     return std::nullopt;  // Whoever takes messages in counts these.
   }
--- a/src/gateway/peer_news.h
+++ b/src/gateway/peer_news.h
@@ -1,5 +1,6 @@
 // What entry hosts tell each other several times a second: how much each has
-// running on which server, and how many tokens its workspaces ask for.
+// running on which server, how many tokens its workspaces ask for, and how far
+// it has followed the platform's tables.
 
 #ifndef GENTIANLB_GATEWAY_PEER_NEWS_H_
 #define GENTIANLB_GATEWAY_PEER_NEWS_H_
@@ -34,6 +35,13 @@
   auto operator<=>(const WorkspaceUse&) const = default;
 };
 
+struct TableNews {
+  NameHash table = 0;
+  std::uint64_t newest_change = 0;  // Version of the newest that it knows.
+  bool up = false;                  // The table service answers the sender.
+  auto operator<=>(const TableNews&) const = default;
+};
+
 struct PeerNews {
   std::string host;
   std::string address;           // Where the sender takes messages, IP:PORT.
@@ -41,6 +49,7 @@
   std::uint64_t sequence = 0;    // Counts its messages.
   std::vector<ServerUse> servers;
   std::vector<WorkspaceUse> workspaces;
+  std::vector<TableNews> tables;
   bool operator==(const PeerNews&) const = default;
 };
 
--- a/src/gateway/peer_news_test.cc
+++ b/src/gateway/peer_news_test.cc
@@ -15,6 +15,7 @@
   news.sequence = 9;
   news.servers = {{HashName("s"), 14, 0.5F, 2.5F}, {HashName("t"), 2}};
   news.workspaces = {{HashName("w"), 1234.5F, 99}};
+  news.tables = {{HashName("t"), 77, true}};
   return news;
 }
 
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace gentianlb::gateway {
@@ -19,14 +20,17 @@
       on_state_(std::move(on_state)),
       random_(seed) {}
 
-TableFollower::~TableFollower() { timers_->Cancel(retry_); }
+TableFollower::~TableFollower() {
+  timers_->Cancel(retry_);
+  timers_->Cancel(behind_);
+}
 
 void TableFollower::Start() { Read(""); }
 
 TableDone TableFollower::Guard(std::function<void(TableAnswer)> done) {
-  return [alive = std::weak_ptr<int>(alive_),
+  return [this, alive = std::weak_ptr<int>(alive_), call = ++call_,
           done = std::move(done)](TableAnswer answer) {
-    if (alive.lock() != nullptr) done(std::move(answer));
+    if (alive.lock() != nullptr && call == call_) done(std::move(answer));
   };
 }
 
@@ -54,6 +58,7 @@
   }
   version_ = read_from_;
   complete_ = true;
+  NoteVersions(rows_);
   on_rows_(rows_, /*whole=*/true, clock_());
   rows_.clear();
   Follow();
@@ -67,12 +72,46 @@
 
 void TableFollower::Follow() {
   followed_ = clock_();
+  following_ = true;
+  const bool doubtful = watching_ || !up_ || heard_of_ > version_;
+  follow_wait_ = doubtful ? options_.short_wait : options_.wait;
   port_.follow(
-      options_.table, version_, options_.wait,
+      options_.table, version_, follow_wait_,
       Guard([this](TableAnswer answer) { TakeChanges(std::move(answer)); }));
 }
 
+void TableFollower::AskAnew() {
+  LOG(INFO) << "event=table-asked-anew table=" << options_.table
+            << " version=" << version_ << " heard_of=" << heard_of_
+            << " watching=" << watching_;
+  timers_->Cancel(retry_);
+  Follow();
+}
+
+void TableFollower::SetWatching(bool watching) {
+  if (watching_ == watching) return;
+  watching_ = watching;
+  if (watching && following_ && follow_wait_ > options_.short_wait) AskAnew();
+}
+
+void TableFollower::HeardOf(std::uint64_t change) {
+  if (change <= heard_of_) return;
+  heard_of_ = change;
+  if (heard_of_ <= version_ || behind_ != 0) return;
+  behind_ = timers_->At(clock_() + options_.behind, [this](absl::Time) {
+    behind_ = 0;
+    if (heard_of_ > version_ && following_) AskAnew();
+  });
+}
+
+void TableFollower::NoteVersions(const std::vector<TableRow>& rows) {
+  for (const TableRow& row : rows) {
+    newest_change_ = std::max(newest_change_, row.version);
+  }
+}
+
 void TableFollower::TakeChanges(TableAnswer answer) {
+  following_ = false;
   if (const auto* failure = std::get_if<TableFailure>(&answer)) {
     if (*failure == TableFailure::kHistoryGone) {
       LOG(INFO) << "event=history-gone table=" << options_.table
@@ -85,6 +124,7 @@
   Answered();
   const auto& page = std::get<TablePage>(answer);
   version_ = std::max(version_, page.version);
+  NoteVersions(page.rows);
   if (!page.rows.empty()) on_rows_(page.rows, /*whole=*/false, clock_());
   FollowSoon();
 }
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -7,6 +7,12 @@
 // service is back would be refused for their rate. So a failed call is made
 // again after a delay that grows and is spread, a lost history means reading
 // the table again, and what is known stays in use meanwhile.
+//
+// A service that is silent for a while takes a call in and never answers it,
+// while the connection stays well: a call that waits for half a minute then
+// hides every change for as long. One would see hosts on an old configuration,
+// with no line that says so. So a host that has reason to doubt asks with short
+// waits, and a change that another host has heard of is asked for at once.
 
 #ifndef GENTIANLB_GATEWAY_TABLE_FOLLOWER_H_
 #define GENTIANLB_GATEWAY_TABLE_FOLLOWER_H_
@@ -28,6 +34,7 @@
   std::string key;
   std::string value;
   bool removed = false;
+  std::uint64_t version = 0;  // Of its last change; 0: not told.
   bool operator==(const TableRow&) const = default;
 };
 
@@ -69,6 +76,13 @@
   // How long one call waits for a change: as long as the service allows, since
   // each costs it as much as a read, and a dead connection shows by its probes.
   absl::Duration wait = absl::Seconds(29);
+  // The same while the service may be silent. With the second that the answer
+  // may take it is noticed after two, within the three that hosts have after an
+  // outage.
+  absl::Duration short_wait = absl::Seconds(1);
+  // How much later than others this host may hear of a change: their messages
+  // and the service's answers both take some milliseconds.
+  absl::Duration behind = absl::Milliseconds(200);
   // Changes come in series, as when servers are replaced one after the other.
   // The next call is made this long after the last one at the earliest, so that
   // one brings several; short against the two seconds in which a change must
@@ -97,7 +111,17 @@
 
   void Start();
 
+  // Whether this host asks with short waits also while all seems well, to
+  // notice a silent service for the others.
+  void SetWatching(bool watching);
+
+  // Another host knows of a change of that version.
+  void HeardOf(std::uint64_t change);
+
+  const std::string& table() const { return options_.table; }
   bool up() const { return up_; }
+  // The newest change of a row that is known; what others are told.
+  std::uint64_t newest_change() const { return newest_change_; }
   bool complete() const { return complete_; }  // Read whole at least once.
   std::uint64_t version() const { return version_; }
 
@@ -106,13 +130,16 @@
   // Once the interval is over.
   void FollowSoon();
   void Follow();
+  // Leaves the call that waits, and makes another.
+  void AskAnew();
   void TakeRead(const std::string& from, TableAnswer answer);
   void TakeChanges(TableAnswer answer);
+  void NoteVersions(const std::vector<TableRow>& rows);
   void Failed(TableFailure failure);
   void Answered();
   // Runs `call` after the delay of the next retry.
   void Again(std::function<void()> call);
-  // `done` is called only while this object lives and waits for it.
+  // `done` is called only while this object lives and no later call was made.
   TableDone Guard(std::function<void(TableAnswer)> done);
 
   const TableFollowerOptions options_;
@@ -126,11 +153,18 @@
   std::vector<TableRow> rows_;   // Of the pages read so far.
   std::uint64_t read_from_ = 0;  // The version of the first page.
   std::uint64_t version_ = 0;
+  std::uint64_t newest_change_ = 0;
+  std::uint64_t heard_of_ = 0;  // By other hosts.
   bool complete_ = false;
+  bool watching_ = false;
+  bool following_ = false;      // A call waits for changes,
+  absl::Duration follow_wait_;  // for this long.
+  std::uint64_t call_ = 0;      // Counts the calls.
   bool up_ = true;
   int failures_ = 0;
   absl::Time followed_ = absl::InfinitePast();  // The last call was made.
   TimerId retry_ = 0;
+  TimerId behind_ = 0;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/src/gateway/table_follower_test.cc
+++ b/src/gateway/table_follower_test.cc
@@ -13,6 +13,7 @@
     std::uint64_t since = 0;
     bool follows = false;
     TableDone done;
+    absl::Duration wait;
   };
 
   TablePort Port() {
@@ -22,8 +23,8 @@
       calls.push_back({from, 0, false, std::move(done)});
     };
     port.follow = [this](const std::string&, std::uint64_t since,
-                         absl::Duration, TableDone done) {
-      calls.push_back({"", since, true, std::move(done)});
+                         absl::Duration wait, TableDone done) {
+      calls.push_back({"", since, true, std::move(done), wait});
     };
     return port;
   }
@@ -132,5 +133,95 @@
   BOOST_TEST(table.Next().since == 12u);
 }
 
+TablePage Change(const std::string& key, std::uint64_t version) {
+  TablePage page = Page({key}, version);
+  page.rows[0].version = version;
+  return page;
+}
+
+// A zone was cut off, so the host lost its call; the next one is taken in by a
+// service that has meanwhile fallen silent, and never answered. Callers of this
+// host would be served by an old configuration for half a minute. The call
+// after a loss therefore waits for a second only.
+BOOST_FIXTURE_TEST_CASE(AfterALossTheServiceIsAskedWithAShortWait, Fixture) {
+  table.Next().done(Page({"a"}, 10));
+  BOOST_TEST(table.Next().wait == absl::Seconds(29));
+  // The first call is lost with its connection.
+  Fixture again;
+  again.table.Next().done(Page({"a"}, 10));
+  again.table.Next().done(TableFailure::kUnavailable);
+  again.Pass(absl::Seconds(1));
+  FakeTable::Call doubtful = again.table.Next();
+  BOOST_TEST(doubtful.wait == absl::Seconds(1));
+  // The adapter gives it up, and so on until there is an answer.
+  doubtful.done(TableFailure::kUnavailable);
+  again.Pass(absl::Seconds(1));
+  FakeTable::Call next = again.table.Next();
+  BOOST_TEST(next.wait == absl::Seconds(1));
+  next.done(Page({}, 12));
+  again.Pass(absl::Milliseconds(300));
+  BOOST_TEST(again.table.Next().wait == absl::Seconds(29));
+}
+
+// The service fell silent while a call waited there, and the connection stayed
+// well: neither an error nor an answer comes. Another host has heard of a
+// change. Without asking anew this one would serve by the old configuration
+// until its call ends, and callers get answers that were withdrawn.
+BOOST_FIXTURE_TEST_CASE(AChangeThatAnotherHostKnowsOfIsAskedForAnew, Fixture) {
+  table.Next().done(Page({"a"}, 10));
+  FakeTable::Call silent = table.Next();
+  follower.HeardOf(15);
+  Pass(absl::Milliseconds(100));
+  BOOST_TEST(table.calls.empty());  // Its own answer may be on the way.
+  Pass(absl::Milliseconds(100));
+  FakeTable::Call anew = table.Next();
+  BOOST_TEST(anew.since == 10u);
+  BOOST_TEST(anew.wait == absl::Seconds(1));
+  anew.done(Change("b", 15));
+  BOOST_TEST((got == Strings{"whole a", "change b"}));
+  BOOST_TEST(follower.newest_change() == 15u);
+  // The forgotten call's answer changes nothing any more.
+  silent.done(Change("c", 16));
+  BOOST_TEST(got.size() == 2u);
+  Pass(absl::Milliseconds(300));
+  BOOST_TEST(table.Next().wait == absl::Seconds(29));
+}
+
+// What all others know too is no reason for a call: each of hundreds of hosts
+// would make one for each change.
+BOOST_FIXTURE_TEST_CASE(AChangeThatArrivesBySelfCostsNoFurtherCall, Fixture) {
+  table.Next().done(Page({"a"}, 10));
+  FakeTable::Call follow = table.Next();
+  follower.HeardOf(15);
+  Pass(absl::Milliseconds(50));
+  follow.done(Change("b", 15));
+  Pass(absl::Seconds(1));
+  BOOST_TEST(table.calls.size() == 1u);  // The next that waits.
+  follower.HeardOf(15);
+  follower.HeardOf(9);
+  Pass(absl::Seconds(1));
+  BOOST_TEST(table.calls.size() == 1u);
+}
+
+// All hosts' calls were swallowed at once, so that none hears of a change from
+// another. One of them watches with short waits; it notices, and the others
+// hear it from that one.
+BOOST_FIXTURE_TEST_CASE(TheHostThatWatchesAsksWithShortWaits, Fixture) {
+  table.Next().done(Page({"a"}, 10));
+  table.Next();  // Waits for 29 s.
+  follower.SetWatching(true);
+  FakeTable::Call watching = table.Next();
+  BOOST_TEST(watching.wait == absl::Seconds(1));
+  watching.done(TableFailure::kUnavailable);  // Swallowed; given up.
+  Pass(absl::Milliseconds(100));
+  table.Next().done(Change("b", 20));
+  BOOST_TEST(follower.newest_change() == 20u);
+  Pass(absl::Milliseconds(300));
+  BOOST_TEST(table.Next().wait == absl::Seconds(1));
+  // The call that another host takes over from is not made again.
+  follower.SetWatching(false);
+  BOOST_TEST(table.calls.empty());
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
