--- a/src/gateway/silent_table_test.cc
+++ b/src/gateway/silent_table_test.cc
@@ -163,9 +163,9 @@
 // All that a call may be at: just made, in the middle of its wait, near its
 // end.
 const std::vector<absl::Duration> kMoments = {
-    absl::Seconds(3),   absl::Milliseconds(3350), absl::Milliseconds(3900),
-    absl::Seconds(10),  absl::Seconds(28),        absl::Milliseconds(29050),
-    absl::Seconds(31),  absl::Seconds(40)};
+    absl::Seconds(3),  absl::Milliseconds(3350), absl::Milliseconds(3900),
+    absl::Seconds(10), absl::Seconds(28),        absl::Milliseconds(29050),
+    absl::Seconds(31), absl::Seconds(40)};
 
 // The service falls silent at any moment of a call's life, for five seconds,
 // and the operator changes the configuration just after. Three seconds later
--- a/src/gentianctl/main.cc
+++ b/src/gentianctl/main.cc
@@ -7,6 +7,7 @@
 #include "gentianctl/check.h"
 #include "gentianctl/command.h"
 #include "gentianctl/deployment_file.h"
+#include "gentianctl/explain.h"
 #include "gentianctl/look.h"
 #include "replay/command.h"
 
@@ -24,6 +25,7 @@
   gentianlb::ctl::AddShow(app, action);
   gentianlb::ctl::AddStatus(app, action);
   gentianlb::ctl::AddTimeline(app, action);
+  gentianlb::ctl::AddExplain(app, action);
 }
 
 }  // namespace
