Windows of plain services grow again; a dispatcher learns from requests that another granted

Cause: calls of a plain service show nothing before their end, and the window was compared with what still ran after it: once cut, it never seemed full. Ruled out: failures in a row (lookups fail in 14 of 100, three in a row seldom), the load that answers tell, slow calls. Change: what ran when the answer came, itself included. Test: AWindowOfAPlainServiceGrowsAgain, fails before (window 1 of 6).

--- a/src/schedule/answers.cc
+++ b/src/schedule/answers.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "schedule/grant.h"
 #include "schedule/intake.h"
 #include "schedule/work.h"
 
@@ -19,10 +20,12 @@
 }
 
 // Good or slow, by one answer and by what the server's answers are together.
-void Judge(State& state, Server& server, bool slow) {
+// `running` is what ran there when the answer came, itself included: counted
+// without it, a window of a plain service, whose calls show nothing before
+// their end, never seems full and never grows again.
+void Judge(State& state, Server& server, int running, bool slow) {
   if (slow || server.pace.straggling()) return CutWindow(state, server);
-  const bool full = server.running() >= server.window.streams();
-  server.window.Good(state.now, full);
+  server.window.Good(state.now, running >= server.window.streams());
 }
 
 // Between the two expectations, it is the cache that was misjudged, not the
@@ -48,7 +51,7 @@
   server.FirstToken(running.demand, state.now);
   state.power.FirstToken(running.server, running.cancelled.has_value());
   state.running.SetFirstToken(index);
-  Judge(state, server, slow);
+  Judge(state, server, server.running(), slow);
 }
 
 void MoreTokens(State& state, RunIndex index, int tokens) {
@@ -58,7 +61,7 @@
   if (more <= 0) return;  // Overtaken on the way.
   const double seconds = absl::ToDoubleSeconds(state.now - running.reported);
   server.pace.AddTokens(seconds / more, server.running());
-  Judge(state, server, /*slow=*/false);
+  Judge(state, server, server.running(), /*slow=*/false);
 }
 
 // An answer that outgrows its estimate needs more memory than was reserved.
@@ -94,14 +97,14 @@
   if (running.demand.plain) {
     if (running.taken_over) return;
     server.pace.AddCall(absl::ToDoubleSeconds(state.now - running.granted));
-    return Judge(state, server, /*slow=*/false);
+    return Judge(state, server, server.running() + 1, /*slow=*/false);
   }
   // The last stretch of the stream, or all of it where reports are few.
   const int more = event.output_tokens - running.output_tokens;
   if (running.first_token && more > 0) {
     const double seconds = absl::ToDoubleSeconds(state.now - running.reported);
     server.pace.AddTokens(seconds / more, server.running() + 1);
-    Judge(state, server, /*slow=*/false);
+    Judge(state, server, server.running() + 1, /*slow=*/false);
   }
   state.estimator.Learn(origin.request, origin.workspace, event.output_tokens);
   // Engines that don't report cached tokens say 0: nothing to learn from.
@@ -155,19 +158,21 @@
   if (pool == kNoIndex) return;
   const WorkspaceIndex workspace = state.limits.Number(request.workspace);
 
-  Running running;
-  running.origin = Describe(state, request, workspace, pool);
-  running.server = server;
-  running.demand.plain = request.model.empty();
-  running.demand.output_tokens = running.origin.output.median;
-  running.demand.kv_tokens = request.prompt_tokens + running.origin.output.high;
+  Waiting origin = Describe(state, request, workspace, pool);
+  const double cached = std::min<double>(
+      request.prompt_tokens,
+      state.cache.Find(origin.marks).CachedTokens(server, state.now));
+  Demand demand;
+  demand.plain = request.model.empty();
+  demand.output_tokens = origin.output.median;
+  demand.kv_tokens = request.prompt_tokens + origin.output.high;
+  demand.prefill_tokens =
+      event.just_sent ? request.prompt_tokens - cached : request.prompt_tokens;
+  Running running = BeginOn(state, std::move(origin), server, demand, cached);
   running.first_token = event.output_tokens > 0;
-  running.demand.prefill_tokens = request.prompt_tokens;
   running.output_tokens = event.output_tokens;
-  running.granted = state.now;
-  running.reported = state.now;
-  running.overdue = absl::InfiniteFuture();
-  running.taken_over = true;
+  running.taken_over = !event.just_sent;
+  if (running.taken_over) running.overdue = absl::InfiniteFuture();
 
   Server& target = state.fleet.at(server);
   target.Begin(running.demand, state.now);
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -172,6 +172,15 @@
 double Dispatcher::worst_watts() const { return state_->power.watts(); }
 double Dispatcher::share_watts() const { return state_->power.share(); }
 
+int Dispatcher::FreeStreams() const {
+  int free = 0;
+  for (ServerIndex i = 0; i < state_->fleet.size(); ++i) {
+    const Server& server = state_->fleet.at(i);
+    if (server.Open(state_->now)) free += server.FreeStreams(state_->now);
+  }
+  return free;
+}
+
 std::size_t Dispatcher::waiting() const { return state_->queue.size(); }
 std::size_t Dispatcher::running() const { return state_->running.size(); }
 
--- a/src/schedule/dispatcher.h
+++ b/src/schedule/dispatcher.h
@@ -43,6 +43,9 @@
   double worst_watts() const;
   double share_watts() const;
 
+  // Streams that may still begin on all servers together.
+  int FreeStreams() const;
+
   std::size_t waiting() const;
   std::size_t running() const;
 
--- a/src/schedule/dispatcher_test.cc
+++ b/src/schedule/dispatcher_test.cc
@@ -368,6 +368,45 @@
   BOOST_TEST(used.size() == 1u);
 }
 
+// A plain service rejects some calls for want of room, and its windows are cut.
+// Later it answers everything at once, but calls show nothing before their end:
+// if its windows never grew again, callers would be refused for hours while the
+// server stands nearly idle.
+BOOST_AUTO_TEST_CASE(AWindowOfAPlainServiceGrowsAgain) {
+  Dispatcher dispatcher({});
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  ServerSpec spec;
+  spec.id = ServerId("plain");
+  spec.max_streams = 6;
+  std::vector<Decision> decisions;
+  int asked = 0;
+  // Asks for more than is granted; what was granted ends 30 ms later.
+  const auto play = [&](EndKind kind, int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      for (int j = 0; j < 8; ++j) {
+        Request request;
+        request.id = RequestId(std::to_string(asked++));
+        request.host = EntryHostId("host");
+        request.deadline = now + absl::Seconds(1);
+        dispatcher.Handle(RequestArrived{request}, now, &decisions);
+      }
+      now += absl::Milliseconds(30);
+      std::vector<Decision> before;
+      before.swap(decisions);
+      for (const Decision& decision : before) {
+        const auto* grant = std::get_if<Grant>(&decision);
+        if (grant == nullptr) continue;
+        dispatcher.Handle(RequestEnded{grant->id, kind, 0, 0}, now, &decisions);
+      }
+    }
+  };
+  dispatcher.Handle(ServersConfigured{{spec}}, now, &decisions);
+  play(EndKind::kShed, 40);
+  BOOST_TEST(dispatcher.window(ServerId("plain")) < 3);
+  play(EndKind::kComplete, 200);
+  BOOST_TEST(dispatcher.window(ServerId("plain")) == 6);
+}
+
 // A server is taken out of the configuration. What runs there ends, and nothing
 // new goes there.
 BOOST_AUTO_TEST_CASE(LeavingServerGetsNothingNew) {
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -226,10 +226,31 @@
                        waiting.request.prompt_tokens + waiting.output.median);
   state_.drains[waiting.pool].Granted(waiting.work, now);
 
+  Running running = BeginOn(state_, std::move(waiting), placement.server,
+                            demand, placement.cached_tokens);
+  const Waiting& origin = running.origin;
+  server.Begin(demand, now);
+  state_.power.Begin(placement.server, /*prefilling=*/true);
+  state_.cache.Granted(placement.server, origin.marks,
+                       demand.prefill_tokens + origin.output.median, now);
+  const schedule::Grant decision{origin.request.id, origin.request.host,
+                                 server.spec.id};
+  state_.running.Add(std::move(running));
+  state_.fleet.Reindex(placement.server, now);
+  ++state_.counters.granted;
+  Emit(state_, decision);
+}
+
+}  // namespace
+
+Running BeginOn(const State& state, Waiting waiting, ServerIndex index,
+                const Demand& demand, double cached_tokens) {
+  const Server& server = state.fleet.at(index);
+  const absl::Time now = state.now;
   Running running;
-  running.server = placement.server;
+  running.server = index;
   running.demand = demand;
-  running.cached_tokens = placement.cached_tokens;
+  running.cached_tokens = cached_tokens;
   running.expected_first =
       server.ExpectedFirstToken(demand.prefill_tokens, now);
   // A prefix that was evicted unseen must not look like a slow server.
@@ -248,22 +269,10 @@
           ? absl::InfiniteFuture()
           : now + absl::Seconds(kSilenceSeconds +
                                 kSilenceFactor * running.predicted_first);
-
-  server.Begin(demand, now);
-  state_.power.Begin(placement.server, /*prefilling=*/true);
-  state_.cache.Granted(placement.server, waiting.marks,
-                       demand.prefill_tokens + waiting.output.median, now);
-  const schedule::Grant decision{waiting.request.id, waiting.request.host,
-                                 server.spec.id};
   running.origin = std::move(waiting);
-  state_.running.Add(std::move(running));
-  state_.fleet.Reindex(placement.server, now);
-  ++state_.counters.granted;
-  Emit(state_, decision);
+  return running;
 }
 
-}  // namespace
-
 Reserves ReservesFor(const State& state, const Waiting& waiting) {
   Reserves reserves;
   const int rank = waiting.request.tier.rank;
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -124,6 +124,8 @@
   Request request;
   ServerId server;
   int output_tokens = 0;
+  // Another dispatcher has granted it just now: its times teach this one too.
+  bool just_sent = false;
 };
 
 // Tokens have come back so far; sent for the first token and then now and then.
