A workspace's limit is given by urgency, and back when nothing was sent

Hypothesis: a limit has no order, so that cheap kinds use it up while urgent ones are refused; and a request that is refused before it was sent has paid, so that its caller pays twice on coming back. Change: what is less urgent leaves a part of the limit's burst, in proportion to how much of the workspace's demand is more urgent (up to a half); tokens of what was not sent go back, and other hosts hear of it by a counter beside that of what was let through. Tests: UrgentRequestsHaveTheLimitFirst, WhatWasNotSentIsGivenBackEverywhere.

--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -24,14 +24,32 @@
   return asked.At(now) / absl::ToDoubleSeconds(kMemory);
 }
 
-void Demand::Asked(NameHash workspace, double tokens, absl::Time now) {
-  own_[workspace].asked.Add(tokens, now);
+void Demand::Asked(NameHash workspace, int rank, double tokens,
+                   absl::Time now) {
+  struct Own& own = own_[workspace];
+  own.asked.Add(tokens, now);
+  own.asked_by_rank.try_emplace(rank, Own::kMemory)
+      .first->second.Add(tokens, now);
+}
+
+double Demand::PartAbove(NameHash workspace, int rank, absl::Time now) const {
+  const auto own = own_.find(workspace);
+  if (own == own_.end()) return 0;
+  double above = 0;
+  for (const auto& [other, asked] : own->second.asked_by_rank) {
+    if (other < rank) above += asked.At(now);
+  }
+  return above / std::max(1.0, own->second.asked.At(now));
 }
 
 void Demand::LetThrough(NameHash workspace, double tokens) {
   own_[workspace].let_through += static_cast<std::uint64_t>(tokens);
 }
 
+void Demand::GivenBack(NameHash workspace, double tokens) {
+  own_[workspace].given_back += static_cast<std::uint64_t>(tokens);
+}
+
 std::vector<Spent> Demand::Heard(const PeerNews& news, absl::Time now) {
   Peer& peer = peers_[news.host];
   // Datagrams may overtake each other.
@@ -44,10 +62,13 @@
   for (const WorkspaceUse& use : news.workspaces) {
     WorkspaceUse& before = peer.uses[use.workspace];
     // Of a host that is heard for the first time, only what comes from now on.
-    const std::uint64_t more =
-        first ? 0
-              : use.let_through - std::min(use.let_through, before.let_through);
-    if (more > 0) spent.push_back({use.workspace, static_cast<double>(more)});
+    const auto more = [first](std::uint64_t now_told, std::uint64_t told) {
+      return first ? 0.0
+                   : static_cast<double>(now_told - std::min(now_told, told));
+    };
+    const double tokens = more(use.let_through, before.let_through) -
+                          more(use.given_back, before.given_back);
+    if (tokens != 0) spent.push_back({use.workspace, tokens});
     before = use;
   }
   peer.place = place;
@@ -71,7 +92,7 @@
     const auto agreed = agreed_.find(workspace);
     const double part = agreed == agreed_.end() ? 0 : agreed->second;
     uses.push_back({workspace, static_cast<float>(own.PerSecond(now)),
-                    own.let_through, static_cast<float>(part)});
+                    own.let_through, own.given_back, static_cast<float>(part)});
   }
   return uses;
 }
--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -18,6 +18,7 @@
 #define GENTIANLB_GATEWAY_DEMAND_H_
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -28,7 +29,8 @@
 
 namespace gentianlb::gateway {
 
-// Tokens that another host has let through since it was heard last.
+// Tokens that another host has let through since it was heard last; below 0
+// where it gave back more.
 struct Spent {
   NameHash workspace = 0;
   double tokens = 0;
@@ -38,9 +40,14 @@
 class Demand {
  public:
   // A caller of this host asks for `tokens`, whatever comes of it.
-  void Asked(NameHash workspace, double tokens, absl::Time now);
+  void Asked(NameHash workspace, int rank, double tokens, absl::Time now);
+  // The part of what callers of this host ask for in a workspace that is more
+  // urgent than `rank`.
+  double PartAbove(NameHash workspace, int rank, absl::Time now) const;
   // They were let through.
   void LetThrough(NameHash workspace, double tokens);
+  // Of these, what was not sent to any server after all.
+  void GivenBack(NameHash workspace, double tokens);
 
   std::vector<Spent> Heard(const PeerNews& news, absl::Time now);
 
@@ -74,7 +81,9 @@
     static constexpr absl::Duration kMemory = absl::Seconds(3);
 
     DecayingSum asked{kMemory};  // Tokens.
+    std::map<int, DecayingSum> asked_by_rank;
     std::uint64_t let_through = 0;
+    std::uint64_t given_back = 0;
     double PerSecond(absl::Time now) const;
   };
 
--- a/src/gateway/demand_test.cc
+++ b/src/gateway/demand_test.cc
@@ -60,8 +60,8 @@
   }
 
   bool Request(double tokens, absl::Time now) {
-    demand.Asked(workspace_name, tokens, now);
-    if (quotas.Take(workspace_name, tokens, now)) return false;
+    demand.Asked(workspace_name, /*rank=*/0, tokens, now);
+    if (quotas.Take(workspace_name, tokens, /*kept=*/0, now)) return false;
     demand.LetThrough(workspace_name, tokens);
     return true;
   }
@@ -239,6 +239,61 @@
   }
 }
 
+// A workspace asks for three times its limit, two thirds of it for a cheap kind
+// of the lowest tier. Taken as they come, two in three of the urgent requests
+// would be refused while the cheap ones use the limit up.
+BOOST_AUTO_TEST_CASE(UrgentRequestsHaveTheLimitFirst) {
+  Demand demand;
+  Quotas quotas(kTolerance);
+  absl::Time now = start;
+  quotas.Configure({Limited(kRate, kRate)}, now);
+  constexpr double kTokens = 3000;
+  int urgent_served = 0;
+  int cheap_served = 0;
+  int urgent_asked = 0;
+  const auto ask = [&](int rank) {
+    demand.Asked(workspace_name, rank, kTokens, now);
+    const double kept = 0.5 * demand.PartAbove(workspace_name, rank, now);
+    return !quotas.Take(workspace_name, kTokens, kept, now).has_value();
+  };
+  for (int i = 0; i < 2000; ++i) {
+    now += absl::Seconds(kTokens / kRate);
+    // Nine tenths of the limit, and twice the limit.
+    const bool urgent = i % 10 != 0;
+    urgent_asked += urgent ? 1 : 0;
+    for (int j = 0; j < 2; ++j) cheap_served += ask(/*rank=*/2) ? 1 : 0;
+    if (urgent) urgent_served += ask(/*rank=*/0) ? 1 : 0;
+  }
+  BOOST_TEST(urgent_served > 0.95 * urgent_asked);
+  BOOST_TEST(cheap_served > 0);  // What is left of the limit.
+  BOOST_TEST(urgent_served + cheap_served < 2000 * 1.1);
+}
+
+// A request is refused before it was sent anywhere. Its tokens go back, here
+// and at the other hosts; a caller who comes back would pay twice.
+BOOST_AUTO_TEST_CASE(WhatWasNotSentIsGivenBackEverywhere) {
+  Demand demand;
+  PeerNews news;
+  news.host = "h";
+  news.incarnation = 5;
+  news.sequence = 1;
+  news.workspaces = {{workspace_name, 0, 1000, 0}};
+  demand.Heard(news, start);
+  news.sequence = 2;
+  news.workspaces = {{workspace_name, 0, 1500, 200}};
+  BOOST_TEST(demand.Heard(news, start).front().tokens == 300);
+  news.sequence = 3;
+  news.workspaces = {{workspace_name, 0, 1500, 500}};
+  BOOST_TEST(demand.Heard(news, start).front().tokens == -300);
+
+  Quotas quotas(0);
+  quotas.Configure({Limited(1000, 1000)}, start);
+  BOOST_TEST(!quotas.Take(workspace_name, 5000, 0, start).has_value());
+  BOOST_TEST(quotas.Take(workspace_name, 100, 0, start).has_value());
+  quotas.GiveBack(workspace_name, 5000, start);
+  BOOST_TEST(!quotas.Take(workspace_name, 100, 0, start).has_value());
+}
+
 // A host that is heard for the first time has let through much before; that is
 // not spent again. After its restart everything it tells is new.
 BOOST_AUTO_TEST_CASE(OnlyWhatIsNewIsSpent) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -46,6 +46,8 @@
   absl::Time deadline;  // The caller's or the route's, whichever is sooner.
   TimerId deadline_timer = 0;
 
+  double tokens_taken = 0;  // Of its workspace's limit, until it is sent.
+
   Attempt attempt;
   int sendings = 0;           // Sent to a server, whatever came of it.
   int sheds = 0;              // Of them, certainly not run.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -18,6 +18,13 @@
 // rest is for the way back and for what predictions miss.
 constexpr double kObjectivePart = 0.9;
 
+// Of what a workspace may use at once, the part that is kept for more urgent
+// requests when all that it asks for is more urgent; else in proportion. A
+// limit has no order of its own: under it cheap and long kinds would be let in
+// as they come while urgent ones are refused. Half is more than a second of a
+// workspace's usual use.
+constexpr double kKeptForUrgent = 0.5;
+
 // The status of a refusal. One that says the request was not run, and may be
 // sent again, is 503 or 429; that it may have run is 502 or 504.
 int StatusOf(const Error& error) {
@@ -172,18 +179,32 @@
   return std::nullopt;
 }
 
-std::optional<absl::Duration> Forwarder::TakeQuota(const Exchange& exchange) {
+std::optional<absl::Duration> Forwarder::TakeQuota(Exchange& exchange) {
   if (exchange.workspace == nullptr) return std::nullopt;
   const auto& prompt = exchange.request->prompt;
   const int tokens = prompt ? prompt->prompt_tokens + prompt->max_output_tokens
                             : exchange.workspace->quota.tokens_without_count;
   const NameHash workspace = HashName(exchange.workspace->id.str());
-  demand_->Asked(workspace, tokens, clock_());
-  const auto wait = quotas_.Take(workspace, tokens, clock_());
-  if (!wait) demand_->LetThrough(workspace, tokens);
+  demand_->Asked(workspace, exchange.tier.rank, tokens, clock_());
+  const double kept =
+      kKeptForUrgent *
+      demand_->PartAbove(workspace, exchange.tier.rank, clock_());
+  const auto wait = quotas_.Take(workspace, tokens, kept, clock_());
+  if (!wait) {
+    demand_->LetThrough(workspace, tokens);
+    exchange.tokens_taken = tokens;
+  }
   return wait;
 }
 
+void Forwarder::GiveBackQuota(Exchange& exchange) {
+  if (exchange.tokens_taken <= 0) return;
+  const NameHash workspace = HashName(exchange.workspace->id.str());
+  quotas_.GiveBack(workspace, exchange.tokens_taken, clock_());
+  demand_->GivenBack(workspace, exchange.tokens_taken);
+  exchange.tokens_taken = 0;
+}
+
 schedule::Request Forwarder::Describe(const Exchange& exchange,
                                       const ServerId& avoid) const {
   schedule::Request described;
@@ -271,8 +292,9 @@
   if (exchange == nullptr) return;
   const ServerEntry* server =
       QueueOf(exchange->service->id).FindServer(grant.server);
-  if (server == nullptr) {
-    // It left between the decision and now.
+  if (server == nullptr || server->draining) {
+    // It left between the decision and now, or the dispatcher, on another host,
+    // has not heard of it. A server that is about to stop would cut the answer.
     return Tell(exchange->service->id,
                 schedule::RequestEnded{grant.id, EndKind::kNotSent, 0, 0});
   }
@@ -435,6 +457,7 @@
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   timers_->Cancel(found->second->deadline_timer);
+  GiveBackQuota(*found->second);
   exchanges_.erase(found);
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -94,7 +94,9 @@
  private:
   // The verdict on a request before it is queued; none when it may go on.
   std::optional<Error> Check(const Exchange& exchange) const;
-  std::optional<absl::Duration> TakeQuota(const Exchange& exchange);
+  std::optional<absl::Duration> TakeQuota(Exchange& exchange);
+  // What was taken for a request that was not sent.
+  void GiveBackQuota(Exchange& exchange);
 
   // Hands the request to the dispatcher, again after a failed sending.
   void Enqueue(Exchange& exchange, const ServerId& avoid);
--- a/src/gateway/forwarder_sending.cc
+++ b/src/gateway/forwarder_sending.cc
@@ -32,6 +32,7 @@
 void Forwarder::Send(Exchange& exchange, const ServerEntry& server) {
   const absl::Time now = clock_();
   ++exchange.sendings;
+  exchange.tokens_taken = 0;  // From now on they are used.
   exchange.attempt.server = server;
   LOG(INFO) << "event=sent request=" << exchange.request->id
             << " server=" << server.id
--- a/src/gateway/peer_news.cc
+++ b/src/gateway/peer_news.cc
@@ -30,7 +30,8 @@
     writer(use.server, use.running, use.alone, use.prefill, use.decode);
   });
   WriteList(writer, news.workspaces, [&](const WorkspaceUse& use) {
-    writer(use.workspace, use.tokens_per_second, use.let_through, use.part);
+    writer(use.workspace, use.tokens_per_second, use.let_through,
+           use.given_back, use.part);
   });
   WriteList(writer, news.tables, [&](const TableNews& table) {
     writer(table.table, table.newest_change, table.up);
@@ -54,7 +55,8 @@
       reader(use.server, use.running, use.alone, use.prefill, use.decode);
     });
     ReadList(reader, &news.workspaces, [&](WorkspaceUse& use) {
-      reader(use.workspace, use.tokens_per_second, use.let_through, use.part);
+      reader(use.workspace, use.tokens_per_second, use.let_through,
+             use.given_back, use.part);
     });
     ReadList(reader, &news.tables, [&](TableNews& table) {
       reader(table.table, table.newest_change, table.up);
--- a/src/gateway/peer_news.h
+++ b/src/gateway/peer_news.h
@@ -33,6 +33,7 @@
   NameHash workspace = 0;
   float tokens_per_second = 0;    // Asked of the sender, served or not.
   std::uint64_t let_through = 0;  // Tokens, since the sender's start.
+  std::uint64_t given_back = 0;   // Of them, for requests that were not sent.
   float part = 0;  // Of the limit, that the sender keeps to; 0: not known.
   auto operator<=>(const WorkspaceUse&) const = default;
 };
--- a/src/gateway/peer_news_test.cc
+++ b/src/gateway/peer_news_test.cc
@@ -14,7 +14,7 @@
   news.incarnation = 1'700'000'000'000'000;
   news.sequence = 9;
   news.servers = {{HashName("s"), 14, 3, 0.5F, 2.5F}, {HashName("t"), 2}};
-  news.workspaces = {{HashName("w"), 1234.5F, 99}};
+  news.workspaces = {{HashName("w"), 1234.5F, 99, 7, 0.5F}};
   news.tables = {{HashName("t"), 77, true}};
   return news;
 }
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -63,12 +63,18 @@
                          AtOnce(bucket->quota) * bucket->part, now);
 }
 
+void Quotas::GiveBack(NameHash workspace, double tokens, absl::Time now) {
+  Spend(workspace, -tokens, now);
+}
+
 std::optional<absl::Duration> Quotas::Take(NameHash workspace, double tokens,
-                                           absl::Time now) {
+                                           double kept, absl::Time now) {
   const auto found = buckets_.find(workspace);
   if (found == buckets_.end()) return std::nullopt;
   schedule::TokenBucket& bucket = found->second.tokens;
-  if (bucket.Empty(now)) return bucket.UntilFilled();
+  const double left = kept * AtOnce(found->second.quota) * found->second.part;
+  const bool empty = bucket.Empty(now);
+  if (empty || bucket.level() <= left) return bucket.UntilFilled(left);
   bucket.Take(tokens);
   return std::nullopt;
 }
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -37,11 +37,15 @@
   // Those that have a limit.
   std::vector<NameHash> Limited() const;
 
-  // Takes `tokens`. When the limit is used up nothing is taken, and the answer
-  // is how long until there is some again. One request may overdraw it, or one
-  // larger than it holds could never run.
+  // Takes `tokens`, but leaves the part `kept` of what may be let through at
+  // once. When there is no more than that nothing is taken, and the answer is
+  // how long until there is. One request may overdraw the limit, or one larger
+  // than it holds could never run.
   std::optional<absl::Duration> Take(NameHash workspace, double tokens,
-                                     absl::Time now);
+                                     double kept, absl::Time now);
+
+  // What was taken is not used after all.
+  void GiveBack(NameHash workspace, double tokens, absl::Time now);
 
  private:
   struct Bucket {
