Of requests with an objective, the shortest come first

Hypothesis: under overload not all can be in time; answers' lengths differ fiftyfold (half of the summaries put out fewer than 17 tokens, the mean is 52), and a few long ones use most of the streams. In order of slack as many long ones are served as short ones. Change: inside a workspace's line a request's place is its age less ten times its expected service time, where an objective bounds the wait; by slack elsewhere.

--- a/src/schedule/dispatcher_test.cc
+++ b/src/schedule/dispatcher_test.cc
@@ -407,6 +407,39 @@
   BOOST_TEST(dispatcher.window(ServerId("plain")) == 6);
 }
 
+// More is asked for than all streams give, and one answer in five is fifty
+// times as long as the others. In order of arrival the long ones would hold
+// nearly all streams, and most callers of short ones would be refused when
+// their objective has passed.
+BOOST_AUTO_TEST_CASE(UnderOverloadTheShortestAreInTimeFirst) {
+  const auto play = [](int gap_ms) {
+    FakeSite site;
+    site.AddServers(2);
+    for (int i = 0; i < 600; ++i) {
+      const bool is_long = i % 5 == 0;
+      Request request = site.Make(is_long ? "draft" : "note", 0,
+                                  absl::Minutes(5), 100, is_long ? 500 : 10);
+      request.workspace = WorkspaceId("one");
+      request.expected_output_tokens = is_long ? 500 : 10;
+      request.first_token_due = site.now + absl::Seconds(2);
+      site.requests[request.id].workspace =
+          WorkspaceId(is_long ? "draft" : "note");
+      site.Tell(RequestArrived{request});
+      site.Run(absl::Milliseconds(gap_ms));
+    }
+    site.Run(absl::Minutes(2));
+    return std::pair(site.InTime("note"), site.InTime("draft"));
+  };
+  // Four times what the streams give.
+  const auto [notes, drafts] = play(50);
+  BOOST_TEST(notes >= 0.9 * 480);
+  BOOST_TEST(drafts > 0);  // What the short ones leave.
+  // Two thirds of it: all are served.
+  const auto [calm_notes, calm_drafts] = play(300);
+  BOOST_TEST(calm_notes == 480);
+  BOOST_TEST(calm_drafts == 120);
+}
+
 // A server is taken out of the configuration. What runs there ends, and nothing
 // new goes there.
 BOOST_AUTO_TEST_CASE(LeavingServerGetsNothingNew) {
--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -59,14 +59,27 @@
   return due - absl::Seconds(BestServiceSeconds(state, waiting, /*output=*/0));
 }
 
+// Where an objective of the first token bounds the wait, the shortest come
+// first: when not all can be in time, the most are. Answers' lengths differ
+// fiftyfold, and a few long ones would use most of the streams. None waits for
+// long, as all are out or refused within their objective. Without one, by
+// slack: a long one's turn comes as its own runs out.
+absl::Time PlaceInLine(const Waiting& waiting, absl::Duration usual_service) {
+  // The age of those that wait is then worth little against their length.
+  constexpr double kLengthWeight = 10;
+  if (waiting.request.first_token_due == absl::InfiniteFuture()) {
+    return waiting.latest_start;
+  }
+  return waiting.since + kLengthWeight * usual_service;
+}
+
 // How long until the turn of `waiting` comes, counting only what the order puts
 // ahead of it.
 double WaitSeconds(const State& state, const Waiting& waiting) {
   const LaneKey lane{waiting.request.tier, waiting.pool};
-  const double ahead =
-      state.queue.WorkAbove(lane.tier, lane.pool) +
-      state.queue.WorkAhead(lane, waiting.workspace, waiting.weight,
-                            waiting.latest_start);
+  const double ahead = state.queue.WorkAbove(lane.tier, lane.pool) +
+                       state.queue.WorkAhead(lane, waiting.workspace,
+                                             waiting.weight, waiting.order_at);
   return ahead <= 0 ? 0 : ahead / DrainPerSecond(state, waiting.pool);
 }
 
@@ -194,6 +207,7 @@
   waiting.urgent_at =
       last_usual_start - std::max(kUrgentBefore, kUrgentPart * usual);
   waiting.since = state.now;
+  waiting.order_at = PlaceInLine(waiting, usual);
   return waiting;
 }
 
--- a/src/schedule/order.cc
+++ b/src/schedule/order.cc
@@ -16,7 +16,13 @@
 
 }  // namespace
 
-WaitingQueue::Key WaitingQueue::KeyOf(const Waiting& waiting, WaitIndex index) {
+WaitingQueue::Key WaitingQueue::PlaceOf(const Waiting& waiting,
+                                        WaitIndex index) {
+  return {waiting.order_at, waiting.sequence, index};
+}
+
+WaitingQueue::Key WaitingQueue::ExpiryOf(const Waiting& waiting,
+                                         WaitIndex index) {
   return {waiting.latest_start, waiting.sequence, index};
 }
 
@@ -34,9 +40,9 @@
     flow.weight = added.weight;
     Activate(&lane, workspace, &flow);
   }
-  (added.is_long ? flow.longs : flow.shorts).insert(KeyOf(added, index));
+  (added.is_long ? flow.longs : flow.shorts).insert(PlaceOf(added, index));
   AddWork(&lane, workspace, &flow, added.work);
-  expiry_.insert(KeyOf(added, index));
+  expiry_.insert(ExpiryOf(added, index));
   return index;
 }
 
@@ -47,8 +53,8 @@
   Flow& flow = lane.flows[leaving.workspace];
   --pool_sizes_[key.pool];
   --lane.size;
-  expiry_.erase(KeyOf(leaving, index));
-  (leaving.is_long ? flow.longs : flow.shorts).erase(KeyOf(leaving, index));
+  expiry_.erase(ExpiryOf(leaving, index));
+  (leaving.is_long ? flow.longs : flow.shorts).erase(PlaceOf(leaving, index));
   AddWork(&lane, leaving.workspace, &flow, -leaving.work);
   if (flow.empty()) Rest(&lane, leaving.workspace, &flow);
   return waiting_.Remove(index);
@@ -213,7 +219,7 @@
 }
 
 double WaitingQueue::WorkAhead(const LaneKey& key, WorkspaceIndex workspace,
-                               double weight, absl::Time latest_start) const {
+                               double weight, absl::Time order_at) const {
   const auto found = lanes_.find(key);
   if (found == lanes_.end()) return 0;
   const Lane& lane = found->second;
@@ -223,11 +229,11 @@
   const Line& longest =
       flow.shorts.size() > flow.longs.size() ? flow.shorts : flow.longs;
   // The line's own spread tells how much of it goes first.
-  const absl::Time first = longest.begin()->latest_start;
-  const absl::Time last = longest.rbegin()->latest_start;
-  double part = latest_start < first ? 0 : 1;
-  if (latest_start >= first && latest_start < last) {
-    part = absl::FDivDuration(latest_start - first, last - first);
+  const absl::Time first = longest.begin()->at;
+  const absl::Time last = longest.rbegin()->at;
+  double part = order_at < first ? 0 : 1;
+  if (order_at >= first && order_at < last) {
+    part = absl::FDivDuration(order_at - first, last - first);
   }
   const double share = weight / std::max(weight, lane.active_weight);
   return std::min(lane.work, flow.work * part / share);
@@ -235,7 +241,7 @@
 
 absl::Time WaitingQueue::FirstExpiry() const {
   if (expiry_.empty()) return absl::InfiniteFuture();
-  return expiry_.begin()->latest_start;
+  return expiry_.begin()->at;
 }
 
 bool WaitingQueue::InHeads(WaitIndex index) const {
--- a/src/schedule/order.h
+++ b/src/schedule/order.h
@@ -48,6 +48,7 @@
   bool is_long = false;
   absl::Duration best_service;  // Fastest server, alone, a short answer.
   absl::Time latest_start;      // Later, no server makes the deadline.
+  absl::Time order_at;          // Its place among those of its workspace.
   absl::Time urgent_at;         // From here on it may preempt.
   absl::Time since;             // When it came into the queue.
   std::uint64_t sequence = 0;   // Of arrival.
@@ -105,10 +106,10 @@
   // How many wait for a pool, in all tiers.
   int PoolSize(PoolIndex pool) const { return pool_sizes_[pool]; }
 
-  // Work in the lane that is served before a new request of `workspace` with
-  // `latest_start`, if all workspaces go on waiting.
+  // Work in the lane that is served before a new request of `workspace` whose
+  // place is `order_at`, if all workspaces go on waiting.
   double WorkAhead(const LaneKey& key, WorkspaceIndex workspace, double weight,
-                   absl::Time latest_start) const;
+                   absl::Time order_at) const;
 
   // The first that no server can finish in time any more.
   absl::Time FirstExpiry() const;
@@ -122,13 +123,12 @@
 
  private:
   struct Key {
-    absl::Time latest_start;
+    absl::Time at;
     std::uint64_t sequence = 0;
     WaitIndex index = kNoIndex;
     bool operator==(const Key&) const = default;
     bool operator<(const Key& other) const {
-      return std::tie(latest_start, sequence) <
-             std::tie(other.latest_start, other.sequence);
+      return std::tie(at, sequence) < std::tie(other.at, other.sequence);
     }
   };
   using Line = absl::btree_set<Key>;
@@ -154,7 +154,8 @@
     absl::btree_set<std::pair<double, WorkspaceIndex>> resting;  // By tag.
   };
 
-  static Key KeyOf(const Waiting& waiting, WaitIndex index);
+  static Key PlaceOf(const Waiting& waiting, WaitIndex index);
+  static Key ExpiryOf(const Waiting& waiting, WaitIndex index);
   static void Activate(Lane* lane, WorkspaceIndex workspace, Flow* flow);
   static void Rest(Lane* lane, WorkspaceIndex workspace, Flow* flow);
   static void MoveTag(Lane* lane, WorkspaceIndex workspace, Flow* flow,
--- a/src/schedule/order_test.cc
+++ b/src/schedule/order_test.cc
@@ -15,6 +15,7 @@
     waiting.work = work;
     waiting.is_long = is_long;
     waiting.latest_start = absl::FromUnixSeconds(start);
+    waiting.order_at = waiting.latest_start;
     waiting.sequence = sequence_++;
     return queue.Add(std::move(waiting));
   }
