Small requests leave little of a limit to urgent ones

Change: what has to be left is less in proportion to how much smaller the request is than the more urgent ones. Test: SmallRequestsLeaveLittleOfTheLimit.

--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -28,18 +28,24 @@
                    absl::Time now) {
   struct Own& own = own_[workspace];
   own.asked.Add(tokens, now);
-  own.asked_by_rank.try_emplace(rank, Own::kMemory)
-      .first->second.Add(tokens, now);
+  own.by_rank[rank].tokens.Add(tokens, now);
+  own.by_rank[rank].requests.Add(1, now);
 }
 
-double Demand::PartAbove(NameHash workspace, int rank, absl::Time now) const {
+double Demand::PartAbove(NameHash workspace, int rank, double tokens,
+                         absl::Time now) const {
   const auto own = own_.find(workspace);
   if (own == own_.end()) return 0;
   double above = 0;
-  for (const auto& [other, asked] : own->second.asked_by_rank) {
-    if (other < rank) above += asked.At(now);
+  double requests = 0;
+  for (const auto& [other, asked] : own->second.by_rank) {
+    if (other >= rank) break;
+    above += asked.tokens.At(now);
+    requests += asked.requests.At(now);
   }
-  return above / std::max(1.0, own->second.asked.At(now));
+  if (above <= 0) return 0;
+  const double size = std::min(1.0, tokens * requests / above);
+  return size * above / std::max(1.0, own->second.asked.At(now));
 }
 
 void Demand::LetThrough(NameHash workspace, double tokens) {
--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -41,9 +41,13 @@
  public:
   // A caller of this host asks for `tokens`, whatever comes of it.
   void Asked(NameHash workspace, int rank, double tokens, absl::Time now);
-  // The part of what callers of this host ask for in a workspace that is more
-  // urgent than `rank`.
-  double PartAbove(NameHash workspace, int rank, absl::Time now) const;
+  // How much of a workspace's limit a request of `rank` and `tokens` has to
+  // leave, as a part of 1: the part of what callers of this host ask for that
+  // is more urgent, and less in proportion where the request is smaller than
+  // those are. A small one takes little from them, and hundreds of small ones
+  // would be refused for one large.
+  double PartAbove(NameHash workspace, int rank, double tokens,
+                   absl::Time now) const;
   // They were let through.
   void LetThrough(NameHash workspace, double tokens);
   // Of these, what was not sent to any server after all.
@@ -81,7 +85,11 @@
     static constexpr absl::Duration kMemory = absl::Seconds(3);
 
     DecayingSum asked{kMemory};  // Tokens.
-    std::map<int, DecayingSum> asked_by_rank;
+    struct OfRank {
+      DecayingSum tokens{kMemory};
+      DecayingSum requests{kMemory};
+    };
+    std::map<int, OfRank> by_rank;
     std::uint64_t let_through = 0;
     std::uint64_t given_back = 0;
     double PerSecond(absl::Time now) const;
--- a/src/gateway/demand_test.cc
+++ b/src/gateway/demand_test.cc
@@ -253,7 +253,8 @@
   int urgent_asked = 0;
   const auto ask = [&](int rank) {
     demand.Asked(workspace_name, rank, kTokens, now);
-    const double kept = 0.5 * demand.PartAbove(workspace_name, rank, now);
+    const double kept =
+        0.5 * demand.PartAbove(workspace_name, rank, kTokens, now);
     return !quotas.Take(workspace_name, kTokens, kept, now).has_value();
   };
   for (int i = 0; i < 2000; ++i) {
@@ -269,6 +270,17 @@
   BOOST_TEST(urgent_served + cheap_served < 2000 * 1.1);
 }
 
+// Beside urgent requests of thousands of tokens a workspace sends calls of a
+// hundred. Refusing them would leave the urgent ones hardly any more.
+BOOST_AUTO_TEST_CASE(SmallRequestsLeaveLittleOfTheLimit) {
+  Demand demand;
+  for (int i = 0; i < 100; ++i) demand.Asked(workspace_name, 0, 4000, start);
+  demand.Asked(workspace_name, 2, 100, start);
+  BOOST_TEST(demand.PartAbove(workspace_name, 2, 100, start) < 0.03);
+  BOOST_TEST(demand.PartAbove(workspace_name, 2, 4000, start) > 0.9);
+  BOOST_TEST(demand.PartAbove(workspace_name, 0, 4000, start) == 0);
+}
+
 // A request is refused before it was sent anywhere. Its tokens go back, here
 // and at the other hosts; a caller who comes back would pay twice.
 BOOST_AUTO_TEST_CASE(WhatWasNotSentIsGivenBackEverywhere) {
