--- a/src/gateway/group_link_test.cc
+++ b/src/gateway/group_link_test.cc
@@ -180,6 +180,7 @@
     // All streams are free again.
     BOOST_TEST(site.Granted("s0") + site.Granted("s1") == 0);
     std::vector<RequestId> last;
+    last.reserve(8);
     site.lost_percent = 0;
     site.slowest_ms = 1;
     for (int i = 0; i < 8; ++i) last.push_back(site.Ask("h1"));
--- a/src/gateway/group_site_test.h
+++ b/src/gateway/group_site_test.h
@@ -70,9 +70,9 @@
     };
     hooks.send = [this, name](const EntryHostId& to, std::string_view bytes) {
       if (hosts.at(name).frozen || Loses(name, to.str())) return;
-      flying.push_back({now + absl::Milliseconds(1 + random() % slowest_ms),
-                        to.str(), std::string(bytes)});
-      if (random() % 100 < doubled_percent) flying.push_back(flying.back());
+      flying_.push_back({now + absl::Milliseconds(1 + random() % slowest_ms),
+                         to.str(), std::string(bytes)});
+      if (random() % 100 < doubled_percent) flying_.push_back(flying_.back());
     };
     hooks.defer = [self](std::function<void()> closure) {
       self->deferred.push_back(std::move(closure));
@@ -123,7 +123,7 @@
       timers.Advance(now);
       Deliver();
       for (auto& [name, host] : hosts) RunDeferred(&host);
-      if ((now - kStart) % kNewsPeriod == absl::ZeroDuration()) TellNews();
+      if ((now - start) % kNewsPeriod == absl::ZeroDuration()) TellNews();
     }
   }
 
@@ -145,8 +145,8 @@
   }
 
   static constexpr absl::Duration kNewsPeriod = absl::Milliseconds(100);
-  const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
-  absl::Time now = kStart;
+  const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+  absl::Time now = start;
   TimerService timers;
   std::mt19937 random{1};
   unsigned slowest_ms = 1;
@@ -167,11 +167,11 @@
 
   void Deliver() {
     std::vector<Datagram> waiting;
-    waiting.swap(flying);
+    waiting.swap(flying_);
     for (Datagram& datagram : waiting) {
       Host& host = hosts.at(datagram.to);
       if (datagram.due > now || host.frozen) {
-        flying.push_back(std::move(datagram));
+        flying_.push_back(std::move(datagram));
       } else {
         host.link->Take(datagram.bytes);
       }
@@ -197,7 +197,7 @@
     }
   }
 
-  std::vector<Datagram> flying;
+  std::vector<Datagram> flying_;
 };
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/groups_test.cc
+++ b/src/gateway/groups_test.cc
@@ -9,7 +9,7 @@
 namespace gentianlb::gateway {
 namespace {
 
-const absl::Time kNow = absl::UnixEpoch() + absl::Hours(1);
+const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
 constexpr int kHosts = 8;
 
 EntryHostId Name(int number) {
@@ -20,9 +20,9 @@
 EntryHostId Choice(int self, const GroupKey& group, int unheard = -1) {
   GroupHosts hosts(Name(self), 1);
   for (int i = 0; i < kHosts; ++i) {
-    if (i != self && i != unheard) hosts.Heard(Name(i), false, 1, kNow);
+    if (i != self && i != unheard) hosts.Heard(Name(i), false, 1, now);
   }
-  return hosts.DispatcherOf(group, kNow);
+  return hosts.DispatcherOf(group, now);
 }
 
 BOOST_AUTO_TEST_CASE(AllHostsTakeTheSameForTheDispatcher) {
@@ -55,16 +55,16 @@
   for (int self = 0; self < kHosts; ++self) {
     if (Name(self) == first) continue;
     GroupHosts hosts(Name(self), 1);
-    hosts.Heard(first, false, 1, kNow);
-    BOOST_TEST(hosts.DispatcherOf(key, kNow) == first);
-    hosts.Silent(first, kNow);
-    BOOST_TEST(hosts.DispatcherOf(key, kNow) != first);
-    hosts.Heard(first, false, 1, kNow + absl::Seconds(2));
-    BOOST_TEST(hosts.DispatcherOf(key, kNow + absl::Seconds(2)) == first);
-    hosts.Heard(first, true, 1, kNow + absl::Seconds(2));
-    BOOST_TEST(hosts.DispatcherOf(key, kNow + absl::Seconds(2)) != first);
-    hosts.Heard(first, false, 1, kNow + absl::Seconds(3));
-    BOOST_TEST(hosts.DispatcherOf(key, kNow + absl::Seconds(5)) != first);
+    hosts.Heard(first, false, 1, now);
+    BOOST_TEST(hosts.DispatcherOf(key, now) == first);
+    hosts.Silent(first, now);
+    BOOST_TEST(hosts.DispatcherOf(key, now) != first);
+    hosts.Heard(first, false, 1, now + absl::Seconds(2));
+    BOOST_TEST(hosts.DispatcherOf(key, now + absl::Seconds(2)) == first);
+    hosts.Heard(first, true, 1, now + absl::Seconds(2));
+    BOOST_TEST(hosts.DispatcherOf(key, now + absl::Seconds(2)) != first);
+    hosts.Heard(first, false, 1, now + absl::Seconds(3));
+    BOOST_TEST(hosts.DispatcherOf(key, now + absl::Seconds(5)) != first);
   }
 }
 
@@ -74,11 +74,11 @@
   for (std::uint16_t group = 0; group < 16; ++group) {
     const GroupKey key{HashName("service"), group};
     GroupHosts hosts(Name(0), 0.12);
-    BOOST_TEST(hosts.DispatcherOf(key, kNow) == Name(0));
-    hosts.Heard(Name(1), false, 0.5, kNow);
-    hosts.Heard(Name(2), false, 0.4, kNow);
-    hosts.Heard(Name(3), false, 0.25, kNow);
-    const EntryHostId chosen = hosts.DispatcherOf(key, kNow);
+    BOOST_TEST(hosts.DispatcherOf(key, now) == Name(0));
+    hosts.Heard(Name(1), false, 0.5, now);
+    hosts.Heard(Name(2), false, 0.4, now);
+    hosts.Heard(Name(3), false, 0.25, now);
+    const EntryHostId chosen = hosts.DispatcherOf(key, now);
     BOOST_TEST((chosen == Name(1) || chosen == Name(2)));
   }
 }
@@ -102,9 +102,9 @@
   request.model = ModelId("m");
   request.avoid = ServerId("s");
   request.tier = Tier{18};
-  request.arrival = kNow - absl::Milliseconds(5);
-  request.deadline = kNow + absl::Seconds(5);
-  request.first_token_due = kNow + absl::Milliseconds(360);
+  request.arrival = now - absl::Milliseconds(5);
+  request.deadline = now + absl::Seconds(5);
+  request.first_token_due = now + absl::Milliseconds(360);
   request.prompt_tokens = 2890;
   request.max_output_tokens = 90;
   request.expected_output_tokens = 50;
@@ -136,8 +136,8 @@
 
 // Hosts' clocks differ: times travel as spans.
 BOOST_AUTO_TEST_CASE(MessagesComeBackAsTheyWere) {
-  const absl::Time there = kNow + absl::Hours(9);
-  const auto back = DecodeGroupMessage(Encode(Sample(), kNow), there);
+  const absl::Time there = now + absl::Hours(9);
+  const auto back = DecodeGroupMessage(Encode(Sample(), now), there);
   BOOST_REQUIRE(back.has_value());
   BOOST_TEST(back->from == Name(1));
   BOOST_REQUIRE(back->events.size() == 6u);
@@ -164,14 +164,14 @@
 // A datagram is cut on the way, or a stranger sends to the port. Nothing of it
 // may be believed, and a length in it must not be taken at its word.
 BOOST_AUTO_TEST_CASE(CutAndForeignMessagesAreNone) {
-  const std::string whole = Encode(Sample(), kNow);
+  const std::string whole = Encode(Sample(), now);
   for (std::size_t size = 0; size < whole.size(); ++size) {
-    BOOST_TEST(!DecodeGroupMessage(whole.substr(0, size), kNow).has_value());
+    BOOST_TEST(!DecodeGroupMessage(whole.substr(0, size), now).has_value());
   }
-  BOOST_TEST(!DecodeGroupMessage("GET / HTTP/1.1\r\n\r\n", kNow).has_value());
+  BOOST_TEST(!DecodeGroupMessage("GET / HTTP/1.1\r\n\r\n", now).has_value());
   std::string foreign = whole;
   for (std::size_t i = 10; i < foreign.size(); ++i) foreign[i] = '\xff';
-  BOOST_TEST(!DecodeGroupMessage(foreign, kNow).has_value());
+  BOOST_TEST(!DecodeGroupMessage(foreign, now).has_value());
 }
 
 }  // namespace
--- a/src/gateway/silent_table_test.cc
+++ b/src/gateway/silent_table_test.cc
@@ -17,7 +17,7 @@
 // As the adapter gives up a call about changes, or one that can't be connected.
 constexpr absl::Duration kMargin = absl::Seconds(1);
 constexpr absl::Duration kConnect = absl::Milliseconds(500);
-const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
 
 // One table with one row. While it is silent, calls that wait or arrive are
 // swallowed: their connections stay well, and no answer ever comes.
@@ -121,7 +121,7 @@
       now += kStep;
       timers.Advance(now);
       table.Step();
-      if ((now - kStart) % kNewsPeriod == absl::ZeroDuration()) Tell();
+      if ((now - start) % kNewsPeriod == absl::ZeroDuration()) Tell();
     }
   }
 
@@ -133,7 +133,7 @@
     return behind;
   }
 
-  absl::Time now = kStart;
+  absl::Time now = start;
   TimerService timers;
   SilentTable table{&now};
 
@@ -162,7 +162,7 @@
 
 // All that a call may be at: just made, in the middle of its wait, near its
 // end.
-const std::vector<absl::Duration> kMoments = {
+const std::vector<absl::Duration> moments = {
     absl::Seconds(3),  absl::Milliseconds(3350), absl::Milliseconds(3900),
     absl::Seconds(10), absl::Seconds(28),        absl::Milliseconds(29050),
     absl::Seconds(31), absl::Seconds(40)};
@@ -173,7 +173,7 @@
 // withdrawn.
 BOOST_AUTO_TEST_CASE(AllHostsKnowAChangeSoonAfterASilence) {
   for (const std::size_t count : {1u, 2u, 8u}) {
-    for (const absl::Duration moment : kMoments) {
+    for (const absl::Duration moment : moments) {
       Hosts hosts(count);
       hosts.Pass(moment);
       hosts.table.SetSilent(true);
@@ -190,7 +190,7 @@
 // One host is cut off, and the service falls silent before the cut ends: the
 // call that follows the cut is swallowed too.
 BOOST_AUTO_TEST_CASE(AHostThatWasCutOffKnowsItToo) {
-  for (const absl::Duration moment : kMoments) {
+  for (const absl::Duration moment : moments) {
     for (std::size_t cut = 0; cut < 3; ++cut) {
       Hosts hosts(3);
       hosts.Pass(moment);
