--- a/src/gateway/forwarder_sending.cc
+++ b/src/gateway/forwarder_sending.cc
@@ -91,7 +91,7 @@
       }
       if (groups_ != nullptr) {
         use.alone = static_cast<std::uint16_t>(
-            std::max(0, use.running - groups_->Granted(server.id)));
+            std::max(0, use.running - groups_->GrantedOn(server.id)));
       }
       if (const auto pace = queue.dispatcher().PaceOf(server.id)) {
         use.prefill = static_cast<float>(pace->prefill);
--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -53,8 +53,8 @@
 void GroupClient::SetStage(Open* open, Stage stage) {
   pending_ += static_cast<int>(stage != Stage::kRuns) -
               static_cast<int>(open->stage != Stage::kRuns);
-  if (open->stage == Stage::kRuns) --granted_[open->server];
-  if (stage == Stage::kRuns) ++granted_[open->server];
+  if (open->stage == Stage::kRuns) --granted_on_[open->server];
+  if (stage == Stage::kRuns) ++granted_on_[open->server];
   open->stage = stage;
 }
 
@@ -63,16 +63,16 @@
   if (found == open_.end()) return;
   const Open& open = found->second;
   if (open.stage == Stage::kRuns) {
-    --granted_[open.server];
+    --granted_on_[open.server];
   } else {
     --pending_;
   }
   open_.erase(found);
 }
 
-int GroupClient::Granted(const ServerId& server) const {
-  const auto found = granted_.find(server);
-  return found == granted_.end() ? 0 : found->second;
+int GroupClient::GrantedOn(const ServerId& server) const {
+  const auto found = granted_on_.find(server);
+  return found == granted_on_.end() ? 0 : found->second;
 }
 
 // The group with more room of two that the request's name picks: the power of
@@ -173,8 +173,8 @@
   rooms_[room.group] = room.streams;
 }
 
-void GroupClient::Granted(const EntryHostId& from, const schedule::Grant& grant,
-                          absl::Time now) {
+void GroupClient::TakeGrant(const EntryHostId& from,
+                            const schedule::Grant& grant) {
   const auto found = open_.find(grant.id);
   const bool known = found != open_.end() && found->second.dispatcher == from;
   if (known && found->second.stage == Stage::kRuns) return;  // Told twice.
@@ -195,24 +195,19 @@
   const ServiceId service = open.service;
   hooks_.tell_own(service, running);
   hooks_.decide(schedule::Grant{grant.id, self_, grant.server});
-  (void)now;
 }
 
-void GroupClient::Take(const EntryHostId& from, const GroupAnswer& answer,
-                       absl::Time now) {
-  Heard(from, now);
-  if (const auto* grant = std::get_if<schedule::Grant>(&answer)) {
-    return Granted(from, *grant, now);
-  }
-  if (const auto* waits = std::get_if<RequestWaits>(&answer)) {
-    const auto found = open_.find(waits->id);
-    const bool known = found != open_.end() &&
-                       found->second.dispatcher == from &&
-                       found->second.stage == Stage::kAsked;
-    if (known) SetStage(&found->second, Stage::kWaits);
-    return;
+void GroupClient::TakeWaits(const EntryHostId& from,
+                            const RequestWaits& waits) {
+  const auto found = open_.find(waits.id);
+  if (found == open_.end() || found->second.dispatcher != from) return;
+  if (found->second.stage == Stage::kAsked) {
+    SetStage(&found->second, Stage::kWaits);
   }
-  const auto& refusal = std::get<schedule::Refuse>(answer);
+}
+
+void GroupClient::TakeRefusal(const EntryHostId& from,
+                              const schedule::Refuse& refusal) {
   const auto found = open_.find(refusal.id);
   if (found == open_.end() || found->second.dispatcher != from) return;
   if (found->second.stage == Stage::kRuns) return;
@@ -220,6 +215,18 @@
   hooks_.decide(refusal);
 }
 
+void GroupClient::Take(const EntryHostId& from, const GroupAnswer& answer,
+                       absl::Time now) {
+  Heard(from, now);
+  if (const auto* grant = std::get_if<schedule::Grant>(&answer)) {
+    TakeGrant(from, *grant);
+  } else if (const auto* waits = std::get_if<RequestWaits>(&answer)) {
+    TakeWaits(from, *waits);
+  } else {
+    TakeRefusal(from, std::get<schedule::Refuse>(answer));
+  }
+}
+
 void GroupClient::TakeBack(const RequestId& id) {
   const Open open = open_.at(id);
   Erase(id);
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -62,7 +62,7 @@
   bool Pending() const { return pending_ > 0; }
 
   // How many of this host's requests on `server` a dispatcher has granted.
-  int Granted(const ServerId& server) const;
+  int GrantedOn(const ServerId& server) const;
 
  private:
   enum class Stage { kAsked, kWaits, kRuns };
@@ -87,8 +87,9 @@
            absl::Time now);
   void Send(const Open& open, GroupEvent event);
   bool Ended(const schedule::RequestEnded& event, absl::Time now);
-  void Granted(const EntryHostId& from, const schedule::Grant& grant,
-               absl::Time now);
+  void TakeGrant(const EntryHostId& from, const schedule::Grant& grant);
+  void TakeRefusal(const EntryHostId& from, const schedule::Refuse& refusal);
+  void TakeWaits(const EntryHostId& from, const RequestWaits& waits);
   void TakeBack(const RequestId& id);
   void TellOpen(absl::Time now);
   void MoveToNewDispatchers(absl::Time now);
@@ -101,7 +102,7 @@
   absl::flat_hash_map<ServiceId, ServiceGroups> services_;
   absl::flat_hash_map<ServerId, GroupKey> groups_of_;
   absl::flat_hash_map<RequestId, Open> open_;
-  absl::flat_hash_map<ServerId, int> granted_;
+  absl::flat_hash_map<ServerId, int> granted_on_;
   absl::flat_hash_map<EntryHostId, absl::Time> heard_;
   std::map<GroupKey, int> rooms_;  // As told last, less what was asked since.
   int pending_ = 0;
--- a/src/gateway/group_dispatchers.cc
+++ b/src/gateway/group_dispatchers.cc
@@ -100,8 +100,8 @@
   Answer(group, kept, decisions, now);
 }
 
-GroupDispatchers::Kept* GroupDispatchers::Find(const GroupKey& group,
-                                               absl::Time now) {
+GroupDispatchers::Kept* GroupDispatchers::FindOrBegin(const GroupKey& group,
+                                                      absl::Time now) {
   if (!services_.contains(group.service)) return nullptr;
   const auto [found, is_new] = kept_.try_emplace(group, options_);
   found->second.used = now;
@@ -116,7 +116,7 @@
 
 void GroupDispatchers::Take(const EntryHostId& from, const ToGroup& item,
                             absl::Time now) {
-  Kept* kept = Find(item.group, now);
+  Kept* kept = FindOrBegin(item.group, now);
   if (kept == nullptr) return;
   kept->heard[from] = now;
   if (const auto* open = std::get_if<OpenRequests>(&item.event)) {
@@ -146,7 +146,6 @@
   Handle(item.group, kept, event, now);
 }
 
-// `event` makes the request wait here; it may be granted or refused at once.
 void GroupDispatchers::Ask(const GroupKey& group, Kept* kept,
                            const RequestId& id, const EntryHostId& from,
                            const schedule::Event& event, absl::Time now) {
--- a/src/gateway/group_dispatchers.h
+++ b/src/gateway/group_dispatchers.h
@@ -65,8 +65,11 @@
     int groups = 1;
   };
 
-  Kept* Find(const GroupKey& group, absl::Time now);
+  // Begins to dispatch for the group if nothing was asked before; null when its
+  // service is not known.
+  Kept* FindOrBegin(const GroupKey& group, absl::Time now);
   void Configure(const GroupKey& group, Kept* kept, absl::Time now);
+  // `event` makes the request wait here; it may be granted or refused at once.
   void Ask(const GroupKey& group, Kept* kept, const RequestId& id,
            const EntryHostId& from, const schedule::Event& event,
            absl::Time now);
--- a/src/gateway/group_link.h
+++ b/src/gateway/group_link.h
@@ -51,7 +51,9 @@
   // From now on no group falls to this host.
   void Drain() { hosts_.Drain(); }
 
-  int Granted(const ServerId& server) const { return client_.Granted(server); }
+  int GrantedOn(const ServerId& server) const {
+    return client_.GrantedOn(server);
+  }
   std::uint64_t malformed() const { return malformed_; }
 
  private:
--- a/src/gateway/group_messages.cc
+++ b/src/gateway/group_messages.cc
@@ -12,6 +12,10 @@
 
 using schedule::EndKind;
 
+// Times are told as so many of these microseconds from now: fine against the
+// milliseconds that a datagram takes, and six hours fit into 32 bits.
+constexpr std::int64_t kUnit = 10;
+
 // No request lasts longer; a larger span stands for none.
 constexpr std::int32_t kNever = INT32_MAX;
 
@@ -96,8 +100,6 @@
   }
   void Put(const RequestWaits& waits) { WriteText(writer_, waits.id.str()); }
 
-  static constexpr std::int64_t kUnit = 10;  // Microseconds.
-
   WireWriter writer_;
   absl::Time now_;
 };
@@ -213,8 +215,6 @@
   }
   void Get(RequestWaits* waits) { GetId(&waits->id); }
 
-  static constexpr std::int64_t kUnit = 10;  // Microseconds.
-
   WireReader reader_;
   absl::Time now_;
 };
--- a/src/gateway/group_site_test.h
+++ b/src/gateway/group_site_test.h
@@ -139,7 +139,7 @@
   int Granted(const std::string& server) const {
     int granted = 0;
     for (const auto& [name, host] : hosts) {
-      granted += host.link->Granted(ServerId(server));
+      granted += host.link->GrantedOn(ServerId(server));
     }
     return granted;
   }
