--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -7,25 +7,28 @@
 // through, and each counts it against the whole limit; what several let through
 // before they hear of each other is paid back before anything else goes.
 //
-// While a host is not heard, nobody knows what it lets through. Each host has a
-// part of the limit, by what its callers asked for while all hosts were heard.
-// Hosts that hear each other go on counting together, against the sum of their
-// parts; one that hears nobody has its own. The sum stays at the limit however
-// hosts are cut off from each other; without this, each side would take the
-// whole limit for itself.
+// What the others let through comes merged, as aggregate.h tells. While some
+// are not heard, nobody knows what they let through. Each host has a part of
+// the limit, by what its callers asked for while all hosts were heard. Hosts
+// that hear each other go on counting together, against the sum of their parts;
+// one that hears nobody has its own. The sum stays at the limit however hosts
+// are cut off from each other; without this, each side would take the whole
+// limit for itself.
 
 #ifndef GENTIANLB_GATEWAY_DEMAND_H_
 #define GENTIANLB_GATEWAY_DEMAND_H_
 
+#include <algorithm>
+#include <array>
 #include <cstdint>
 #include <map>
-#include <string>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "base/decaying_sum.h"
-#include "gateway/peer_news.h"
+#include "gateway/fleet_messages.h"
+#include "gateway/use_counters.h"
 
 namespace gentianlb::gateway {
 
@@ -53,17 +56,14 @@
   // Of these, what was not sent to any server after all.
   void GivenBack(NameHash workspace, double tokens);
 
-  std::vector<Spent> Heard(const PeerNews& news, absl::Time now);
+  // So many hosts are known, this one included, heard or not. Until all are
+  // heard, one that was just started must not take what may be others' parts.
+  void Know(int hosts) { hosts_ = std::max(hosts_, hosts); }
+  // What all other hosts do, as the zone's aggregator tells.
+  std::vector<Spent> Heard(const FleetNews& others, absl::Time now);
 
-  // The hosts that are known, without this one, and how often each tells the
-  // others. Who is silent for a minute is forgotten, but only while more than
-  // half of all are heard: a few hosts that are cut off from the rest must not
-  // take the limits for themselves.
-  void SetHosts(const std::vector<std::string>& hosts, absl::Duration period,
-                absl::Time now);
-
-  // This host's own, to be told to others.
-  std::vector<WorkspaceUse> Own(absl::Time now) const;
+  // This host's own, to be told to others each period.
+  std::vector<WorkspaceUse> Tell(absl::Time now);
 
   // Notes this host's parts while all hosts are heard; to be called several
   // times a second.
@@ -73,8 +73,9 @@
   // one included; 1 when all are heard.
   double Part(NameHash workspace, absl::Time now) const;
 
-  // Hosts that count, this one included.
-  int hosts() const;
+  // All hosts, this one included, when they were last heard together, or are
+  // known.
+  int hosts() const { return hosts_; }
   // Whether all of them were heard lately.
   bool AllHeard(absl::Time now) const;
 
@@ -93,25 +94,28 @@
     std::uint64_t let_through = 0;
     std::uint64_t given_back = 0;
     double PerSecond(absl::Time now) const;
+    // PerSecond() as told before, the oldest first. What the others told is as
+    // old when it comes here. Were a host to set what it knows of itself now
+    // against it, each would take too large a part when callers press at once.
+    std::array<double, 4> told{};
   };
 
-  struct Peer {
-    absl::Time heard = absl::InfinitePast();
-    absl::Time known = absl::InfiniteFuture();  // Since when.
-    bool forgotten = false;
-    NewsPlace place;  // Of what was heard last.
-    absl::flat_hash_map<NameHash, WorkspaceUse> uses;
-  };
-
-  bool IsHeard(const Peer& peer, absl::Time now) const;
-  void ForgetSilent(absl::Time now);
+  // Whether what the others told last still holds.
+  bool IsHeard(absl::Time now) const;
+  absl::Duration Period() const {
+    return absl::Milliseconds(others_.period_ms);
+  }
+  // Null when they have told nothing of it.
+  const WorkspaceUse* OthersUse(NameHash workspace) const;
   // This host's own part.
   double OwnPart(NameHash workspace) const;
-  double PartOfDemand(NameHash workspace, absl::Time now) const;
+  double PartOfDemand(NameHash workspace) const;
 
-  absl::Duration period_ = absl::Milliseconds(100);
-  absl::flat_hash_map<NameHash, struct Own> own_;
-  absl::flat_hash_map<std::string, Peer> peers_;
+  std::map<NameHash, struct Own> own_;
+  FleetNews others_;
+  absl::Time heard_ = absl::InfinitePast();
+  UseCounters counters_;
+  int hosts_ = 1;
   absl::flat_hash_map<NameHash, double> agreed_;  // Own parts.
 };
 
--- a/src/gateway/demand_test.cc
+++ b/src/gateway/demand_test.cc
@@ -2,16 +2,16 @@
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
-#include <memory>
+#include <map>
 #include <random>
 
+#include "gateway/fleet_site_test.h"
 #include "gateway/quota.h"
 
 namespace gentianlb::gateway {
 namespace {
 
 const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
-constexpr absl::Duration kTick = absl::Milliseconds(100);
 
 Workspace Limited(double rate, double burst) {
   Workspace workspace;
@@ -25,33 +25,23 @@
 // What the operators tolerate above a limit, in a window.
 constexpr double kTolerance = 140'000;
 
+constexpr int kHosts = 8;
+constexpr int kZones = 4;
+
 // One entry host's part in keeping the limit, as the gateway wires it.
 struct FakeHost {
-  explicit FakeHost(std::string host_name) : name(std::move(host_name)) {}
-
-  void Start(const Workspace& workspace, std::int64_t new_incarnation,
-             absl::Time now) {
+  void Start(const Workspace& workspace, absl::Time now) {
     demand = Demand();
     quotas = Quotas(kTolerance);
     quotas.Configure({workspace}, now);
-    incarnation = new_incarnation;
-    sequence = 0;
-    up = true;
-  }
-
-  PeerNews News(absl::Time now) {
-    PeerNews news;
-    news.host = name;
-    news.incarnation = incarnation;
-    news.sequence = ++sequence;
-    news.workspaces = demand.Own(now);
-    return news;
+    demand.Know(kHosts);
   }
 
-  void Take(const PeerNews& news, absl::Time now) {
-    for (const Spent& spent : demand.Heard(news, now)) {
+  void Take(const FleetNews& others, absl::Time now) {
+    for (const Spent& spent : demand.Heard(others, now)) {
       quotas.Spend(spent.workspace, spent.tokens, now);
     }
+    Tick(now);
   }
 
   void Tick(absl::Time now) {
@@ -66,13 +56,8 @@
     return true;
   }
 
-  std::string name;
   Demand demand;
   Quotas quotas{kTolerance};
-  std::int64_t incarnation = 1;
-  std::uint64_t sequence = 0;
-  bool up = false;
-  int side = 0;  // Hosts of different sides don't hear each other.
 };
 
 // What all hosts let through, and the most of it in any span of `window`.
@@ -103,45 +88,54 @@
 };
 
 constexpr double kRate = 160'000;
-constexpr int kHosts = 8;
 constexpr absl::Duration kWindow = absl::Seconds(8);
 // What the operators allow in a window.
 constexpr double kAllowed = (kRate * 8 + kRate) * 1.1 + kTolerance;
 
 class Site {
  public:
-  explicit Site(std::uint64_t seed) : random_(seed), tally_(kWindow) {
-    const Workspace workspace = Limited(kRate, kRate);
-    for (int i = 0; i < kHosts; ++i) {
-      hosts_.push_back(std::make_unique<FakeHost>("h" + std::to_string(i)));
-      hosts_.back()->Start(workspace, 1, now_);
+  explicit Site(std::uint64_t seed)
+      : random_(seed), fleet_(seed), tally_(kWindow) {
+    fleet_.lost_per_thousand = 20;
+    fleet_.Add(kHosts, kZones);
+    for (auto& [name, host] : fleet_.hosts) {
+      FakeHost* fake = &fakes_[name];
+      fake->Start(Limited(kRate, kRate), fleet_.now);
+      host.compose = [this, fake](FleetNews* own) {
+        own->workspaces = fake->demand.Tell(fleet_.now);
+      };
+      host.on_others = [this, fake](const FleetNews& others) {
+        fake->Take(others, fleet_.now);
+      };
     }
-    Register();
+    // Hosts have met before callers come.
+    fleet_.Pass(absl::Seconds(2));
   }
 
   // Callers ask for `load` times the limit for `span`, most of them at one
   // host when `uneven`.
   void Run(absl::Duration span, double load, bool uneven) {
-    const absl::Time end = now_ + span;
-    while (now_ < end) {
-      now_ += kTick;
-      Ask(load * kRate * absl::ToDoubleSeconds(kTick), uneven);
-      Tell();
+    const absl::Time end = fleet_.now + span;
+    while (fleet_.now < end) {
+      fleet_.Step();
+      for (auto& [name, fake] : fakes_) fake.Tick(fleet_.now);
+      Ask(load * kRate * absl::ToDoubleSeconds(FleetSite::kStep), uneven);
     }
   }
 
   void Split(int sides) {
-    for (auto& host : hosts_) host->side = Draw(sides);
+    for (auto& [name, host] : fleet_.hosts) host.side = Draw(sides);
   }
   void Heal() {
-    for (auto& host : hosts_) host->side = 0;
+    for (auto& [name, host] : fleet_.hosts) host.side = 0;
   }
-  void Kill() { hosts_[Draw(kHosts)]->up = false; }
+  void Kill() { fleet_.Kill(FleetSite::Name(Draw(kHosts))); }
   void Restart() {
-    for (auto& host : hosts_) {
-      if (!host->up) host->Start(Limited(kRate, kRate), ++incarnation_, now_);
+    for (auto& [name, host] : fleet_.hosts) {
+      if (host.up) continue;
+      fakes_.at(name).Start(Limited(kRate, kRate), fleet_.now);
+      fleet_.Start(name);
     }
-    Register();
   }
 
   const Tally& tally() const { return tally_; }
@@ -149,46 +143,24 @@
  private:
   int Draw(int below) { return static_cast<int>(random_() % below); }
 
-  void Register() {
-    for (auto& host : hosts_) {
-      std::vector<std::string> others;
-      for (auto& other : hosts_) {
-        if (other != host) others.push_back(other->name);
-      }
-      host->demand.SetHosts(others, kTick, now_);
-    }
-  }
-
   void Ask(double tokens, bool uneven) {
-    while (tokens > 0) {
+    owed_ += tokens;
+    while (owed_ > 0) {
       // Requests differ a hundredfold.
       const double size = 300.0 * (1 << Draw(7));
-      tokens -= size;
+      owed_ -= size;
       const bool favoured = uneven && Draw(2) == 0;
-      FakeHost& host = *hosts_[favoured ? 0 : Draw(kHosts)];
-      if (host.up && host.Request(size, now_)) tally_.Add(size, now_);
-    }
-  }
-
-  void Tell() {
-    for (auto& from : hosts_) {
-      if (!from->up) continue;
-      const PeerNews news = from->News(now_);
-      for (auto& to : hosts_) {
-        const bool lost = Draw(50) == 0;
-        const bool hears = to != from && to->up && to->side == from->side;
-        if (hears && !lost) to->Take(news, now_);
-      }
-    }
-    for (auto& host : hosts_) {
-      if (host->up) host->Tick(now_);
+      const std::string name = FleetSite::Name(favoured ? 0 : Draw(kHosts));
+      if (!fleet_.hosts.at(name).up) continue;
+      const bool taken = fakes_.at(name).Request(size, fleet_.now);
+      if (taken) tally_.Add(size, fleet_.now);
     }
   }
 
   std::mt19937_64 random_;
-  absl::Time now_ = start;
-  std::vector<std::unique_ptr<FakeHost>> hosts_;
-  std::int64_t incarnation_ = 1;
+  FleetSite fleet_;
+  std::map<std::string, FakeHost> fakes_;
+  double owed_ = 0;  // That callers are yet to ask for.
   Tally tally_;
 };
 
@@ -315,8 +287,9 @@
 // and at the other hosts; a caller who comes back would pay twice.
 BOOST_AUTO_TEST_CASE(WhatWasNotSentIsGivenBackEverywhere) {
   Demand demand;
-  PeerNews news;
-  news.host = "h";
+  FleetNews news;
+  news.sender.host = "h";
+  news.period_ms = 100;
   news.incarnation = 5;
   news.sequence = 1;
   news.workspaces = {{workspace_name, 0, 1000, 0}};
@@ -340,8 +313,9 @@
 // not spent again. After its restart everything it tells is new.
 BOOST_AUTO_TEST_CASE(OnlyWhatIsNewIsSpent) {
   Demand demand;
-  PeerNews news;
-  news.host = "h";
+  FleetNews news;
+  news.sender.host = "h";
+  news.period_ms = 100;
   news.incarnation = 5;
   news.sequence = 1;
   news.workspaces = {{workspace_name, 0, 1000}};
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -10,6 +10,7 @@
 #ifndef GENTIANLB_GATEWAY_DIRECTORY_H_
 #define GENTIANLB_GATEWAY_DIRECTORY_H_
 
+#include <algorithm>
 #include <optional>
 #include <string>
 #include <vector>
@@ -36,7 +37,8 @@
                absl::Time now);
 
   // The table service answers again after an outage.
-  void ServiceReturned(absl::Time now) { returned_ = now; }
+  void ServiceReturned(absl::Time at) { returned_ = std::max(returned_, at); }
+  absl::Time returned() const { return returned_; }
 
   // Removes what has waited long enough; true when anything was.
   bool Expire(absl::Time now);
--- /dev/null
+++ b/src/gateway/fleet_site_test.h
@@ -0,0 +1,193 @@
+// Entry hosts that tell each other about themselves, over a network that
+// delays, loses and doubles their datagrams, in virtual time.
+
+#ifndef GENTIANLB_GATEWAY_FLEET_SITE_TEST_H_
+#define GENTIANLB_GATEWAY_FLEET_SITE_TEST_H_
+
+#include <glog/logging.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gateway/fleet.h"
+
+namespace gentianlb::gateway {
+
+class FleetSite {
+ public:
+  static constexpr absl::Duration kStep = absl::Milliseconds(5);
+
+  struct Host {
+    HostEntry entry;
+    std::unique_ptr<Fleet> fleet;
+    absl::Time due;
+    bool up = false;
+    bool frozen = false;  // Takes in nothing, and sends nothing.
+    int side = 0;         // Hosts of different sides don't hear each other.
+    std::int64_t incarnation = 0;
+    FleetNews others;  // As it was told last; lists as told last in detail.
+    absl::Time others_at = absl::InfinitePast();
+    std::function<void(FleetNews* own)> compose;
+    std::function<void(const FleetNews& others)> on_others;
+    int sent = 0;
+    std::size_t sent_bytes = 0;
+    std::size_t sent_bytes_to_zones = 0;
+  };
+
+  explicit FleetSite(std::uint64_t seed) : random(seed) {
+    FLAGS_minloglevel = google::GLOG_FATAL;  // The tests read no lines.
+  }
+
+  static std::string Name(int number) { return "h" + std::to_string(number); }
+
+  // `count` hosts in `zones` zones, one in ten of them large, started and known
+  // to each other.
+  void Add(int count, int zones) {
+    for (int i = 0; i < count; ++i) {
+      Host& host = hosts[Name(i)];
+      host.entry.host = Name(i);
+      host.entry.address = "10.0.0.1:" + std::to_string(1000 + i);
+      host.entry.zone = "z" + std::to_string(i % zones);
+      host.entry.processor = i % 10 < zones && i / 10 % 2 == 0 ? 0.5F : 0.12F;
+    }
+    for (auto& [name, host] : hosts) Start(name);
+  }
+
+  // Anew, and without memory; it reads the table of hosts.
+  void Start(const std::string& name) {
+    Host* host = &hosts.at(name);
+    FleetHooks hooks;
+    hooks.compose = [host](FleetNews* own) {
+      if (host->compose) host->compose(own);
+    };
+    hooks.on_others = [this, host](const FleetNews& others) {
+      FleetNews told = others;
+      if (!told.detailed) {
+        told.dispatchers = host->others.dispatchers;
+        told.servers = host->others.servers;
+      }
+      host->others = std::move(told);
+      host->others_at = now;
+      if (host->on_others) host->on_others(others);
+    };
+    hooks.on_zone = [](const FleetNews&) {};
+    hooks.on_host = [](const HostEntry&) {};
+    hooks.send = [this, host](const std::string& to, const FleetNews& news) {
+      Send(host, to, news);
+    };
+    host->fleet = std::make_unique<Fleet>(host->entry, ++host->incarnation,
+                                          std::move(hooks), now);
+    host->others = FleetNews();
+    host->others_at = absl::InfinitePast();
+    host->up = true;
+    host->frozen = false;
+    host->due = now + absl::Milliseconds(random() % 50);
+    for (const auto& [other, entry] : hosts) {
+      if (reads_table) host->fleet->Learn(entry.entry);
+    }
+    host->fleet->Begin(now);
+  }
+
+  void Kill(const std::string& name) { hosts.at(name).up = false; }
+
+  void Step() {
+    now += kStep;
+    Deliver();
+    for (auto& [name, host] : hosts) {
+      if (!host.up || host.frozen || now < host.due) continue;
+      host.fleet->Tick(now);
+      host.due = now + host.fleet->Period();
+    }
+  }
+
+  void Pass(absl::Duration span) {
+    for (const absl::Time end = now + span; now < end;) Step();
+  }
+
+  std::vector<Host*> Up() {
+    std::vector<Host*> up;
+    for (auto& [name, host] : hosts) {
+      if (host.up && !host.frozen) up.push_back(&host);
+    }
+    return up;
+  }
+
+  // Hosts up that don't hear of just `count` others, all of them.
+  int Unaware(int count) {
+    int unaware = 0;
+    for (const Host* host : Up()) {
+      const bool fresh = now - host->others_at <= absl::Seconds(1);
+      const bool all = host->others.hosts == count && host->others.complete;
+      if (!fresh || !all) ++unaware;
+    }
+    return unaware;
+  }
+
+  std::map<std::string, int> AggregatorsByZone() {
+    std::map<std::string, int> aggregators;
+    for (const Host* host : Up()) {
+      aggregators[host->entry.zone] += host->fleet->aggregates() ? 1 : 0;
+    }
+    return aggregators;
+  }
+
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  std::mt19937_64 random;
+  unsigned lost_per_thousand = 0;
+  unsigned doubled_percent = 0;
+  int slowest_ms = 5;
+  bool reads_table = true;
+  std::map<std::string, Host> hosts;
+
+ private:
+  struct Datagram {
+    absl::Time due;
+    std::string to;
+    int side;
+    FleetNews news;
+  };
+
+  void Send(Host* from, const std::string& to, const FleetNews& news) {
+    const auto found = hosts.find(to);
+    if (found == hosts.end() || from->frozen) return;
+    ++from->sent;
+    if (counts_bytes) {
+      const std::size_t bytes = Encode(news).size();
+      from->sent_bytes += bytes;
+      const bool far = found->second.entry.zone != from->entry.zone;
+      if (far) from->sent_bytes_to_zones += bytes;
+    }
+    if (random() % 1000 < lost_per_thousand) return;
+    const absl::Duration delay = absl::Milliseconds(
+        1 + static_cast<int>(random() % static_cast<unsigned>(slowest_ms)));
+    flying_.push_back({now + delay, to, from->side, news});
+    if (random() % 100 < doubled_percent) flying_.push_back(flying_.back());
+  }
+
+  void Deliver() {
+    std::vector<Datagram> flying;
+    flying.swap(flying_);
+    for (Datagram& datagram : flying) {
+      Host& host = hosts.at(datagram.to);
+      if (datagram.due > now) {
+        flying_.push_back(std::move(datagram));
+      } else if (host.up && !host.frozen && host.side == datagram.side) {
+        host.fleet->Take(datagram.news, now);
+      }
+    }
+  }
+
+  std::vector<Datagram> flying_;
+
+ public:
+  bool counts_bytes = false;
+};
+
+}  // namespace gentianlb::gateway
+
+#endif  // GENTIANLB_GATEWAY_FLEET_SITE_TEST_H_
--- a/src/gateway/forwarder_test.cc
+++ b/src/gateway/forwarder_test.cc
@@ -134,10 +134,7 @@
 // by several times the allowed repeats, all at once.
 BOOST_AUTO_TEST_CASE(ManyHostsShareTheRetryBurst) {
   FakeSite site;
-  std::vector<std::string> others;
-  others.reserve(89);
-  for (int i = 0; i < 89; ++i) others.push_back("h" + std::to_string(i));
-  site.demand.SetHosts(others, absl::Milliseconds(450), site.now);
+  site.demand.Know(90);
   site.Configure();
   const auto caller = site.Ask("/read/1");
   site.last().End(TransferEnd::kBroken);
--- a/src/gateway/group_link.cc
+++ b/src/gateway/group_link.cc
@@ -12,14 +12,14 @@
 
 }  // namespace
 
-GroupLink::GroupLink(EntryHostId self, double processor,
-                     const ServiceQueueOptions& options, TimerService* timers,
-                     std::function<absl::Time()> clock, GroupLinkHooks hooks)
+GroupLink::GroupLink(EntryHostId self, const ServiceQueueOptions& options,
+                     TimerService* timers, std::function<absl::Time()> clock,
+                     GroupLinkHooks hooks)
     : self_(self),
       timers_(timers),
       clock_(std::move(clock)),
       hooks_(std::move(hooks)),
-      hosts_(self, processor),
+      hosts_(self),
       client_(self, &hosts_,
               {.send =
                    [this](const EntryHostId& host, ToGroup item) {
@@ -81,10 +81,6 @@
   Arm();
 }
 
-void GroupLink::HeardNews(const PeerNews& news) {
-  hosts_.Heard(EntryHostId(news.host), news.draining, news.processor, clock_());
-}
-
 void GroupLink::UsedElsewhere(
     const absl::flat_hash_map<NameHash, ServerUse>& uses) {
   dispatchers_.UsedAlone(uses, clock_());
--- a/src/gateway/group_link.h
+++ b/src/gateway/group_link.h
@@ -30,9 +30,9 @@
 // Not thread-safe: owned by the loop's thread.
 class GroupLink {
  public:
-  GroupLink(EntryHostId self, double processor,
-            const ServiceQueueOptions& options, TimerService* timers,
-            std::function<absl::Time()> clock, GroupLinkHooks hooks);
+  GroupLink(EntryHostId self, const ServiceQueueOptions& options,
+            TimerService* timers, std::function<absl::Time()> clock,
+            GroupLinkHooks hooks);
   ~GroupLink();
   GroupLink(const GroupLink&) = delete;
   GroupLink& operator=(const GroupLink&) = delete;
@@ -45,7 +45,10 @@
 
   // A datagram of another host.
   void Take(std::string_view bytes);
-  void HeardNews(const PeerNews& news);
+  // Hosts that may dispatch.
+  void SetDispatchers(const std::vector<HostEntry>& hosts) {
+    hosts_.Set(hosts);
+  }
   // What all other hosts have running.
   void UsedElsewhere(const absl::flat_hash_map<NameHash, ServerUse>& uses);
   // From now on no group falls to this host.
--- a/src/gateway/group_messages.h
+++ b/src/gateway/group_messages.h
@@ -16,7 +16,7 @@
 
 #include "absl/time/time.h"
 #include "base/ids.h"
-#include "gateway/peer_news.h"
+#include "gateway/fleet_messages.h"
 #include "schedule/messages.h"
 
 namespace gentianlb::gateway {
--- a/src/gateway/group_site_test.h
+++ b/src/gateway/group_site_test.h
@@ -53,6 +53,8 @@
       return found != decided.end() && found->second != "refused";
     }
     bool frozen = false;  // Takes in nothing, and sends nothing.
+    // By each other host, when it heard of this one last.
+    std::map<std::string, absl::Time> heard_by;
   };
 
   Host& Start(const std::string& name) {
@@ -88,7 +90,7 @@
     options.dispatcher.preempts = false;
     options.host = host.id;
     host.link = std::make_unique<GroupLink>(
-        host.id, 1, options, &timers, [this] { return now; }, std::move(hooks));
+        host.id, options, &timers, [this] { return now; }, std::move(hooks));
     host.link->SetServers(service, entries);
     return host;
   }
@@ -137,10 +139,10 @@
 
   // The host that all others take for the dispatcher.
   std::string Dispatcher() {
-    GroupHosts view(EntryHostId("h0"), 1);
-    for (const auto& [name, host] : hosts) {
-      if (name != "h0") view.Heard(host.id, false, 1, now);
-    }
+    GroupHosts view(EntryHostId("h0"));
+    std::vector<HostEntry> all;
+    for (const auto& [name, host] : hosts) all.push_back({name, "", "z", 1});
+    view.Set(all);
     return view.DispatcherOf({HashName(service.id.str()), 0}, now).str();
   }
 
@@ -153,6 +155,8 @@
   }
 
   static constexpr absl::Duration kNewsPeriod = absl::Milliseconds(100);
+  // A host that is silent is told of as a dispatcher for so long.
+  static constexpr absl::Duration kListed = absl::Seconds(1);
   const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
   absl::Time now = start;
   TimerService timers;
@@ -198,13 +202,21 @@
   void TellNews() {
     for (auto& [from, host] : hosts) {
       if (host.frozen) continue;
-      PeerNews news;
-      news.host = from;
       for (auto& [to, other] : hosts) {
         const bool reaches = cut.contains(from) == cut.contains(to);
-        if (to != from && reaches && !other.frozen) other.link->HeardNews(news);
+        if (reaches && !other.frozen) host.heard_by[to] = now;
+      }
+    }
+    for (auto& [to, other] : hosts) {
+      std::vector<HostEntry> live;
+      for (auto& [from, host] : hosts) {
+        const auto heard = host.heard_by.find(to);
+        const bool lately =
+            heard != host.heard_by.end() && now - heard->second <= kListed;
+        if (lately) live.push_back({from, "", "z", 1});
       }
-      host.link->UsedElsewhere({});
+      if (!other.frozen) other.link->SetDispatchers(live);
+      other.link->UsedElsewhere({});
     }
   }
 
--- a/src/gateway/groups.cc
+++ b/src/gateway/groups.cc
@@ -13,10 +13,6 @@
 // parts in 100 of a processor.
 constexpr int kStreamsPerGroup = 512;
 
-// A host that is silent for longer is frozen, cut off or gone; some periods of
-// the messages between many hosts.
-constexpr absl::Duration kBelieved = absl::Seconds(1);
-
 // One that didn't answer is asked again after this long: a stall has passed by
 // then, and a host that freezes costs each request that asks it some
 // milliseconds.
@@ -44,41 +40,53 @@
                                     static_cast<unsigned>(groups));
 }
 
-void GroupHosts::Heard(const EntryHostId& host, bool draining, double processor,
-                       absl::Time now) {
-  Peer& peer = peers_[host];
-  peer.heard = now;
-  peer.draining = draining;
-  peer.processor = processor;
+void GroupHosts::Set(const std::vector<HostEntry>& hosts) {
+  if (hosts_ == hosts) return;
+  hosts_ = hosts;
+  chosen_.clear();
 }
 
-void GroupHosts::Silent(const EntryHostId& host, absl::Time now) {
-  peers_[host].left_out_until = now + kLeftOut;
+void GroupHosts::Drain() {
+  draining_ = true;
+  chosen_.clear();
 }
 
-bool GroupHosts::MayDispatch(const Peer& peer, absl::Time now) const {
-  return now - peer.heard <= kBelieved && !peer.draining &&
-         now >= peer.left_out_until;
+void GroupHosts::Silent(const EntryHostId& host, absl::Time now) {
+  left_out_until_[host] = now + kLeftOut;
+  chosen_.clear();
 }
 
 EntryHostId GroupHosts::DispatcherOf(const GroupKey& group,
                                      absl::Time now) const {
-  double most = draining_ ? 0 : processor_;
-  for (const auto& [host, peer] : peers_) {
-    if (MayDispatch(peer, now)) most = std::max(most, peer.processor);
+  if (now >= chosen_until_) chosen_.clear();
+  if (chosen_.empty()) chosen_until_ = absl::InfiniteFuture();
+  const auto [found, is_new] = chosen_.try_emplace(group);
+  if (is_new) found->second = Choose(group, now);
+  return found->second;
+}
+
+EntryHostId GroupHosts::Choose(const GroupKey& group, absl::Time now) const {
+  std::vector<const HostEntry*> able;
+  float most = 0;
+  for (const HostEntry& host : hosts_) {
+    const EntryHostId id(host.host);
+    if (draining_ && id == self_) continue;
+    const auto left_out = left_out_until_.find(id);
+    if (left_out != left_out_until_.end() && now < left_out->second) {
+      chosen_until_ = std::min(chosen_until_, left_out->second);
+      continue;
+    }
+    able.push_back(&host);
+    most = std::max(most, host.processor);
   }
-  const auto rank = [&](const EntryHostId& host) {
-    return std::pair(HashName(absl::StrCat(host.str(), "/", group.service, "/",
-                                           group.group)),
-                     host);
-  };
-  std::pair<NameHash, EntryHostId> best;
-  if (!draining_ && processor_ >= kQuick * most) best = rank(self_);
-  for (const auto& [host, peer] : peers_) {
-    if (!MayDispatch(peer, now) || peer.processor < kQuick * most) continue;
-    best = std::max(best, rank(host));
+  std::pair<NameHash, EntryHostId> best{0, self_};
+  for (const HostEntry* host : able) {
+    if (host->processor < kQuick * most) continue;
+    const std::string place =
+        absl::StrCat(host->host, "/", group.service, "/", group.group);
+    best = std::max(best, std::pair(HashName(place), EntryHostId(host->host)));
   }
-  return best.second.empty() ? self_ : best.second;
+  return best.second;
 }
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/groups.h
+++ b/src/gateway/groups.h
@@ -8,8 +8,8 @@
 // them orders it exactly.
 //
 // Nothing is agreed. Each host takes the host that ranks first for the group by
-// hash among those that it hears, as rendezvous hashing does, so that all agree
-// as long as they hear the same hosts, and only what a lost host dispatched
+// hash among those that may dispatch, as rendezvous hashing does, so that all
+// agree as long as they are told the same, and only what a lost host dispatched
 // moves. Two dispatchers of a group for a moment fill servers more than they
 // should, and harm nothing else.
 
@@ -21,6 +21,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "gateway/fleet_messages.h"
 #include "gateway/group_messages.h"
 #include "gateway/messages.h"
 
@@ -36,34 +37,28 @@
 // The hosts that may dispatch.
 class GroupHosts {
  public:
-  // `processor` is the part of one that this host may use.
-  GroupHosts(EntryHostId self, double processor)
-      : self_(std::move(self)), processor_(processor) {}
+  explicit GroupHosts(EntryHostId self) : self_(std::move(self)) {}
 
-  // The host was heard, and takes part or is about to stop.
-  void Heard(const EntryHostId& host, bool draining, double processor,
-             absl::Time now);
+  // Those that live and may dispatch, this one included if it may.
+  void Set(const std::vector<HostEntry>& hosts);
   // This host is about to stop.
-  void Drain() { draining_ = true; }
+  void Drain();
   // It didn't answer in time; it is left out for a while.
   void Silent(const EntryHostId& host, absl::Time now);
 
+  // This host itself while it is told of none.
   EntryHostId DispatcherOf(const GroupKey& group, absl::Time now) const;
 
  private:
-  struct Peer {
-    absl::Time heard = absl::InfinitePast();
-    absl::Time left_out_until = absl::InfinitePast();
-    bool draining = false;
-    double processor = 0;
-  };
-
-  bool MayDispatch(const Peer& peer, absl::Time now) const;
+  EntryHostId Choose(const GroupKey& group, absl::Time now) const;
 
   const EntryHostId self_;
-  const double processor_;
   bool draining_ = false;
-  absl::flat_hash_map<EntryHostId, Peer> peers_;
+  std::vector<HostEntry> hosts_;
+  absl::flat_hash_map<EntryHostId, absl::Time> left_out_until_;
+  // What was chosen since anything changed: it is asked for each request.
+  mutable absl::flat_hash_map<GroupKey, EntryHostId> chosen_;
+  mutable absl::Time chosen_until_ = absl::InfiniteFuture();
 };
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/groups_test.cc
+++ b/src/gateway/groups_test.cc
@@ -16,12 +16,18 @@
   return EntryHostId("h" + std::to_string(number));
 }
 
-// What host `self` takes for the dispatcher, having heard all but `unheard`.
+HostEntry Entry(int number, float processor = 1) {
+  return {Name(number).str(), "", "z", processor};
+}
+
+// What host `self` takes for the dispatcher when all but `unheard` live.
 EntryHostId Choice(int self, const GroupKey& group, int unheard = -1) {
-  GroupHosts hosts(Name(self), 1);
+  GroupHosts hosts(Name(self));
+  std::vector<HostEntry> live;
   for (int i = 0; i < kHosts; ++i) {
-    if (i != self && i != unheard) hosts.Heard(Name(i), false, 1, now);
+    if (i != unheard) live.push_back(Entry(i));
   }
+  hosts.Set(live);
   return hosts.DispatcherOf(group, now);
 }
 
@@ -53,18 +59,25 @@
   const GroupKey key{HashName("service"), 0};
   const EntryHostId first = Choice(0, key);
   for (int self = 0; self < kHosts; ++self) {
-    if (Name(self) == first) continue;
-    GroupHosts hosts(Name(self), 1);
-    hosts.Heard(first, false, 1, now);
+    GroupHosts hosts(Name(self));
+    const std::vector<HostEntry> both = {{first.str(), "", "z", 1},
+                                         {Name(self).str(), "", "z", 1}};
+    hosts.Set(both);
     BOOST_TEST(hosts.DispatcherOf(key, now) == first);
+    if (Name(self) == first) {
+      hosts.Drain();
+      hosts.Set({Entry(0), Entry(1), {first.str(), "", "z", 1}});
+      BOOST_TEST(hosts.DispatcherOf(key, now) != first);
+      continue;
+    }
     hosts.Silent(first, now);
     BOOST_TEST(hosts.DispatcherOf(key, now) != first);
-    hosts.Heard(first, false, 1, now + absl::Seconds(2));
     BOOST_TEST(hosts.DispatcherOf(key, now + absl::Seconds(2)) == first);
-    hosts.Heard(first, true, 1, now + absl::Seconds(2));
-    BOOST_TEST(hosts.DispatcherOf(key, now + absl::Seconds(2)) != first);
-    hosts.Heard(first, false, 1, now + absl::Seconds(3));
-    BOOST_TEST(hosts.DispatcherOf(key, now + absl::Seconds(5)) != first);
+    // Without it, as those that drain or are silent are not listed.
+    hosts.Set({both.back()});
+    BOOST_TEST(hosts.DispatcherOf(key, now + absl::Seconds(2)) == Name(self));
+    hosts.Set({});
+    BOOST_TEST(hosts.DispatcherOf(key, now + absl::Seconds(2)) == Name(self));
   }
 }
 
@@ -73,11 +86,10 @@
 BOOST_AUTO_TEST_CASE(SmallHostsDontDispatchWhereLargeOnesAre) {
   for (std::uint16_t group = 0; group < 16; ++group) {
     const GroupKey key{HashName("service"), group};
-    GroupHosts hosts(Name(0), 0.12);
+    GroupHosts hosts(Name(0));
     BOOST_TEST(hosts.DispatcherOf(key, now) == Name(0));
-    hosts.Heard(Name(1), false, 0.5, now);
-    hosts.Heard(Name(2), false, 0.4, now);
-    hosts.Heard(Name(3), false, 0.25, now);
+    hosts.Set(
+        {Entry(0, 0.12F), Entry(1, 0.5F), Entry(2, 0.4F), Entry(3, 0.25F)});
     const EntryHostId chosen = hosts.DispatcherOf(key, now);
     BOOST_TEST((chosen == Name(1) || chosen == Name(2)));
   }
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -23,6 +23,18 @@
 // Callers' connections beyond this are not taken; each costs some kilobytes.
 constexpr unsigned kMostCallers = 1500;
 
+// A host that hears nothing of the others for so long follows the tables by
+// itself; the next aggregator of a zone is there long before.
+constexpr absl::Duration kUnlinked = absl::Seconds(2);
+
+// Where no host that is heard reaches the table service, one of all hosts tries
+// each so often.
+constexpr absl::Duration kProbePerHost = absl::Milliseconds(100);
+
+// How often the number of hosts is told to what depends on it: hosts are
+// started by the hundred.
+constexpr absl::Duration kHostsPeriod = absl::Seconds(1);
+
 // A part below the bound, since retries and the requests that earn them are
 // not counted at the same moment by those who check.
 constexpr double kRetryMargin = 0.75;
@@ -57,8 +69,8 @@
           OptionsOf(settings), platform_.servers, &loop->timers(),
           [loop] { return loop->now(); }, &directory_, &demand_, &metrics_),
       groups_(
-          settings.id, settings.processor, OptionsOf(settings).queue,
-          &loop->timers(), [loop] { return loop->now(); },
+          settings.id, OptionsOf(settings).queue, &loop->timers(),
+          [loop] { return loop->now(); },
           {.tell_own =
                [this](const ServiceId& service, const schedule::Event& event) {
                  forwarder_.TellOwn(service, event);
@@ -67,9 +79,10 @@
                [this](const schedule::Decision& decision) {
                  forwarder_.Decide(decision);
                },
-           .send = [this](
-                       const EntryHostId& host,
-                       std::string_view bytes) { peers_->Send(host, bytes); },
+           .send =
+               [this](const EntryHostId& host, std::string_view bytes) {
+                 peers_->Send(host.str(), bytes);
+               },
            .defer =
                [loop](std::function<void()> closure) {
                  loop->Defer(std::move(closure));
@@ -96,7 +109,17 @@
           [this](bool up, absl::Time now) {
             if (up) directory_.ServiceReturned(now);
           }),
-      watch_(settings.id.str(), loop->now()) {}
+      watch_(settings.id.str(), loop->now()),
+      others_heard_(loop->now()) {
+  for (TableFollower* follower : {&configuration_, &servers_}) {
+    // Who follows shows before the first change.
+    follower->SetFollowing(Following::kWhenTold, kUnlinked);
+    follower->HandOnTo(
+        [this, follower](std::uint64_t since, const TablePage& page) {
+          HandOn(*follower, since, page);
+        });
+  }
+}
 
 Host::~Host() {
   for (const TimerId timer : timers_) loop_->timers().Cancel(timer);
@@ -174,63 +197,127 @@
 std::optional<Error> Host::MeetPeers() {
   PeersOptions options;
   options.host = settings_.id;
+  options.zone = settings_.zone;
+  options.processor = settings_.processor;
   options.address = settings_.peers;
   options.table = platform_.host_table;
-  auto started = Peers::Start(
-      options, platform_.table, loop_,
-      [this](PeerNews* news) { ComposeNews(news); },
-      [this](const PeerNews& news) { TakeNews(news); },
-      [this](const std::vector<std::string>& hosts) {
-        demand_.SetHosts(hosts, peers_->Period(), loop_->now());
-        forwarder_.ServersChanged();
-      },
-      [this](absl::Time now) { UsePeersNews(now); },
-      [this](std::string_view bytes) { groups_.Take(bytes); });
+  PeersHooks hooks;
+  hooks.compose = [this](FleetNews* news) { ComposeNews(news); };
+  hooks.on_others = [this](const FleetNews& others) { TakeOthers(others); };
+  hooks.on_zone = [this](const FleetNews& zone) {
+    watch_.Heard(zone, loop_->now());
+  };
+  hooks.on_other = [this](std::string_view bytes) { TakeOther(bytes); };
+  hooks.on_known = [this](int hosts) { demand_.Know(hosts); };
+  hooks.on_tick = [this](absl::Time now) { UseNews(now); };
+  auto started =
+      Peers::Start(options, platform_.table, loop_, std::move(hooks));
   if (!started.ok()) return started.error();
   peers_ = std::move(started.value());
   return std::nullopt;
 }
 
-void Host::ComposeNews(PeerNews* news) const {
+TableNews Host::NewsOf(const TableFollower& follower) const {
+  TableNews news;
+  news.table = HashName(follower.table());
+  news.newest_change = follower.newest_change();
+  news.version = follower.version();
+  news.up = follower.follows();
+  const absl::Duration since = loop_->now() - directory_.returned();
+  if (since < kReturnTime) {
+    news.returned_ms =
+        static_cast<std::int32_t>(absl::ToInt64Milliseconds(since));
+  }
+  return news;
+}
+
+void Host::ComposeNews(FleetNews* news) {
   news->draining = draining_;
-  news->processor = static_cast<float>(settings_.processor);
   news->servers = forwarder_.Uses();
-  news->workspaces = demand_.Own(loop_->now());
+  news->workspaces = demand_.Tell(loop_->now());
   for (const TableFollower* follower : {&configuration_, &servers_}) {
-    news->tables.push_back({HashName(follower->table()),
-                            follower->newest_change(), follower->up()});
+    news->tables.push_back(NewsOf(*follower));
   }
 }
 
-void Host::TakeNews(const PeerNews& news) {
+void Host::TakeOthers(const FleetNews& others) {
   const absl::Time now = loop_->now();
-  for (const Spent& spent : demand_.Heard(news, now)) {
+  for (const Spent& spent : demand_.Heard(others, now)) {
     forwarder_.quotas().Spend(spent.workspace, spent.tokens, now);
   }
-  peer_loads_.Heard(news, now);
-  watch_.Heard(news, now);
-  groups_.HeardNews(news);
-  for (TableFollower* follower : {&configuration_, &servers_}) {
-    for (const TableNews& table : news.tables) {
+  others_ = others;
+  others_heard_ = now;
+  for (const TableNews& table : others.tables) {
+    // Only a host that follows notices an outage by itself.
+    if (table.returned_ms >= 0) {
+      directory_.ServiceReturned(now - absl::Milliseconds(table.returned_ms));
+    }
+    for (TableFollower* follower : {&configuration_, &servers_}) {
       if (table.table != HashName(follower->table())) continue;
-      follower->HeardOf(table.newest_change);
+      follower->HeardOf(table.newest_change, table.version);
     }
   }
+  if (others.detailed) {
+    groups_.SetDispatchers(others.dispatchers);
+    absl::flat_hash_map<NameHash, ServerUse> uses;
+    for (const ServerUse& use : others.servers) uses[use.server] = use;
+    forwarder_.UsedElsewhere(uses);
+    groups_.UsedElsewhere(uses);
+  }
+  UseNews(now);
+}
+
+void Host::TakeOther(std::string_view bytes) {
+  if (!IsTableChanges(bytes)) return groups_.Take(bytes);
+  const auto changes = DecodeTableChanges(bytes);
+  if (!changes) return;
+  for (TableFollower* follower : {&configuration_, &servers_}) {
+    if (changes->table != HashName(follower->table())) continue;
+    follower->TakeHandedOn(changes->since, changes->page);
+  }
+}
+
+void Host::HandOn(const TableFollower& follower, std::uint64_t since,
+                  const TablePage& page) {
+  const auto bytes =
+      Encode(TableChanges{HashName(follower.table()), since, page});
+  // Too long: the hosts hear that there is a change, and ask for it.
+  if (!bytes) return;
+  for (const std::string& host : peers_->fleet().Followers()) {
+    peers_->Send(host, *bytes);
+  }
 }
 
-void Host::UsePeersNews(absl::Time now) {
+void Host::ChooseFollowing(absl::Time now) {
+  const bool aggregates = peers_->fleet().aggregates();
+  const absl::Duration silent = now - others_heard_;
+  const bool linked = silent <= kUnlinked;
   const bool watches =
-      watch_.IsWatcher(configuration_.up() && servers_.up(), now);
-  configuration_.SetWatching(watches);
-  servers_.SetWatching(watches);
-  const auto uses = peer_loads_.Sum(now);
-  forwarder_.UsedElsewhere(uses);
-  groups_.UsedElsewhere(uses);
+      aggregates && watch_.IsWatcher(configuration_.up() && servers_.up(), now);
+  for (TableFollower* follower : {&configuration_, &servers_}) {
+    follower->SetWatching(watches);
+    const bool up = std::any_of(
+        others_.tables.begin(), others_.tables.end(), [&](const auto& table) {
+          return table.table == HashName(follower->table()) && table.up;
+        });
+    Following following = up ? Following::kWhenTold : Following::kProbing;
+    if (aggregates || !linked) following = Following::kAlways;
+    follower->SetFollowing(following, kProbePerHost * demand_.hosts());
+  }
+}
+
+void Host::UseNews(absl::Time now) {
+  ChooseFollowing(now);
   demand_.Agree(now);
   Quotas& quotas = forwarder_.quotas();
   for (const NameHash workspace : quotas.Limited()) {
     quotas.SetPart(workspace, demand_.Part(workspace, now), now);
   }
+  if (hosts_told_ == demand_.hosts()) return;
+  if (now - hosts_told_at_ < kHostsPeriod) return;
+  hosts_told_ = demand_.hosts();
+  hosts_told_at_ = now;
+  forwarder_.ServersChanged();
 }
 
 void Host::TakeRequest(http::Request request,
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -17,7 +17,6 @@
 #include "gateway/forwarder.h"
 #include "gateway/group_link.h"
 #include "gateway/messages.h"
-#include "gateway/peer_loads.h"
 #include "gateway/peers.h"
 #include "gateway/table_follower.h"
 #include "gateway/table_watch.h"
@@ -71,9 +70,15 @@
 
   std::optional<Error> Listen();
   std::optional<Error> MeetPeers();
-  void ComposeNews(PeerNews* news) const;
-  void TakeNews(const PeerNews& news);
-  void UsePeersNews(absl::Time now);
+  void ComposeNews(FleetNews* news);
+  TableNews NewsOf(const TableFollower& follower) const;
+  void TakeOthers(const FleetNews& others);
+  void TakeOther(std::string_view bytes);
+  // Lets what was heard, or wasn't, come into force.
+  void UseNews(absl::Time now);
+  void ChooseFollowing(absl::Time now);
+  void HandOn(const TableFollower& follower, std::uint64_t since,
+              const TablePage& page);
   void TakeRequest(http::Request request,
                    std::shared_ptr<http::Responder> responder);
   void TakeQuestion(const http::Request& request,
@@ -94,7 +99,6 @@
   metrics::Metrics metrics_;
   Directory directory_;
   Demand demand_;
-  PeerLoads peer_loads_;
   Forwarder forwarder_;
   GroupLink groups_;
   EarlyRequests early_;
@@ -105,6 +109,10 @@
   std::unique_ptr<http::Server> callers_;
   std::unique_ptr<http::Server> ready_;
   std::unique_ptr<http::Server> metrics_server_;
+  FleetNews others_;  // As told last, without details.
+  absl::Time others_heard_;
+  int hosts_told_ = 1;  // To the forwarder.
+  absl::Time hosts_told_at_ = absl::InfinitePast();
   std::vector<TimerId> timers_;
   TimerId expiry_ = 0;
   bool draining_ = false;
--- a/src/gateway/liking.cc
+++ b/src/gateway/liking.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <string>
 
-#include "gateway/peer_news.h"
+#include "gateway/fleet_messages.h"
 
 namespace gentianlb::gateway {
 namespace {
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -2,74 +2,109 @@
 
 #include <glog/logging.h>
 
-#include <algorithm>
+#include <sstream>
 #include <utility>
 
 #include "absl/hash/hash.h"
 #include "absl/time/clock.h"
 #include "base/json_text.h"
+#include "gateway/wire_lists.h"
 
 namespace gentianlb::gateway {
 namespace {
 
 constexpr char kAddressField[] = "address";
+constexpr char kZoneField[] = "zone";
+constexpr char kProcessorField[] = "processor";
 
-std::string AnnouncementOf(const settings::Endpoint& address) {
+std::string AnnouncementOf(const HostEntry& host) {
   Json::Value json;
-  json[kAddressField] = settings::Format(address);
+  json[kAddressField] = host.address;
+  json[kZoneField] = host.zone;
+  json[kProcessorField] = host.processor;
   return ToText(json);
 }
 
+// None when the row names no host.
+std::optional<HostEntry> HostIn(const TableRow& row) {
+  const auto json = ParseObject(row.value);
+  if (!json || !AllStrings(*json, {kAddressField, kZoneField})) {
+    return std::nullopt;
+  }
+  if (!(*json)[kProcessorField].isNumeric()) return std::nullopt;
+  HostEntry host;
+  host.host = row.key;
+  host.address = (*json)[kAddressField].asString();
+  host.zone = (*json)[kZoneField].asString();
+  host.processor = (*json)[kProcessorField].asFloat();
+  return host;
+}
+
 // Others find a host that is not announced only by hearing from it; a second is
 // no loss to them.
 constexpr RetryOptions kAnnounceRetry = {.first_delay = absl::Milliseconds(100),
                                          .longest_delay = absl::Seconds(1)};
 
-// Decisions rest on what was heard last. A tenth of a second is less than most
-// requests take; with many hosts each sends no more than 200 messages a second,
-// about a hundredth of a core.
-constexpr absl::Duration kShortestPeriod = absl::Milliseconds(100);
-constexpr absl::Duration kPeriodPerHost = absl::Milliseconds(5);
-
-// None when the row names no address.
-std::optional<settings::Endpoint> AddressIn(const std::string& row) {
-  const auto json = ParseObject(row);
-  if (!json || !AllStrings(*json, {kAddressField})) return std::nullopt;
-  auto address = settings::ParseEndpoint((*json)[kAddressField].asString());
-  if (!address.ok()) return std::nullopt;
-  return address.value();
+// A host that can't read who else there is goes on with whom it hears.
+constexpr absl::Duration kReadTime = absl::Seconds(3);
+
+// Before what others of this host send to hosts: where the sender is, so that
+// it can be answered by a host that never heard of it.
+constexpr std::string_view kEnvelopeMark = "GE1";
+
+struct Envelope {
+  std::string host;
+  std::string address;
+  std::string content;
+};
+
+std::string Seal(const Envelope& envelope) {
+  std::ostringstream out;
+  out << kEnvelopeMark;
+  WireWriter writer(out);
+  WriteText(writer, envelope.host);
+  WriteText(writer, envelope.address);
+  out << envelope.content;
+  return out.str();
+}
+
+std::optional<Envelope> Open(std::string_view bytes) {
+  if (!bytes.starts_with(kEnvelopeMark)) return std::nullopt;
+  bytes.remove_prefix(kEnvelopeMark.size());
+  std::istringstream in{std::string(bytes)};
+  Envelope envelope;
+  try {
+    WireReader reader(in);
+    ReadText(reader, &envelope.host);
+    ReadText(reader, &envelope.address);
+    envelope.content = bytes.substr(static_cast<std::size_t>(in.tellg()));
+  } catch (const std::exception&) {
+    return std::nullopt;  // Whoever takes messages in counts these.
+  }
+  return envelope;
 }
 
 }  // namespace
 
 Peers::Peers(PeersOptions options, TablePort table, loop::EventLoop* loop,
-             Compose compose, OnNews on_news, OnHosts on_hosts, OnTick on_tick,
-             OnOther on_other)
+             PeersHooks hooks)
     : options_(std::move(options)),
       table_(std::move(table)),
       loop_(loop),
-      compose_(std::move(compose)),
-      on_news_(std::move(on_news)),
-      on_hosts_(std::move(on_hosts)),
-      on_tick_(std::move(on_tick)),
-      on_other_(std::move(on_other)),
-      incarnation_(absl::ToUnixMicros(absl::Now())) {}
+      hooks_(std::move(hooks)) {}
 
 Peers::~Peers() {
   loop_->timers().Cancel(tick_);
   loop_->timers().Cancel(announcing_);
+  loop_->timers().Cancel(begin_);
 }
 
 Outcome<std::unique_ptr<Peers>> Peers::Start(PeersOptions options,
                                              TablePort table,
                                              loop::EventLoop* loop,
-                                             Compose compose, OnNews on_news,
-                                             OnHosts on_hosts, OnTick on_tick,
-                                             OnOther on_other) {
+                                             PeersHooks hooks) {
   std::unique_ptr<Peers> peers(
-      new Peers(std::move(options), std::move(table), loop, std::move(compose),
-                std::move(on_news), std::move(on_hosts), std::move(on_tick),
-                std::move(on_other)));
+      new Peers(std::move(options), std::move(table), loop, std::move(hooks)));
   Peers* self = peers.get();
   auto socket = loop::DatagramSocket::Bind(
       loop, self->options_.address.ip,
@@ -77,21 +112,48 @@
       [self](std::string_view bytes) { self->Take(bytes); });
   if (!socket.ok()) return socket.error();
   self->socket_ = std::move(socket.value());
-  self->address_ = self->options_.address;
-  self->address_.port = self->socket_->port();
+  settings::Endpoint address = self->options_.address;
+  address.port = self->socket_->port();
+  self->address_ = settings::Format(address);
+  self->StartFleet();
   self->Announce(0);
-  self->tick_ = loop->timers().At(loop->now() + self->Period(),
-                                  [self](absl::Time now) { self->Tell(now); });
   return peers;
 }
 
-absl::Duration Peers::Period() const {
-  const auto hosts = static_cast<std::int64_t>(addresses_.size()) + 1;
-  return std::max(kShortestPeriod, hosts * kPeriodPerHost);
+void Peers::StartFleet() {
+  const absl::Time now = loop_->now();
+  HostEntry self;
+  self.host = options_.host.str();
+  self.address = address_;
+  self.zone = options_.zone.str();
+  self.processor = static_cast<float>(options_.processor);
+  FleetHooks hooks;
+  hooks.compose = hooks_.compose;
+  hooks.on_others = hooks_.on_others;
+  hooks.on_zone = hooks_.on_zone;
+  hooks.on_host = [this](const HostEntry& host) {
+    Locate(host.host, host.address);
+  };
+  hooks.send = [this](const std::string& host, const FleetNews& news) {
+    const auto found = addresses_.find(host);
+    if (found == addresses_.end()) return;
+    socket_->Send(found->second.ip,
+                  static_cast<std::uint16_t>(found->second.port), Encode(news));
+  };
+  fleet_ = std::make_unique<Fleet>(
+      std::move(self), absl::ToUnixMicros(absl::Now()), std::move(hooks), now);
+  tick_ = loop_->timers().At(now + fleet_->Period(),
+                             [this](absl::Time at) { Tick(at); });
+  begin_ = loop_->timers().At(now + kReadTime,
+                              [this](absl::Time at) { fleet_->Begin(at); });
 }
 
 void Peers::Announce(int tries) {
-  table_.write(options_.table, options_.host.str(), AnnouncementOf(address_),
+  HostEntry self;
+  self.address = address_;
+  self.zone = options_.zone.str();
+  self.processor = static_cast<float>(options_.processor);
+  table_.write(options_.table, options_.host.str(), AnnouncementOf(self),
                [this, tries, alive = std::weak_ptr<int>(alive_)](bool done) {
                  if (alive.expired()) return;
                  if (done) return ReadOthers(0, "");
@@ -113,13 +175,14 @@
                   });
                 }
                 for (const TableRow& row : page->rows) {
-                  if (auto address = AddressIn(row.value)) {
-                    Learn(row.key, *address);
-                  }
+                  if (const auto host = HostIn(row)) fleet_->Learn(*host);
                 }
                 if (page->more && !page->rows.empty()) {
-                  ReadOthers(0, page->rows.back().key + '\0');
+                  return ReadOthers(0, page->rows.back().key + '\0');
                 }
+                hooks_.on_known(fleet_->known());
+                LOG(INFO) << "event=hosts-read known=" << addresses_.size();
+                fleet_->Begin(loop_->now());
               });
 }
 
@@ -132,53 +195,37 @@
                          [call = std::move(call)](absl::Time) { call(); });
 }
 
-void Peers::Learn(const std::string& host, const settings::Endpoint& address) {
-  if (host == options_.host.str()) return;
-  settings::Endpoint& known = addresses_[host];
-  if (known == address) return;
-  known = address;
-  LOG(INFO) << "event=peer host=" << host
-            << " address=" << settings::Format(address);
-  std::vector<std::string> hosts;
-  for (const auto& [name, endpoint] : addresses_) hosts.push_back(name);
-  on_hosts_(hosts);
+void Peers::Locate(const std::string& host, const std::string& address) {
+  const auto endpoint = settings::ParseEndpoint(address);
+  if (host == options_.host.str() || !endpoint.ok()) return;
+  addresses_[host] = endpoint.value();
 }
 
 void Peers::Take(std::string_view bytes) {
-  if (!IsPeerNews(bytes)) return on_other_(bytes);
-  const auto news = DecodePeerNews(bytes);
-  if (!news) {
-    ++malformed_;
-    return;
+  if (IsFleetNews(bytes)) {
+    const auto news = DecodeFleetNews(bytes);
+    if (news) return fleet_->Take(*news, loop_->now());
+  } else if (const auto envelope = Open(bytes)) {
+    Locate(envelope->host, envelope->address);
+    return hooks_.on_other(envelope->content);
   }
-  if (news->host == options_.host.str()) return;
-  const auto address = settings::ParseEndpoint(news->address);
-  if (address.ok()) Learn(news->host, address.value());
-  on_news_(*news);
+  ++malformed_;
 }
 
-bool Peers::Send(const EntryHostId& host, std::string_view bytes) {
-  const auto found = addresses_.find(host.str());
+bool Peers::Send(const std::string& host, std::string_view bytes) {
+  const auto found = addresses_.find(host);
   if (found == addresses_.end()) return false;
   const settings::Endpoint& address = found->second;
-  return socket_->Send(address.ip, static_cast<std::uint16_t>(address.port),
-                       bytes);
+  return socket_->Send(
+      address.ip, static_cast<std::uint16_t>(address.port),
+      Seal({options_.host.str(), address_, std::string(bytes)}));
 }
 
-void Peers::Tell(absl::Time now) {
-  PeerNews news;
-  news.host = options_.host.str();
-  news.address = settings::Format(address_);
-  news.incarnation = incarnation_;
-  news.sequence = ++sequence_;
-  compose_(&news);
-  const std::string bytes = Encode(news);
-  for (const auto& [host, address] : addresses_) {
-    socket_->Send(address.ip, static_cast<std::uint16_t>(address.port), bytes);
-  }
-  on_tick_(now);
-  tick_ =
-      loop_->timers().At(now + Period(), [this](absl::Time at) { Tell(at); });
+void Peers::Tick(absl::Time now) {
+  fleet_->Tick(now);
+  hooks_.on_tick(now);
+  tick_ = loop_->timers().At(now + fleet_->Period(),
+                             [this](absl::Time at) { Tick(at); });
 }
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -12,7 +12,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "gateway/configuration.h"
-#include "gateway/peer_news.h"
+#include "gateway/fleet_messages.h"
 #include "schedule/limits.h"
 
 namespace gentianlb::gateway {
--- a/src/gateway/silent_table_test.cc
+++ b/src/gateway/silent_table_test.cc
@@ -140,10 +140,11 @@
  private:
   void Tell() {
     for (std::size_t from = 0; from < followers_.size(); ++from) {
-      PeerNews news;
-      news.host = "h" + std::to_string(from);
+      FleetNews news;
+      news.sender.host = "h" + std::to_string(from);
+      news.period_ms = 250;
       news.tables = {{HashName("t"), followers_[from]->newest_change(),
-                      followers_[from]->up()}};
+                      followers_[from]->version(), followers_[from]->up()}};
       for (std::size_t to = 0; to < followers_.size(); ++to) {
         if (to == from || to == table.cut || from == table.cut) continue;
         watches_[to]->Heard(news, now);
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/random/distributions.h"
+
 namespace gentianlb::gateway {
 
 TableFollower::TableFollower(TableFollowerOptions options, TablePort port,
@@ -61,19 +63,53 @@
   NoteVersions(rows_);
   on_rows_(rows_, /*whole=*/true, clock_());
   rows_.clear();
-  Follow();
+  if (mode_ == Following::kAlways) return Follow();
+  GoOn();
+}
+
+bool TableFollower::MayFollow() const {
+  return mode_ == Following::kAlways || heard_of_ > version_ ||
+         (mode_ == Following::kProbing && probe_answered_);
+}
+
+void TableFollower::GoOn() {
+  if (MayFollow()) return FollowSoon();
+  idle_ = true;
+  if (mode_ == Following::kProbing) ProbeLater();
+}
+
+void TableFollower::ProbeLater() {
+  // Hosts that lost the service together must not all try at once.
+  const double draw = absl::Uniform(random_, 0.5, 1.5);
+  retry_ = timers_->At(clock_() + draw * probe_period_,
+                       [this](absl::Time) { Follow(); });
+}
+
+void TableFollower::SetFollowing(Following following,
+                                 absl::Duration probe_period) {
+  probe_period_ = probe_period;
+  if (mode_ == following) return;
+  mode_ = following;
+  probe_answered_ = false;
+  if (!complete_ || !idle_) return;
+  timers_->Cancel(retry_);
+  GoOn();
 }
 
 void TableFollower::FollowSoon() {
+  idle_ = false;
   const absl::Time due = followed_ + options_.interval;
   if (due <= clock_()) return Follow();
   retry_ = timers_->At(due, [this](absl::Time) { Follow(); });
 }
 
 void TableFollower::Follow() {
+  timers_->Cancel(retry_);
   followed_ = clock_();
   following_ = true;
-  const bool doubtful = watching_ || !up_ || heard_of_ > version_;
+  idle_ = false;
+  const bool doubtful =
+      watching_ || !up_ || heard_of_ > version_ || mode_ == Following::kProbing;
   follow_wait_ = doubtful ? options_.short_wait : options_.wait;
   port_.follow(
       options_.table, version_, follow_wait_,
@@ -84,7 +120,6 @@
   LOG(INFO) << "event=table-asked-anew table=" << options_.table
             << " version=" << version_ << " heard_of=" << heard_of_
             << " watching=" << watching_;
-  timers_->Cancel(retry_);
   Follow();
 }
 
@@ -94,16 +129,36 @@
   if (watching && following_ && follow_wait_ > options_.short_wait) AskAnew();
 }
 
-void TableFollower::HeardOf(std::uint64_t change) {
+void TableFollower::HeardOf(std::uint64_t change, std::uint64_t version) {
+  // All up to `change` is known here, so that nothing is missed up to there.
+  if (complete_ && change <= version_) version_ = std::max(version_, version);
   if (change <= heard_of_) return;
   heard_of_ = change;
   if (heard_of_ <= version_ || behind_ != 0) return;
   behind_ = timers_->At(clock_() + options_.behind, [this](absl::Time) {
     behind_ = 0;
-    if (heard_of_ > version_ && following_) AskAnew();
+    if (heard_of_ <= version_ || !complete_) return;
+    if (following_) AskAnew();
+    if (idle_) FollowSoon();
   });
 }
 
+void TableFollower::TakeHandedOn(std::uint64_t since, const TablePage& page) {
+  if (!complete_) return;
+  if (since > version_) {
+    // An earlier change was lost on the way.
+    for (const TableRow& row : page.rows) HeardOf(row.version);
+    return;
+  }
+  if (page.version > version_) Apply(page);
+}
+
+void TableFollower::Apply(const TablePage& page) {
+  version_ = page.version;
+  NoteVersions(page.rows);
+  if (!page.rows.empty()) on_rows_(page.rows, /*whole=*/false, clock_());
+}
+
 void TableFollower::NoteVersions(const std::vector<TableRow>& rows) {
   for (const TableRow& row : rows) {
     newest_change_ = std::max(newest_change_, row.version);
@@ -119,18 +174,21 @@
       return Again([this] { Read(""); });
     }
     Failed(*failure);
+    if (!MayFollow()) return GoOn();
     return Again([this] { Follow(); });
   }
   Answered();
   const auto& page = std::get<TablePage>(answer);
-  version_ = std::max(version_, page.version);
-  NoteVersions(page.rows);
-  if (!page.rows.empty()) on_rows_(page.rows, /*whole=*/false, clock_());
-  FollowSoon();
+  const std::uint64_t since = version_;
+  // What was handed on meanwhile is newer.
+  if (page.version >= version_) Apply(page);
+  if (on_changes_ && !page.rows.empty()) on_changes_(since, page);
+  GoOn();
 }
 
 void TableFollower::Failed(TableFailure /*failure*/) {
   ++failures_;
+  probe_answered_ = false;
   if (!up_) return;
   up_ = false;
   LOG(WARNING) << "event=table-lost table=" << options_.table
@@ -140,6 +198,7 @@
 
 void TableFollower::Answered() {
   failures_ = 0;
+  probe_answered_ = true;
   if (up_) return;
   up_ = true;
   LOG(INFO) << "event=table-back table=" << options_.table
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -13,6 +13,10 @@
 // hides every change for as long. One would see hosts on an old configuration,
 // with no line that says so. So a host that has reason to doubt asks with short
 // waits, and a change that another host has heard of is asked for at once.
+//
+// Hundreds of hosts that all wait for changes cost as many calls for each. So
+// one host of a zone follows and hands changes on; the others take them, and
+// ask the service only when one was lost on the way.
 
 #ifndef GENTIANLB_GATEWAY_TABLE_FOLLOWER_H_
 #define GENTIANLB_GATEWAY_TABLE_FOLLOWER_H_
@@ -27,25 +31,10 @@
 #include "absl/time/time.h"
 #include "base/retry.h"
 #include "base/timer_service.h"
+#include "gateway/table_page.h"
 
 namespace gentianlb::gateway {
 
-struct TableRow {
-  std::string key;
-  std::string value;
-  bool removed = false;
-  std::uint64_t version = 0;  // Of its last change; 0: not told.
-  bool operator==(const TableRow&) const = default;
-};
-
-// Some rows, as of one moment.
-struct TablePage {
-  std::vector<TableRow> rows;
-  std::uint64_t version = 0;  // Of the whole service; changes come after it.
-  bool more = false;          // There are rows after the last one.
-  bool operator==(const TablePage&) const = default;
-};
-
 enum class TableFailure {
   kUnavailable,  // No answer, or one that says so.
   kHistoryGone,  // The changes since that version are no longer known.
@@ -93,6 +82,14 @@
                         .longest_delay = absl::Milliseconds(800)};
 };
 
+enum class Following {
+  kAlways,    // A call waits for changes all the time.
+  kWhenTold,  // Others hand changes on; asked for is what they couldn't.
+  // No host that is heard reaches the service. Each tries now and then whether
+  // it does itself, and follows for the others then.
+  kProbing,
+};
+
 class TableFollower {
  public:
   // `whole`: the rows are the table, and what is missing is not in it.
@@ -100,6 +97,9 @@
                                     bool whole, absl::Time now)>;
   // The service has stopped answering, or answers again.
   using OnState = std::function<void(bool up, absl::Time now)>;
+  // Changes that were asked for, all after `since`, to be handed on.
+  using OnChanges =
+      std::function<void(std::uint64_t since, const TablePage& page)>;
 
   // `timers` outlives this object.
   TableFollower(TableFollowerOptions options, TablePort port,
@@ -115,11 +115,18 @@
   // notice a silent service for the others.
   void SetWatching(bool watching);
 
-  // Another host knows of a change of that version.
-  void HeardOf(std::uint64_t change);
+  void SetFollowing(Following following, absl::Duration probe_period);
+  void HandOnTo(OnChanges on_changes) { on_changes_ = std::move(on_changes); }
+
+  // Another host knows of a change of that version, and of all up to `version`.
+  void HeardOf(std::uint64_t change, std::uint64_t version = 0);
+  // Another host hands on what it was answered.
+  void TakeHandedOn(std::uint64_t since, const TablePage& page);
 
   const std::string& table() const { return options_.table; }
   bool up() const { return up_; }
+  // Whether changes come to this host from the service itself.
+  bool follows() const { return !idle_ && up_; }
   // The newest change of a row that is known; what others are told.
   std::uint64_t newest_change() const { return newest_change_; }
   bool complete() const { return complete_; }  // Read whole at least once.
@@ -130,6 +137,11 @@
   // Once the interval is over.
   void FollowSoon();
   void Follow();
+  bool MayFollow() const;
+  // Follows if this host has to; else waits to be told.
+  void GoOn();
+  void ProbeLater();
+  void Apply(const TablePage& page);
   // Leaves the call that waits, and makes another.
   void AskAnew();
   void TakeRead(const std::string& from, TableAnswer answer);
@@ -148,6 +160,7 @@
   const std::function<absl::Time()> clock_;
   const OnRows on_rows_;
   const OnState on_state_;
+  OnChanges on_changes_;
   std::mt19937_64 random_;
 
   std::vector<TableRow> rows_;   // Of the pages read so far.
@@ -157,6 +170,10 @@
   std::uint64_t heard_of_ = 0;  // By other hosts.
   bool complete_ = false;
   bool watching_ = false;
+  Following mode_ = Following::kAlways;
+  absl::Duration probe_period_;
+  bool probe_answered_ = false;
+  bool idle_ = false;           // No call is made, and none is due.
   bool following_ = false;      // A call waits for changes,
   absl::Duration follow_wait_;  // for this long.
   std::uint64_t call_ = 0;      // Counts the calls.
--- a/src/gateway/table_follower_test.cc
+++ b/src/gateway/table_follower_test.cc
@@ -223,5 +223,99 @@
   BOOST_TEST(table.calls.empty());
 }
 
+TablePage Changed(std::string key, std::uint64_t version) {
+  TablePage page;
+  page.rows.push_back({std::move(key), "v", false, version});
+  page.version = version;
+  return page;
+}
+
+struct ToldFixture : Fixture {
+  ToldFixture() {
+    follower.SetFollowing(Following::kWhenTold, absl::Seconds(10));
+    table.Next().done(Page({"a"}, 10));
+    got.clear();
+  }
+};
+
+// Hundreds of hosts learn of each change from the one of their zone that
+// follows, at no call of their own.
+BOOST_FIXTURE_TEST_CASE(WhatIsHandedOnNeedsNoCall, ToldFixture) {
+  follower.HeardOf(12);
+  follower.TakeHandedOn(10, Changed("b", 12));
+  Pass(absl::Minutes(1));
+  BOOST_TEST(table.calls.empty());
+  BOOST_TEST((got == Strings{"change b"}));
+  // Twice on the way, or from two that follow: nothing more comes of it.
+  follower.TakeHandedOn(10, Changed("b", 12));
+  BOOST_TEST((got == Strings{"change b"}));
+}
+
+// What was handed on is lost on the way, while the news of it arrives. The host
+// asks for it; callers would be served by an old configuration otherwise.
+BOOST_FIXTURE_TEST_CASE(WhatWasLostOnTheWayIsAskedFor, ToldFixture) {
+  follower.HeardOf(12);
+  BOOST_TEST(table.calls.empty());
+  Pass(absl::Milliseconds(201));
+  FakeTable::Call call = table.Next();
+  BOOST_TEST(call.since == 10u);
+  call.done(Changed("b", 12));
+  BOOST_TEST((got == Strings{"change b"}));
+  Pass(absl::Minutes(1));
+  BOOST_TEST(table.calls.empty());
+  // The one after it shows that one is missing, without any news.
+  follower.TakeHandedOn(13, Changed("d", 14));
+  Pass(absl::Seconds(1));
+  BOOST_TEST(table.Next().since == 12u);
+}
+
+// A host asks for what it missed, and the answer comes later than the next
+// change, which was handed on meanwhile. It must not go back.
+BOOST_FIXTURE_TEST_CASE(AnOlderAnswerUndoesNothing, ToldFixture) {
+  follower.HeardOf(12);
+  Pass(absl::Milliseconds(201));
+  FakeTable::Call call = table.Next();
+  follower.TakeHandedOn(10, Changed("newer", 15));
+  call.done(Changed("older", 12));
+  BOOST_TEST((got == Strings{"change newer"}));
+}
+
+// Nothing changes for longer than the service keeps its history. A host that
+// then asked from where it read last would have to read all again.
+BOOST_FIXTURE_TEST_CASE(WhoIsToldKeepsItsPlaceInTheHistory, ToldFixture) {
+  follower.HeardOf(10, 900);
+  follower.HeardOf(901);
+  Pass(absl::Seconds(1));
+  BOOST_TEST(table.Next().since == 900u);
+}
+
+// No host that is heard reaches the service any more, but it may serve this
+// one. It tries now and then, and follows for the others once it is answered.
+BOOST_FIXTURE_TEST_CASE(WhereNobodyReachesTheServiceEachTriesRarely,
+                        ToldFixture) {
+  follower.SetFollowing(Following::kProbing, absl::Seconds(10));
+  int tries = 0;
+  for (int i = 0; i < 60; ++i) {
+    Pass(absl::Seconds(1));
+    if (table.calls.empty()) continue;
+    ++tries;
+    table.Next().done(TableFailure::kUnavailable);
+  }
+  BOOST_TEST(tries >= 3);
+  BOOST_TEST(tries <= 12);
+  Pass(absl::Seconds(15));
+  table.Next().done(Changed("b", 12));
+  BOOST_TEST(follower.follows());
+  Pass(absl::Seconds(1));
+  BOOST_TEST(table.Next().since == 12u);
+}
+
+// The host that followed for this one falls silent: it follows by itself.
+BOOST_FIXTURE_TEST_CASE(AHostThatIsLeftAloneFollows, ToldFixture) {
+  follower.SetFollowing(Following::kAlways, absl::Seconds(10));
+  Pass(absl::Seconds(1));
+  BOOST_TEST(table.Next().since == 10u);
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
--- /dev/null
+++ b/src/gateway/table_page.h
@@ -0,0 +1,30 @@
+// Rows of a table of the platform's table service.
+
+#ifndef GENTIANLB_GATEWAY_TABLE_PAGE_H_
+#define GENTIANLB_GATEWAY_TABLE_PAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gentianlb::gateway {
+
+struct TableRow {
+  std::string key;
+  std::string value;
+  bool removed = false;
+  std::uint64_t version = 0;  // Of its last change; 0: not told.
+  bool operator==(const TableRow&) const = default;
+};
+
+// Some rows, as of one moment.
+struct TablePage {
+  std::vector<TableRow> rows;
+  std::uint64_t version = 0;  // Of the whole service; changes come after it.
+  bool more = false;          // There are rows after the last one.
+  bool operator==(const TablePage&) const = default;
+};
+
+}  // namespace gentianlb::gateway
+
+#endif  // GENTIANLB_GATEWAY_TABLE_PAGE_H_
--- a/src/gateway/table_watch.h
+++ b/src/gateway/table_watch.h
@@ -1,13 +1,14 @@
-// Which entry host watches the tables for all.
+// Which of the hosts that follow the tables watches them for all.
 //
-// What goes wrong: the table service falls silent while every host has a call
-// waiting there. The calls are swallowed, no connection breaks, and nobody
-// hears of the changes that come after. Short waits at each host would notice
-// it, at the price of a call a second and table from hundreds of hosts. So one
-// host asks with short waits, and tells the others of the newest change that it
-// knows; they ask anew when they are behind.
+// What goes wrong: the table service falls silent while every follower has a
+// call waiting there. The calls are swallowed, no connection breaks, and nobody
+// hears of the changes that come after. Short waits at each follower would
+// notice it, at the price of a call a second and table from each. So one asks
+// with short waits, and tells the others of the newest change that it knows;
+// they ask anew when they are behind.
 //
-// The first by hash, of those that are heard and reach the service, watches.
+// The first by hash, of the zones' aggregators that are heard and reach the
+// service, watches.
 // Nothing is agreed: two that watch for a moment cost some calls, and hosts
 // that are cut off from each other have a watching one on each side.
 
@@ -18,7 +19,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
-#include "gateway/peer_news.h"
+#include "gateway/fleet_messages.h"
 
 namespace gentianlb::gateway {
 
@@ -27,14 +28,14 @@
   TableWatch(std::string host, absl::Time started)
       : host_(std::move(host)), started_(started) {}
 
-  void Heard(const PeerNews& news, absl::Time now);
+  void Heard(const FleetNews& news, absl::Time now);
 
   // `reaches`: whether the service answers this host.
   bool IsWatcher(bool reaches, absl::Time now) const;
 
  private:
   struct Peer {
-    absl::Time heard;
+    absl::Time believed_until;
     bool reaches = false;
   };
 
--- a/src/gateway/table_watch_test.cc
+++ b/src/gateway/table_watch_test.cc
@@ -9,10 +9,11 @@
 const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
 const std::vector<std::string> hosts = {"h1", "h2", "h3", "h4"};
 
-PeerNews NewsOf(const std::string& host, bool up) {
-  PeerNews news;
-  news.host = host;
-  news.tables = {{HashName("t"), 7, up}};
+FleetNews NewsOf(const std::string& host, bool up) {
+  FleetNews news;
+  news.sender.host = host;
+  news.period_ms = 250;
+  news.tables = {{HashName("t"), 7, 7, up}};
   return news;
 }
 
--- a/src/gateway/wire_lists.h
+++ b/src/gateway/wire_lists.h
@@ -8,6 +8,7 @@
 #include <cereal/archives/portable_binary.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <ios>
 #include <stdexcept>
 #include <string>
 
@@ -51,6 +52,22 @@
   reader.loadBinary<1>(text->data(), count);
 }
 
+// A text of any length; the reader says how long it may be.
+inline void WriteBytes(WireWriter& writer, const std::string& bytes) {
+  writer(static_cast<std::uint32_t>(bytes.size()));
+  writer.saveBinary<1>(bytes.data(),
+                       static_cast<std::streamsize>(bytes.size()));
+}
+
+inline void ReadBytes(WireReader& reader, std::size_t most,
+                      std::string* bytes) {
+  std::uint32_t count = 0;
+  reader(count);
+  if (count > most) throw std::length_error("too long a text");
+  bytes->resize(count);
+  reader.loadBinary<1>(bytes->data(), count);
+}
+
 }  // namespace gentianlb::gateway
 
 #endif  // GENTIANLB_GATEWAY_WIRE_LISTS_H_
