What a tier's backlog can't have in time is refused on arrival

Cause: the wait of a request was worked out with all that a pool drains, though higher tiers that go on arriving take most of it.

Test first: a third of the servers' time for twice as much of the lower tier.

Change: the rate of each lane, forgotten over two seconds; those ahead in the lane at that rate against the time that is left.

--- a/src/schedule/dispatcher_test.cc
+++ b/src/schedule/dispatcher_test.cc
@@ -469,6 +469,77 @@
 
 // A server is taken out of the configuration. What runs there ends, and nothing
 // new goes there.
+// What the lower of two tiers gets of four servers, in time, and how long those
+// that are refused were kept.
+struct LowerTier {
+  int asked = 0;
+  int in_time = 0;
+  absl::Duration kept_median;
+};
+
+LowerTier RunTwoTiers(double urgent_load, double lower_load) {
+  constexpr int kPrompt = 500;
+  constexpr int kOutput = 20;
+  // Of four servers with eight streams: some 60 such requests in a second.
+  constexpr double kPerSecond = 38;
+  FakeSite site;
+  site.AddServers(4);
+  double urgent_due = 0;
+  double lower_due = 0;
+  LowerTier got;
+  std::vector<RequestId> lower;
+  const auto send = [&](int tier) {
+    Request request = site.Make("w", tier, absl::Seconds(6), kPrompt, kOutput);
+    request.first_token_due = site.now + absl::Seconds(1);
+    site.requests[request.id] = request;
+    site.Tell(RequestArrived{request});
+    return request.id;
+  };
+  for (int step = 0; step < 2000; ++step) {
+    const double each = kPerSecond * absl::ToDoubleSeconds(FakeSite::kStep);
+    urgent_due += urgent_load * each;
+    lower_due += lower_load * each;
+    for (; urgent_due >= 1; --urgent_due) send(0);
+    for (; lower_due >= 1; --lower_due) {
+      const RequestId id = send(1);
+      if (step > 500) lower.push_back(id);
+    }
+    site.Run(FakeSite::kStep);
+  }
+  site.Run(absl::Seconds(8));
+  std::vector<absl::Duration> kept;
+  for (const RequestId& id : lower) {
+    const CallerOutcome& outcome = site.outcomes.at(id);
+    if (outcome.kind == CallerOutcome::Kind::kComplete) ++got.in_time;
+    if (outcome.kind == CallerOutcome::Kind::kRefused) {
+      kept.push_back(outcome.when - site.requests.at(id).arrival);
+    }
+  }
+  std::sort(kept.begin(), kept.end());
+  got.asked = static_cast<int>(lower.size());
+  if (!kept.empty()) got.kept_median = kept[kept.size() / 2];
+  BOOST_TEST_MESSAGE("lower tier: asked " << got.asked << " in time "
+                                          << got.in_time << " kept "
+                                          << got.kept_median);
+  return got;
+}
+
+// Urgent callers alone use the servers up. A caller of the lower tier that is
+// kept until its objective is nearly over, and refused then, has lost a second
+// for nothing and comes back too late.
+BOOST_AUTO_TEST_CASE(WhatCannotBeInTimeIsToldOnArrival) {
+  const LowerTier got = RunTwoTiers(1.2, 0.5);
+  BOOST_TEST(got.kept_median <= absl::Milliseconds(100));
+}
+
+// A third of the servers' time is left for twice as much of the lower tier.
+// Those that find no room hear so early, and what there is is used.
+BOOST_AUTO_TEST_CASE(WhatIsLeftIsUsedByTheLowerTier) {
+  const LowerTier got = RunTwoTiers(0.67, 0.67);
+  BOOST_TEST(got.kept_median <= absl::Milliseconds(100));
+  BOOST_TEST(got.in_time >= 0.4 * got.asked);
+}
+
 BOOST_AUTO_TEST_CASE(LeavingServerGetsNothingNew) {
   FakeSite site;
   site.AddServers(2);
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -215,8 +215,11 @@
 }
 
 void Round::Grant(WaitIndex index, const Placement& placement) {
-  Waiting waiting = RemoveWaiting(state_, index);
   const absl::Time now = state_.now;
+  const Waiting& head = state_.queue.Get(index);
+  // Before it is taken out, as the backlog may end with it.
+  state_.lane_drains.at({head.request.tier, head.pool}).Granted(head.work, now);
+  Waiting waiting = RemoveWaiting(state_, index);
   Server& server = state_.fleet.at(placement.server);
   const Demand& demand = placement.demand;
 
--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -77,10 +77,22 @@
 // ahead of it.
 double WaitSeconds(const State& state, const Waiting& waiting) {
   const LaneKey lane{waiting.request.tier, waiting.pool};
-  const double ahead = state.queue.WorkAbove(lane.tier, lane.pool) +
-                       state.queue.WorkAhead(lane, waiting.workspace,
+  const double above = state.queue.WorkAbove(lane.tier, lane.pool);
+  const double ahead = state.queue.WorkAhead(lane, waiting.workspace,
                                              waiting.weight, waiting.order_at);
-  return ahead <= 0 ? 0 : ahead / DrainPerSecond(state, waiting.pool);
+  return above + ahead <= 0
+             ? 0
+             : (above + ahead) / DrainPerSecond(state, waiting.pool);
+}
+
+// Whether those of its own tier that are served before it use up the time for
+// its first token, at the rate that higher tiers leave them.
+bool TierIsFull(const State& state, const Waiting& waiting) {
+  const LaneKey lane{waiting.request.tier, waiting.pool};
+  const double ahead = state.queue.WorkAhead(lane, waiting.workspace,
+                                             waiting.weight, waiting.order_at);
+  const double left = absl::ToDoubleSeconds(waiting.latest_start - state.now);
+  return ahead > left * LaneDrainPerSecond(state, lane);
 }
 
 // Whether its first token can't be out in time, by the backlog.
@@ -90,7 +102,8 @@
       .wait = WaitSeconds(state, waiting),
       .service = 0,
       .deadline = absl::ToDoubleSeconds(waiting.latest_start - state.now)};
-  return Unreachable(outlook) || Overloaded(outlook);
+  return Unreachable(outlook) || Overloaded(outlook) ||
+         TierIsFull(state, waiting);
 }
 
 // True when it was refused, because it can't finish in time.
--- a/src/schedule/refuse.cc
+++ b/src/schedule/refuse.cc
@@ -6,13 +6,6 @@
 namespace gentianlb::schedule {
 namespace {
 
-// The drain rate forgets over this time: long against the gaps between grants,
-// short against how long an overload or a power drop lasts.
-constexpr double kMemorySeconds = 10;
-
-// The first guess weighs like this much measuring.
-constexpr double kGuessSeconds = 2;
-
 // Estimates of the backlog err both ways. Up to this much over, the request is
 // let wait: it is refused later if need be, while a refused one is lost.
 constexpr double kBenefitOfDoubt = 1.25;
@@ -40,7 +33,7 @@
 void DrainRate::Advance(absl::Time now) {
   const double passed = absl::ToDoubleSeconds(now - last_);
   if (backlog_ && passed > 0) {
-    const double kept = std::exp(-passed / kMemorySeconds);
+    const double kept = std::exp(-passed / memory_.seconds);
     work_ *= kept;
     busy_ = busy_ * kept + passed;
   }
@@ -50,8 +43,9 @@
 double DrainRate::PerSecond(double capacity, absl::Time now) const {
   DrainRate until_now = *this;
   until_now.Advance(now);
-  const double work = until_now.work_ + capacity * kGuessSeconds;
-  return std::max(1e-3, work / (until_now.busy_ + kGuessSeconds));
+  const double guessed = memory_.guess_seconds;
+  const double work = until_now.work_ + capacity * guessed;
+  return std::max(1e-3, work / (until_now.busy_ + guessed));
 }
 
 bool Unreachable(const Outlook& outlook) {
--- a/src/schedule/refuse.h
+++ b/src/schedule/refuse.h
@@ -10,6 +10,12 @@
 // while requests waited, measured, with the configured capacity as the first
 // guess. Ahead is only what the order puts ahead: higher tiers, and of the same
 // tier what fair queueing serves first. Work of lower tiers never counts.
+//
+// Higher tiers that go on arriving take most of what a pool drains. By the
+// pool's rate a lower tier seems to have its turn soon; its callers would wait
+// until their objective is nearly over, be refused then, and come back to the
+// same. So the rate of its own lane, which is what the others leave, counts
+// too.
 
 #ifndef GENTIANLB_SCHEDULE_REFUSE_H_
 #define GENTIANLB_SCHEDULE_REFUSE_H_
@@ -23,9 +29,22 @@
 
 namespace gentianlb::schedule {
 
-// Work that a pool takes in a second while there is a backlog.
+// Work that is granted in a second while there is a backlog: of a pool, or of
+// one lane, whose rate is what higher tiers leave it.
 class DrainRate {
  public:
+  struct Memory {
+    double seconds;        // The rate forgets over this time.
+    double guess_seconds;  // The first guess weighs like this much measuring.
+  };
+  // Long against the gaps between grants, short against how long an overload
+  // or a power drop lasts.
+  static constexpr Memory kOfPool = {10, 2};
+  // What is left for a lower tier changes with each burst of a higher one.
+  static constexpr Memory kOfLane = {2, 0.2};
+
+  explicit DrainRate(Memory memory = kOfPool) : memory_(memory) {}
+
   // Something waits from now on, or nothing does.
   void SetBacklog(bool backlog, absl::Time now);
   // What never waited says nothing of the rate and is left out.
@@ -36,6 +55,7 @@
  private:
   void Advance(absl::Time now);
 
+  Memory memory_;
   double work_ = 0;
   double busy_ = 0;  // Seconds.
   bool backlog_ = false;
--- a/src/schedule/state.cc
+++ b/src/schedule/state.cc
@@ -13,6 +13,11 @@
          code == Code::kShedForHigherTier;
 }
 
+// Several dispatchers may share the pool; the first guess is this one's part.
+double OwnCapacity(const State& state, PoolIndex pool) {
+  return state.fleet.pool(pool).capacity * state.fleet.OwnPart(pool, state.now);
+}
+
 }  // namespace
 
 void Emit(State& state, Decision decision) {
@@ -28,6 +33,8 @@
   const WaitIndex index = state.queue.Add(std::move(waiting));
   state.waiting_by_id[id] = index;
   state.drains[lane.pool].SetBacklog(true, state.now);
+  state.lane_drains.try_emplace(lane, DrainRate::kOfLane)
+      .first->second.SetBacklog(true, state.now);
   // Behind the heads it changes nothing yet.
   if (state.queue.InHeads(index)) state.changes.lanes.push_back(lane);
 }
@@ -39,6 +46,10 @@
   if (state.queue.PoolSize(waiting.pool) == 0) {
     state.drains[waiting.pool].SetBacklog(false, state.now);
   }
+  const LaneKey lane{waiting.request.tier, waiting.pool};
+  if (state.queue.LaneEmpty(lane)) {
+    state.lane_drains.at(lane).SetBacklog(false, state.now);
+  }
   return waiting;
 }
 
@@ -71,10 +82,15 @@
 }
 
 double DrainPerSecond(const State& state, PoolIndex pool) {
-  // Several dispatchers may share the pool; the first guess is this one's part.
-  const double capacity =
-      state.fleet.pool(pool).capacity * state.fleet.OwnPart(pool, state.now);
-  return state.drains[pool].PerSecond(capacity, state.now);
+  return state.drains[pool].PerSecond(OwnCapacity(state, pool), state.now);
+}
+
+double LaneDrainPerSecond(const State& state, const LaneKey& lane) {
+  const double capacity = OwnCapacity(state, lane.pool);
+  const auto drain = state.lane_drains.find(lane);
+  return drain == state.lane_drains.end()
+             ? capacity
+             : drain->second.PerSecond(capacity, state.now);
 }
 
 absl::Duration ComeBackAfter(State& state, const LaneKey& lane) {
--- a/src/schedule/state.h
+++ b/src/schedule/state.h
@@ -68,6 +68,7 @@
   RetryBudget retries{RetryOptions{}};
   ComeBack come_back;
   std::vector<DrainRate> drains;  // By pool.
+  std::map<LaneKey, DrainRate> lane_drains;
 
   absl::flat_hash_map<RequestId, WaitIndex> waiting_by_id;
   std::map<int, Activity> activity;  // By rank of the tier.
@@ -104,6 +105,8 @@
 
 // Work that this dispatcher's part of a pool takes in a second.
 double DrainPerSecond(const State& state, PoolIndex pool);
+// Of it, what is left for the lane.
+double LaneDrainPerSecond(const State& state, const LaneKey& lane);
 
 // When a caller of this lane may come back: when its backlog has drained.
 absl::Duration ComeBackAfter(State& state, const LaneKey& lane);
