What hosts let through while they hear of nobody is paid back

Cause: when a zone's aggregator is lost, each of its hosts keeps to its part of a workspace's limit for some tenths of a second, and may overdraw that by one request, as one that is larger than the part could never run. The next aggregator counted from its first message on, so that nobody heard of it: with aggregators killed eight times in ten seconds 2,230,000 tokens went through in eight seconds, where operators allow 1,724,000.

Change: a host tells what it let through since it heard of the others, and the first message of an aggregator that began meanwhile counts in full, unless the receiver is new itself.

Ruled out: a bucket that may not be fuller after such a moment than before (1,900,000 still; taken out again).

--- a/src/gateway/aggregate.cc
+++ b/src/gateway/aggregate.cc
@@ -89,8 +89,8 @@
   if (!IsBelieved(source, now)) {
     source.counters = UseCounters();
   }
-  for (const UseGrowth& grown :
-       source.counters.Take(news.incarnation, news.workspaces)) {
+  for (const UseGrowth& grown : source.counters.Take(
+           news.incarnation, news.workspaces, CountsAtFirst(news, now))) {
     const auto add = [&grown](Totals* totals) {
       Total& total = (*totals)[grown.workspace];
       total.let_through += grown.let_through;
@@ -111,6 +111,16 @@
   return true;
 }
 
+FirstMessage Aggregate::CountsAtFirst(const FleetNews& news,
+                                      absl::Time now) const {
+  if (IsOfZone(news)) return FirstMessage::kUnheard;
+  const auto zone = expected_zones_.find(news.sender.zone);
+  if (zone == expected_zones_.end()) return FirstMessage::kNothing;
+  const bool began_since =
+      now - zone->second.heard >= absl::Milliseconds(news.age_ms);
+  return began_since ? FirstMessage::kAll : FirstMessage::kNothing;
+}
+
 void Aggregate::NoteHeard(const FleetNews& news, absl::Time now) {
   const bool of_zone = IsOfZone(news);
   Expected& expected = of_zone ? expected_hosts_[news.sender.host]
--- a/src/gateway/aggregate.h
+++ b/src/gateway/aggregate.h
@@ -96,6 +96,7 @@
   static bool IsBelieved(const Source& source, absl::Time now);
   // Whether it is the one that counts, of those of its zone.
   bool Counts(const Source& source, absl::Time now) const;
+  FirstMessage CountsAtFirst(const FleetNews& news, absl::Time now) const;
   void NoteHeard(const FleetNews& news, absl::Time now);
   void Forget(absl::Time now);
   bool Complete(bool zone_only, absl::Time now) const;
--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -51,6 +51,7 @@
 
 void Demand::LetThrough(NameHash workspace, double tokens) {
   own_[workspace].let_through += static_cast<std::uint64_t>(tokens);
+  own_[workspace].unheard += tokens;
 }
 
 void Demand::GivenBack(NameHash workspace, double tokens) {
@@ -64,8 +65,15 @@
                     now - heard_ <= Believed(Period());
   if (!same) counters_ = UseCounters();
   std::vector<Spent> spent;
+  // What an aggregator tells that began since is new to this host, unless the
+  // host itself is.
+  const bool began_since = heard_ != absl::InfinitePast() &&
+                           now - heard_ >= absl::Milliseconds(others.age_ms);
+  const FirstMessage first =
+      began_since ? FirstMessage::kAll : FirstMessage::kNothing;
+  for (auto& [workspace, own] : own_) own.unheard = 0;
   for (const UseGrowth& grown :
-       counters_.Take(others.incarnation, others.workspaces)) {
+       counters_.Take(others.incarnation, others.workspaces, first)) {
     spent.push_back(
         {grown.workspace, static_cast<double>(grown.let_through) -
                               static_cast<double>(grown.given_back)});
@@ -85,7 +93,8 @@
     const double part = agreed == agreed_.end() ? 0 : agreed->second;
     uses.push_back({workspace, static_cast<float>(own.told.back()),
                     own.let_through, own.given_back, static_cast<float>(part),
-                    static_cast<std::uint16_t>(part > 0 ? 1 : 0)});
+                    static_cast<std::uint16_t>(part > 0 ? 1 : 0),
+                    static_cast<float>(own.unheard)});
   }
   return uses;
 }
--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -93,6 +93,7 @@
     std::map<int, OfRank> by_rank;
     std::uint64_t let_through = 0;
     std::uint64_t given_back = 0;
+    double unheard = 0;  // Let through since the others were heard.
     double PerSecond(absl::Time now) const;
     // PerSecond() as told before, the oldest first. What the others told is as
     // old when it comes here. Were a host to set what it knows of itself now
--- a/src/gateway/demand_test.cc
+++ b/src/gateway/demand_test.cc
@@ -30,11 +30,11 @@
 
 // One entry host's part in keeping the limit, as the gateway wires it.
 struct FakeHost {
-  void Start(const Workspace& workspace, absl::Time now) {
+  void Start(const Workspace& workspace, int hosts, absl::Time now) {
     demand = Demand();
     quotas = Quotas(kTolerance);
     quotas.Configure({workspace}, now);
-    demand.Know(kHosts);
+    demand.Know(hosts);
   }
 
   void Take(const FleetNews& others, absl::Time now) {
@@ -94,13 +94,13 @@
 
 class Site {
  public:
-  explicit Site(std::uint64_t seed)
-      : random_(seed), fleet_(seed), tally_(kWindow) {
+  explicit Site(std::uint64_t seed, int hosts = kHosts, int zones = kZones)
+      : random_(seed), hosts_(hosts), fleet_(seed), tally_(kWindow) {
     fleet_.lost_per_thousand = 20;
-    fleet_.Add(kHosts, kZones);
+    fleet_.Add(hosts, zones);
     for (auto& [name, host] : fleet_.hosts) {
       FakeHost* fake = &fakes_[name];
-      fake->Start(Limited(kRate, kRate), fleet_.now);
+      fake->Start(Limited(kRate, kRate), hosts_, fleet_.now);
       host.compose = [this, fake](FleetNews* own) {
         own->workspaces = fake->demand.Tell(fleet_.now);
       };
@@ -129,11 +129,26 @@
   void Heal() {
     for (auto& [name, host] : fleet_.hosts) host.side = 0;
   }
-  void Kill() { fleet_.Kill(FleetSite::Name(Draw(kHosts))); }
+  void Kill() { fleet_.Kill(FleetSite::Name(Draw(hosts_))); }
+  void KillMost() {
+    for (auto& [name, host] : fleet_.hosts) {
+      if (Draw(100) < 60) fleet_.Kill(name);
+    }
+  }
+  void KillAggregators() {
+    for (auto& [name, host] : fleet_.hosts) {
+      if (host.fleet->aggregates()) fleet_.Kill(name);
+    }
+  }
+  void CutOffZone(const std::string& zone) {
+    for (auto& [name, host] : fleet_.hosts) {
+      host.side = host.entry.zone == zone ? 1 : 0;
+    }
+  }
   void Restart() {
     for (auto& [name, host] : fleet_.hosts) {
       if (host.up) continue;
-      fakes_.at(name).Start(Limited(kRate, kRate), fleet_.now);
+      fakes_.at(name).Start(Limited(kRate, kRate), hosts_, fleet_.now);
       fleet_.Start(name);
     }
   }
@@ -150,7 +165,7 @@
       const double size = 300.0 * (1 << Draw(7));
       owed_ -= size;
       const bool favoured = uneven && Draw(2) == 0;
-      const std::string name = FleetSite::Name(favoured ? 0 : Draw(kHosts));
+      const std::string name = FleetSite::Name(favoured ? 0 : Draw(hosts_));
       if (!fleet_.hosts.at(name).up) continue;
       const bool taken = fakes_.at(name).Request(size, fleet_.now);
       if (taken) tally_.Add(size, fleet_.now);
@@ -158,6 +173,7 @@
   }
 
   std::mt19937_64 random_;
+  const int hosts_;
   FleetSite fleet_;
   std::map<std::string, FakeHost> fakes_;
   double owed_ = 0;  // That callers are yet to ask for.
@@ -211,6 +227,46 @@
   }
 }
 
+// A hundred hosts, most of which are killed at once and come back half a second
+// later, and then a zone is cut off, while a workspace asks for five times its
+// limit. Each host knows of the others' use by three messages.
+BOOST_AUTO_TEST_CASE(TheLimitHoldsOnAHundredHosts) {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    Site site(seed, /*hosts=*/100, /*zones=*/6);
+    site.Run(absl::Seconds(4), seed % 2 == 0 ? 0.6 : 5, seed % 3 == 0);
+    site.KillMost();
+    site.Run(absl::Milliseconds(500), 5, false);
+    site.Restart();
+    site.Run(absl::Milliseconds(2500), 5, false);
+    site.CutOffZone("z2");
+    site.Run(absl::Seconds(6), 5, seed % 3 == 1);
+    site.Heal();
+    site.Run(absl::Seconds(3), 5, false);
+    BOOST_TEST_MESSAGE("seed " << seed << " most " << site.tally().most());
+    BOOST_TEST(site.tally().most() < kAllowed,
+               "seed " << seed << " let through " << site.tally().most());
+  }
+}
+
+// The hosts that aggregate are killed again and again. Each time all others
+// keep to their parts for a moment; were each to take the whole limit for
+// unused when it hears of the others again, every time would give a burst anew.
+BOOST_AUTO_TEST_CASE(TheLimitHoldsWhileAggregatorsComeAndGo) {
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    Site site(seed, /*hosts=*/40, /*zones=*/4);
+    site.Run(absl::Seconds(4), 5, seed % 3 == 0);
+    for (int i = 0; i < 8; ++i) {
+      site.KillAggregators();
+      site.Run(absl::Milliseconds(900), 5, seed % 3 == 0);
+      site.Restart();
+      site.Run(absl::Milliseconds(400), 5, seed % 3 == 0);
+    }
+    BOOST_TEST_MESSAGE("seed " << seed << " most " << site.tally().most());
+    BOOST_TEST(site.tally().most() < kAllowed,
+               "seed " << seed << " let through " << site.tally().most());
+  }
+}
+
 // A workspace asks for three times its limit, two thirds of it for a cheap kind
 // of the lowest tier. Taken as they come, two in three of the urgent requests
 // would be refused while the cheap ones use the limit up.
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -47,6 +47,10 @@
 }
 
 void Fleet::Sign(FleetNews* news) {
+  if (news->scope != NewsScope::kHost) {
+    news->age_ms =
+        static_cast<std::uint32_t>(absl::ToInt64Milliseconds(ticked_ - began_));
+  }
   news->sender = role_.self();
   news->incarnation =
       news->scope == NewsScope::kHost ? incarnation_ : aggregate_incarnation_;
--- a/src/gateway/fleet_messages.cc
+++ b/src/gateway/fleet_messages.cc
@@ -67,11 +67,11 @@
 void ReadNews(WireReader& reader, FleetNews* news) {
   news->scope = ReadScope(reader);
   Read(reader, news->sender);
-  reader(news->incarnation, news->sequence, news->period_ms, news->hosts,
-         news->complete, news->draining);
+  reader(news->incarnation, news->sequence, news->period_ms, news->age_ms,
+         news->hosts, news->complete, news->draining);
   ReadList(reader, &news->workspaces, [&](WorkspaceUse& use) {
     reader(use.workspace, use.tokens_per_second, use.let_through,
-           use.given_back, use.part, use.parts);
+           use.given_back, use.part, use.parts, use.unheard);
   });
   ReadList(reader, &news->tables, [&](TableNews& table) {
     reader(table.table, table.newest_change, table.version, table.up,
@@ -127,11 +127,11 @@
   WireWriter writer(out);
   writer(static_cast<std::uint8_t>(news.scope));
   Write(writer, news.sender);
-  writer(news.incarnation, news.sequence, news.period_ms, news.hosts,
-         news.complete, news.draining);
+  writer(news.incarnation, news.sequence, news.period_ms, news.age_ms,
+         news.hosts, news.complete, news.draining);
   WriteList(writer, news.workspaces, [&](const WorkspaceUse& use) {
     writer(use.workspace, use.tokens_per_second, use.let_through,
-           use.given_back, use.part, use.parts);
+           use.given_back, use.part, use.parts, use.unheard);
   });
   WriteList(writer, news.tables, [&](const TableNews& table) {
     writer(table.table, table.newest_change, table.version, table.up,
--- a/src/gateway/fleet_messages.h
+++ b/src/gateway/fleet_messages.h
@@ -54,6 +54,8 @@
   std::uint64_t given_back = 0;   // Of them, for requests that were not sent.
   float part = 0;           // Of the limit, that is kept to; 0: not known.
   std::uint16_t parts = 0;  // Hosts whose part is known.
+  // Let through by a host since it heard of the others last.
+  float unheard = 0;
   auto operator<=>(const WorkspaceUse&) const = default;
 };
 
@@ -80,6 +82,7 @@
   std::int64_t incarnation = 0;  // Higher after each start of the counting.
   std::uint64_t sequence = 0;    // Counts messages.
   std::uint16_t period_ms = 0;   // Until the sender's next message.
+  std::uint32_t age_ms = 0;      // Since it began to count.
   std::uint16_t hosts = 1;       // That it speaks for.
   bool complete = true;          // They are all that should be spoken for.
   bool draining = false;         // The sender is about to stop.
--- a/src/gateway/fleet_messages_test.cc
+++ b/src/gateway/fleet_messages_test.cc
@@ -12,10 +12,11 @@
   news.incarnation = 1'700'000'000'000'000;
   news.sequence = 9;
   news.period_ms = 95;
+  news.age_ms = 70'000;
   news.hosts = 194;
   news.complete = false;
   news.draining = true;
-  news.workspaces = {{HashName("w"), 1234.5F, 99, 7, 0.5F, 3}};
+  news.workspaces = {{HashName("w"), 1234.5F, 99, 7, 0.5F, 3, 40.0F}};
   news.tables = {{HashName("t"), 77, 80, true, 350}};
   news.aggregator = {"edge-2", "10.0.0.2:7600", "zone", 0.5F};
   news.settled = false;
--- a/src/gateway/use_counters.h
+++ b/src/gateway/use_counters.h
@@ -21,12 +21,22 @@
   auto operator<=>(const UseGrowth&) const = default;
 };
 
+// What the first message of a sender counts for. It may have told others of
+// the same, or nobody: then it counts in full, or what hosts overdrew while
+// they heard of nobody would never be paid back.
+enum class FirstMessage {
+  kNothing,  // It only says from where to count.
+  kUnheard,  // What the host let through since it heard of the others last.
+  kAll,
+};
+
 class UseCounters {
  public:
-  // What has grown since the last message. The first one only says from where
-  // to count; a sender that began anew has counted from 0.
+  // What has grown since the last message; a sender that began anew has counted
+  // from 0.
   std::vector<UseGrowth> Take(std::int64_t incarnation,
-                              const std::vector<WorkspaceUse>& uses) {
+                              const std::vector<WorkspaceUse>& uses,
+                              FirstMessage counts = FirstMessage::kNothing) {
     const bool first = incarnation_ == 0;
     if (incarnation != incarnation_) told_.clear();
     incarnation_ = incarnation;
@@ -37,13 +47,21 @@
                        Growth(before.let_through, use.let_through),
                        Growth(before.given_back, use.given_back)};
       before = use;
+      if (first) growth = First(growth, use, counts);
       const bool none = growth.let_through == 0 && growth.given_back == 0;
-      if (!first && !none) grown.push_back(growth);
+      if (!none) grown.push_back(growth);
     }
     return grown;
   }
 
  private:
+  static UseGrowth First(const UseGrowth& all, const WorkspaceUse& use,
+                         FirstMessage counts) {
+    if (counts == FirstMessage::kAll) return all;
+    if (counts == FirstMessage::kNothing) return {use.workspace};
+    return {use.workspace, static_cast<std::uint64_t>(use.unheard)};
+  }
+
   static std::uint64_t Growth(std::uint64_t before, std::uint64_t now) {
     return now - std::min(now, before);
   }
