The host's part about other hosts in a file of its own; no figures in comments

Moved without change: what is told and heard of other hosts, and who follows the tables (host_fleet.cc).

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -8,8 +8,7 @@
 
 // Decisions rest on what was heard last, over three messages where zones lie
 // between. An aggregator sends and takes one to and from each host of its zone
-// and each other zone in a period, 400 a second each way: about three parts in
-// a hundred of a processor.
+// and each other zone in a period, at most 400 a second each way.
 constexpr absl::Duration kShortestPeriod = absl::Milliseconds(50);
 constexpr absl::Duration kPeriodPerMessage = absl::Microseconds(2500);
 
--- /dev/null
+++ b/src/gateway/host_fleet.cc
@@ -0,0 +1,151 @@
+// The host's part about other hosts: what it tells them and hears of them, and
+// who follows the platform's tables.
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/host.h"
+
+namespace gentianlb::gateway {
+namespace {
+
+// A host that hears nothing of the others for so long follows the tables by
+// itself; the next aggregator of a zone is there long before.
+constexpr absl::Duration kUnlinked = absl::Seconds(2);
+
+// Where no host that is heard reaches the table service, one of all hosts tries
+// each so often.
+constexpr absl::Duration kProbePerHost = absl::Milliseconds(100);
+
+// How often the number of hosts is told to what depends on it: hosts are
+// started by the hundred.
+constexpr absl::Duration kHostsPeriod = absl::Seconds(1);
+
+}  // namespace
+
+std::optional<Error> Host::MeetPeers() {
+  PeersOptions options;
+  options.host = settings_.id;
+  options.zone = settings_.zone;
+  options.processor = settings_.processor;
+  options.address = settings_.peers;
+  options.table = platform_.host_table;
+  PeersHooks hooks;
+  hooks.compose = [this](FleetNews* news) { ComposeNews(news); };
+  hooks.on_others = [this](const FleetNews& others) { TakeOthers(others); };
+  hooks.on_zone = [this](const FleetNews& zone) {
+    watch_.Heard(zone, loop_->now());
+  };
+  hooks.on_other = [this](std::string_view bytes) { TakeOther(bytes); };
+  hooks.on_known = [this](int hosts) { demand_.Know(hosts); };
+  hooks.on_tick = [this](absl::Time now) { UseNews(now); };
+  auto started =
+      Peers::Start(options, platform_.table, loop_, std::move(hooks));
+  if (!started.ok()) return started.error();
+  peers_ = std::move(started.value());
+  return std::nullopt;
+}
+
+TableNews Host::NewsOf(const TableFollower& follower) const {
+  TableNews news;
+  news.table = HashName(follower.table());
+  news.newest_change = follower.newest_change();
+  news.version = follower.version();
+  news.up = follower.follows();
+  // One that follows for nobody may have been cut off alone.
+  if (peers_->fleet().aggregates()) {
+    news.returned_ms = service_return_.ToTell(loop_->now());
+  }
+  return news;
+}
+
+void Host::ComposeNews(FleetNews* news) {
+  news->draining = draining_;
+  news->servers = forwarder_.Uses();
+  news->workspaces = demand_.Tell(loop_->now());
+  for (const TableFollower* follower : {&configuration_, &servers_}) {
+    news->tables.push_back(NewsOf(*follower));
+  }
+}
+
+void Host::TakeOthers(const FleetNews& others) {
+  const absl::Time now = loop_->now();
+  for (const Spent& spent : demand_.Heard(others, now)) {
+    forwarder_.quotas().Spend(spent.workspace, spent.tokens, now);
+  }
+  others_ = others;
+  others_heard_ = now;
+  for (const TableNews& table : others.tables) {
+    service_return_.Heard(table.returned_ms, now);
+    directory_.ServiceReturned(service_return_.latest());
+    for (TableFollower* follower : {&configuration_, &servers_}) {
+      if (table.table != HashName(follower->table())) continue;
+      follower->HeardOf(table.newest_change, table.version);
+    }
+  }
+  if (others.detailed) {
+    groups_.SetDispatchers(others.dispatchers);
+    absl::flat_hash_map<NameHash, ServerUse> uses;
+    for (const ServerUse& use : others.servers) uses[use.server] = use;
+    forwarder_.UsedElsewhere(uses);
+    groups_.UsedElsewhere(uses);
+  }
+  UseNews(now);
+}
+
+void Host::TakeOther(std::string_view bytes) {
+  if (!IsTableChanges(bytes)) return groups_.Take(bytes);
+  const auto changes = DecodeTableChanges(bytes);
+  if (!changes) return;
+  for (TableFollower* follower : {&configuration_, &servers_}) {
+    if (changes->table != HashName(follower->table())) continue;
+    follower->TakeHandedOn(changes->since, changes->page);
+  }
+}
+
+void Host::HandOn(const TableFollower& follower, std::uint64_t since,
+                  const TablePage& page) {
+  const auto bytes =
+      Encode(TableChanges{HashName(follower.table()), since, page});
+  // Too long: the hosts hear that there is a change, and ask for it.
+  if (!bytes) return;
+  for (const std::string& host : peers_->fleet().Followers()) {
+    peers_->Send(host, *bytes);
+  }
+}
+
+void Host::ChooseFollowing(absl::Time now) {
+  const bool aggregates = peers_->fleet().aggregates();
+  const absl::Duration silent = now - others_heard_;
+  const bool linked = silent <= kUnlinked;
+  const bool watches =
+      aggregates && watch_.IsWatcher(configuration_.up() && servers_.up(), now);
+  for (TableFollower* follower : {&configuration_, &servers_}) {
+    follower->SetWatching(watches);
+    const bool up = std::any_of(
+        others_.tables.begin(), others_.tables.end(), [&](const auto& table) {
+          return table.table == HashName(follower->table()) && table.up;
+        });
+    Following following = up ? Following::kWhenTold : Following::kProbing;
+    if (aggregates || !linked) following = Following::kAlways;
+    follower->SetFollowing(following, kProbePerHost * demand_.hosts());
+  }
+}
+
+void Host::UseNews(absl::Time now) {
+  ChooseFollowing(now);
+  demand_.Agree(now);
+  Quotas& quotas = forwarder_.quotas();
+  for (const NameHash workspace : quotas.Limited()) {
+    quotas.SetPart(workspace, demand_.Part(workspace, now), now);
+  }
+  if (hosts_told_ == demand_.hosts()) return;
+  if (now - hosts_told_at_ < kHostsPeriod) return;
+  hosts_told_ = demand_.hosts();
+  hosts_told_at_ = now;
+  forwarder_.ServersChanged();
+}
+
+}  // namespace gentianlb::gateway
--- a/src/gateway/liking.cc
+++ b/src/gateway/liking.cc
@@ -15,10 +15,9 @@
 constexpr int kFewHosts = 20;
 constexpr double kMildReluctance = 0.25;
 
-// With more hosts, news are some tenths of a second old and many choose at
-// once. So each server is near to a few hosts, which use it first, and far from
-// all others, each with favourites of its own. Of 90 hosts and 60 servers at
-// four fifths of their load, 0.70 of the worth is had in place of 0.61.
+// With more hosts, many choose at once before they hear of each other. So each
+// server is near to a few hosts, which use it first, and far from all others,
+// each with favourites of its own.
 constexpr double kNearHosts = 4;
 // A service with few servers has more: each host is near to two of them.
 constexpr double kNearServers = 2;
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -27,8 +27,8 @@
 
 // Long ones leave an eighth to short ones, as a long one gives its room back
 // only after minutes. Not where an objective bounds the wait: a short one then
-// takes each stream that comes free, and of the largest tenth of a kind 0.32
-// were served under overload where 0.75 of all were.
+// takes each stream that comes free, and under overload the largest of a kind
+// would hardly be served.
 constexpr double kStreamsForShort = 1.0 / 8;
 
 // A first token is overdue after several times the prediction, which counts
