A host whose clock was set back is heard again after its restart

Cause: messages are ordered by the start of their sender's counting, and an older place was dropped for ever. A host that starts again with its clock set back, or that lost power with the clock that it counts by, was never heard again by those that went on: all limits in parts, its zone without dispatchers elsewhere.

Found by reading.

Change: a place is compared only while its sender is believed.

--- a/src/gateway/aggregate.cc
+++ b/src/gateway/aggregate.cc
@@ -83,8 +83,11 @@
   const NewsScope scope = of_zone ? NewsScope::kHost : NewsScope::kZone;
   if (news.scope != scope) return false;
   Source& source = sources_[news.sender.host];
-  // Datagrams may overtake each other.
-  if (PlaceOf(news) <= PlaceOf(source.news)) return true;
+  // Datagrams may overtake each other. Not by as much as this: a host that was
+  // started again after its clock was set back counts from a lower place, and
+  // would never be heard again.
+  const bool late = PlaceOf(news) <= PlaceOf(source.news);
+  if (late && IsBelieved(source, now)) return true;
   // It may have told another aggregator meanwhile, or used its own part.
   if (!IsBelieved(source, now)) {
     source.counters = UseCounters();
--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -112,11 +112,13 @@
                         now);
   role_.Tick(period_, now);
   if (role_.aggregator() != news.sender.host) return;
-  if (others_from_ == news.sender.host && PlaceOf(news) <= others_place_) {
-    return;  // Datagrams may overtake each other.
-  }
+  // Datagrams may overtake each other; see Aggregate::Heard.
+  const bool same =
+      others_from_ == news.sender.host && now - others_at_ <= Believed(period_);
+  if (same && PlaceOf(news) <= others_place_) return;
   others_from_ = news.sender.host;
   others_place_ = PlaceOf(news);
+  others_at_ = now;
   period_ = absl::Milliseconds(news.period_ms);
   if (news.settled) hooks_.on_others(news);
 }
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -91,6 +91,7 @@
   std::vector<HostEntry> told_dispatchers_;
   NewsPlace others_place_;
   std::string others_from_;
+  absl::Time others_at_ = absl::InfinitePast();
   // Whom a host of another zone named as its aggregator.
   std::map<std::string, std::string> named_;
 };
--- a/src/gateway/fleet_site_test.h
+++ b/src/gateway/fleet_site_test.h
@@ -30,6 +30,7 @@
     bool frozen = false;  // Takes in nothing, and sends nothing.
     int side = 0;         // Hosts of different sides don't hear each other.
     std::int64_t incarnation = 0;
+    absl::Duration clock_behind;  // Of its clock, against the others'.
     FleetNews others;  // As it was told last; lists as told last in detail.
     absl::Time others_at = absl::InfinitePast();
     std::function<void(FleetNews* own)> compose;
@@ -80,8 +81,9 @@
     hooks.send = [this, host](const std::string& to, const FleetNews& news) {
       Send(host, to, news);
     };
-    host->fleet = std::make_unique<Fleet>(host->entry, ++host->incarnation,
-                                          std::move(hooks), now);
+    host->fleet =
+        std::make_unique<Fleet>(host->entry, ++host->incarnation,
+                                std::move(hooks), now - host->clock_behind);
     host->others = FleetNews();
     host->others_at = absl::InfinitePast();
     host->up = true;
@@ -90,7 +92,7 @@
     for (const auto& [other, entry] : hosts) {
       if (reads_table) host->fleet->Learn(entry.entry);
     }
-    host->fleet->Begin(now);
+    host->fleet->Begin(now - host->clock_behind);
   }
 
   void Kill(const std::string& name) { hosts.at(name).up = false; }
@@ -100,7 +102,7 @@
     Deliver();
     for (auto& [name, host] : hosts) {
       if (!host.up || host.frozen || now < host.due) continue;
-      host.fleet->Tick(now);
+      host.fleet->Tick(now - host.clock_behind);
       host.due = now + host.fleet->Period();
     }
   }
@@ -177,7 +179,7 @@
       if (datagram.due > now) {
         flying_.push_back(std::move(datagram));
       } else if (host.up && !host.frozen && host.side == datagram.side) {
-        host.fleet->Take(datagram.news, now);
+        host.fleet->Take(datagram.news, now - host.clock_behind);
       }
     }
   }
--- a/src/gateway/fleet_test.cc
+++ b/src/gateway/fleet_test.cc
@@ -211,6 +211,30 @@
   BOOST_TEST(site.Unaware(30) == 0);
 }
 
+// All hosts of a zone are started again after their clocks were set back. What
+// they tell seems older than what the others heard before; taken for that, the
+// zone would be left out of limits and dispatchers for as long as the others
+// run.
+BOOST_AUTO_TEST_CASE(HostsWithClocksSetBackAreHeardAgain) {
+  FleetSite site(8);
+  site.Add(30, 3);
+  site.Pass(absl::Seconds(4));
+  std::vector<std::string> restarted;
+  for (auto& [name, host] : site.hosts) {
+    if (host.entry.zone == "z0" || name == "h1") restarted.push_back(name);
+  }
+  for (const std::string& name : restarted) site.Kill(name);
+  site.Pass(absl::Seconds(1));
+  for (const std::string& name : restarted) {
+    FleetSite::Host& host = site.hosts.at(name);
+    host.incarnation -= 5;
+    host.clock_behind = absl::Seconds(20);
+    site.Start(name);
+  }
+  site.Pass(absl::Seconds(3));
+  BOOST_TEST(site.Unaware(29) == 0);
+}
+
 // A host is replaced for good. The others don't wait for it for ever: limits
 // would be kept in parts, and refuse callers for nothing.
 BOOST_AUTO_TEST_CASE(AHostThatNeverComesBackIsForgotten) {
