--- a/src/gateway/aggregate.cc
+++ b/src/gateway/aggregate.cc
@@ -7,11 +7,6 @@
 namespace gentianlb::gateway {
 namespace {
 
-// Until a cut shows, every side uses the whole limit, so that little more than
-// one message that is missing is taken for one. Where it was lost by chance,
-// leaving out that host's part for a moment harms nobody.
-constexpr double kCurrentPeriods = 1.8;
-
 // A host that was replaced never comes back; one that is cut off is back within
 // seconds, or a minute at the most.
 constexpr absl::Duration kForgetAfter = absl::Minutes(1);
@@ -158,7 +153,7 @@
 
 bool Aggregate::Complete(bool zone_only, absl::Time now) const {
   const auto current = [&](const Source& source) {
-    return now - source.heard <= kCurrentPeriods * PeriodOf(source.news);
+    return IsCurrent(now - source.heard, PeriodOf(source.news));
   };
   for (const auto& [name, expected] : expected_hosts_) {
     if (expected.forgotten) continue;
@@ -204,8 +199,7 @@
   dispatchers_.clear();
   for (const auto& [name, source] : sources_) {
     if (!Counts(source, now)) continue;
-    const bool current =
-        now - source.heard <= kCurrentPeriods * PeriodOf(source.news);
+    const bool current = IsCurrent(now - source.heard, PeriodOf(source.news));
     sums_.Add(source.news, current);
     if (!IsOfZone(source.news)) {
       dispatchers_.insert(dispatchers_.end(), source.news.dispatchers.begin(),
@@ -265,7 +259,7 @@
     use.given_back -= counted->second.given_back;
   }
   if (!IsBelieved(own, merged_)) return news;
-  const bool current = merged_ - own.heard <= kCurrentPeriods * period;
+  const bool current = IsCurrent(merged_ - own.heard, period);
   --news.hosts;
   for (const WorkspaceUse& mine : own.news.workspaces) {
     for (WorkspaceUse& use : news.workspaces) {
--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -7,11 +7,6 @@
 namespace gentianlb::gateway {
 namespace {
 
-// Until a cut shows, every side uses the whole limit, so that little more than
-// one message that is missing is taken for one. Where it was lost by chance,
-// leaving out that host's part for a moment harms nobody.
-constexpr double kSilentPeriods = 1.8;
-
 // Demand that is counted for every host, as a part of all demand together, so
 // that the first callers at a quiet host find some.
 constexpr double kFloorPart = 0.1;
@@ -100,7 +95,7 @@
 }
 
 bool Demand::IsHeard(absl::Time now) const {
-  return now - heard_ <= kSilentPeriods * Period();
+  return IsCurrent(now - heard_, Period());
 }
 
 bool Demand::AllHeard(absl::Time now) const {
--- a/src/gateway/fleet_site_test.h
+++ b/src/gateway/fleet_site_test.h
@@ -144,6 +144,7 @@
   unsigned doubled_percent = 0;
   int slowest_ms = 5;
   bool reads_table = true;
+  bool counts_bytes = false;
   std::map<std::string, Host> hosts;
 
  private:
@@ -185,9 +186,6 @@
   }
 
   std::vector<Datagram> flying_;
-
- public:
-  bool counts_bytes = false;
 };
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -111,7 +111,7 @@
   std::unique_ptr<http::Server> callers_;
   std::unique_ptr<http::Server> ready_;
   std::unique_ptr<http::Server> metrics_server_;
-  FleetNews others_;  // As told last, without details.
+  std::vector<TableNews> others_tables_;  // As told last.
   absl::Time others_heard_;
   int hosts_told_ = 1;  // To the forwarder.
   absl::Time hosts_told_at_ = absl::InfinitePast();
--- a/src/gateway/host_fleet.cc
+++ b/src/gateway/host_fleet.cc
@@ -75,7 +75,7 @@
   for (const Spent& spent : demand_.Heard(others, now)) {
     forwarder_.quotas().Spend(spent.workspace, spent.tokens, now);
   }
-  others_ = others;
+  others_tables_ = others.tables;
   others_heard_ = now;
   for (const TableNews& table : others.tables) {
     service_return_.Heard(table.returned_ms, now);
@@ -98,7 +98,11 @@
 void Host::TakeOther(std::string_view bytes) {
   if (!IsTableChanges(bytes)) return groups_.Take(bytes);
   const auto changes = DecodeTableChanges(bytes);
-  if (!changes) return;
+  if (!changes) {
+    // Cut or foreign. What it held is asked for, as the news tell of it.
+    LOG(WARNING) << "event=changes-unreadable bytes=" << bytes.size();
+    return;
+  }
   for (TableFollower* follower : {&configuration_, &servers_}) {
     if (changes->table != HashName(follower->table())) continue;
     follower->TakeHandedOn(changes->since, changes->page);
@@ -125,7 +129,7 @@
   for (TableFollower* follower : {&configuration_, &servers_}) {
     follower->SetWatching(watches);
     const bool up = std::any_of(
-        others_.tables.begin(), others_.tables.end(), [&](const auto& table) {
+        others_tables_.begin(), others_tables_.end(), [&](const auto& table) {
           return table.table == HashName(follower->table()) && table.up;
         });
     Following following = up ? Following::kWhenTold : Following::kProbing;
--- a/src/gateway/liking.cc
+++ b/src/gateway/liking.cc
@@ -8,10 +8,9 @@
 namespace gentianlb::gateway {
 namespace {
 
-// Up to this many hosts hear of each other every tenth of a second. It is
-// enough that each finds some servers up to a quarter slower than they are.
-// Near and far servers, as below, cost eight hosts up to a tenth of what they
-// serve, as requests then wait for room that there is.
+// Up to this many hosts each see a good part of what goes on. It is enough that
+// each finds some servers a little slower than they are; with near and far
+// servers, as below, requests would wait for room that there is.
 constexpr int kFewHosts = 20;
 constexpr double kMildReluctance = 0.25;
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -120,13 +120,13 @@
   return peers;
 }
 
+HostEntry Peers::Self() const {
+  return {options_.host.str(), address_, options_.zone.str(),
+          static_cast<float>(options_.processor)};
+}
+
 void Peers::StartFleet() {
   const absl::Time now = loop_->now();
-  HostEntry self;
-  self.host = options_.host.str();
-  self.address = address_;
-  self.zone = options_.zone.str();
-  self.processor = static_cast<float>(options_.processor);
   FleetHooks hooks;
   hooks.compose = hooks_.compose;
   hooks.on_others = hooks_.on_others;
@@ -140,8 +140,8 @@
     socket_->Send(found->second.ip,
                   static_cast<std::uint16_t>(found->second.port), Encode(news));
   };
-  fleet_ = std::make_unique<Fleet>(
-      std::move(self), absl::ToUnixMicros(absl::Now()), std::move(hooks), now);
+  fleet_ = std::make_unique<Fleet>(Self(), absl::ToUnixMicros(absl::Now()),
+                                   std::move(hooks), now);
   tick_ = loop_->timers().At(now + fleet_->Period(),
                              [this](absl::Time at) { Tick(at); });
   begin_ = loop_->timers().At(now + kReadTime,
@@ -149,11 +149,7 @@
 }
 
 void Peers::Announce(int tries) {
-  HostEntry self;
-  self.address = address_;
-  self.zone = options_.zone.str();
-  self.processor = static_cast<float>(options_.processor);
-  table_.write(options_.table, options_.host.str(), AnnouncementOf(self),
+  table_.write(options_.table, options_.host.str(), AnnouncementOf(Self()),
                [this, tries, alive = std::weak_ptr<int>(alive_)](bool done) {
                  if (alive.expired()) return;
                  if (done) return ReadOthers(0, "");
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -69,6 +69,8 @@
   Peers(PeersOptions options, TablePort table, loop::EventLoop* loop,
         PeersHooks hooks);
 
+  // This host, as others know it.
+  HostEntry Self() const;
   void StartFleet();
   // Writes this host's address and reads the others', again until it is done.
   void Announce(int tries);
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -6,9 +6,8 @@
 namespace {
 
 // The part of what may be let through at once that is given out. What several
-// hosts let through before they hear of each other comes on top: with a tenth
-// of a second between messages and a workspace that asks for four times its
-// limit, about four tenths of a second's worth.
+// hosts let through before they hear of each other, over three messages, comes
+// on top.
 constexpr double kBurstPart = 0.5;
 
 }  // namespace
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -173,7 +173,7 @@
   Following mode_ = Following::kAlways;
   absl::Duration probe_period_;
   bool probe_answered_ = false;
-  bool idle_ = false;           // No call is made, and none is due.
+  bool idle_ = false;           // No call is made; a probe may be due.
   bool following_ = false;      // A call waits for changes,
   absl::Duration follow_wait_;  // for this long.
   std::uint64_t call_ = 0;      // Counts the calls.
--- a/src/gateway/zone_role.h
+++ b/src/gateway/zone_role.h
@@ -33,6 +33,15 @@
   return std::max(kShortest, kPeriods * period);
 }
 
+// Whether what was heard `silence` ago is new enough for parts of limits. Until
+// a cut shows, every side uses the whole limit, so that little more than one
+// message that is missing is taken for one. Where it was lost by chance,
+// leaving out that host's part for a moment harms nobody.
+inline bool IsCurrent(absl::Duration silence, absl::Duration period) {
+  constexpr double kPeriods = 1.8;
+  return silence <= kPeriods * period;
+}
+
 class ZoneRole {
  public:
   ZoneRole(HostEntry self, absl::Time now)
--- a/src/schedule/dispatcher_test.cc
+++ b/src/schedule/dispatcher_test.cc
@@ -474,6 +474,7 @@
 struct LowerTier {
   int asked = 0;
   int in_time = 0;
+  int refused = 0;
   absl::Duration kept_median;
 };
 
@@ -517,6 +518,7 @@
   }
   std::sort(kept.begin(), kept.end());
   got.asked = static_cast<int>(lower.size());
+  got.refused = static_cast<int>(kept.size());
   if (!kept.empty()) got.kept_median = kept[kept.size() / 2];
   BOOST_TEST_MESSAGE("lower tier: asked " << got.asked << " in time "
                                           << got.in_time << " kept "
@@ -529,6 +531,7 @@
 // for nothing and comes back too late.
 BOOST_AUTO_TEST_CASE(WhatCannotBeInTimeIsToldOnArrival) {
   const LowerTier got = RunTwoTiers(1.2, 0.5);
+  BOOST_TEST(got.refused >= 0.9 * got.asked);  // Or there is nothing to tell.
   BOOST_TEST(got.kept_median <= absl::Milliseconds(100));
 }
 
@@ -536,6 +539,7 @@
 // Those that find no room hear so early, and what there is is used.
 BOOST_AUTO_TEST_CASE(WhatIsLeftIsUsedByTheLowerTier) {
   const LowerTier got = RunTwoTiers(0.67, 0.67);
+  BOOST_TEST(got.refused >= 0.2 * got.asked);
   BOOST_TEST(got.kept_median <= absl::Milliseconds(100));
   BOOST_TEST(got.in_time >= 0.4 * got.asked);
 }
