--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	@git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
 
 lint: build
-	@git ls-files 'src/*.cc' 'tests/*.cc' | grep -v '^src/rpc/codec.cc' | \
+	@git ls-files 'src/*.cc' 'tests/*.cc' 'platform/*.cc' | grep -v '^src/rpc/codec.cc' | \
 	  xargs -P $(JOBS) -n 2 clang-tidy -p $(BUILD) --quiet 2>/dev/null
 
 test: build
