--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_format.h"
 #include "gateway/forwarding.h"
 
 namespace gentianlb::gateway {
@@ -25,15 +24,6 @@
 // workspace's usual use.
 constexpr double kKeptForUrgent = 0.5;
 
-// The status of a refusal. One that says the request was not run, and may be
-// sent again, is 503 or 429; that it may have run is 502 or 504.
-int StatusOf(const Error& error) {
-  const CodeInfo& info = Describe(error.code);
-  if (info.http_status < 500) return info.http_status;
-  if (info.run == RunState::kNo) return 503;
-  return info.http_status == 504 ? 504 : 502;
-}
-
 }  // namespace
 
 Forwarder::Forwarder(ForwarderOptions options, ServerPort servers,
@@ -317,148 +307,6 @@
   }
 }
 
-// --- The end -----------------------------------------------------------------
-
-std::vector<http::Header> Forwarder::AnswerHeaders(
-    const AnswerHead& head) const {
-  std::vector<http::Header> headers = head.headers;
-  if (draining_) headers.push_back({"Connection", "close"});
-  return headers;
-}
-
-void Forwarder::Answer(Exchange& exchange) {
-  const absl::Time now = clock_();
-  const AnswerHead& head = exchange.attempt.head;
-  const bool stream = exchange.is_stream() && IsSuccess(head.status);
-  if (exchange.answering) {
-    exchange.responder->Write(exchange.events.rest());
-    exchange.responder->Finish();
-  } else if (stream) {
-    exchange.responder->Respond(head.status, AnswerHeaders(head),
-                                exchange.events.rest());
-  } else {
-    exchange.responder->Respond(head.status, AnswerHeaders(head),
-                                std::move(exchange.body));
-  }
-  const absl::Time answered = stream ? exchange.first_event : now;
-  const bool in_time = answered - exchange.arrival <= exchange.route->objective;
-  metrics_->CountAnswered(exchange.tier, in_time);
-  LOG(INFO) << "event=answered request=" << exchange.request->id
-            << " route=" << exchange.route->name
-            << " tier=" << exchange.tier.rank << " status=" << head.status
-            << " server=" << exchange.attempt.server->id
-            << " sendings=" << exchange.sendings
-            << " prompt_tokens=" << exchange.prompt_tokens()
-            << " first_ms=" << Milliseconds(answered - exchange.arrival)
-            << " total_ms=" << Milliseconds(now - exchange.arrival)
-            << " events=" << exchange.events.events() << " in_time=" << in_time;
-  Remove(exchange.id);
-}
-
-void Forwarder::RespondError(http::Responder& responder, const Error& error,
-                             absl::Duration retry_after) const {
-  std::vector<http::Header> headers = {
-      {"Content-Type", "application/problem+json"}};
-  const int status = StatusOf(error);
-  const bool come_back = status == 429 || status == 503;
-  if (come_back) {
-    headers.push_back(
-        {"Retry-After",
-         absl::StrFormat("%.3f", absl::ToDoubleSeconds(retry_after))});
-  }
-  if (draining_) headers.push_back({"Connection", "close"});
-  responder.Respond(status, std::move(headers), http::ProblemBody(error));
-}
-
-void Forwarder::Refuse(Exchange& exchange, const Error& error,
-                       absl::Duration retry_after) {
-  if (exchange.may_have_run || exchange.answering) {
-    return GiveUp(exchange, {Code::kServerBroke, error.detail});
-  }
-  const absl::Time now = clock_();
-  std::size_t waiting = 0;
-  if (exchange.service != nullptr) {
-    waiting = QueueOf(exchange.service->id).dispatcher().waiting();
-  }
-  LOG(INFO) << "event=refused request=" << exchange.request->id
-            << " code=" << static_cast<int>(error.code) << " cause=\""
-            << error.detail << "\" tier=" << exchange.tier.rank << " workspace="
-            << (exchange.workspace ? exchange.workspace->id.str() : "-")
-            << " waiting=" << waiting
-            << " after_ms=" << Milliseconds(now - exchange.arrival)
-            << " retry_after_ms=" << Milliseconds(retry_after)
-            << " version=" << version()
-            << " prompt_tokens=" << exchange.prompt_tokens()
-            << " route=" << (exchange.route ? exchange.route->name : "-");
-  metrics_->CountRefused(exchange.tier, error.code);
-  RespondError(*exchange.responder, error, retry_after);
-  Withdraw(exchange);
-  Remove(exchange.id);
-}
-
-// It may have run, so that no refusal would be true.
-void Forwarder::GiveUp(Exchange& exchange, const Error& error) {
-  LOG(WARNING) << "event=given-up request=" << exchange.request->id
-               << " code=" << static_cast<int>(error.code) << " cause=\""
-               << error.detail << "\" sendings=" << exchange.sendings
-               << " events=" << exchange.events.events()
-               << " after_ms=" << Milliseconds(clock_() - exchange.arrival)
-               << " answering=" << exchange.answering
-               << " prompt_tokens=" << exchange.prompt_tokens()
-               << " route=" << exchange.route->name;
-  metrics_->CountCancelled(error.code);
-  if (exchange.answering) {
-    exchange.responder->Abort();
-  } else {
-    RespondError(*exchange.responder, error, absl::ZeroDuration());
-  }
-  Withdraw(exchange);
-  Remove(exchange.id);
-}
-
-void Forwarder::DeadlinePassed(Exchange& exchange) {
-  exchange.deadline_timer = 0;
-  const bool sent = exchange.attempt.transfer != 0 || exchange.may_have_run;
-  if (sent) {
-    return GiveUp(exchange, {Code::kServerTimeout, "the deadline passed"});
-  }
-  Refuse(exchange, {Code::kDeadlinePassed, "while it waited"}, kComeBackSoon);
-}
-
-void Forwarder::CallerGone(Exchange& exchange) {
-  LOG(INFO) << "event=caller-gone request=" << exchange.request->id
-            << " sendings=" << exchange.sendings
-            << " events=" << exchange.events.events()
-            << " after_ms=" << Milliseconds(clock_() - exchange.arrival)
-            << " prompt_tokens=" << exchange.prompt_tokens()
-            << " route=" << exchange.route->name;
-  metrics_->CountCancelled(Code::kCallerGone);
-  Withdraw(exchange);
-  Remove(exchange.id);
-}
-
-void Forwarder::Withdraw(Exchange& exchange) {
-  if (exchange.attempt.transfer != 0) {
-    servers_.cancel(exchange.attempt.transfer);
-    EndTransfer(exchange);
-    EndAttempt(exchange, EndKind::kCancelled);
-    return;
-  }
-  const RequestId dispatch_id = exchange.attempt.dispatch_id;
-  if (dispatch_id.empty()) return;
-  exchange.attempt.dispatch_id = RequestId();
-  by_dispatch_.erase(dispatch_id);
-  Tell(exchange.service->id, schedule::CallerGone{dispatch_id});
-}
-
-void Forwarder::Remove(ExchangeId id) {
-  const auto found = exchanges_.find(id);
-  if (found == exchanges_.end()) return;
-  timers_->Cancel(found->second->deadline_timer);
-  GiveBackQuota(*found->second);
-  exchanges_.erase(found);
-}
-
 void Forwarder::Drain(const DrainPlan& plan) {
   draining_ = true;
   drain_ = plan;
