Hosts without callers of a workspace tell of its limit only until all are heard

Cause: since parts are told of every workspace with a limit, each host's messages hold all of them.

Change: a host that has agreed on its part, and whose callers have yet to ask for a workspace, says nothing of it; what others leave of the limit is a tenth, as for quiet hosts before.

--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -84,6 +84,9 @@
   for (auto& [workspace, own] : own_) {
     std::rotate(own.told.begin(), own.told.begin() + 1, own.told.end());
     own.told.back() = own.PerSecond(now);
+    // Quiet hosts are many where hosts are, and their parts next to nothing.
+    const bool quiet = own.told.back() == 0 && own.let_through == 0;
+    if (quiet && agreed_.contains(workspace)) continue;
     uses.push_back({workspace, static_cast<float>(own.told.back()),
                     own.let_through, own.given_back,
                     static_cast<float>(OwnPart(workspace)), /*parts=*/1,
--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -15,11 +15,12 @@
 // are cut off from each other; without this, each side would take the whole
 // limit for itself.
 //
-// When all hosts lose power at once, nobody's part is known any more. Each has
-// an equal one then, and tells it, also of workspaces whose callers have yet to
-// come to it. Were it left out of the sum, hosts that hear all but one of the
-// others would each go on with their own, a two hundredth of the limit, until
-// that one is back: less than one request, and nearly all callers are refused.
+// When all hosts lose power at once, nobody's part is known any more. Until all
+// are heard again each has an equal one, and tells it, also of workspaces whose
+// callers have yet to come to it. Were it left out of the sum, hosts that hear
+// all but one of the others would each go on with their own, a two hundredth of
+// the limit, until that one is back: less than one request, and nearly all
+// callers are refused.
 
 #ifndef GENTIANLB_GATEWAY_DEMAND_H_
 #define GENTIANLB_GATEWAY_DEMAND_H_
--- a/src/gateway/demand_test.cc
+++ b/src/gateway/demand_test.cc
@@ -414,6 +414,23 @@
   BOOST_TEST(!quotas.Take(workspace_name, 100, 0, start).has_value());
 }
 
+// Of two hundred hosts and twenty workspaces few pairs have callers. Once all
+// hosts are heard, telling of the others would only make messages long.
+BOOST_AUTO_TEST_CASE(QuietHostsTellOfNoLimits) {
+  Demand demand;
+  demand.Know(2);
+  demand.Agree({workspace_name}, start);
+  BOOST_TEST(demand.Tell(start).front().part == 0.5F);
+  FleetNews news;
+  news.sender.host = "h";
+  news.period_ms = 100;
+  demand.Heard(news, start);
+  demand.Agree({workspace_name}, start);
+  BOOST_TEST(demand.Tell(start).empty());
+  demand.Asked(workspace_name, /*rank=*/0, 100, start);
+  BOOST_TEST(demand.Tell(start).size() == 1);
+}
+
 // A host that is heard for the first time has let through much before; that is
 // not spent again. After its restart everything it tells is new.
 BOOST_AUTO_TEST_CASE(OnlyWhatIsNewIsSpent) {
