A host that is cut off counts on nobody's unheard use

When no others are heard, the time until their use is heard is zero, and what was expected of them last stayed for ever: a host cut off while a workspace pressed refused all of its callers, of its own part of the limit too.

Change: nothing is expected of hosts that aren't heard.

--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -81,6 +81,7 @@
   // one included; 1 when all are heard.
   double Part(NameHash workspace, absl::Time now) const;
 
+  // What callers ask the others for that are heard; nothing while none is.
   OthersDemand Others(NameHash workspace, absl::Time now) const;
 
   // All hosts, this one included, when they were last heard together, or are
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -39,6 +39,7 @@
   // what other hosts use of it is told by Spend().
   void SetPart(NameHash workspace, double part, absl::Time now);
 
+  // What the other hosts may let through before it is heard of.
   void SetOthers(NameHash workspace, const OthersDemand& others,
                  absl::Time now);
 
--- a/src/gateway/quota_test.cc
+++ b/src/gateway/quota_test.cc
@@ -99,6 +99,30 @@
   BOOST_TEST(hosts.total() > 0.9 * kRate * 10);
 }
 
+// A host is cut off while all are pressed. From then on it has a tenth of the
+// limit to itself. Were it to go on counting on what the others let through, it
+// would refuse all of its callers until the cut is over.
+BOOST_AUTO_TEST_CASE(AHostThatIsCutOffCountsOnNobody) {
+  constexpr double kPart = 0.1;
+  Workspace workspace;
+  workspace.id = WorkspaceId("w");
+  workspace.quota = {kRate, kRate, 1};
+  absl::Time now = absl::UnixEpoch();
+  Quotas quotas(kTolerance);
+  quotas.Configure({workspace}, now);
+  quotas.SetOthers(workspace_name, {6 * kRate, kHeardAfter}, now);
+  now += absl::Seconds(1);
+  BOOST_TEST(quotas.Take(workspace_name, kRequest, 0, now).has_value());
+  quotas.SetPart(workspace_name, kPart, now);
+  quotas.SetOthers(workspace_name, {}, now);
+  int served = 0;
+  for (int i = 0; i < 100; ++i) {
+    now += absl::Milliseconds(100);
+    if (!quotas.Take(workspace_name, kRequest, 0, now)) ++served;
+  }
+  BOOST_TEST(served * kRequest > 0.7 * kPart * kRate * 10);
+}
+
 // Below the limit nobody is refused for what others might let through.
 BOOST_AUTO_TEST_CASE(WhatOthersMightDoRefusesNobodyBelowTheLimit) {
   Hosts hosts(/*load=*/0.5);
--- a/src/gateway/unheard_use.h
+++ b/src/gateway/unheard_use.h
@@ -12,7 +12,6 @@
 #ifndef GENTIANLB_GATEWAY_UNHEARD_USE_H_
 #define GENTIANLB_GATEWAY_UNHEARD_USE_H_
 
-#include <algorithm>
 #include <cmath>
 
 #include "absl/time/time.h"
@@ -22,10 +21,12 @@
 class UnheardUse {
  public:
   // The others' callers ask for so many tokens a second; what is let through is
-  // heard of after `delay` in the mean.
+  // heard of after `delay` in the mean. Zero: nobody is heard, and whoever is
+  // there has a part of the limit of their own.
   void Expect(double tokens_per_second, absl::Duration delay) {
     tokens_per_second_ = tokens_per_second;
     delay_ = delay;
+    if (delay <= absl::ZeroDuration()) tokens_ = 0;
   }
 
   // `span` passes, in which the limit is `open` to all or to nobody.
