Incident CONFIG: timeline, hypotheses, and lines that tell them apart

What callers saw: by the users' report on, requests refused as an older configuration says, longer after its confirmation than promised. Missing: no line told how a host learns of changes, nor that it knew of one that it hadn't; a metric for neither. No decision changes.

--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -226,11 +226,17 @@
                static_cast<double>(directory_.size()));
   metrics_.Set("gentianlb_ready", "1 when callers may come", {},
                ready() ? 1 : 0);
-  metrics_.Set("gentianlb_table_up", "1 while the table service answers",
-               {{"table", platform_.configuration_table}},
-               configuration_.up() ? 1 : 0);
-  metrics_.Set("gentianlb_table_up", "1 while the table service answers",
-               {{"table", platform_.server_table}}, servers_.up() ? 1 : 0);
+  for (const TableFollower* follower : {&configuration_, &servers_}) {
+    const prometheus::Labels table = {{"table", follower->table()}};
+    metrics_.Set("gentianlb_table_up", "1 while the table service answers",
+                 table, follower->up() ? 1 : 0);
+    metrics_.Set("gentianlb_table_follows",
+                 "1 while this host asks the service itself", table,
+                 follower->follows() ? 1 : 0);
+    metrics_.Set("gentianlb_table_behind_seconds",
+                 "Since a change is known of that isn't here", table,
+                 absl::ToDoubleSeconds(follower->Behind()));
+  }
   metrics_.Set("gentianlb_log_lines_left_out", "For the log's bound", {},
                static_cast<double>(log_->left_out()));
   return metrics_.Text();
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -9,6 +9,18 @@
 
 namespace gentianlb::gateway {
 
+std::string_view NameOf(Following following) {
+  switch (following) {
+    case Following::kAlways:
+      return "always";
+    case Following::kWhenTold:
+      return "when-told";
+    case Following::kProbing:
+      return "probing";
+  }
+  return "unknown";
+}
+
 TableFollower::TableFollower(TableFollowerOptions options, TablePort port,
                              TimerService* timers,
                              std::function<absl::Time()> clock,
@@ -60,6 +72,7 @@
   }
   version_ = read_from_;
   complete_ = true;
+  NoteCaughtUp();
   NoteVersions(rows_);
   on_rows_(rows_, /*whole=*/true, clock_());
   rows_.clear();
@@ -89,6 +102,9 @@
                                  absl::Duration probe_period) {
   probe_period_ = probe_period;
   if (mode_ == following) return;
+  LOG(INFO) << "event=following table=" << options_.table
+            << " how=" << NameOf(following) << " before=" << NameOf(mode_)
+            << " version=" << version_ << " up=" << up_;
   mode_ = following;
   probe_answered_ = false;
   if (!complete_ || !idle_) return;
@@ -138,6 +154,7 @@
   behind_ = timers_->At(clock_() + options_.behind, [this](absl::Time) {
     behind_ = 0;
     if (heard_of_ <= version_ || !complete_) return;
+    NoteBehind();
     if (following_) AskAnew();
     if (idle_) FollowSoon();
   });
@@ -153,8 +170,29 @@
   if (page.version > version_) Apply(page);
 }
 
+void TableFollower::NoteBehind() {
+  if (behind_since_ != absl::InfiniteFuture()) return;
+  behind_since_ = clock_();
+  LOG(WARNING) << "event=table-behind table=" << options_.table
+               << " version=" << version_ << " heard_of=" << heard_of_
+               << " how=" << NameOf(mode_) << " up=" << up_;
+}
+
+void TableFollower::NoteCaughtUp() {
+  if (behind_since_ == absl::InfiniteFuture() || version_ < heard_of_) return;
+  LOG(INFO) << "event=table-caught-up table=" << options_.table
+            << " version=" << version_ << " behind_ms="
+            << absl::ToInt64Milliseconds(clock_() - behind_since_);
+  behind_since_ = absl::InfiniteFuture();
+}
+
+absl::Duration TableFollower::Behind() const {
+  return std::max(absl::ZeroDuration(), clock_() - behind_since_);
+}
+
 void TableFollower::Apply(const TablePage& page) {
   version_ = page.version;
+  NoteCaughtUp();
   NoteVersions(page.rows);
   if (!page.rows.empty()) on_rows_(page.rows, /*whole=*/false, clock_());
 }
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -25,6 +25,7 @@
 #include <functional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -90,6 +91,8 @@
   kProbing,
 };
 
+std::string_view NameOf(Following following);
+
 class TableFollower {
  public:
   // `whole`: the rows are the table, and what is missing is not in it.
@@ -131,6 +134,8 @@
   std::uint64_t newest_change() const { return newest_change_; }
   bool complete() const { return complete_; }  // Read whole at least once.
   std::uint64_t version() const { return version_; }
+  // For how long this host has known of a change that it doesn't have.
+  absl::Duration Behind() const;
 
  private:
   void Read(const std::string& from);
@@ -142,6 +147,8 @@
   void GoOn();
   void ProbeLater();
   void Apply(const TablePage& page);
+  void NoteBehind();
+  void NoteCaughtUp();
   // Leaves the call that waits, and makes another.
   void AskAnew();
   void TakeRead(const std::string& from, TableAnswer answer);
@@ -182,6 +189,7 @@
   absl::Time followed_ = absl::InfinitePast();  // The last call was made.
   TimerId retry_ = 0;
   TimerId behind_ = 0;
+  absl::Time behind_since_ = absl::InfiniteFuture();
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
