Failing tests: a change of a table isn't known in time where the service fails the aggregators

Evidence: in the logs the service refuses all three aggregators at 21.6 s; the other hosts first try at 24.8 s. Three tests play this in virtual time, with the real modules: fleet, follower, watch and the choice of who follows, which moves from the host into gateway/table_sharing (no change of behaviour) to be played at all. The fake service of silent_table_test is now shared, and can fail some hosts alone. The tests are disabled in ctest and stand in KNOWN-RED.txt until the fix.

--- a/src/gateway/fleet_site_test.h
+++ b/src/gateway/fleet_site_test.h
@@ -35,6 +35,7 @@
     absl::Time others_at = absl::InfinitePast();
     std::function<void(FleetNews* own)> compose;
     std::function<void(const FleetNews& others)> on_others;
+    std::function<void(const FleetNews& zone)> on_zone;
     int sent = 0;
     std::size_t sent_bytes = 0;
     std::size_t sent_bytes_to_zones = 0;
@@ -76,7 +77,9 @@
       host->others_at = now;
       if (host->on_others) host->on_others(others);
     };
-    hooks.on_zone = [](const FleetNews&) {};
+    hooks.on_zone = [host](const FleetNews& zone) {
+      if (host->on_zone) host->on_zone(zone);
+    };
     hooks.on_host = [](const HostEntry&) {};
     hooks.send = [this, host](const std::string& to, const FleetNews& news) {
       Send(host, to, news);
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -99,18 +99,10 @@
             service_return_.Noticed(now);
             directory_.ServiceReturned(now);
           }),
-      watch_(settings.id.str(), loop->now()),
-      others_heard_(loop->now()) {
-  for (TableFollower* follower : {&configuration_, &servers_}) {
-    // Who follows shows before the first change; none probes before that.
-    follower->SetFollowing(Following::kWhenTold,
-                           /*probe_period=*/absl::InfiniteDuration());
-    follower->HandOnTo(
-        [this, follower](std::uint64_t since, const TablePage& page) {
-          HandOn(*follower, since, page);
-        });
-  }
-}
+      sharing_(
+          settings.id.str(), {&configuration_, &servers_},
+          [this](const TableChanges& changes) { HandOnChanges(changes); },
+          loop->now()) {}
 
 Host::~Host() {
   for (const TimerId timer : timers_) loop_->timers().Cancel(timer);
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -20,7 +20,7 @@
 #include "gateway/peers.h"
 #include "gateway/service_return.h"
 #include "gateway/table_follower.h"
-#include "gateway/table_watch.h"
+#include "gateway/table_sharing.h"
 #include "http/server.h"
 #include "log/bounded_log.h"
 #include "loop/event_loop.h"
@@ -72,14 +72,11 @@
   std::optional<Error> Listen();
   std::optional<Error> MeetPeers();
   void ComposeNews(FleetNews* news);
-  TableNews NewsOf(const TableFollower& follower) const;
   void TakeOthers(const FleetNews& others);
   void TakeOther(std::string_view bytes);
   // Lets what was heard, or wasn't, come into force.
   void UseNews(absl::Time now);
-  void ChooseFollowing(absl::Time now);
-  void HandOn(const TableFollower& follower, std::uint64_t since,
-              const TablePage& page);
+  void HandOnChanges(const TableChanges& changes);
   void TakeRequest(http::Request request,
                    std::shared_ptr<http::Responder> responder);
   void TakeQuestion(const http::Request& request,
@@ -105,14 +102,12 @@
   EarlyRequests early_;
   TableFollower configuration_;
   TableFollower servers_;
-  TableWatch watch_;
+  TableSharing sharing_;
   ServiceReturn service_return_;
   std::unique_ptr<Peers> peers_;
   std::unique_ptr<http::Server> callers_;
   std::unique_ptr<http::Server> ready_;
   std::unique_ptr<http::Server> metrics_server_;
-  std::vector<TableNews> others_tables_;  // As told last.
-  absl::Time others_heard_;
   int hosts_told_ = 1;  // To the forwarder.
   absl::Time hosts_told_at_ = absl::InfinitePast();
   std::vector<TimerId> timers_;
--- a/src/gateway/host_fleet.cc
+++ b/src/gateway/host_fleet.cc
@@ -11,14 +11,6 @@
 namespace gentianlb::gateway {
 namespace {
 
-// A host that hears nothing of the others for so long follows the tables by
-// itself; the next aggregator of a zone is there long before.
-constexpr absl::Duration kUnlinked = absl::Seconds(2);
-
-// Where no host that is heard reaches the table service, one of all hosts tries
-// each so often.
-constexpr absl::Duration kProbePerHost = absl::Milliseconds(100);
-
 // How often the number of hosts is told to what depends on it: hosts are
 // started by the hundred.
 constexpr absl::Duration kHostsPeriod = absl::Seconds(1);
@@ -36,7 +28,7 @@
   hooks.compose = [this](FleetNews* news) { ComposeNews(news); };
   hooks.on_others = [this](const FleetNews& others) { TakeOthers(others); };
   hooks.on_zone = [this](const FleetNews& zone) {
-    watch_.Heard(zone, loop_->now());
+    sharing_.HeardZone(zone, loop_->now());
   };
   hooks.on_other = [this](std::string_view bytes) { TakeOther(bytes); };
   hooks.on_known = [this](int hosts) { demand_.Know(hosts); };
@@ -48,25 +40,15 @@
   return std::nullopt;
 }
 
-TableNews Host::NewsOf(const TableFollower& follower) const {
-  TableNews news;
-  news.table = HashName(follower.table());
-  news.newest_change = follower.newest_change();
-  news.version = follower.version();
-  news.up = follower.follows();
-  // One that follows for nobody may have been cut off alone.
-  if (peers_->fleet().aggregates()) {
-    news.returned_ms = service_return_.ToTell(loop_->now());
-  }
-  return news;
-}
-
 void Host::ComposeNews(FleetNews* news) {
   news->draining = draining_;
   news->servers = forwarder_.Uses();
   news->workspaces = demand_.Tell(loop_->now());
-  for (const TableFollower* follower : {&configuration_, &servers_}) {
-    news->tables.push_back(NewsOf(*follower));
+  news->tables = sharing_.Tell();
+  // One that follows for nobody may have been cut off alone.
+  if (!peers_->fleet().aggregates()) return;
+  for (TableNews& table : news->tables) {
+    table.returned_ms = service_return_.ToTell(loop_->now());
   }
 }
 
@@ -75,16 +57,11 @@
   for (const Spent& spent : demand_.Heard(others, now)) {
     forwarder_.quotas().Spend(spent.workspace, spent.tokens, now);
   }
-  others_tables_ = others.tables;
-  others_heard_ = now;
   for (const TableNews& table : others.tables) {
     service_return_.Heard(table.returned_ms, now);
     directory_.ServiceReturned(service_return_.latest());
-    for (TableFollower* follower : {&configuration_, &servers_}) {
-      if (table.table != HashName(follower->table())) continue;
-      follower->HeardOf(table.newest_change, table.version);
-    }
   }
+  sharing_.HeardOthers(others, now);
   if (others.detailed) {
     groups_.SetDispatchers(others.dispatchers);
     absl::flat_hash_map<NameHash, ServerUse> uses;
@@ -103,16 +80,11 @@
     LOG(WARNING) << "event=changes-unreadable bytes=" << bytes.size();
     return;
   }
-  for (TableFollower* follower : {&configuration_, &servers_}) {
-    if (changes->table != HashName(follower->table())) continue;
-    follower->TakeHandedOn(changes->since, changes->page);
-  }
+  sharing_.Take(*changes);
 }
 
-void Host::HandOn(const TableFollower& follower, std::uint64_t since,
-                  const TablePage& page) {
-  const auto bytes =
-      Encode(TableChanges{HashName(follower.table()), since, page});
+void Host::HandOnChanges(const TableChanges& changes) {
+  const auto bytes = Encode(changes);
   // Too long: the hosts hear that there is a change, and ask for it.
   if (!bytes) return;
   for (const std::string& host : peers_->fleet().Followers()) {
@@ -120,26 +92,8 @@
   }
 }
 
-void Host::ChooseFollowing(absl::Time now) {
-  const bool aggregates = peers_->fleet().aggregates();
-  const absl::Duration silent = now - others_heard_;
-  const bool linked = silent <= kUnlinked;
-  const bool watches =
-      aggregates && watch_.IsWatcher(configuration_.up() && servers_.up(), now);
-  for (TableFollower* follower : {&configuration_, &servers_}) {
-    follower->SetWatching(watches);
-    const bool up = std::any_of(
-        others_tables_.begin(), others_tables_.end(), [&](const auto& table) {
-          return table.table == HashName(follower->table()) && table.up;
-        });
-    Following following = up ? Following::kWhenTold : Following::kProbing;
-    if (aggregates || !linked) following = Following::kAlways;
-    follower->SetFollowing(following, kProbePerHost * demand_.hosts());
-  }
-}
-
 void Host::UseNews(absl::Time now) {
-  ChooseFollowing(now);
+  sharing_.Choose({peers_->fleet().aggregates(), demand_.hosts()}, now);
   Quotas& quotas = forwarder_.quotas();
   const std::vector<NameHash> limited = quotas.Limited();
   demand_.Agree(limited, now);
--- a/src/gateway/silent_table_test.cc
+++ b/src/gateway/silent_table_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "gateway/fake_table_test.h"
 #include "gateway/table_follower.h"
 #include "gateway/table_watch.h"
 
@@ -14,93 +15,8 @@
 
 constexpr absl::Duration kStep = absl::Milliseconds(10);
 constexpr absl::Duration kNewsPeriod = absl::Milliseconds(100);
-// As the adapter gives up a call about changes, or one that can't be connected.
-constexpr absl::Duration kMargin = absl::Seconds(1);
-constexpr absl::Duration kConnect = absl::Milliseconds(500);
 const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
 
-// One table with one row. While it is silent, calls that wait or arrive are
-// swallowed: their connections stay well, and no answer ever comes.
-class SilentTable {
- public:
-  explicit SilentTable(const absl::Time* now) : now_(*now) {}
-
-  TablePort PortFor(std::size_t host) {
-    TablePort port;
-    port.read = [this](const std::string&, const std::string&, TableDone done) {
-      done(PageOf(/*since=*/0));
-    };
-    port.follow = [this, host](const std::string&, std::uint64_t since,
-                               absl::Duration wait, TableDone done) {
-      ++calls;
-      calls_.push_back({host, since, now_ + wait, now_ + wait + kMargin, silent,
-                        std::move(done)});
-      if (cut == host) calls_.back().given_up = now_ + kConnect;
-      if (cut == host) calls_.back().swallowed = true;
-    };
-    return port;
-  }
-
-  void Change() { ++version_; }
-
-  void SetSilent(bool on) {
-    silent = on;
-    for (Call& call : calls_) call.swallowed |= on;
-  }
-
-  // The host's connections are cut; an open call ends with an error soon.
-  void Cut(std::size_t host) {
-    cut = host;
-    for (Call& call : calls_) {
-      if (call.host != host) continue;
-      call.swallowed = true;
-      call.given_up = now_ + kConnect;
-    }
-  }
-
-  void Step() {
-    std::vector<Call> open = std::move(calls_);
-    calls_.clear();
-    for (Call& call : open) {
-      const bool news = version_ > call.since || now_ >= call.wait_ends;
-      if (!call.swallowed && news) {
-        call.done(PageOf(call.since));
-      } else if (now_ >= call.given_up) {
-        call.done(TableFailure::kUnavailable);
-      } else {
-        calls_.push_back(std::move(call));
-      }
-    }
-  }
-
-  std::uint64_t version() const { return version_; }
-
-  bool silent = false;
-  std::size_t cut = static_cast<std::size_t>(-1);
-  int calls = 0;
-
- private:
-  struct Call {
-    std::size_t host;
-    std::uint64_t since;
-    absl::Time wait_ends;
-    absl::Time given_up;
-    bool swallowed;
-    TableDone done;
-  };
-
-  TablePage PageOf(std::uint64_t since) const {
-    TablePage page;
-    page.version = version_;
-    if (version_ > since) page.rows = {{"row", "v", false, version_}};
-    return page;
-  }
-
-  const absl::Time& now_;
-  std::uint64_t version_ = 10;
-  std::vector<Call> calls_;
-};
-
 class Hosts {
  public:
   explicit Hosts(std::size_t count) {
@@ -135,7 +51,7 @@
 
   absl::Time now = start;
   TimerService timers;
-  SilentTable table{&now};
+  FakeTableService table{&now};
 
  private:
   void Tell() {
--- /dev/null
+++ b/src/gateway/table_sharing.h
@@ -0,0 +1,59 @@
+// How the hosts of a fleet learn of a table's changes with few calls of the
+// table service: who of them follows it, and how the others hear of a change.
+//
+// Knows no network and no clock; the hooks carry what has to leave.
+
+#ifndef GENTIANLB_GATEWAY_TABLE_SHARING_H_
+#define GENTIANLB_GATEWAY_TABLE_SHARING_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "gateway/fleet_messages.h"
+#include "gateway/table_follower.h"
+#include "gateway/table_watch.h"
+
+namespace gentianlb::gateway {
+
+// This host's place among the others.
+struct FleetPlace {
+  bool aggregates = false;  // For its zone.
+  int hosts = 1;            // That are known, this one included.
+  auto operator<=>(const FleetPlace&) const = default;
+};
+
+// Hands changes on to the hosts of the zone, where this one aggregates.
+using HandOn = std::function<void(const TableChanges& changes)>;
+
+class TableSharing {
+ public:
+  // `followers` outlive this object.
+  TableSharing(std::string host, std::vector<TableFollower*> followers,
+               HandOn hand_on, absl::Time now);
+
+  // What this host knows of the tables.
+  std::vector<TableNews> Tell() const;
+  // What all others know, as the zone's aggregator tells.
+  void HeardOthers(const FleetNews& others, absl::Time now);
+  // What the aggregator of another zone tells, where this one aggregates.
+  void HeardZone(const FleetNews& zone, absl::Time now);
+  // Another host hands changes on.
+  void Take(const TableChanges& changes);
+
+  // Decides how this host follows. To be called each period.
+  void Choose(const FleetPlace& place, absl::Time now);
+
+ private:
+  bool OthersFollow(const TableFollower& follower) const;
+
+  const std::vector<TableFollower*> followers_;
+  TableWatch watch_;
+  std::vector<TableNews> others_tables_;  // As told last.
+  absl::Time others_heard_;
+};
+
+}  // namespace gentianlb::gateway
+
+#endif  // GENTIANLB_GATEWAY_TABLE_SHARING_H_
--- /dev/null
+++ b/src/gateway/table_sharing_test.cc
@@ -0,0 +1,184 @@
+// Hosts of a fleet that share the following of a table, in virtual time.
+
+#include "gateway/table_sharing.h"
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "gateway/fake_table_test.h"
+#include "gateway/fleet_site_test.h"
+
+namespace gentianlb::gateway {
+namespace {
+
+constexpr absl::Duration kSettled = absl::Seconds(6);
+// The shortest time after which a confirmed change must be in force.
+constexpr absl::Duration kPromised = absl::Seconds(2);
+// Between the service's turning hosts away and the change that they miss.
+constexpr absl::Duration kShortly = absl::Milliseconds(80);
+
+class SharingSite {
+ public:
+  SharingSite(int count, int zones, std::uint64_t seed) : fleet_(seed) {
+    fleet_.Add(count, zones);
+    for (int i = 0; i < count; ++i) Join(i, seed);
+    Pass(kSettled);
+  }
+
+  void Pass(absl::Duration span) {
+    for (const absl::Time end = now() + span; now() < end;) Step();
+  }
+
+  std::set<std::size_t> Aggregators() {
+    std::set<std::size_t> found;
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+      if (members_[i].host->fleet->aggregates()) found.insert(i);
+    }
+    return found;
+  }
+
+  // Hosts that don't know the newest change, but for `excused` ones.
+  int Behind(const std::set<std::size_t>& excused) const {
+    int behind = 0;
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+      const bool knows =
+          members_[i].follower->newest_change() >= table.version();
+      if (!knows && !excused.contains(i)) ++behind;
+    }
+    return behind;
+  }
+
+ private:
+  struct Member {
+    FleetSite::Host* host;
+    std::unique_ptr<TableFollower> follower;
+    std::unique_ptr<TableSharing> sharing;
+  };
+
+  const absl::Time& now() const { return fleet_.now; }
+
+  void Join(int number, std::uint64_t seed) {
+    const std::string name = FleetSite::Name(number);
+    Member member{&fleet_.hosts.at(name), nullptr, nullptr};
+    member.follower = std::make_unique<TableFollower>(
+        TableFollowerOptions{.table = "t"},
+        table.PortFor(static_cast<std::size_t>(number)), &timers_,
+        [this] { return now(); }, seed * 1000 + static_cast<unsigned>(number),
+        [](const std::vector<TableRow>&, bool, absl::Time) {},
+        [](bool, absl::Time) {});
+    FleetSite::Host* host = member.host;
+    member.sharing = std::make_unique<TableSharing>(
+        name, std::vector<TableFollower*>{member.follower.get()},
+        [this, host](const TableChanges& changes) { HandOn(host, changes); },
+        now());
+    TableSharing* sharing = member.sharing.get();
+    host->compose = [sharing](FleetNews* own) {
+      own->tables = sharing->Tell();
+    };
+    host->on_others = [this, sharing](const FleetNews& others) {
+      sharing->HeardOthers(others, now());
+    };
+    host->on_zone = [this, sharing](const FleetNews& zone) {
+      sharing->HeardZone(zone, now());
+    };
+    member.follower->Start();
+    members_.push_back(std::move(member));
+  }
+
+  void HandOn(const FleetSite::Host* from, const TableChanges& changes) {
+    for (const std::string& name : from->fleet->Followers()) {
+      flying_.emplace_back(name, changes);
+    }
+  }
+
+  void Step() {
+    fleet_.Step();
+    timers_.Advance(now());
+    table.Step();
+    for (const auto& [to, changes] : std::exchange(flying_, {})) {
+      for (Member& member : members_) {
+        if (member.host->entry.host == to) member.sharing->Take(changes);
+      }
+    }
+    const int hosts = static_cast<int>(members_.size());
+    for (Member& member : members_) {
+      member.sharing->Choose({member.host->fleet->aggregates(), hosts}, now());
+    }
+  }
+
+  FleetSite fleet_;
+  TimerService timers_;
+  std::vector<std::pair<std::string, TableChanges>> flying_;
+
+ public:
+  FakeTableService table{&fleet_.now};
+
+ private:
+  std::vector<Member> members_;
+};
+
+struct Size {
+  int hosts;
+  int zones;
+};
+const std::vector<Size> sizes = {{8, 4}, {64, 3}, {195, 6}};
+
+// Guards against hosts that the service would answer, and that stay on an old
+// configuration since it refuses all who follow for them.
+BOOST_AUTO_TEST_CASE(AChangeIsKnownThoughTheServiceRefusesAllAggregators,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  for (const auto& [hosts, zones] : sizes) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      SharingSite site(hosts, zones, seed);
+      const std::set<std::size_t> refused = site.Aggregators();
+      site.table.refused = refused;
+      site.Pass(kShortly);
+      site.table.Change();
+      site.Pass(kPromised);
+      BOOST_TEST(site.Behind(refused) == 0, hosts << " hosts, seed " << seed);
+    }
+  }
+}
+
+// The same where their calls are swallowed, which they notice late.
+BOOST_AUTO_TEST_CASE(AChangeIsKnownThoughTheServiceIsSilentToAllAggregators,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  for (const auto& [hosts, zones] : sizes) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      SharingSite site(hosts, zones, seed);
+      const std::set<std::size_t> unheard = site.Aggregators();
+      site.table.BeSilentTo(unheard);
+      site.Pass(kShortly);
+      site.table.Change();
+      site.Pass(kPromised);
+      BOOST_TEST(site.Behind(unheard) == 0, hosts << " hosts, seed " << seed);
+    }
+  }
+}
+
+// Who is refused still serves callers, and must not do so by what was
+// withdrawn: it hears from others.
+BOOST_AUTO_TEST_CASE(HostsThatTheServiceRefusesKnowAChangeToo,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  for (const auto& [hosts, zones] : sizes) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      SharingSite site(hosts, zones, seed);
+      site.table.refused = site.Aggregators();
+      // Each third host besides.
+      for (int i = 0; i < hosts; i += 3) {
+        site.table.refused.insert(static_cast<std::size_t>(i));
+      }
+      site.Pass(kShortly);
+      site.table.Change();
+      site.Pass(kPromised);
+      BOOST_TEST(site.Behind({}) == 0, hosts << " hosts, seed " << seed);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace gentianlb::gateway
