Messages between hosts of up to 60 KiB arrive whole

What callers saw: nothing by itself; where the table service refuses a host, that host stayed on an old configuration although its aggregator had handed the new one on. Cause: a configuration may be handed on up to 48 KiB, but datagrams were read into 16 KiB and cut. Change: one limit, 60 KiB, for sending and receiving; a longer message is not sent. The 48 KiB of changes now count all bytes, not keys and values alone.

--- a/src/gateway/fleet_messages.cc
+++ b/src/gateway/fleet_messages.cc
@@ -14,9 +14,6 @@
 constexpr std::string_view kNewsMark = "GN4";
 constexpr std::string_view kChangesMark = "GT1";
 
-// The most that goes into one datagram, headers and the marks besides.
-constexpr std::size_t kMostChangeBytes = 48 << 10;
-
 void Write(WireWriter& writer, const HostEntry& host) {
   WriteText(writer, host.host);
   WriteText(writer, host.address);
@@ -152,11 +149,6 @@
 }
 
 std::optional<std::string> Encode(const TableChanges& changes) {
-  std::size_t size = 0;
-  for (const TableRow& row : changes.page.rows) {
-    size += row.key.size() + row.value.size();
-  }
-  if (size > kMostChangeBytes) return std::nullopt;
   std::ostringstream out;
   out << kChangesMark;
   WireWriter writer(out);
@@ -166,7 +158,9 @@
     WriteBytes(writer, row.value);
     writer(row.removed, row.version);
   });
-  return out.str();
+  std::string bytes = out.str();
+  if (bytes.size() > kMostChangeBytes) return std::nullopt;
+  return bytes;
 }
 
 bool IsTableChanges(std::string_view bytes) {
--- a/src/gateway/fleet_messages.h
+++ b/src/gateway/fleet_messages.h
@@ -114,6 +114,10 @@
 // None when the bytes are no news: cut, or from somebody else.
 std::optional<FleetNews> DecodeFleetNews(std::string_view bytes);
 
+// The longest message with changes of a table; with who sends it, it goes into
+// a datagram.
+inline constexpr std::size_t kMostChangeBytes = 48 << 10;
+
 // Changes of a table that one host has read from the table service.
 struct TableChanges {
   NameHash table = 0;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -58,6 +58,10 @@
   std::string content;
 };
 
+// The names of a host and its address.
+constexpr std::size_t kMostEnvelopeBytes = 8 << 10;
+static_assert(kMostChangeBytes + kMostEnvelopeBytes <= loop::kMostMessageBytes);
+
 std::string Seal(const Envelope& envelope) {
   std::ostringstream out;
   out << kEnvelopeMark;
--- a/src/loop/datagram_socket.cc
+++ b/src/loop/datagram_socket.cc
@@ -5,15 +5,11 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
 #include <utility>
 
 namespace gentianlb::loop {
 namespace {
 
-// No message is larger; what is longer is cut and then doesn't decode.
-constexpr std::size_t kMostBytes = 16 << 10;
-
 bool MakeAddress(const std::string& ip, std::uint16_t port,
                  sockaddr_in* address) {
   *address = {};
@@ -29,7 +25,8 @@
     : loop_(loop),
       descriptor_(descriptor),
       port_(port),
-      on_message_(std::move(on_message)) {
+      on_message_(std::move(on_message)),
+      buffer_(kMostMessageBytes) {
   loop_->Watch(descriptor_, EPOLLIN, [this](std::uint32_t) { Receive(); });
 }
 
@@ -63,6 +60,7 @@
 
 bool DatagramSocket::Send(const std::string& ip, std::uint16_t port,
                           std::string_view bytes) {
+  if (bytes.size() > kMostMessageBytes) return false;
   sockaddr_in address;
   if (!MakeAddress(ip, port, &address)) return false;
   const ssize_t sent =
@@ -72,13 +70,12 @@
 }
 
 void DatagramSocket::Receive() {
-  std::array<char, kMostBytes> buffer;
   // More than one may wait; the rest is reported again in the next round.
   constexpr int kPerRound = 32;
   for (int i = 0; i < kPerRound; ++i) {
-    const ssize_t count = recv(descriptor_, buffer.data(), buffer.size(), 0);
+    const ssize_t count = recv(descriptor_, buffer_.data(), buffer_.size(), 0);
     if (count < 0) return;
-    on_message_({buffer.data(), static_cast<std::size_t>(count)});
+    on_message_({buffer_.data(), static_cast<std::size_t>(count)});
   }
 }
 
--- a/src/loop/datagram_socket.h
+++ b/src/loop/datagram_socket.h
@@ -3,17 +3,22 @@
 #ifndef GENTIANLB_LOOP_DATAGRAM_SOCKET_H_
 #define GENTIANLB_LOOP_DATAGRAM_SOCKET_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/result.h"
 #include "loop/event_loop.h"
 
 namespace gentianlb::loop {
 
+// The longest message. A datagram over IPv4 can't hold 64 KiB.
+inline constexpr std::size_t kMostMessageBytes = 60 << 10;
+
 class DatagramSocket {
  public:
   using OnMessage = std::function<void(std::string_view bytes)>;
@@ -28,7 +33,8 @@
   DatagramSocket(const DatagramSocket&) = delete;
   DatagramSocket& operator=(const DatagramSocket&) = delete;
 
-  // False when it was certainly not sent. Losses on the way don't show.
+  // False when it was certainly not sent, as when it is too long. Losses on the
+  // way don't show.
   bool Send(const std::string& ip, std::uint16_t port, std::string_view bytes);
 
   std::uint16_t port() const { return port_; }
@@ -42,6 +48,7 @@
   const int descriptor_;
   const std::uint16_t port_;
   const OnMessage on_message_;
+  std::vector<char> buffer_;
 };
 
 }  // namespace gentianlb::loop
