A read of a table of before what is known is made again

What callers would see: servers that left back in use, and configurations older than the newest ignored while the host believes that it has read all. Cause: after a lost history the whole table is read again, and whatever came was taken, also when the host knew newer changes. Change: such a read is noted (event=table-read-old) and made again. Test: AReadOfBeforeWhatIsKnownIsMadeAgain, failed before.

--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -72,6 +72,12 @@
     // The least key after the last one.
     return Read(rows_.back().key + '\0');
   }
+  if (complete_ && read_from_ < version_) {
+    // Of before what is known here: servers that left would be back.
+    LOG(WARNING) << "event=table-read-old table=" << options_.table
+                 << " version=" << version_ << " read=" << read_from_;
+    return Again([this] { Read(""); });
+  }
   TakeWhole(std::exchange(rows_, {}), read_from_);
   if (FollowsAlways()) return Follow();
   GoOn();
--- a/src/gateway/table_follower_test.cc
+++ b/src/gateway/table_follower_test.cc
@@ -317,5 +317,22 @@
   BOOST_TEST(table.Next().since == 10u);
 }
 
+// Guards against servers that come back though they left: a read may be of
+// before what this host knows.
+BOOST_FIXTURE_TEST_CASE(AReadOfBeforeWhatIsKnownIsMadeAgain, Fixture) {
+  table.Next().done(Page({"a"}, 10));
+  table.Next().done(Changed("b", 14));
+  Pass(absl::Milliseconds(300));
+  table.Next().done(TableFailure::kHistoryGone);
+  Pass(absl::Seconds(1));
+  got.clear();
+  table.Next().done(Page({"a", "left"}, 12));
+  BOOST_TEST(got.empty());
+  BOOST_TEST(follower.version() == 14u);
+  Pass(absl::Seconds(1));
+  table.Next().done(Page({"a", "b"}, 14));
+  BOOST_TEST((got == Strings{"whole a b"}));
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
