Changes are handed on with each row once

What callers saw: with configurations in quick succession, hosts had to ask the table service for each, which those can't that it turns away. Change: what is handed on is the newest state of the rows that changed, from the host's copy. Test: ARowThatChangedTwiceIsHandedOnOnce, failed before.

--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -257,7 +257,10 @@
   const std::uint64_t since = version_;
   // What was handed on meanwhile is newer.
   if (page.version >= version_) Apply(page);
-  if (on_changes_ && !page.rows.empty()) on_changes_(since, page);
+  // Each row once: the service tells of every change of it.
+  if (on_changes_ && !page.rows.empty()) {
+    on_changes_(since, ChangesSince(since));
+  }
   GoOn();
 }
 
--- a/src/gateway/table_follower_test.cc
+++ b/src/gateway/table_follower_test.cc
@@ -334,5 +334,25 @@
   BOOST_TEST((got == Strings{"whole a b"}));
 }
 
+// Guards against configurations that come in quick succession and are together
+// too long to be handed on.
+BOOST_FIXTURE_TEST_CASE(ARowThatChangedTwiceIsHandedOnOnce, Fixture) {
+  table.Next().done(Page({"a"}, 10));
+  TablePage handed;
+  std::uint64_t handed_since = 0;
+  follower.HandOnTo([&](std::uint64_t since, const TablePage& page) {
+    handed_since = since;
+    handed = page;
+  });
+  TablePage twice = Changed("b", 12);
+  twice.rows.push_back({"b", "w", false, 14});
+  twice.version = 15;
+  table.Next().done(twice);
+  BOOST_TEST(handed_since == 10u);
+  BOOST_REQUIRE(handed.rows.size() == 1u);
+  BOOST_TEST(handed.rows[0].value == "w");
+  BOOST_TEST(handed.version == 15u);
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
