A host that has read a table later doesn't vouch for what was removed before

What callers would see: requests sent to servers that have left, until they are refused or time out; operators, a server that gets work after its leave. Cause: hosts tell the newest change that they know and up to where they know all; who has that change takes over the place in the history. A host that was started, or whose history was lost, has read the table as it is: a removal before that is no change that it knows of, and the others skipped it with the place. Change: hosts tell since when they know all changes (TableKnowledge); a place is taken over only if the own one lies within, and aggregators join what two hosts know only without gaps. Tests: WhoReadTheTableLaterCantVouchForRemovals fails without the check; WhatHostsKnowOfATableIsJoinedWithoutGaps.

--- a/src/gateway/aggregate.cc
+++ b/src/gateway/aggregate.cc
@@ -29,17 +29,24 @@
   return absl::Milliseconds(news.period_ms);
 }
 
+// What two hosts know together. Where changes may lie between what one knows
+// and what the other does, only the later counts.
+TableKnowledge Joined(const TableKnowledge& a, const TableKnowledge& b) {
+  TableKnowledge joined = a.version < b.version ? b : a;
+  joined.newest_change = std::max(a.newest_change, b.newest_change);
+  if (a.since <= b.version && b.since <= a.version) {
+    joined.since = std::min(a.since, b.since);
+  }
+  return joined;
+}
+
 }  // namespace
 
 void Aggregate::Sums::AddTable(const TableNews& table) {
-  TableNews& sum = tables[table.table];
+  const auto [found, first] = tables.try_emplace(table.table);
+  TableNews& sum = found->second;
   sum.table = table.table;
-  if (table.newest_change > sum.newest_change) {
-    sum.newest_change = table.newest_change;
-    sum.version = table.version;
-  } else if (table.newest_change == sum.newest_change) {
-    sum.version = std::max(sum.version, table.version);
-  }
+  sum.known = first ? table.known : Joined(sum.known, table.known);
   if (table.up) ++up[table.table];
   if (table.returned_ms < 0) return;
   const bool newer = sum.returned_ms < 0 || table.returned_ms < sum.returned_ms;
--- a/src/gateway/aggregate_test.cc
+++ b/src/gateway/aggregate_test.cc
@@ -109,5 +109,31 @@
   BOOST_TEST(dispatchers.front().host == "h1");
 }
 
+TableKnowledge KnownTogether(const TableKnowledge& a, const TableKnowledge& b) {
+  Aggregate aggregate("z");
+  FleetNews one = NewsOf("h1");
+  one.tables = {{HashName("t"), a}};
+  aggregate.Heard(one, now);
+  FleetNews other = NewsOf("h2");
+  other.tables = {{HashName("t"), b}};
+  aggregate.Heard(other, now);
+  aggregate.Merge(now);
+  return aggregate.OfZone().tables.at(0).known;
+}
+
+// Guards against removals that a host misses: nobody knows what happened
+// between what two hosts know.
+BOOST_AUTO_TEST_CASE(WhatHostsKnowOfATableIsJoinedWithoutGaps) {
+  const TableKnowledge long_known{40, 10, 50};
+  const TableKnowledge read_later{30, 45, 60};
+  const TableKnowledge read_last{30, 55, 60};
+  const TableKnowledge joined{40, 10, 60};
+  const TableKnowledge only_last{40, 55, 60};
+  BOOST_TEST((KnownTogether(long_known, read_later) == joined));
+  BOOST_TEST((KnownTogether(read_later, long_known) == joined));
+  BOOST_TEST((KnownTogether(long_known, read_last) == only_last));
+  BOOST_TEST((KnownTogether(read_last, long_known) == only_last));
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
--- a/src/gateway/fleet_messages.cc
+++ b/src/gateway/fleet_messages.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Begin each message, and tell its form from others.
-constexpr std::string_view kNewsMark = "GN4";
+constexpr std::string_view kNewsMark = "GN5";
 constexpr std::string_view kChangesMark = "GT1";
 constexpr std::string_view kQuestionMark = "GQ1";
 
@@ -72,8 +72,8 @@
            use.given_back, use.part, use.parts, use.unheard);
   });
   ReadList(reader, &news->tables, [&](TableNews& table) {
-    reader(table.table, table.newest_change, table.version, table.up,
-           table.returned_ms);
+    reader(table.table, table.known.newest_change, table.known.since,
+           table.known.version, table.up, table.returned_ms);
   });
   Read(reader, news->aggregator);
   reader(news->settled, news->detailed);
@@ -137,8 +137,8 @@
            use.given_back, use.part, use.parts, use.unheard);
   });
   WriteList(writer, news.tables, [&](const TableNews& table) {
-    writer(table.table, table.newest_change, table.version, table.up,
-           table.returned_ms);
+    writer(table.table, table.known.newest_change, table.known.since,
+           table.known.version, table.up, table.returned_ms);
   });
   Write(writer, news.aggregator);
   writer(news.settled, news.detailed);
--- a/src/gateway/fleet_messages.h
+++ b/src/gateway/fleet_messages.h
@@ -61,9 +61,8 @@
 
 struct TableNews {
   NameHash table = 0;
-  std::uint64_t newest_change = 0;  // Version of the newest that is known.
-  std::uint64_t version = 0;        // Up to which all changes are known.
-  bool up = false;                  // The table service answers.
+  TableKnowledge known;
+  bool up = false;  // The table service answers.
   // Since the service answers again after an outage; below 0: there was none.
   std::int32_t returned_ms = -1;
   auto operator<=>(const TableNews&) const = default;
--- a/src/gateway/fleet_messages_test.cc
+++ b/src/gateway/fleet_messages_test.cc
@@ -17,7 +17,7 @@
   news.complete = false;
   news.draining = true;
   news.workspaces = {{HashName("w"), 1234.5F, 99, 7, 0.5F, 3, 40.0F}};
-  news.tables = {{HashName("t"), 77, 80, true, 350}};
+  news.tables = {{HashName("t"), {77, 60, 80}, true, 350}};
   news.aggregator = {"edge-2", "10.0.0.2:7600", "zone", 0.5F};
   news.settled = false;
   news.detailed = true;
--- a/src/gateway/silent_table_test.cc
+++ b/src/gateway/silent_table_test.cc
@@ -59,12 +59,12 @@
       FleetNews news;
       news.sender.host = "h" + std::to_string(from);
       news.period_ms = 250;
-      news.tables = {{HashName("t"), followers_[from]->newest_change(),
-                      followers_[from]->version(), followers_[from]->up()}};
+      news.tables = {
+          {HashName("t"), followers_[from]->Known(), followers_[from]->up()}};
       for (std::size_t to = 0; to < followers_.size(); ++to) {
         if (to == from || to == table.cut || from == table.cut) continue;
         watches_[to]->Heard(news, now);
-        followers_[to]->HeardOf(news.tables[0].newest_change);
+        followers_[to]->HeardOf(news.tables[0].known);
       }
     }
     for (std::size_t i = 0; i < followers_.size(); ++i) {
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -168,11 +168,14 @@
   if (watching && following_ && follow_wait_ > options_.short_wait) AskAnew();
 }
 
-void TableFollower::HeardOf(std::uint64_t change, std::uint64_t version) {
-  // All up to `change` is known here, so that nothing is missed up to there.
-  if (complete_ && change <= version_) version_ = std::max(version_, version);
-  if (change <= heard_of_) return;
-  heard_of_ = change;
+void TableFollower::HeardOf(const TableKnowledge& known) {
+  // Nothing changed since what is known here. Others can't say so who know less
+  // of the history: what was removed before they read the table is not told.
+  const bool vouched =
+      known.since <= version_ && known.newest_change <= version_;
+  if (complete_ && vouched) version_ = std::max(version_, known.version);
+  if (known.newest_change <= heard_of_) return;
+  heard_of_ = known.newest_change;
   if (heard_of_ <= version_ || behind_ != 0) return;
   behind_ = timers_->At(clock_() + options_.behind, [this](absl::Time) {
     behind_ = 0;
@@ -193,7 +196,9 @@
   if (!complete_) return false;
   if (since > version_) {
     // An earlier change was lost on the way.
-    for (const TableRow& row : page.rows) HeardOf(row.version);
+    for (const TableRow& row : page.rows) {
+      HeardOf({row.version, /*since=*/since, page.version});
+    }
     return false;
   }
   Apply(page);
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -136,8 +136,8 @@
     on_lacking_ = std::move(on_lacking);
   }
 
-  // Another host knows of a change of that version, and of all up to `version`.
-  void HeardOf(std::uint64_t change, std::uint64_t version = 0);
+  // What other hosts know.
+  void HeardOf(const TableKnowledge& known);
   // Another host hands on what changed after `since`; 0: all rows. True: this
   // host knows more than before.
   bool TakeHandedOn(std::uint64_t since, const TablePage& page);
@@ -153,7 +153,10 @@
   bool up() const { return up_; }
   // Whether changes come to this host from the service itself.
   bool follows() const { return !idle_ && up_; }
-  // The newest change of a row that is known; what others are told.
+  // What others are told.
+  TableKnowledge Known() const {
+    return {newest_change_, copy_.since(), version_};
+  }
   std::uint64_t newest_change() const { return newest_change_; }
   bool complete() const { return complete_; }  // Read whole at least once.
   std::uint64_t version() const { return version_; }
--- a/src/gateway/table_follower_test.cc
+++ b/src/gateway/table_follower_test.cc
@@ -170,7 +170,7 @@
 BOOST_FIXTURE_TEST_CASE(AChangeThatAnotherHostKnowsOfIsAskedForAnew, Fixture) {
   table.Next().done(Page({"a"}, 10));
   FakeTable::Call silent = table.Next();
-  follower.HeardOf(15);
+  follower.HeardOf({15, 0, 15});
   Pass(absl::Milliseconds(100));
   BOOST_TEST(table.calls.empty());  // Its own answer may be on the way.
   Pass(absl::Milliseconds(100));
@@ -192,13 +192,13 @@
 BOOST_FIXTURE_TEST_CASE(AChangeThatArrivesBySelfCostsNoFurtherCall, Fixture) {
   table.Next().done(Page({"a"}, 10));
   FakeTable::Call follow = table.Next();
-  follower.HeardOf(15);
+  follower.HeardOf({15, 0, 15});
   Pass(absl::Milliseconds(50));
   follow.done(Change("b", 15));
   Pass(absl::Seconds(1));
   BOOST_TEST(table.calls.size() == 1u);  // The next that waits.
-  follower.HeardOf(15);
-  follower.HeardOf(9);
+  follower.HeardOf({15, 0, 15});
+  follower.HeardOf({9, 0, 9});
   Pass(absl::Seconds(1));
   BOOST_TEST(table.calls.size() == 1u);
 }
@@ -241,7 +241,7 @@
 // Hundreds of hosts learn of each change from the one of their zone that
 // follows, at no call of their own.
 BOOST_FIXTURE_TEST_CASE(WhatIsHandedOnNeedsNoCall, ToldFixture) {
-  follower.HeardOf(12);
+  follower.HeardOf({12, 0, 12});
   follower.TakeHandedOn(10, Changed("b", 12));
   Pass(absl::Minutes(1));
   BOOST_TEST(table.calls.empty());
@@ -254,7 +254,7 @@
 // What was handed on is lost on the way, while the news of it arrives. The host
 // asks for it; callers would be served by an old configuration otherwise.
 BOOST_FIXTURE_TEST_CASE(WhatWasLostOnTheWayIsAskedFor, ToldFixture) {
-  follower.HeardOf(12);
+  follower.HeardOf({12, 0, 12});
   BOOST_TEST(table.calls.empty());
   Pass(absl::Milliseconds(201));
   FakeTable::Call call = table.Next();
@@ -272,7 +272,7 @@
 // A host asks for what it missed, and the answer comes later than the next
 // change, which was handed on meanwhile. It must not go back.
 BOOST_FIXTURE_TEST_CASE(AnOlderAnswerUndoesNothing, ToldFixture) {
-  follower.HeardOf(12);
+  follower.HeardOf({12, 0, 12});
   Pass(absl::Milliseconds(201));
   FakeTable::Call call = table.Next();
   follower.TakeHandedOn(10, Changed("newer", 15));
@@ -283,12 +283,24 @@
 // Nothing changes for longer than the service keeps its history. A host that
 // then asked from where it read last would have to read all again.
 BOOST_FIXTURE_TEST_CASE(WhoIsToldKeepsItsPlaceInTheHistory, ToldFixture) {
-  follower.HeardOf(10, 900);
-  follower.HeardOf(901);
+  follower.HeardOf({10, 0, 900});
+  follower.HeardOf({901, 0, 901});
   Pass(absl::Seconds(1));
   BOOST_TEST(table.Next().since == 900u);
 }
 
+// Guards against servers that left and stay in use: who read the table after
+// they had gone knows of no change, and yet not that there was none.
+BOOST_FIXTURE_TEST_CASE(WhoReadTheTableLaterCantVouchForRemovals, ToldFixture) {
+  follower.HeardOf({/*newest_change=*/8, /*since=*/100, /*version=*/110});
+  BOOST_TEST(follower.version() == 10u);
+  // The next change shows that something is missing here.
+  TablePage handed = Changed("b", 112);
+  follower.TakeHandedOn(110, handed);
+  Pass(absl::Seconds(1));
+  BOOST_TEST(table.Next().since == 10u);
+}
+
 // No host that is heard reaches the service any more, but it may serve this
 // one. It tries now and then, and follows for the others once it is answered.
 BOOST_FIXTURE_TEST_CASE(WhereNobodyReachesTheServiceEachTriesRarely,
--- a/src/gateway/table_page.h
+++ b/src/gateway/table_page.h
@@ -3,6 +3,7 @@
 #ifndef GENTIANLB_GATEWAY_TABLE_PAGE_H_
 #define GENTIANLB_GATEWAY_TABLE_PAGE_H_
 
+#include <compare>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +26,16 @@
   bool operator==(const TablePage&) const = default;
 };
 
+// What a host knows of a table's history: all changes after `since` up to
+// `version`, of which `newest_change` is the last. It has read the table as of
+// `since`, and can't tell what was removed before.
+struct TableKnowledge {
+  std::uint64_t newest_change = 0;
+  std::uint64_t since = 0;
+  std::uint64_t version = 0;
+  auto operator<=>(const TableKnowledge&) const = default;
+};
+
 }  // namespace gentianlb::gateway
 
 #endif  // GENTIANLB_GATEWAY_TABLE_PAGE_H_
--- a/src/gateway/table_sharing.cc
+++ b/src/gateway/table_sharing.cc
@@ -63,8 +63,7 @@
   for (const TableFollower* follower : followers_) {
     TableNews news;
     news.table = HashName(follower->table());
-    news.newest_change = follower->newest_change();
-    news.version = follower->version();
+    news.known = follower->Known();
     news.up = follower->follows();
     tables.push_back(news);
   }
@@ -77,7 +76,7 @@
   for (const TableNews& table : others.tables) {
     for (TableFollower* follower : followers_) {
       if (!IsOf(*follower, table.table)) continue;
-      follower->HeardOf(table.newest_change, table.version);
+      follower->HeardOf(table.known);
     }
   }
 }
--- a/src/gateway/table_watch_test.cc
+++ b/src/gateway/table_watch_test.cc
@@ -13,7 +13,7 @@
   FleetNews news;
   news.sender.host = host;
   news.period_ms = 250;
-  news.tables = {{HashName("t"), 7, 7, up}};
+  news.tables = {{HashName("t"), {7, 0, 7}, up}};
   return news;
 }
 
