--- a/src/gateway/table_sharing.cc
+++ b/src/gateway/table_sharing.cc
@@ -20,7 +20,7 @@
 // How many hosts follow besides the aggregators, about: a third of all hosts
 // may be turned away at once, and hardly ever all of these. Each costs at most
 // a call a second while there are changes.
-constexpr double kStandbys = 8;
+constexpr double kStandbys = 5;
 
 // From 0 to below 1, and the same after a restart.
 double RankOf(std::string_view host) {
@@ -115,7 +115,8 @@
 }
 
 bool TableSharing::IsStandby(int hosts) const {
-  return rank_ * hosts < kStandbys;
+  // Before it knows of others, a host can't tell.
+  return hosts > 1 && rank_ * hosts < kStandbys;
 }
 
 Following TableSharing::Choice(const TableFollower& follower,
