--- a/src/gateway/fake_table_test.h
+++ b/src/gateway/fake_table_test.h
@@ -72,12 +72,11 @@
     std::vector<Call> open = std::move(calls_);
     calls_.clear();
     for (Call& call : open) {
+      const bool turned_away = refused.contains(call.host);
       const bool news = version_ > call.since || now_ >= call.wait_ends;
-      if (refused.contains(call.host)) {
-        call.done(TableFailure::kUnavailable);
-      } else if (!call.swallowed && news) {
+      if (!turned_away && !call.swallowed && news) {
         call.done(PageOf(call.since));
-      } else if (now_ >= call.given_up) {
+      } else if (turned_away || now_ >= call.given_up) {
         call.done(TableFailure::kUnavailable);
       } else {
         calls_.push_back(std::move(call));
--- a/src/gateway/table_copy.cc
+++ b/src/gateway/table_copy.cc
@@ -40,8 +40,8 @@
 std::vector<TableRow> TableCopy::RowsSince(std::uint64_t since) const {
   std::vector<TableRow> rows;
   for (const auto& [key, row] : rows_) {
-    const bool wanted = since == 0 ? !row.removed : row.version > since;
-    if (wanted) rows.push_back(row);
+    const bool changed = row.version == 0 || row.version > since;
+    if (since == 0 ? !row.removed : changed) rows.push_back(row);
   }
   return rows;
 }
--- a/src/gateway/table_copy_test.cc
+++ b/src/gateway/table_copy_test.cc
@@ -32,6 +32,14 @@
   BOOST_TEST((copy.RowsSince(0) == Rows{Row("a", 3)}));
 }
 
+// Guards against rows that a host that asked never gets, as their service
+// doesn't say when they changed.
+BOOST_AUTO_TEST_CASE(TellsOfRowsWithoutAVersion) {
+  TableCopy copy;
+  copy.Replace({Row("a", 3), Row("b", 0)}, 10);
+  BOOST_TEST((copy.RowsSince(10) == Rows{Row("b", 0)}));
+}
+
 // Removals are dropped in the end, and then it doesn't claim to know them.
 BOOST_AUTO_TEST_CASE(IsBoundedAndSaysSo) {
   TableCopy copy;
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -213,9 +213,9 @@
 void TableFollower::NoteBehind() {
   if (behind_since_ != absl::InfiniteFuture()) return;
   behind_since_ = clock_();
-  LOG(WARNING) << "event=table-behind table=" << options_.table
-               << " version=" << version_ << " heard_of=" << heard_of_
-               << " how=" << NameOf(mode_) << " up=" << up_;
+  LOG(INFO) << "event=table-behind table=" << options_.table
+            << " version=" << version_ << " heard_of=" << heard_of_
+            << " how=" << NameOf(mode_) << " up=" << up_;
 }
 
 void TableFollower::NoteCaughtUp() {
