--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -66,17 +66,22 @@
     callers_ = PickAddress();
     ready_ = PickAddress();
     metrics_ = PickAddress();
-    const std::string settings = absl::StrCat(
-        "[host]\nid = ", name,
-        "\nzone = z\ngrace = 8s\n[callers]\naddress = ", callers_,
-        "\n[ready]\naddress = ", ready_,
-        "\npath = /v1/readyz\n[metrics]\naddress = ", metrics_,
-        "\n[peers]\naddress = 127.0.0.1:0\n[table]\naddress = 127.0.0.1:",
-        table_.port(), "\n");
+    const std::string settings =
+        absl::StrCat("[host]\nid = ", name,
+                     "\nzone = z\ngrace = 8s\n[callers]\naddress = ", callers_,
+                     "\n[ready]\naddress = ", ready_,
+                     "\npath = /v1/readyz\n[metrics]\naddress = ", metrics_,
+                     "\n[peers]\naddress = ", PickAddress(),
+                     "\n[table]\naddress = 127.0.0.1:", table_.port(), "\n");
+    settings_ = folder_.Write(name + ".ini", settings);
+    Run(name);
+  }
+
+  // Another process with the settings of the one that was started last.
+  void Run(const std::string& name) {
     host_ = std::make_unique<Process>(
         GENTIANLB_BUILD_DIR "/src/gentianlb/gentianlb",
-        std::vector<std::string>{"gateway", "--settings",
-                                 folder_.Write(name + ".ini", settings)},
+        std::vector<std::string>{"gateway", "--settings", settings_},
         folder_.Path(name));
   }
 
@@ -134,6 +139,7 @@
   PlatformServer plain_a_;
   PlatformServer plain_b_;
   TempFolder folder_;
+  std::string settings_;
   std::string callers_;
   std::string ready_;
   std::string metrics_;
@@ -246,6 +252,28 @@
   BOOST_TEST(Ask("/read/1", "after").status == 200);
 }
 
+// Guards against a host that, started while the table service is away, refuses
+// all callers though the host beside it could tell it everything.
+BOOST_FIXTURE_TEST_CASE(AHostStartedWhileTheTableServiceIsAwayServes, Site) {
+  Configure(1);
+  Start("a");
+  WaitUntilReady();
+  const std::unique_ptr<Process> beside = std::move(host_);
+  Start("b");
+  WaitUntilReady();
+  WaitUntil("the hosts hear each other", [&] {
+    const std::string said = host_->Output() + beside->Output();
+    return said.find("event=aggregator ") != std::string::npos;
+  });
+  table_.SetDown(true);
+  host_->Signal(SIGKILL);
+  host_->Wait();
+  Run("b-again");
+  WaitUntilReady();
+  BOOST_TEST(Ask("/read/1", "while-away").status == 200);
+  BOOST_TEST(Ask("/read/1", "stolen", "other").status == 401);
+}
+
 // The process is told to stop while it serves. What it has taken is answered,
 // it says that it isn't ready, and ends by itself with a good code.
 BOOST_FIXTURE_TEST_CASE(AStopIsGraceful, Site) {
