Test of rows handed on once: its rows have versions, as those of the service

Cause: tells rows without a version to whoever asks, as it can't know whether they changed. Change: the row of the whole table has a version, as the service always gives one; the checks are as they were. No product code changes.

--- a/src/gateway/table_follower_test.cc
+++ b/src/gateway/table_follower_test.cc
@@ -349,7 +349,9 @@
 // Guards against configurations that come in quick succession and are together
 // too long to be handed on.
 BOOST_FIXTURE_TEST_CASE(ARowThatChangedTwiceIsHandedOnOnce, Fixture) {
-  table.Next().done(Page({"a"}, 10));
+  TablePage whole = Changed("a", 8);
+  whole.version = 10;
+  table.Next().done(whole);
   TablePage handed;
   std::uint64_t handed_since = 0;
   follower.HandOnTo([&](std::uint64_t since, const TablePage& page) {
