Limits: a refusal names the inputs that decided it

Callers saw: 2004 with waits of seconds to minutes after all hosts had restarted. The line named only the wait, so a limit that is used up, a debt that was charged at once, and a share that is too small looked alike. Change: the refusal carries level, reserved tokens, unreported use, share and rate; the line adds what this host knows of its peers (hosts, reachable, complete, age, aggregator). event=large-charge for peers' use of more than a second of a limit at once. Four gauges: deepest debt, lowest share, peers reachable, all reachable. No logic is changed.

--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -112,6 +112,15 @@
   return last_update_.complete && IsLastUpdateCurrent(now);
 }
 
+PeerKnowledge Demand::Peers(absl::Time now) const {
+  return {hosts_,
+          last_update_.hosts,
+          AllHostsReachable(now),
+          now - last_update_at_,
+          last_update_.sender.host,
+          absl::Milliseconds(last_update_.age_ms)};
+}
+
 double Demand::ShareOfDemand(NameHash workspace) const {
   const auto local = by_workspace_.find(workspace);
   const double own =
--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -29,6 +29,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -48,6 +49,17 @@
   auto operator<=>(const PeerUse&) const = default;
 };
 
+// What this host knows of its peers.
+struct PeerKnowledge {
+  int hosts = 1;      // Known, this one included.
+  int reachable = 0;  // Peers whose state the last update contains.
+  bool all_reachable = false;
+  absl::Duration age;      // Of the last update; infinite if there was none.
+  std::string aggregator;  // Sender of the last update.
+  absl::Duration aggregating;  // Time for which it had counted.
+  bool operator==(const PeerKnowledge&) const = default;
+};
+
 class Demand {
  public:
   // Records that a caller of this host requests `tokens`, admitted or not.
@@ -92,6 +104,7 @@
   // Returns the number of hosts, this one included, when all were last
   // reachable, or the number known if that is higher.
   int hosts() const { return hosts_; }
+  PeerKnowledge Peers(absl::Time now) const;
   // Returns whether the last update is current and covers all hosts.
   bool AllHostsReachable(absl::Time now) const;
 
--- a/src/gateway/demand_test.cc
+++ b/src/gateway/demand_test.cc
@@ -50,8 +50,8 @@
     quotas.SetPeerDemand(name_hash, demand.DemandOfPeers(name_hash, now), now);
   }
 
-  // Returns nothing if the request is admitted, else the time until a retry.
-  std::optional<absl::Duration> Request(double tokens, absl::Time now) {
+  // Returns nothing if the request is admitted.
+  std::optional<LimitRefusal> Request(double tokens, absl::Time now) {
     demand.RecordRequest(name_hash, /*rank=*/0, tokens, now);
     const auto wait = quotas.Take(name_hash, tokens, /*reserve=*/0, now);
     if (!wait) demand.RecordAdmitted(name_hash, tokens);
@@ -196,7 +196,7 @@
       const auto wait = fake_hosts_.at(name).Request(size, fleet_.now);
       if (!wait) tally_.Add(size, fleet_.now);
       if (wait) refused_ += size;
-      if (wait) retries_.emplace(fleet_.now + *wait, size);
+      if (wait) retries_.emplace(fleet_.now + wait->retry_after, size);
     }
   }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -12,6 +12,7 @@
 #include "base/timer_service.h"
 #include "gateway/event_splitter.h"
 #include "gateway/messages.h"
+#include "gateway/quota.h"
 #include "gateway/route_index.h"
 #include "http/server.h"
 
@@ -47,6 +48,7 @@
   TimerId deadline_timer = 0;
 
   double quota_tokens = 0;  // Taken from the workspace's limit; 0 once sent.
+  std::optional<LimitRefusal> over_limit;
 
   Attempt attempt;
   int attempts = 0;           // Attempts sent to a server.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -119,9 +119,9 @@
   const absl::Duration time_left =
       std::min(exchange.request->time_left, exchange.route->timeout);
   exchange.deadline = exchange.arrival + time_left;
-  if (const auto wait = TakeQuota(exchange)) {
+  if (!TakeQuota(exchange)) {
     return Refuse(exchange, {Code::kRateLimited, "over the workspace's tokens"},
-                  *wait);
+                  exchange.over_limit->retry_after);
   }
   const ServiceId& service =
       ChooseService(*exchange.route, absl::HashOf(exchange.request->id.str()));
@@ -170,8 +170,8 @@
   return std::nullopt;
 }
 
-std::optional<absl::Duration> Forwarder::TakeQuota(Exchange& exchange) {
-  if (exchange.workspace == nullptr) return std::nullopt;
+bool Forwarder::TakeQuota(Exchange& exchange) {
+  if (exchange.workspace == nullptr) return true;
   const auto& prompt = exchange.request->prompt;
   const int tokens = prompt ? prompt->prompt_tokens + prompt->max_output_tokens
                             : exchange.workspace->quota.tokens_without_count;
@@ -180,12 +180,11 @@
   const double reserve =
       kReservedForHigherPriority *
       demand_->HigherPriorityShare(workspace, exchange.tier.rank, clock_());
-  const auto wait = quotas_.Take(workspace, tokens, reserve, clock_());
-  if (!wait) {
-    demand_->RecordAdmitted(workspace, tokens);
-    exchange.quota_tokens = tokens;
-  }
-  return wait;
+  exchange.over_limit = quotas_.Take(workspace, tokens, reserve, clock_());
+  if (exchange.over_limit) return false;
+  demand_->RecordAdmitted(workspace, tokens);
+  exchange.quota_tokens = tokens;
+  return true;
 }
 
 void Forwarder::RefundQuota(Exchange& exchange) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -100,7 +100,7 @@
   std::optional<Error> Check(const Exchange& exchange) const;
   // Takes the request's tokens from the workspace's limit. If there are too
   // few, returns the time after which the caller may retry.
-  std::optional<absl::Duration> TakeQuota(Exchange& exchange);
+  bool TakeQuota(Exchange& exchange);
   // Refunds the tokens of a request that was not sent.
   void RefundQuota(Exchange& exchange);
 
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -23,6 +23,20 @@
   return info.http_status == 504 ? 504 : 502;
 }
 
+// Returns the inputs that decided a refusal by a limit, as fields of its line.
+std::string LimitInputs(const LimitRefusal& refusal,
+                        const PeerKnowledge& peers) {
+  return absl::StrFormat(
+      " level=%.0f reserved=%.0f unreported=%.0f share=%.4f rate=%.0f"
+      " hosts=%d reachable=%d all_reachable=%d peers_age_ms=%d"
+      " peers_from=%s aggregating_ms=%d",
+      refusal.state.level, refusal.reserved, refusal.state.unreported,
+      refusal.state.share, refusal.state.tokens_per_second, peers.hosts,
+      peers.reachable, peers.all_reachable, Milliseconds(peers.age),
+      peers.aggregator.empty() ? "-" : peers.aggregator,
+      Milliseconds(peers.aggregating));
+}
+
 }  // namespace
 
 std::vector<http::Header> Forwarder::ResponseHeaders(
@@ -88,6 +102,10 @@
   if (exchange.service != nullptr) {
     waiting = QueueOf(exchange.service->id).dispatcher().waiting();
   }
+  const std::string inputs =
+      exchange.over_limit
+          ? LimitInputs(*exchange.over_limit, demand_->Peers(now))
+          : std::string();
   LOG(INFO) << "event=refused request=" << exchange.request->id
             << " code=" << static_cast<int>(error.code) << " cause=\""
             << error.detail << "\" tier=" << exchange.tier.rank << " workspace="
@@ -97,7 +115,8 @@
             << " retry_after_ms=" << Milliseconds(retry_after)
             << " version=" << version()
             << " prompt_tokens=" << exchange.prompt_tokens()
-            << " route=" << (exchange.route ? exchange.route->name : "-");
+            << " route=" << (exchange.route ? exchange.route->name : "-")
+            << inputs;
   metrics_->CountRefused(exchange.tier, error.code);
   RespondError(*exchange.responder, error, retry_after);
   CancelAttempt(exchange);
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -219,6 +219,29 @@
 
 bool Host::ready() const { return initialized() && !draining_; }
 
+void Host::SetLimitMetrics() {
+  const PeerKnowledge peers = demand_.Peers(loop_->now());
+  metrics_.Set("gentianlb_peers_reachable", "In the last update", {},
+               peers.reachable);
+  metrics_.Set("gentianlb_peers_all_reachable",
+               "1 while whole limits are counted here", {},
+               peers.all_reachable ? 1 : 0);
+  absl::Duration longest_debt;
+  double lowest_share = 1;
+  const Quotas& quotas = forwarder_.quotas();
+  for (const NameHash workspace : quotas.LimitedWorkspaces()) {
+    const LimitState state = *quotas.StateOf(workspace);
+    longest_debt = std::max(
+        longest_debt, absl::Seconds(-state.level / state.tokens_per_second));
+    lowest_share = std::min(lowest_share, state.share);
+  }
+  metrics_.Set("gentianlb_limit_debt_seconds",
+               "Of the workspace's limit, for the deepest debt", {},
+               absl::ToDoubleSeconds(longest_debt));
+  metrics_.Set("gentianlb_limit_lowest_share", "Of any workspace's limit", {},
+               lowest_share);
+}
+
 std::string Host::BuildMetricsText() {
   metrics_.Set("gentianlb_configuration_version", "In force", {},
                static_cast<double>(forwarder_.version()));
@@ -242,6 +265,7 @@
                  "Since a change is known of that isn't here", table,
                  absl::ToDoubleSeconds(subscriber->Lag()));
   }
+  SetLimitMetrics();
   metrics_.Set("gentianlb_log_lines_left_out", "For the log's bound", {},
                static_cast<double>(log_->dropped_lines()));
   return metrics_.Text();
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -74,6 +74,10 @@
   std::optional<Error> StartPeers();
   void ComposeUpdate(FleetUpdate* update);
   void OnPeersUpdate(const FleetUpdate& peers);
+  // Charges what peers have admitted to the workspace's limit. Logs a charge
+  // of more than a second of the limit, as it may refuse callers for as long.
+  void ChargePeerUse(const PeerUse& spent, const FleetUpdate& peers,
+                     absl::Time now);
   void OnPeerMessage(std::string_view bytes);
   // Applies the current state of the peers to limits and table sharing.
   void ApplyPeerState(absl::Time now);
@@ -85,6 +89,7 @@
   void HandleReadinessCheck(const http::Request& request,
                             http::Responder& responder) const;
   std::string BuildMetricsText();
+  void SetLimitMetrics();
 
   void OnConfigurationRows(const std::vector<TableRow>& rows);
   void OnServerRows(const std::vector<TableRow>& rows, bool full_list,
--- a/src/gateway/host_fleet.cc
+++ b/src/gateway/host_fleet.cc
@@ -57,7 +57,7 @@
 void Host::OnPeersUpdate(const FleetUpdate& peers) {
   const absl::Time now = loop_->now();
   for (const PeerUse& spent : demand_.OnPeerUpdate(peers, now)) {
-    forwarder_.quotas().Charge(spent.workspace, spent.tokens, now);
+    ChargePeerUse(spent, peers, now);
   }
   for (const TableState& table : peers.tables) {
     table_recovery_.OnPeerReport(table.recovery_age_ms, now);
@@ -74,6 +74,21 @@
   ApplyPeerState(now);
 }
 
+void Host::ChargePeerUse(const PeerUse& spent, const FleetUpdate& peers,
+                         absl::Time now) {
+  Quotas& quotas = forwarder_.quotas();
+  const auto before = quotas.StateOf(spent.workspace);
+  quotas.Charge(spent.workspace, spent.tokens, now);
+  if (!before || spent.tokens < before->tokens_per_second) return;
+  LOG(INFO) << "event=large-charge workspace=" << before->workspace
+            << " tokens=" << spent.tokens << " level=" << before->level
+            << " share=" << before->share
+            << " rate=" << before->tokens_per_second
+            << " peers_from=" << peers.sender.host
+            << " reachable=" << peers.hosts << " complete=" << peers.complete
+            << " aggregating_ms=" << peers.age_ms;
+}
+
 void Host::OnPeerMessage(std::string_view bytes) {
   if (IsTableQuery(bytes)) {
     if (const auto query = DecodeTableQuery(bytes)) {
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -28,6 +28,7 @@
     limited.insert(name);
     const bool is_new = !buckets_.contains(name);
     Bucket& bucket = buckets_[name];
+    bucket.workspace = workspace.id;
     bucket.quota = workspace.quota;
     ApplyShare(&bucket, now);
     // The use before a start is unknown. A full bucket would admit a burst on
@@ -83,6 +84,17 @@
   return limited;
 }
 
+LimitState Quotas::StateOf(const Bucket& bucket) {
+  return {bucket.workspace, bucket.tokens.level(), bucket.share,
+          bucket.quota.tokens_per_second, bucket.unreported.tokens()};
+}
+
+std::optional<LimitState> Quotas::StateOf(NameHash workspace) const {
+  const auto found = buckets_.find(workspace);
+  if (found == buckets_.end()) return std::nullopt;
+  return StateOf(found->second);
+}
+
 double Quotas::BurstCapacity(const Quota& quota) const {
   return (quota.burst_tokens + tolerance_tokens_) * kBurstShare;
 }
@@ -96,8 +108,8 @@
   Charge(workspace, -tokens, now);
 }
 
-std::optional<absl::Duration> Quotas::Take(NameHash workspace, double tokens,
-                                           double reserve, absl::Time now) {
+std::optional<LimitRefusal> Quotas::Take(NameHash workspace, double tokens,
+                                         double reserve, absl::Time now) {
   const auto found = buckets_.find(workspace);
   if (found == buckets_.end()) return std::nullopt;
   Bucket& bucket = found->second;
@@ -106,8 +118,10 @@
                           bucket.unreported.tokens();
   if (bucket.tokens.level() <= reserved) {
     // Not before the peers have reported their use.
-    return std::max(bucket.tokens.TimeUntilLevel(reserved),
-                    bucket.peer_demand.report_delay);
+    const absl::Duration retry_after =
+        std::max(bucket.tokens.TimeUntilLevel(reserved),
+                 bucket.peer_demand.report_delay);
+    return LimitRefusal{retry_after, reserved, StateOf(bucket)};
   }
   bucket.tokens.Take(tokens);
   return std::nullopt;
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -26,6 +26,24 @@
   bool operator==(const PeerDemand&) const = default;
 };
 
+// What this host assumes of a workspace's limit.
+struct LimitState {
+  WorkspaceId workspace;
+  double level = 0;              // Tokens; negative: a debt.
+  double share = 1;              // Fraction of the limit that is counted here.
+  double tokens_per_second = 0;  // Of the whole limit.
+  double unreported = 0;  // Estimated tokens that peers have not yet reported.
+  bool operator==(const LimitState&) const = default;
+};
+
+// A refusal by a workspace's limit, with what decided it.
+struct LimitRefusal {
+  absl::Duration retry_after;
+  double reserved = 0;  // Tokens that the request had to leave.
+  LimitState state;
+  bool operator==(const LimitRefusal&) const = default;
+};
+
 // Enforces the limits of workspaces on this host. Has a token bucket for each.
 class Quotas {
  public:
@@ -50,19 +68,23 @@
 
   // Returns the workspaces that have a limit.
   std::vector<NameHash> LimitedWorkspaces() const;
+  // Returns nullopt if the workspace has no limit. The level is as of the last
+  // change.
+  std::optional<LimitState> StateOf(NameHash workspace) const;
 
   // Takes `tokens` if the bucket holds more than the fraction `reserve`
   // of its capacity plus the peers' unreported use. Otherwise takes nothing and
-  // returns the time after which the caller may retry. One request may overdraw
-  // the limit: else a request larger than the capacity could never run.
-  std::optional<absl::Duration> Take(NameHash workspace, double tokens,
-                                     double reserve, absl::Time now);
+  // returns why. One request may overdraw the limit: else a request larger than
+  // the capacity could never run.
+  std::optional<LimitRefusal> Take(NameHash workspace, double tokens,
+                                   double reserve, absl::Time now);
 
   // Returns tokens that were taken but not used.
   void Refund(NameHash workspace, double tokens, absl::Time now);
 
  private:
   struct Bucket {
+    WorkspaceId workspace;
     Quota quota;
     double share = 1;
     schedule::TokenBucket tokens;
@@ -75,6 +97,7 @@
   // Adds earned tokens, and updates the estimate of the peers' use.
   static void AdvanceBucket(Bucket* bucket, absl::Time now);
 
+  static LimitState StateOf(const Bucket& bucket);
   void ApplyShare(Bucket* bucket, absl::Time now) const;
   double BurstCapacity(const Quota& quota) const;
 
