Limits: a host that counts a share sends nobody away for long

Cause: a refusal named the time in which this host's share earns what is missing. A host that missed two updates of its peers holds a share of a sixty-fourth or less for some tens of milliseconds; one request takes it to a debt that such a share pays off in minutes. The caller obeys and stays away long after the share has returned. Class: a forecast made from a momentary rate. Change: while a host counts only a share, it names at most one second. Another host, or this one, may be able to serve by then. A debt to a whole limit is named as before.

--- a/src/gateway/limit_restart_test.cc
+++ b/src/gateway/limit_restart_test.cc
@@ -120,8 +120,7 @@
 
 // Guards against waits that are named for a share that lasts a moment: callers
 // are sent away for minutes.
-BOOST_AUTO_TEST_CASE(NoCallerIsSentAwayForLongAfterAllHostsRestart,
-                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(NoCallerIsSentAwayForLongAfterAllHostsRestart) {
   for (const int readers : {100, 50, 10}) {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
       Site site(seed, kGrownHosts, kGrownZones);
@@ -141,8 +140,7 @@
 // The same in a zone that is cut off, so that hosts lack both the list of hosts
 // and most peers. Guards against charging the same use again each time that
 // another aggregator takes over.
-BOOST_AUTO_TEST_CASE(NoCallerIsSentAwayForLongByAPartitionedZone,
-                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(NoCallerIsSentAwayForLongByAPartitionedZone) {
   for (const int readers : {100, 50, 10}) {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
       Site site(seed, kGrownHosts, kGrownZones);
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -17,6 +17,12 @@
 constexpr absl::Duration kAdvanceStep = absl::Milliseconds(10);
 constexpr absl::Duration kMaxAdvance = absl::Seconds(1);
 
+// Longest time for which a host that counts only a share of a limit sends
+// callers away. Its own share may be so small that one request takes minutes to
+// earn, but peers may be reachable again at any moment, and the caller's next
+// request may arrive at a host that counts more.
+constexpr absl::Duration kMaxWaitForShare = absl::Seconds(1);
+
 }  // namespace
 
 void Quotas::Configure(const std::vector<Workspace>& workspaces,
@@ -139,6 +145,13 @@
   Charge(workspace, -tokens, now);
 }
 
+absl::Duration Quotas::RetryAfter(const Bucket& bucket, double reserved) {
+  absl::Duration wait = bucket.tokens.TimeUntilLevel(reserved);
+  if (bucket.share < 1) wait = std::min(wait, kMaxWaitForShare);
+  // Not before the peers have reported their use.
+  return std::max(wait, bucket.peer_demand.report_delay);
+}
+
 std::optional<LimitRefusal> Quotas::Take(NameHash workspace, double tokens,
                                          double reserve, absl::Time now) {
   const auto found = buckets_.find(workspace);
@@ -148,11 +161,8 @@
   const double reserved = reserve * BurstCapacity(bucket.quota) * bucket.share +
                           bucket.unreported.tokens();
   if (bucket.tokens.level() <= reserved) {
-    // Not before the peers have reported their use.
-    const absl::Duration retry_after =
-        std::max(bucket.tokens.TimeUntilLevel(reserved),
-                 bucket.peer_demand.report_delay);
-    return LimitRefusal{retry_after, reserved, StateOf(bucket)};
+    return LimitRefusal{RetryAfter(bucket, reserved), reserved,
+                        StateOf(bucket)};
   }
   bucket.tokens.Take(tokens);
   return std::nullopt;
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -105,6 +105,7 @@
   static void AdvanceBucket(Bucket* bucket, absl::Time now);
 
   static LimitState StateOf(const Bucket& bucket);
+  static absl::Duration RetryAfter(const Bucket& bucket, double reserved);
   void ApplyShare(Bucket* bucket, absl::Time now) const;
   static void ReturnFromPeers(Bucket* bucket, double scaled_up,
                               const ReturnedTokens& returned);
