Limits: levels converge also while hosts are gone for good

Cause: hosts that stay in the table of hosts for a minute keep the others from counting the whole limit, and only levels of whole limits were compared. Change: a host that counts at least half of a limit infers the level of the whole one from its share. Below that, as when it missed two updates, it would infer many times its own rounding.

--- a/src/gateway/fleet_messages.h
+++ b/src/gateway/fleet_messages.h
@@ -60,7 +60,7 @@
   std::uint16_t unsettled = 0;  // Number of hosts without one.
   // Tokens that a host admitted since it last received its peers' state.
   float unreported = 0;
-  // Sum of the levels of the whole limit, on hosts that count all of it, and
+  // Sum of the levels of the whole limit, on hosts that count most of it, and
   // the number of these hosts.
   float level = 0;
   std::uint16_t levels = 0;
--- a/src/gateway/left_to_peers.h
+++ b/src/gateway/left_to_peers.h
@@ -50,7 +50,8 @@
     double tokens = 0;
     absl::Time since;
   };
-  std::vector<Part> parts_;  // The last to become unreachable is the last.
+  // The last to become unreachable is the last; at most one for each peer.
+  std::vector<Part> parts_;
 };
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/limit_restart_test.cc
+++ b/src/gateway/limit_restart_test.cc
@@ -1,6 +1,9 @@
 // Limits while all entry hosts restart at once.
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
 
 #include "gateway/limit_site_test.h"
 
@@ -160,32 +163,42 @@
   }
 }
 
-// Guards against a debt that hosts keep though their peers don't have it: while
-// a workspace requests more than its limit, the peers use up what would pay it
-// off, and a whole zone refuses all callers.
-BOOST_AUTO_TEST_CASE(EveryZoneServesAgainAfterAllHostsRestart) {
+// Restarts all hosts but `gone` while one zone is cut off for some seconds, and
+// returns the use of each zone between `kRecovery` and twice that time after.
+std::map<std::string, Site::ZoneUse> ZoneUsesAfterRestart(Site& site,
+                                                          int gone) {
   constexpr absl::Duration kCut = absl::Seconds(8);
   constexpr absl::Duration kTableSlow = absl::Seconds(3);
   constexpr absl::Duration kRecovery = absl::Seconds(15);
   constexpr double kLoad = 2;
+  site.Run(absl::Seconds(4), kLoad, /*uneven=*/false);
+  site.KillAll();
+  site.Run(kDown, 0, false);
+  site.IsolateZone("z2");
+  site.Restart(gone);
+  site.Run(kTableSlow, kLoad, false);
+  site.ReadTable();
+  site.Run(kCut - kTableSlow, kLoad, false);
+  site.HealPartition();
+  site.Run(kRecovery - kCut, kLoad, false);
+  site.TakeZoneUses();
+  site.Run(kRecovery, kLoad, false);
+  return site.TakeZoneUses();
+}
+
+// Of the requests sent once all are back, a quarter and more must be served.
+constexpr double kServedPart = 0.25;
+
+// Guards against a debt that hosts keep though their peers don't have it: while
+// a workspace requests more than its limit, the peers use up what would pay it
+// off, and a whole zone refuses all callers.
+BOOST_AUTO_TEST_CASE(EveryZoneServesAgainAfterAllHostsRestart) {
   for (const int readers : {100, 50}) {
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
       Site site(seed, kGrownHosts, kGrownZones);
       site.table_readers_percent = readers;
-      site.Run(absl::Seconds(4), kLoad, /*uneven=*/false);
-      site.KillAll();
-      site.Run(kDown, 0, false);
-      site.IsolateZone("z2");
-      site.Restart();
-      site.Run(kTableSlow, kLoad, false);
-      site.ReadTable();
-      site.Run(kCut - kTableSlow, kLoad, false);
-      site.HealPartition();
-      site.Run(kRecovery - kCut, kLoad, false);
-      site.TakeZoneUses();
-      site.Run(kRecovery, kLoad, false);
-      for (const auto& [zone, use] : site.TakeZoneUses()) {
-        BOOST_TEST(use.admitted_part() >= 0.25,
+      for (const auto& [zone, use] : ZoneUsesAfterRestart(site, /*gone=*/0)) {
+        BOOST_TEST(use.admitted_part() >= kServedPart,
                    "seed " << seed << ", " << readers << "% read the table: "
                            << zone << " serves " << use.admitted_part());
       }
@@ -193,5 +206,18 @@
   }
 }
 
+// The same while some hosts are gone for good, so that the others never count
+// the whole limit.
+BOOST_AUTO_TEST_CASE(EveryZoneServesAgainThoughHostsAreGone) {
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    Site site(seed, kGrownHosts, kGrownZones);
+    for (const auto& [zone, use] : ZoneUsesAfterRestart(site, /*gone=*/3)) {
+      BOOST_TEST(
+          use.admitted_part() >= kServedPart,
+          "seed " << seed << ": " << zone << " serves " << use.admitted_part());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
--- a/src/gateway/quota.cc
+++ b/src/gateway/quota.cc
@@ -21,6 +21,10 @@
 // to the age of the peers' levels, short compared to a recovery.
 constexpr absl::Duration kConvergence = absl::Seconds(1);
 
+// Lowest share of a limit from which the level of all of it is inferred. A host
+// that reaches few peers would infer many times its own rounding.
+constexpr double kMinComparableShare = 0.5;
+
 // An own level that is older can't be compared with the peers' last ones.
 constexpr absl::Duration kMaxLevelAge = absl::Seconds(1);
 
@@ -125,13 +129,14 @@
 void Quotas::PublishLevels(std::vector<WorkspaceUse>* uses, absl::Time now) {
   for (WorkspaceUse& use : *uses) {
     const auto found = buckets_.find(use.workspace);
-    if (found == buckets_.end() || found->second.share < 1) continue;
+    if (found == buckets_.end()) continue;
     Bucket& bucket = found->second;
+    if (bucket.share < kMinComparableShare) continue;
     bucket.tokens.IsEmpty(now);  // Adds earned tokens first.
     auto& published = bucket.published_levels;
     std::rotate(published.begin(), published.begin() + 1, published.end());
-    published.back() = {bucket.tokens.level(), now};
-    use.level = static_cast<float>(bucket.tokens.level());
+    published.back() = {bucket.tokens.level() / bucket.share, now};
+    use.level = static_cast<float>(published.back().level);
     use.levels = 1;
   }
 }
@@ -144,10 +149,11 @@
   bucket.converged_at = now;
   const PublishedLevel& own = bucket.published_levels.front();
   if (peers.levels == 0 || now - own.at > kMaxLevelAge) return;
+  if (bucket.share < kMinComparableShare) return;
   const double mean = (peers.level + own.level) / (peers.levels + 1);
   const double step = std::min(1.0, absl::FDivDuration(elapsed, kConvergence));
   bucket.tokens.IsEmpty(now);  // Adds earned tokens first.
-  bucket.tokens.Take((own.level - mean) * step);
+  bucket.tokens.Take((own.level - mean) * step * bucket.share);
 }
 
 std::vector<NameHash> Quotas::LimitedWorkspaces() const {
--- a/src/gateway/quota.h
+++ b/src/gateway/quota.h
@@ -70,13 +70,13 @@
   // reachable again, only what exceeds the tokens that were left to them.
   void Charge(NameHash workspace, double tokens, absl::Time now);
 
-  // Adds the levels of whole limits to this host's next update.
+  // Adds this host's levels, as levels of whole limits, to its next update.
   void PublishLevels(std::vector<WorkspaceUse>* uses, absl::Time now);
-  // Moves the level of a whole limit towards the mean of all hosts. Each host
-  // adds up what all have admitted; reports that were lost or counted twice
-  // would otherwise set it apart for good. While a workspace requests more than
-  // its limit, its peers use up all that is earned, so that a host in debt
-  // could never pay it off, and would refuse every caller.
+  // Moves the level of a limit towards the mean of all reachable hosts. Each
+  // host adds up what all have admitted; reports that were lost or counted
+  // twice would otherwise set it apart for good. While a workspace requests
+  // more than its limit, its peers use up all that is earned, so that a host in
+  // debt could never pay it off, and would refuse every caller.
   void ConvergeLevel(const WorkspaceUse& peers, absl::Time now);
 
   // Returns the workspaces that have a limit.
