--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -23,7 +23,7 @@
 
 void Demand::RecordRequest(NameHash workspace, int rank, double tokens,
                            absl::Time now) {
-  struct LocalUse& own = by_workspace_[workspace];
+  LocalUse& own = by_workspace_[workspace];
   own.requested.Add(tokens, now);
   own.by_rank[rank].tokens.Add(tokens, now);
   own.by_rank[rank].requests.Add(1, now);
--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -153,7 +153,7 @@
   // Returns this host's fraction of the demand of all hosts.
   double ShareOfDemand(NameHash workspace) const;
 
-  std::map<NameHash, struct LocalUse> by_workspace_;
+  std::map<NameHash, LocalUse> by_workspace_;
   FleetUpdate last_update_;
   absl::Time last_update_at_ = absl::InfinitePast();
   UseCounters counters_;
