--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -45,7 +45,7 @@
   // Adds or updates a peer, from the table of hosts or a message.
   void AddHost(const HostEntry& host);
   // Records that all hosts of the table of hosts were added. Until then, an
-  // aggregator can't tell whether a host is missing from what it merges, and
+  // aggregator may lack hosts that it doesn't know in what it merges, and
   // never calls it complete: its hosts would agree on shares of the limits as
   // if those that it doesn't know used nothing.
   void OnHostsRead() { hosts_read_ = true; }
--- a/src/gateway/limit_restart_test.cc
+++ b/src/gateway/limit_restart_test.cc
@@ -15,6 +15,9 @@
 constexpr int kGrownZones = 3;
 constexpr absl::Duration kDown = absl::Seconds(2);
 
+// What the callers of a workspace request, as a multiple of its limit.
+constexpr double kPressure = 3;
+
 // All hosts lose power at once, and all but three restart. Callers request half
 // of the limit, as before. No host reaches all peers until the three are given
 // up. With a share of a two hundredth of the limit each, a host would refuse
@@ -121,6 +124,21 @@
   }
 }
 
+// Runs at three times the limit until all hosts are stopped for some seconds.
+void StopAllUnderPressure(Site& site) {
+  site.Run(absl::Seconds(4), kPressure, /*uneven=*/false);
+  site.KillAll();
+  site.Run(kDown, 0, false);
+}
+
+// Checks that no caller was sent away for longer than the window over which a
+// limit is checked: after that, all its use before has lapsed.
+void CheckLongestWait(const Site& site, std::uint64_t seed) {
+  BOOST_TEST(site.longest_wait() <= kWindow,
+             "seed " << seed << ", " << site.table_readers_percent
+                     << "% read the table: wait " << site.longest_wait());
+}
+
 // Guards against waits that are named for a share that lasts a moment: callers
 // are sent away for minutes.
 BOOST_AUTO_TEST_CASE(NoCallerIsSentAwayForLongAfterAllHostsRestart) {
@@ -128,14 +146,10 @@
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
       Site site(seed, kGrownHosts, kGrownZones);
       site.table_readers_percent = readers;
-      site.Run(absl::Seconds(4), 3, /*uneven=*/false);
-      site.KillAll();
-      site.Run(kDown, 0, false);
+      StopAllUnderPressure(site);
       site.Restart(/*except=*/1);
-      site.Run(absl::Seconds(12), 3, false);
-      BOOST_TEST(site.longest_wait() <= kWindow,
-                 "seed " << seed << ", " << readers << "% read the table: wait "
-                         << site.longest_wait());
+      site.Run(absl::Seconds(12), kPressure, false);
+      CheckLongestWait(site, seed);
     }
   }
 }
@@ -148,17 +162,13 @@
     for (std::uint64_t seed = 1; seed <= 6; ++seed) {
       Site site(seed, kGrownHosts, kGrownZones);
       site.table_readers_percent = readers;
-      site.Run(absl::Seconds(4), 3, /*uneven=*/false);
-      site.KillAll();
-      site.Run(kDown, 0, false);
+      StopAllUnderPressure(site);
       site.IsolateZone("z2");
       site.Restart();
-      site.Run(absl::Seconds(8), 3, false);
+      site.Run(absl::Seconds(8), kPressure, false);
       site.HealPartition();
-      site.Run(absl::Seconds(6), 3, false);
-      BOOST_TEST(site.longest_wait() <= kWindow,
-                 "seed " << seed << ", " << readers << "% read the table: wait "
-                         << site.longest_wait());
+      site.Run(absl::Seconds(6), kPressure, false);
+      CheckLongestWait(site, seed);
     }
   }
 }
--- a/src/gateway/limit_site_test.h
+++ b/src/gateway/limit_site_test.h
@@ -232,7 +232,7 @@
 
   const Tally& tally() const { return tally_; }
   double refused() const { return refused_; }  // Tokens.
-  // The longest time after which a refused caller was told to retry.
+  // The longest advised wait of a refused caller.
   absl::Duration longest_wait() const { return longest_wait_; }
 
  private:
