--- a/src/gateway/limit_site_test.h
+++ b/src/gateway/limit_site_test.h
@@ -65,7 +65,7 @@
   // Returns nothing if the request is admitted.
   std::optional<LimitRefusal> Request(double tokens, absl::Time now) {
     demand.RecordRequest(name_hash, /*rank=*/0, tokens, now);
-    const auto wait = quotas.Take(name_hash, tokens, /*reserve=*/0, now);
+    auto wait = quotas.Take(name_hash, tokens, /*reserve=*/0, now);
     if (!wait) demand.RecordAdmitted(name_hash, tokens);
     return wait;
   }
