Roll-outs: a new version is brought in by stages, judged, completed or rolled back

Hosts knew nothing of versions: all servers of a service were alike.

Orders and statuses are decoded in platform/. The ordered version's servers have a queue and dispatchers of their own; a version without an order gets nothing. Hosts count answers by route and version, the counts travel with their state, and each host judges the sums of all: a sequential test of failures, and a comparison of durations as logarithms. Shares rise by stages, each once all known hosts are at the one before; aggregators write the status on the condition that the row is the one they decided on. A host that doesn't know the newest status uses the old servers.

--- a/src/gateway/aggregate.cc
+++ b/src/gateway/aggregate.cc
@@ -84,6 +84,9 @@
     sum.levels = static_cast<std::uint16_t>(sum.levels + use.levels);
   }
   for (const TableState& table : update.tables) AddTable(table);
+  for (const RolloutReport& report : update.rollouts) {
+    MergeReport(report, &rollouts);
+  }
   AddServers(update.servers);
 }
 
@@ -251,6 +254,7 @@
     const auto up = sums.up.find(name);
     update.tables.back().up = up != sums.up.end() && up->second > 0;
   }
+  update.rollouts = sums.rollouts;
   for (const auto& [name, use] : sums.servers) update.servers.push_back(use);
   return update;
 }
--- a/src/gateway/aggregate.h
+++ b/src/gateway/aggregate.h
@@ -89,6 +89,7 @@
     std::map<NameHash, WorkspaceUse> workspaces;
     std::map<NameHash, ServerUse> servers;
     std::map<NameHash, TableState> tables;
+    std::vector<RolloutReport> rollouts;
     std::map<NameHash, int> up;  // Number of sources that reach a table.
     void Add(const FleetUpdate& update, bool current);
     void AddTable(const TableState& table);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -25,7 +25,8 @@
 struct Attempt {
   RequestId dispatch_id;  // The dispatcher's id; empty if not dispatched.
   std::optional<ServerEntry> server;  // Set once the dispatcher granted one.
-  http::TransferId transfer = 0;      // 0 unless the transfer is in progress.
+  absl::Time sent_at;
+  http::TransferId transfer = 0;  // 0 unless the transfer is in progress.
   ResponseHead head;
   bool has_head = false;
   bool first_event_reported = false;  // To the dispatcher.
@@ -41,6 +42,7 @@
   const Route* route = nullptr;
   const Workspace* workspace = nullptr;  // Null on a route without keys.
   const Service* service = nullptr;
+  ServiceId pool;  // The pool of the service's servers that runs the request.
   Tier tier;
 
   absl::Time arrival;
--- a/src/gateway/fleet_messages.cc
+++ b/src/gateway/fleet_messages.cc
@@ -55,6 +55,38 @@
   ReadHosts(reader, &update->neighbours);
 }
 
+// Sums of latencies and evidence in the order of their members. `Archive` reads
+// or writes.
+template <typename Archive, typename Evidence>
+void Serialize(Archive& archive, Evidence& item) {
+  archive(item.route, item.is_new, item.answered, item.failed, item.broken,
+          item.first.count, item.first.logs, item.first.squares,
+          item.pace.count, item.pace.logs, item.pace.squares);
+}
+
+void WriteRollouts(WireWriter& writer,
+                   const std::vector<RolloutReport>& rollouts) {
+  WriteList(writer, rollouts, [&](const RolloutReport& report) {
+    writer(report.service, report.order, report.hosts,
+           static_cast<std::uint8_t>(report.stage), report.open_old);
+    WriteList(writer, report.evidence,
+              [&](const RouteEvidence& item) { Serialize(writer, item); });
+  });
+}
+
+void ReadRollouts(WireReader& reader, std::vector<RolloutReport>* rollouts) {
+  ReadList(reader, rollouts, [&](RolloutReport& report) {
+    std::uint8_t stage = 0;
+    reader(report.service, report.order, report.hosts, stage, report.open_old);
+    if (stage > static_cast<std::uint8_t>(RolloutStage::kAll)) {
+      throw std::out_of_range("unknown stage");
+    }
+    report.stage = static_cast<RolloutStage>(stage);
+    ReadList(reader, &report.evidence,
+             [&](RouteEvidence& item) { Serialize(reader, item); });
+  });
+}
+
 UpdateScope ReadScope(WireReader& reader) {
   std::uint8_t scope = 0;
   reader(scope);
@@ -79,6 +111,7 @@
     reader(table.table, table.history.newest_change, table.history.since,
            table.history.version, table.up, table.recovery_age_ms);
   });
+  ReadRollouts(reader, &update->rollouts);
   Read(reader, update->aggregator);
   reader(update->settled, update->detailed);
   if (update->detailed) ReadDetails(reader, update);
@@ -146,6 +179,7 @@
     writer(table.table, table.history.newest_change, table.history.since,
            table.history.version, table.up, table.recovery_age_ms);
   });
+  WriteRollouts(writer, update.rollouts);
   Write(writer, update.aggregator);
   writer(update.settled, update.detailed);
   if (update.detailed) WriteDetails(writer, update);
--- a/src/gateway/fleet_messages.h
+++ b/src/gateway/fleet_messages.h
@@ -14,6 +14,7 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/rollout_evidence.h"
 #include "gateway/table_page.h"
 
 namespace gentianlb::gateway {
@@ -100,6 +101,8 @@
   bool draining = false;         // The sender is about to stop.
   std::vector<WorkspaceUse> workspaces;
   std::vector<TableState> tables;
+  // Roll-outs in progress. With scope kAll they include the recipient.
+  std::vector<RolloutReport> rollouts;
   // False while the sender has not aggregated long enough to have received the
   // state of every host.
   bool settled = true;
--- a/src/gateway/fleet_messages_test.cc
+++ b/src/gateway/fleet_messages_test.cc
@@ -20,6 +20,13 @@
   update.workspaces = {
       {HashName("w"), 1234.5F, 99, 7, 0.5F, 3, 2, 40.0F, -7.5F, 5}};
   update.tables = {{HashName("t"), {77, 60, 80}, true, 350}};
+  update.rollouts = {
+      {HashName("s"),
+       155,
+       12,
+       RolloutStage::kRamp,
+       340,
+       {{HashName("r"), true, 20, 3, 1, {19, -40.5, 90.25}, {7, -20, 60.5}}}}};
   update.aggregator = {"edge-2", "10.0.0.2:7600", "zone", 0.5F};
   update.settled = false;
   update.detailed = true;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -71,19 +71,54 @@
 void Forwarder::OnServersChanged() {
   if (index_ == nullptr) return;
   for (const Service& service : index_->configuration().services) {
-    ServiceQueue& queue = QueueOf(service.id);
-    queue.retries().SetMaxSavedRetries(options_.retry_burst / demand_->hosts());
-    std::vector<schedule::Decision> decisions;
-    queue.SetServers(service, directory_->ServersOf(service.id),
-                     demand_->hosts(), clock_(), &decisions);
-    ApplyDecisions(decisions);
-    ArmWakeup(service.id, queue);
-    if (groups_ != nullptr) {
-      groups_->SetServers(service, directory_->ServersOf(service.id));
+    for (const ServerPool& pool : PoolsOf(service.id)) SetPool(service, pool);
+  }
+  if (rollouts_ != nullptr) LeaveForbiddenPools();
+}
+
+void Forwarder::LeaveForbiddenPools() {
+  std::vector<ExchangeId> waiting;
+  for (const auto& [id, exchange] : exchanges_) {
+    if (exchange->service == nullptr || exchange->attempt.transfer != 0) {
+      continue;
     }
+    if (!rollouts_->MaySend(exchange->service->id, exchange->pool)) {
+      waiting.push_back(id);
+    }
+  }
+  // A decision on one of them may finish others.
+  for (const ExchangeId id : waiting) {
+    if (Exchange* exchange = Find(id)) MoveToOldServers(*exchange);
   }
 }
 
+std::vector<ServerPool> Forwarder::PoolsOf(const ServiceId& service) {
+  std::vector<ServerEntry> servers = directory_->ServersOf(service);
+  if (rollouts_ != nullptr) {
+    return rollouts_->PoolsOf(service, servers, clock_());
+  }
+  return {{service, std::move(servers)}};
+}
+
+void Forwarder::SetPool(const Service& service, const ServerPool& pool) {
+  Service pool_service = service;
+  pool_service.id = pool.id;
+  ServiceQueue& queue = QueueOf(pool.id);
+  queue.retries().SetMaxSavedRetries(options_.retry_burst / demand_->hosts());
+  std::vector<schedule::Decision> decisions;
+  queue.SetServers(pool_service, pool.servers, demand_->hosts(), clock_(),
+                   &decisions);
+  ApplyDecisions(decisions);
+  ArmWakeup(pool.id, queue);
+  if (groups_ != nullptr) groups_->SetServers(pool_service, pool.servers);
+}
+
+std::uint32_t Forwarder::OpenRequestsOf(const ServiceId& pool) const {
+  return static_cast<std::uint32_t>(std::count_if(
+      exchanges_.begin(), exchanges_.end(),
+      [&](const auto& item) { return item.second->pool == pool; }));
+}
+
 ServiceQueue& Forwarder::QueueOf(const ServiceId& service) {
   return queues_.try_emplace(service, options_.queue).first->second;
 }
@@ -137,6 +172,9 @@
         if (Exchange* expired = Find(id)) OnDeadlinePassed(*expired);
       });
   const auto kept_responder = exchange.responder;
+  exchange.pool = rollouts_ == nullptr
+                      ? service
+                      : rollouts_->ChoosePool(service, exchange.request->id);
   Enqueue(exchange, ServerId());
   // Last, because it calls back at once if the caller has disconnected already.
   kept_responder->OnDisconnect([this, id] {
@@ -231,10 +269,9 @@
   exchange_by_dispatch_id_[exchange.attempt.dispatch_id] = exchange.id;
   schedule::Request request = MakeDispatchRequest(exchange, avoid);
   if (exchange.service->engine && request.model.empty()) {
-    request.model = QueueOf(exchange.service->id).default_model();
+    request.model = QueueOf(exchange.pool).default_model();
   }
-  NotifyDispatcher(exchange.service->id,
-                   schedule::RequestArrived{std::move(request)});
+  NotifyDispatcher(exchange.pool, schedule::RequestArrived{std::move(request)});
 }
 
 // --- Decisions ---------------------------------------------------------------
@@ -281,19 +318,30 @@
   if (found == exchange_by_dispatch_id_.end()) return;
   Exchange* exchange = Find(found->second);
   if (exchange == nullptr) return;
-  const ServerEntry* server =
-      QueueOf(exchange->service->id).FindServer(grant.server);
+  if (rollouts_ != nullptr &&
+      !rollouts_->MaySend(exchange->service->id, exchange->pool)) {
+    return MoveToOldServers(*exchange);
+  }
+  const ServerEntry* server = QueueOf(exchange->pool).FindServer(grant.server);
   if (server == nullptr || server->draining) {
     // The server left after the decision, or a dispatcher on another host
     // doesn't know yet. A server that is about to stop would abort the
     // response.
     return NotifyDispatcher(
-        exchange->service->id,
+        exchange->pool,
         schedule::RequestFinished{grant.id, RequestOutcome::kNotSent, 0, 0});
   }
   Send(*exchange, *server);
 }
 
+void Forwarder::MoveToOldServers(Exchange& exchange) {
+  LOG(INFO) << "event=pool-left request=" << exchange.request->id
+            << " pool=" << exchange.pool;
+  CancelAttempt(exchange);
+  exchange.pool = exchange.service->id;
+  Enqueue(exchange, ServerId());
+}
+
 void Forwarder::Apply(const schedule::Refuse& refusal) {
   const auto found = exchange_by_dispatch_id_.find(refusal.id);
   if (found == exchange_by_dispatch_id_.end()) return;
@@ -301,6 +349,12 @@
   exchange_by_dispatch_id_.erase(found);
   if (exchange == nullptr) return;
   exchange->attempt.dispatch_id = RequestId();
+  // A few new servers may be full while the old ones have room.
+  if (rollouts_ != nullptr) {
+    const ServiceId other = rollouts_->ChooseOtherPool(
+        exchange->service->id, exchange->pool, exchange->request->id);
+    if (other != exchange->pool) return MoveToOldServers(*exchange);
+  }
   Refuse(*exchange, {refusal.code, "by the dispatcher"}, refusal.retry_after);
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -11,13 +11,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
-#include "absl/container/node_hash_map.h"
 #include "absl/time/time.h"
 #include "base/timer_service.h"
 #include "gateway/configuration.h"
@@ -29,6 +29,7 @@
 #include "gateway/group_link.h"
 #include "gateway/messages.h"
 #include "gateway/quota.h"
+#include "gateway/rollouts.h"
 #include "gateway/route_index.h"
 #include "gateway/service_queue.h"
 #include "metrics/metrics.h"
@@ -76,6 +77,11 @@
   // From now on the dispatchers of groups order the requests of services for
   // which they are available. Null: only this host's dispatchers do.
   void SetGroupLink(GroupLink* groups) { groups_ = groups; }
+  // From now on requests are distributed among the versions of a service. Null:
+  // all servers of a service are alike.
+  void SetRollouts(Rollouts* rollouts) { rollouts_ = rollouts; }
+  // Returns the number of unfinished requests of a pool.
+  std::uint32_t OpenRequestsOf(const ServiceId& pool) const;
   // Notifies this host's dispatcher of the service and applies its decisions.
   void NotifyLocalDispatcher(const ServiceId& service,
                              const schedule::Event& event);
@@ -104,6 +110,17 @@
   // Refunds the tokens of a request that was not sent.
   void RefundQuota(Exchange& exchange);
 
+  std::vector<ServerPool> PoolsOf(const ServiceId& service);
+  void SetPool(const Service& service, const ServerPool& pool);
+  // Moves the requests that wait for servers that a roll-back has closed.
+  void LeaveForbiddenPools();
+  // Withdraws a request that waits for a server, and queues it for the old
+  // servers.
+  void MoveToOldServers(Exchange& exchange);
+  // Count the time to the first event or the answer, and the answer itself, for
+  // the judgement of the server's version.
+  void RecordFirst(const Exchange& exchange);
+  void RecordAnswer(const Exchange& exchange, ServerAnswer::Kind kind);
   // Queues the request at the dispatcher, first or for a retry.
   void Enqueue(Exchange& exchange, const ServerId& avoid);
   schedule::Request MakeDispatchRequest(const Exchange& exchange,
@@ -166,7 +183,7 @@
 
   std::shared_ptr<const RouteIndex> index_;
   Quotas quotas_;
-  absl::node_hash_map<ServiceId, ServiceQueue> queues_;
+  std::map<ServiceId, ServiceQueue> queues_;  // By pool.
   ExchangeId next_id_ = 1;
   std::uint64_t next_dispatch_id_;
   absl::flat_hash_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
@@ -174,6 +191,7 @@
   absl::flat_hash_map<ServerId, int> running_;
   absl::flat_hash_map<ServerId, ServerUse> notified_peer_uses_;
   GroupLink* groups_ = nullptr;
+  Rollouts* rollouts_ = nullptr;
   bool draining_ = false;
   DrainPlan drain_;
 };
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -27,6 +27,9 @@
 // samples suffice to estimate a server's speed, and each costs microseconds.
 constexpr int kEventsPerProgressReport = 16;
 
+// With fewer, one delayed event makes a stream look slow.
+constexpr int kMinEventsForPace = 4;
+
 }  // namespace
 
 void Forwarder::Send(Exchange& exchange, const ServerEntry& server) {
@@ -34,6 +37,7 @@
   ++exchange.attempts;
   exchange.quota_tokens = 0;  // From now on they are not refunded.
   exchange.attempt.server = server;
+  exchange.attempt.sent_at = now;
   LOG(INFO) << "event=sent request=" << exchange.request->id
             << " server=" << server.id
             << " address=" << settings::Format(server.address)
@@ -82,8 +86,8 @@
 std::vector<ServerUse> Forwarder::ServerUses() const {
   std::vector<ServerUse> uses;
   if (index_ == nullptr) return uses;
-  for (const auto& [service, queue] : queues_) {
-    for (const ServerEntry& server : directory_->ServersOf(service)) {
+  for (const auto& [pool, queue] : queues_) {
+    for (const ServerEntry& server : queue.servers()) {
       ServerUse use;
       use.server = HashName(server.id.str());
       const auto running = running_.find(server.id);
@@ -108,21 +112,21 @@
 void Forwarder::SetPeerUses(
     const absl::flat_hash_map<NameHash, ServerUse>& uses) {
   if (index_ == nullptr) return;
-  for (const Service& service : index_->configuration().services) {
-    for (const ServerEntry& server : directory_->ServersOf(service.id)) {
+  for (const auto& [pool, queue] : queues_) {
+    for (const ServerEntry& server : queue.servers()) {
       const auto found = uses.find(HashName(server.id.str()));
       const ServerUse use = found == uses.end() ? ServerUse{} : found->second;
       ServerUse& notified = notified_peer_uses_[server.id];
       if (notified.running != use.running) {
-        NotifyDispatcher(service.id,
+        NotifyDispatcher(pool,
                          schedule::PeerLoadReported{server.id, use.running});
       }
-      const bool has_slowdown = use.decode_slowdown > 0 && service.engine;
+      const bool has_slowdown = use.decode_slowdown > 0 && queue.has_engines();
       if (has_slowdown && (notified.decode_slowdown != use.decode_slowdown ||
                            notified.prefill_slowdown != use.prefill_slowdown)) {
-        NotifyDispatcher(service.id, schedule::PeerSlowdownReported{
-                                         server.id, use.prefill_slowdown,
-                                         use.decode_slowdown});
+        NotifyDispatcher(
+            pool, schedule::PeerSlowdownReported{
+                      server.id, use.prefill_slowdown, use.decode_slowdown});
       }
       notified = use;
     }
@@ -141,9 +145,9 @@
   if (!load) return http::ReadAction::kContinue;
   // Applying the decisions that follow may finish this request too.
   const ExchangeId id = exchange.id;
-  NotifyDispatcher(exchange.service->id, schedule::ResponseLoadReported{
-                                             exchange.attempt.server->id,
-                                             load->running, load->waiting});
+  NotifyDispatcher(exchange.pool, schedule::ResponseLoadReported{
+                                      exchange.attempt.server->id,
+                                      load->running, load->waiting});
   return Find(id) == nullptr ? http::ReadAction::kStop
                              : http::ReadAction::kContinue;
 }
@@ -166,6 +170,7 @@
   if (exchange.responding) return;
   exchange.responding = true;
   exchange.first_event = clock_();
+  RecordFirst(exchange);
   metrics_->ObserveFirstToken(exchange.tier,
                               exchange.first_event - exchange.arrival);
   exchange.responder->Begin(exchange.attempt.head.status,
@@ -179,9 +184,8 @@
   if (!first && events % kEventsPerProgressReport != 0) return;
   exchange.attempt.first_event_reported = true;
   const int tokens = events * exchange.service->engine->tokens_per_event;
-  NotifyDispatcher(
-      exchange.service->id,
-      schedule::TokensStreamed{exchange.attempt.dispatch_id, tokens});
+  NotifyDispatcher(exchange.pool, schedule::TokensStreamed{
+                                      exchange.attempt.dispatch_id, tokens});
 }
 
 void Forwarder::OnTransferEnd(Exchange& exchange, http::TransferEnd end,
@@ -193,10 +197,9 @@
                  << " server=" << attempt.server->id << " cause=\"" << detail
                  << "\"";
     --exchange.attempts;
-    return NotifyDispatcher(
-        exchange.service->id,
-        schedule::RequestFinished{attempt.dispatch_id, RequestOutcome::kNotSent,
-                                  0, 0});
+    return NotifyDispatcher(exchange.pool, schedule::RequestFinished{
+                                               attempt.dispatch_id,
+                                               RequestOutcome::kNotSent, 0, 0});
   }
   if (attempt.has_head && attempt.head.not_run) return OnShed(exchange);
   if (end != http::TransferEnd::kComplete) return OnFailure(exchange, detail);
@@ -207,6 +210,31 @@
   OnResponseComplete(exchange);
 }
 
+void Forwarder::RecordFirst(const Exchange& exchange) {
+  // A resumed stream began at another server.
+  if (rollouts_ == nullptr || exchange.attempts > 1) return;
+  const absl::Time now = clock_();
+  ServerAnswer answer;
+  answer.first = now - exchange.attempt.sent_at;
+  rollouts_->RecordAnswer(*exchange.attempt.server, exchange.route->name,
+                          answer, now);
+}
+
+void Forwarder::RecordAnswer(const Exchange& exchange,
+                             ServerAnswer::Kind kind) {
+  if (rollouts_ == nullptr) return;
+  const absl::Time now = clock_();
+  const int events = exchange.splitter.event_count();
+  ServerAnswer answer;
+  answer.kind = kind;
+  const bool answered = kind == ServerAnswer::Kind::kAnswered;
+  if (answered && exchange.attempts == 1 && events >= kMinEventsForPace) {
+    answer.pace = (now - exchange.first_event) / (events - 1);
+  }
+  rollouts_->RecordAnswer(*exchange.attempt.server, exchange.route->name,
+                          answer, now);
+}
+
 void Forwarder::FinishAttempt(Exchange& exchange, RequestOutcome kind) {
   const RequestId dispatch_id = exchange.attempt.dispatch_id;
   if (dispatch_id.empty()) return;
@@ -217,13 +245,16 @@
     tokens = exchange.splitter.event_count() *
              exchange.service->engine->tokens_per_event;
   }
-  NotifyDispatcher(exchange.service->id,
+  NotifyDispatcher(exchange.pool,
                    schedule::RequestFinished{dispatch_id, kind, tokens, 0});
 }
 
 void Forwarder::OnResponseComplete(Exchange& exchange) {
   // A server that fails fast must not look like a fast server.
   const bool failed = IsServerFailure(exchange.attempt.head.status);
+  if (!failed && !exchange.responding) RecordFirst(exchange);
+  RecordAnswer(exchange, failed ? ServerAnswer::Kind::kFailed
+                                : ServerAnswer::Kind::kAnswered);
   FinishAttempt(exchange,
                 failed ? RequestOutcome::kFailed : RequestOutcome::kComplete);
   FinishResponse(exchange);
@@ -257,6 +288,8 @@
   const ResponseHead head = exchange.attempt.head;
   const bool complete_failure =
       exchange.attempt.has_head && IsServerFailure(head.status);
+  RecordAnswer(exchange, complete_failure ? ServerAnswer::Kind::kFailed
+                                          : ServerAnswer::Kind::kBroken);
   std::string body = std::move(exchange.body);
   FinishAttempt(exchange, RequestOutcome::kFailed);
   const int executions = exchange.attempts - exchange.shed_attempts;
@@ -283,6 +316,10 @@
             << " after=" << avoid << " why=\"" << reason
             << "\" last_event=" << exchange.splitter.last_event();
   if (exchange.responding) metrics_->CountResumed();
+  if (rollouts_ != nullptr) {
+    exchange.pool = rollouts_->ChooseOtherPool(
+        exchange.service->id, exchange.pool, exchange.request->id);
+  }
   Enqueue(exchange, avoid);
   return true;
 }
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -100,7 +100,7 @@
   const absl::Time now = clock_();
   std::size_t waiting = 0;
   if (exchange.service != nullptr) {
-    waiting = QueueOf(exchange.service->id).dispatcher().waiting();
+    waiting = QueueOf(exchange.pool).dispatcher().waiting();
   }
   const std::string inputs =
       exchange.over_limit
@@ -147,6 +147,9 @@
   exchange.deadline_timer = 0;
   const bool sent = exchange.attempt.transfer != 0 || exchange.may_have_run;
   if (sent) {
+    if (exchange.attempt.transfer != 0) {
+      RecordAnswer(exchange, ServerAnswer::Kind::kFailed);
+    }
     return FailRequest(exchange, {Code::kServerTimeout, "the deadline passed"});
   }
   Refuse(exchange, {Code::kDeadlinePassed, "while it waited"},
@@ -176,8 +179,7 @@
   if (dispatch_id.empty()) return;
   exchange.attempt.dispatch_id = RequestId();
   exchange_by_dispatch_id_.erase(dispatch_id);
-  NotifyDispatcher(exchange.service->id,
-                   schedule::CallerDisconnected{dispatch_id});
+  NotifyDispatcher(exchange.pool, schedule::CallerDisconnected{dispatch_id});
 }
 
 void Forwarder::Remove(ExchangeId id) {
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -56,6 +56,18 @@
       forwarder_(
           OptionsOf(settings), platform_.servers, &loop->timers(),
           [loop] { return loop->now(); }, &directory_, &demand_, &metrics_),
+      rollouts_(
+          settings.max_rollout_exposure,
+          {.write =
+               [this](const ServiceId& service, const RolloutStatus& status,
+                      std::uint64_t expected, std::function<void(bool)> done) {
+                 WriteStatus(service, status, expected, std::move(done));
+               },
+           .on_pools = [this] { forwarder_.OnServersChanged(); },
+           .open_requests =
+               [this](const ServiceId& pool) {
+                 return forwarder_.OpenRequestsOf(pool);
+               }}),
       groups_(
           settings.id, OptionsOf(settings).queue, &loop->timers(),
           [loop] { return loop->now(); },
@@ -84,8 +96,8 @@
       configuration_subscription_(
           {.table = platform_.configuration_table}, platform_.table,
           &loop->timers(), [loop] { return loop->now(); }, SeedOf(settings),
-          [this](const auto& rows, bool, absl::Time) {
-            OnConfigurationRows(rows);
+          [this](const auto& rows, bool full_list, absl::Time now) {
+            OnConfigurationRows(rows, full_list, now);
           },
           [](bool, absl::Time) {}),
       server_subscription_(
@@ -99,9 +111,17 @@
             table_recovery_.OnRecovered(now);
             directory_.OnTableRecovered(now);
           }),
+      status_subscription_(
+          {.table = platform_.status_table}, platform_.table, &loop->timers(),
+          [loop] { return loop->now(); }, SeedOf(settings) + 2,
+          [this](const auto& rows, bool full_list, absl::Time now) {
+            OnStatusRows(rows, full_list, now);
+          },
+          [](bool, absl::Time) {}),
       sharing_(
           settings.id.str(),
-          {&configuration_subscription_, &server_subscription_},
+          {&configuration_subscription_, &server_subscription_,
+           &status_subscription_},
           {.propagate =
                [this](const TableChanges& changes) {
                  SendChanges(peers_->fleet().LiveZonePeers(), changes);
@@ -137,6 +157,7 @@
       loop->timers().Every(loop->now() + kLogFlushInterval, kLogFlushInterval,
                            [log](absl::Time) { log->Flush(); }));
   host->forwarder_.SetGroupLink(&host->groups_);
+  host->forwarder_.SetRollouts(&host->rollouts_);
   host->configuration_subscription_.Start();
   host->server_subscription_.Start();
   LOG(INFO) << "event=started zone=" << settings.zone
@@ -266,27 +287,37 @@
                  absl::ToDoubleSeconds(subscriber->Lag()));
   }
   SetLimitMetrics();
+  SetRolloutMetrics();
   metrics_.Set("gentianlb_log_lines_left_out", "For the log's bound", {},
                static_cast<double>(log_->dropped_lines()));
   return metrics_.Text();
 }
 
-void Host::OnConfigurationRows(const std::vector<TableRow>& rows) {
+void Host::OnConfigurationRows(const std::vector<TableRow>& rows,
+                               bool full_list, absl::Time now) {
+  // Orders come first: with the configuration the first requests are sent, and
+  // none may reach a version that an order has yet to allow.
+  ReadOrders(rows, full_list, now);
   for (const TableRow& row : rows) {
-    if (row.key != platform_.configuration_key || row.removed) continue;
-    auto parsed = platform_.read_configuration(row.value);
-    if (!parsed.ok()) {
-      LOG(ERROR) << "event=configuration-unreadable code="
-                 << static_cast<int>(parsed.error().code) << " cause=\""
-                 << parsed.error().detail << "\"";
-      continue;
+    if (row.key == platform_.configuration_key && !row.removed) {
+      ReadConfigurationRow(row);
     }
-    caller_server_->SetIdleTimeout(parsed.value().limits.idle_timeout);
-    forwarder_.SetConfiguration(std::move(parsed.value()));
   }
   if (initialized()) startup_queue_.Release();
 }
 
+void Host::ReadConfigurationRow(const TableRow& row) {
+  auto parsed = platform_.read_configuration(row.value);
+  if (!parsed.ok()) {
+    LOG(ERROR) << "event=configuration-unreadable code="
+               << static_cast<int>(parsed.error().code) << " cause=\""
+               << parsed.error().detail << "\"";
+    return;
+  }
+  caller_server_->SetIdleTimeout(parsed.value().limits.idle_timeout);
+  forwarder_.SetConfiguration(std::move(parsed.value()));
+}
+
 void Host::OnServerRows(const std::vector<TableRow>& rows, bool full_list,
                         absl::Time now) {
   std::vector<std::pair<std::string, ServerEntry>> listed;
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -17,6 +17,7 @@
 #include "gateway/group_link.h"
 #include "gateway/messages.h"
 #include "gateway/peers.h"
+#include "gateway/rollouts.h"
 #include "gateway/startup_queue.h"
 #include "gateway/table_recovery.h"
 #include "gateway/table_sharing.h"
@@ -44,6 +45,16 @@
   std::function<Outcome<ServerEntry>(const std::string& key,
                                      std::string_view row)>
       read_server;
+  // Roll-outs: the orders are rows of the configuration table, the statuses
+  // rows of a table of their own, both under the same key for a service.
+  std::string status_table;
+  // Returns nullopt if the key is not one of a roll-out.
+  std::function<std::optional<ServiceId>(const std::string& key)>
+      read_rollout_key;
+  std::function<std::string(const ServiceId& service)> rollout_key;
+  std::function<Outcome<RolloutOrder>(const TableRow& row)> read_order;
+  std::function<Outcome<RolloutStatus>(std::string_view row)> read_status;
+  std::function<std::string(const RolloutStatus& status)> write_status;
 };
 
 class Host {
@@ -93,7 +104,18 @@
   std::string BuildMetricsText();
   void SetLimitMetrics();
 
-  void OnConfigurationRows(const std::vector<TableRow>& rows);
+  void OnConfigurationRows(const std::vector<TableRow>& rows, bool full_list,
+                           absl::Time now);
+  void ReadConfigurationRow(const TableRow& row);
+  void ReadOrders(const std::vector<TableRow>& rows, bool full_list,
+                  absl::Time now);
+  void OnStatusRows(const std::vector<TableRow>& rows, bool full_list,
+                    absl::Time now);
+  void WriteStatus(const ServiceId& service, const RolloutStatus& status,
+                   std::uint64_t expected, std::function<void(bool)> done);
+  // Returns what this host knows of its peers and of the statuses.
+  RolloutContext BuildRolloutContext(absl::Time now) const;
+  void SetRolloutMetrics();
   void OnServerRows(const std::vector<TableRow>& rows, bool full_list,
                     absl::Time now);
   void OnServersChanged();
@@ -108,10 +130,12 @@
   Directory directory_;
   Demand demand_;
   Forwarder forwarder_;
+  Rollouts rollouts_;
   GroupLink groups_;
   StartupQueue startup_queue_;
   TableSubscriber configuration_subscription_;
   TableSubscriber server_subscription_;
+  TableSubscriber status_subscription_;  // Started by the first order.
   TableSharing sharing_;
   TableRecovery table_recovery_;
   std::unique_ptr<Peers> peers_;
--- a/src/gateway/host_fleet.cc
+++ b/src/gateway/host_fleet.cc
@@ -47,6 +47,7 @@
   update->workspaces = demand_.BuildUpdate(loop_->now());
   forwarder_.quotas().PublishLevels(&update->workspaces, loop_->now());
   update->tables = sharing_.TableStates();
+  update->rollouts = rollouts_.Reports();
   // Only an aggregator reports a recovery: another host may have been cut off
   // alone.
   if (!peers_->fleet().is_aggregator()) return;
@@ -68,6 +69,7 @@
     directory_.OnTableRecovered(table_recovery_.latest());
   }
   sharing_.OnPeersUpdate(peers, now);
+  rollouts_.OnReports(peers.rollouts, now);
   if (peers.detailed) {
     groups_.SetDispatchers(peers.dispatchers);
     absl::flat_hash_map<NameHash, ServerUse> uses;
@@ -147,6 +149,7 @@
 void Host::ApplyPeerState(absl::Time now) {
   sharing_.UpdateModes({peers_->fleet().is_aggregator(), demand_.hosts()}, now);
   ApplyLimitShares(now);
+  rollouts_.Tick(BuildRolloutContext(now), now);
   if (reported_hosts_ == demand_.hosts()) return;
   if (now - reported_hosts_at_ < kHostCountInterval) return;
   reported_hosts_ = demand_.hosts();
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -59,6 +59,8 @@
   int streams = 1;           // Requests that it runs concurrently.
   bool draining = false;     // Accepts no new requests.
   std::int64_t started = 0;  // Milliseconds since the epoch; 0: not stated.
+  std::string version;       // Of its software.
+  absl::Duration cold_left;  // How long it stays slow after its registration.
   bool operator==(const ServerEntry&) const = default;
 };
 
--- a/src/gateway/service_queue.cc
+++ b/src/gateway/service_queue.cc
@@ -8,6 +8,18 @@
 #include "gateway/server_affinity.h"
 
 namespace gentianlb::gateway {
+namespace {
+
+// Returns null if `servers`, in the order of their ids, lack `id`.
+const ServerEntry* Find(const std::vector<ServerEntry>& servers,
+                        const ServerId& id) {
+  const auto found = std::lower_bound(
+      servers.begin(), servers.end(), id,
+      [](const ServerEntry& a, const ServerId& b) { return a.id < b; });
+  return found != servers.end() && found->id == id ? &*found : nullptr;
+}
+
+}  // namespace
 
 ServiceQueue::ServiceQueue(const ServiceQueueOptions& options)
     : initial_speed_(options.initial_speed),
@@ -37,26 +49,25 @@
                               const std::vector<ServerEntry>& servers,
                               int hosts, absl::Time now,
                               std::vector<schedule::Decision>* decisions) {
+  has_engines_ = service.engine.has_value();
   if (service.engine && !service.engine->models.empty()) {
     default_model_ = service.engine->models.front();
   }
   std::vector<schedule::ServerSpec> specs;
-  absl::flat_hash_map<ServerId, ServerEntry> entries;
   for (const ServerEntry& entry : servers) {
     const ServerAffinity affinity =
         AffinityFor(host_, entry.id, servers.size(), hosts);
     specs.push_back(SpecOf(service, entry, affinity));
-    entries.emplace(entry.id, entry);
   }
-  entries.swap(servers_);
+  const std::vector<ServerEntry> before = std::exchange(servers_, servers);
   if (specs != specs_) {
     specs_ = std::move(specs);
     dispatcher_.Handle(schedule::ServersConfigured{specs_}, now, decisions);
   }
   for (const ServerEntry& entry : servers) {
-    const auto previous = entries.find(entry.id);
+    const ServerEntry* previous = Find(before, entry.id);
     const bool restarted =
-        previous != entries.end() && previous->second.started != entry.started;
+        previous != nullptr && previous->started != entry.started;
     using schedule::ServerHealth;
     using schedule::ServerHealthChanged;
     // A restarted server has lost its running requests and its cache.
@@ -71,8 +82,7 @@
 }
 
 const ServerEntry* ServiceQueue::FindServer(const ServerId& id) const {
-  const auto found = servers_.find(id);
-  return found == servers_.end() ? nullptr : &found->second;
+  return Find(servers_, id);
 }
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/service_queue.h
+++ b/src/gateway/service_queue.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <vector>
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "base/retry.h"
 #include "base/timer_service.h"
@@ -40,8 +39,9 @@
  public:
   explicit ServiceQueue(const ServiceQueueOptions& options);
 
-  // Sets all servers of the service, including draining ones, and the number of
-  // hosts that dispatch to them. Appends the decisions that follow.
+  // Sets all servers of the service, including draining ones, in the order of
+  // their ids, and the number of hosts that dispatch to them. Appends the
+  // decisions that follow.
   void SetServers(const Service& service,
                   const std::vector<ServerEntry>& servers, int hosts,
                   absl::Time now, std::vector<schedule::Decision>* decisions);
@@ -63,6 +63,9 @@
   const schedule::Dispatcher& dispatcher() const { return dispatcher_; }
   RetryBudget& retries() { return retries_; }
   bool has_servers() const { return !servers_.empty(); }
+  // The registered servers, including draining ones, in the order of their ids.
+  const std::vector<ServerEntry>& servers() const { return servers_; }
+  bool has_engines() const { return has_engines_; }
   // The model of requests that name none.
   const ModelId& default_model() const { return default_model_; }
 
@@ -79,7 +82,8 @@
   schedule::Dispatcher dispatcher_;
   RetryBudget retries_;
   ModelId default_model_;
-  absl::flat_hash_map<ServerId, ServerEntry> servers_;
+  bool has_engines_ = false;
+  std::vector<ServerEntry> servers_;
   std::vector<schedule::ServerSpec> specs_;
 };
 
--- a/src/gateway/table_sharing.h
+++ b/src/gateway/table_sharing.h
@@ -65,8 +65,10 @@
   // Sets the subscription modes. To be called once per period.
   void UpdateModes(const FleetRole& role, absl::Time now);
 
- private:
+  // Returns whether a peer receives this table's changes from the service.
   bool HasSubscribedPeer(const TableSubscriber& subscriber) const;
+
+ private:
   SubscriptionMode ChooseMode(const TableSubscriber& subscriber,
                               const FleetRole& role, absl::Time now) const;
   // Returns whether this host is a standby in a fleet of `hosts` hosts.
--- a/src/gateway/table_subscriber.cc
+++ b/src/gateway/table_subscriber.cc
@@ -41,7 +41,10 @@
   timers_->Cancel(lag_timer_);
 }
 
-void TableSubscriber::Start() { Read(""); }
+void TableSubscriber::Start() {
+  started_ = true;
+  Read("");
+}
 
 TableDone TableSubscriber::Guard(std::function<void(TableAnswer)> done) {
   return [this, alive = std::weak_ptr<int>(alive_), call = ++call_,
--- a/src/gateway/table_subscriber.h
+++ b/src/gateway/table_subscriber.h
@@ -64,6 +64,11 @@
   std::function<void(const std::string& table, const std::string& key,
                      const std::string& value, std::function<void(bool)> done)>
       write;
+  // The same if the row has version `expected`; 0: if there is no such row.
+  std::function<void(const std::string& table, const std::string& key,
+                     std::uint64_t expected, const std::string& value,
+                     std::function<void(bool)> done)>
+      write_if;
 };
 
 struct TableSubscriberOptions {
@@ -132,6 +137,7 @@
   TableSubscriber& operator=(const TableSubscriber&) = delete;
 
   void Start();
+  bool started() const { return started_; }
 
   // Sets whether this host always polls with short waits, to detect an
   // unresponsive service for its peers.
@@ -166,7 +172,7 @@
   const std::string& table() const { return options_.table; }
   bool up() const { return up_; }
   // Returns whether this host receives changes from the service itself.
-  bool subscribed() const { return !idle_ && up_; }
+  bool subscribed() const { return started_ && !idle_ && up_; }
   // Returns the history that this host publishes to its peers.
   TableHistory History() const {
     return {newest_change_, copy_.since(), version_};
@@ -231,6 +237,7 @@
   std::uint64_t version_ = 0;
   std::uint64_t newest_change_ = 0;
   std::uint64_t peers_newest_ = 0;  // Newest change that a peer has.
+  bool started_ = false;
   bool complete_ = false;
   bool monitoring_ = false;
   SubscriptionMode mode_ = SubscriptionMode::kAlways;
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -13,6 +13,7 @@
                                                absl::Hours(1)};
 constexpr Range<double> kBurstRange = {0, 1e6};
 constexpr Range<double> kRatioRange = {0, 10};
+constexpr Range<double> kExposureRange = {0, 0.5};
 constexpr Range<double> kProcessorRange = {0.001, 1024};
 
 void ReadSection(const std::string& kind, FieldReader& reader,
@@ -40,6 +41,9 @@
   } else if (kind == "limits") {
     reader.Number("tolerance_tokens", kNonNegative,
                   &settings->limit_tolerance_tokens);
+  } else if (kind == "rollouts") {
+    reader.Number("max_exposure", kExposureRange,
+                  &settings->max_rollout_exposure);
   } else if (kind == "retries") {
     reader.Number("per_request", kRatioRange, &settings->retries_per_request);
     reader.Number("burst", kBurstRange, &settings->retry_burst);
@@ -53,8 +57,8 @@
   constexpr const char* kRequired[] = {"host",    "callers", "ready",
                                        "metrics", "peers",   "table"};
   const absl::flat_hash_set<std::string> known_sections = {
-      "host",  "callers", "ready",   "metrics",
-      "peers", "table",   "retries", "limits"};
+      "host",  "callers", "ready",  "metrics", "peers",
+      "table", "retries", "limits", "rollouts"};
   GatewaySettings settings;
   absl::flat_hash_set<std::string> seen_sections;
   auto add_problem = [&](int line, Code code, std::string text) {
--- a/src/settings/gateway_settings_test.cc
+++ b/src/settings/gateway_settings_test.cc
@@ -29,6 +29,8 @@
 burst = 56
 [limits]
 tolerance_tokens = 140000
+[rollouts]
+max_exposure = 0.2
 )";
 
 GatewaySettings Read(const std::string& text, Problems* problems) {
@@ -50,6 +52,7 @@
   BOOST_TEST(Format(settings.table) == "10.0.0.2:84");
   BOOST_TEST(settings.retry_burst == 56);
   BOOST_TEST(settings.limit_tolerance_tokens == 140000);
+  BOOST_TEST(settings.max_rollout_exposure == 0.2);
 }
 
 // A template with an empty value, or an outdated one, must stop the process
