Roll-outs: operators see them in gentianctl; a removed status is written anew

A status row that was removed had been ignored, so that the roll-out stood still; its test failed on that, by reading: nothing wrote with version 0 again.

--- a/src/gateway/fleet_messages.cc
+++ b/src/gateway/fleet_messages.cc
@@ -55,8 +55,7 @@
   ReadHosts(reader, &update->neighbours);
 }
 
-// Sums of latencies and evidence in the order of their members. `Archive` reads
-// or writes.
+// Reads or writes the members of `item`, as `Archive` does.
 template <typename Archive, typename Evidence>
 void Serialize(Archive& archive, Evidence& item) {
   archive(item.route, item.is_new, item.answered, item.failed, item.broken,
--- a/src/gateway/rollouts.cc
+++ b/src/gateway/rollouts.cc
@@ -78,7 +78,7 @@
                          const std::optional<RolloutStatus>& status,
                          std::uint64_t version, absl::Time now) {
   ServiceState& state = services_[service];
-  if (version < state.status_version) return;
+  if (version != 0 && version < state.status_version) return;
   state.status = status;
   state.status_version = version;
   state.status_at = now;
--- a/src/gateway/rollouts.h
+++ b/src/gateway/rollouts.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -80,7 +81,8 @@
   Rollouts(const Rollouts&) = delete;
   Rollouts& operator=(const Rollouts&) = delete;
 
-  // Handle rows of orders and statuses. nullopt: there is no such row.
+  // Handle rows of orders and statuses. nullopt: there is no such row, or it
+  // can't be read. `version` is that of the status' row; 0: it was removed.
   void SetOrder(const ServiceId& service,
                 const std::optional<RolloutOrder>& order, absl::Time now);
   void SetStatus(const ServiceId& service,
--- a/src/gateway/rollouts_test.cc
+++ b/src/gateway/rollouts_test.cc
@@ -164,16 +164,50 @@
   BOOST_TEST(site.stopped_early == 0);
 }
 
-BOOST_AUTO_TEST_CASE(AVersionWithoutServersIsRolledBack) {
-  RolloutSite site(3);
-  Rollouts rollouts(0.1,
-                    {.write = {},
+// A host without peers.
+struct LoneHost {
+  const ServiceId service{"s"};
+  std::vector<std::uint64_t> writes;  // The versions that rows had to have.
+  Rollouts rollouts{0.1,
+                    {.write =
+                         [this](const ServiceId&, const RolloutStatus&,
+                                std::uint64_t expected,
+                                const std::function<void(bool)>& done) {
+                           writes.push_back(expected);
+                           done(true);
+                         },
                      .on_pools = [] {},
-                     .open_requests = [](const ServiceId&) { return 0U; }});
-  const RolloutOrder order{ServiceId("s"), "v9", kDuration, 5};
-  rollouts.SetOrder(ServiceId("s"), order, site.fleet.now);
-  BOOST_TEST(rollouts.ChoosePool(ServiceId("s"), RequestId("r")).str() == "s");
-  BOOST_TEST(!rollouts.MaySend(ServiceId("s"), ServiceId("s@v9")));
+                     .open_requests = [](const ServiceId&) { return 0U; }}};
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+};
+
+BOOST_AUTO_TEST_CASE(AnOrderForAVersionWithoutServersMovesNothing) {
+  LoneHost host;
+  host.rollouts.SetOrder(
+      host.service, RolloutOrder{host.service, "v9", kDuration, 5}, host.now);
+  BOOST_TEST(host.rollouts.ChoosePool(host.service, RequestId("r")).str() ==
+             "s");
+  BOOST_TEST(!host.rollouts.MaySend(host.service, ServiceId("s@v9")));
+}
+
+// Guards against a roll-out that stands still since its status was removed: the
+// next one must be written as a new row.
+BOOST_AUTO_TEST_CASE(ARemovedStatusIsWrittenAnew) {
+  LoneHost host;
+  const RolloutContext context{.status_is_current = true,
+                               .is_aggregator = true};
+  host.rollouts.SetOrder(
+      host.service, RolloutOrder{host.service, "v2", kDuration, 5}, host.now);
+  host.rollouts.Tick(context, host.now);
+  BOOST_REQUIRE(host.writes.size() == 1u);
+  host.rollouts.SetStatus(
+      host.service,
+      RolloutStatus{RolloutState::kRunning, "v2", 5, RolloutStage::kCanary, {}},
+      12, host.now);
+  host.rollouts.SetStatus(host.service, std::nullopt, 0, host.now);
+  host.rollouts.Tick(context, host.now + absl::Seconds(1));
+  BOOST_REQUIRE(host.writes.size() == 2u);
+  BOOST_TEST(host.writes.back() == 0u);
 }
 
 }  // namespace
--- a/src/gentianctl/explain.cc
+++ b/src/gentianctl/explain.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/match.h"
 #include "explain/losses.h"
 
 namespace gentianlb::ctl {
@@ -15,6 +16,7 @@
 struct ExplainOptions {
   std::vector<std::string> logs;
   std::string request;
+  std::string rollout;  // Of this service.
   bool seconds = false;
 };
 
@@ -36,27 +38,48 @@
   return true;
 }
 
-Exit ExplainRequest(const ExplainOptions& options) {
-  std::vector<std::pair<absl::Time, std::string>> story;
+// Prints the lines that `matches`, in order of time. `subject` names them if
+// there are none.
+template <typename Matches>
+Exit PrintLines(const std::vector<std::string>& logs, Matches matches,
+                const std::string& subject) {
+  std::vector<std::pair<absl::Time, std::string>> lines;
   const bool read = ReadLogs(
-      options.logs, [&](const explain::LogLine& line, const std::string& text) {
-        if (line.Text("request") == options.request) {
-          story.emplace_back(line.time, text);
-        }
+      logs, [&](const explain::LogLine& line, const std::string& text) {
+        if (matches(line)) lines.emplace_back(line.time, text);
       });
   if (!read) return Exit::kInvalid;
   std::stable_sort(
-      story.begin(), story.end(),
+      lines.begin(), lines.end(),
       [](const auto& a, const auto& b) { return a.first < b.first; });
-  for (const auto& [time, text] : story) std::cout << text << "\n";
-  if (!story.empty()) return Exit::kDone;
-  PrintError("text",
-             {Code::kUsage, "no line about request " + options.request});
+  for (const auto& [time, text] : lines) std::cout << text << "\n";
+  if (!lines.empty()) return Exit::kDone;
+  PrintError("text", {Code::kUsage, "no line about " + subject});
   return Exit::kRefused;
 }
 
+Exit ExplainRequest(const ExplainOptions& options) {
+  return PrintLines(
+      options.logs,
+      [&](const explain::LogLine& line) {
+        return line.Text("request") == options.request;
+      },
+      "request " + options.request);
+}
+
+Exit ExplainRollout(const ExplainOptions& options) {
+  return PrintLines(
+      options.logs,
+      [&](const explain::LogLine& line) {
+        return absl::StartsWith(line.event, "rollout-") &&
+               line.Text("service") == options.rollout;
+      },
+      "a roll-out of " + options.rollout);
+}
+
 Exit Explain(const ExplainOptions& options) {
   if (!options.request.empty()) return ExplainRequest(options);
+  if (!options.rollout.empty()) return ExplainRollout(options);
   explain::Losses losses;
   const bool read =
       ReadLogs(options.logs, [&](const explain::LogLine& line,
@@ -77,6 +100,8 @@
   command->add_option("LOG", options->logs, "Logs of entry hosts")->required();
   command->add_option("--request", options->request,
                       "Only the lines of this request, in order of time");
+  command->add_option("--rollout", options->rollout,
+                      "Only the lines of this service's roll-outs");
   command->add_flag("--seconds", options->seconds, "Also by second");
   command->callback([=] { *action = [=] { return Explain(*options); }; });
 }
--- a/src/settings/gateway_settings_test.cc
+++ b/src/settings/gateway_settings_test.cc
@@ -92,7 +92,7 @@
                    std::string::npos,
                line);
   }
-  BOOST_TEST(key_count == 13);
+  BOOST_TEST(key_count == 14);
 }
 
 }  // namespace
