Entry host: a drain waits until the last bytes of answers are sent

A drain was over when the last call had ended, that is when its last bytes were queued for the server's threads; the process then ended, and where a thread was late its caller got an answer that breaks off.

The server counts the responses that it hasn't sent whole; a drain waits until none is left, or for its limit as before.

--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -279,7 +279,9 @@
 }
 
 void EntryHost::CheckDrained() {
-  if (calls_->open() == 0) drained_ = true;
+  // A call has ended once its last bytes are queued. The server's threads have
+  // yet to send them, and callers would miss the end of their answers.
+  if (calls_->open() == 0 && callers_->open_responses() == 0) drained_ = true;
 }
 
 std::vector<RequestId> EntryHost::OpenRequests() {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -494,6 +494,11 @@
   }
 }
 
+std::size_t Server::open_responses() const {
+  absl::MutexLock lock(&impl_->mutex);
+  return impl_->open_responses.size();
+}
+
 std::size_t Server::open_connections() const {
   return impl_->connections == nullptr ? 0 : impl_->connections->size();
 }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -131,6 +131,10 @@
   // connections. Requires an event loop.
   void SetIdleTimeout(absl::Duration timeout);
 
+  // Returns the number of requests whose response has not been sent whole. Safe
+  // on any thread.
+  std::size_t open_responses() const;
+
   // Returns the number of open connections. Requires an event loop; 0 without.
   std::size_t open_connections() const;
 
