--- a/src/gateway/rollout_judge.cc
+++ b/src/gateway/rollout_judge.cc
@@ -29,7 +29,7 @@
 constexpr double kMaxSoundRate = 0.5;
 
 // A version is slow if its durations are this many times those of the old one.
-const double kSlowLog = std::log(2.7);
+constexpr double kSlowFactor = 2.7;
 // Needed distance from no difference, in standard errors. These are widened,
 // as answers of the same server are alike.
 constexpr double kSlowErrors = 4;
@@ -105,7 +105,8 @@
 // Returns the strength of the sign that a version is slow.
 double SlownessOf(const Difference& difference) {
   const double errors = difference.mean / std::sqrt(difference.variance);
-  return std::min(difference.mean / kSlowLog, errors / kSlowErrors);
+  return std::min(difference.mean / std::log(kSlowFactor),
+                  errors / kSlowErrors);
 }
 
 }  // namespace
--- a/src/gateway/rollout_site_test.h
+++ b/src/gateway/rollout_site_test.h
@@ -42,7 +42,7 @@
 
   // The operators order a roll-out, and its servers start.
   void Order(const std::string& target, absl::Duration duration) {
-    order_ = RolloutOrder{kService, target, duration, ++revision_};
+    order_ = RolloutOrder{service_, target, duration, ++revision_};
     ordered_at = fleet.now;
     for (int i = 0; i < kServers; ++i) {
       AddServer(target + std::to_string(i), target);
@@ -121,7 +121,6 @@
 
  private:
   static constexpr int kServers = 20;
-  inline static const ServiceId kService{"s"};
 
   struct HostState {
     std::unique_ptr<Rollouts> rollouts;
@@ -137,7 +136,7 @@
   void AddServer(const std::string& id, const std::string& version) {
     ServerEntry server;
     server.id = ServerId(id);
-    server.service = kService;
+    server.service = service_;
     server.version = version;
     server.streams = 8;
     servers_.push_back(server);
@@ -160,7 +159,7 @@
     };
     hooks.on_pools = [] {};
     hooks.open_requests = [this, name](const ServiceId& pool) {
-      return pool == kService ? CountOpen(&hosts_.at(name)) : 0U;
+      return pool == service_ ? CountOpen(&hosts_.at(name)) : 0U;
     };
     host.rollouts = std::make_unique<Rollouts>(kMaxExposure, std::move(hooks));
     auto& fleet_host = fleet.hosts.at(name);
@@ -172,7 +171,7 @@
       state.demand.OnPeerUpdate(peers, fleet.now);
       state.rollouts->OnReports(peers.rollouts, fleet.now);
     };
-    host.rollouts->PoolsOf(kService, Registered(), fleet.now);
+    host.rollouts->PoolsOf(service_, Registered(), fleet.now);
   }
 
   std::uint32_t CountOpen(HostState* host) {
@@ -194,8 +193,8 @@
 
   void GiveOrder(const std::string& name) {
     HostState& host = hosts_.at(name);
-    host.rollouts->SetOrder(kService, order_, fleet.now);
-    host.rollouts->PoolsOf(kService, Registered(), fleet.now);
+    host.rollouts->SetOrder(service_, order_, fleet.now);
+    host.rollouts->PoolsOf(service_, Registered(), fleet.now);
   }
 
   // Hosts of a zone that is cut off don't reach the table either.
@@ -205,9 +204,9 @@
     const bool visible = fleet.now - status_at_ >= kTableDelay;
     if (!visible || host->seen_version == status_version_) return;
     host->seen_version = status_version_;
-    host->rollouts->SetStatus(kService, status_, status_version_, fleet.now);
+    host->rollouts->SetStatus(service_, status_, status_version_, fleet.now);
     if (Is(RolloutState::kCompleted)) CountStopped(host);
-    host->rollouts->PoolsOf(kService, Registered(), fleet.now);
+    host->rollouts->PoolsOf(service_, Registered(), fleet.now);
   }
 
   void CountStopped(HostState* host) {
@@ -224,7 +223,7 @@
     context.all_reachable = peers.all_reachable;
     context.hosts = peers.reachable + 1;
     host->rollouts->Tick(context, fleet.now);
-    host->rollouts->PoolsOf(kService, Registered(), fleet.now);
+    host->rollouts->PoolsOf(service_, Registered(), fleet.now);
     host->next_tick = fleet.now + absl::Milliseconds(50);
   }
 
@@ -237,8 +236,8 @@
 
   void Send(HostState* host) {
     const RequestId id(std::to_string(random_()));
-    const ServiceId pool = host->rollouts->ChoosePool(kService, id);
-    const bool is_new = pool != kService;
+    const ServiceId pool = host->rollouts->ChoosePool(service_, id);
+    const bool is_new = pool != service_;
     if (order_) ++all;
     ServerAnswer answer;
     answer.kind = ServerAnswer::Kind::kAnswered;
@@ -257,12 +256,13 @@
           fleet.now + absl::Milliseconds(random_() % (is_long ? 6000 : 300)));
     }
     ServerEntry server;
-    server.service = kService;
+    server.service = service_;
     server.id = ServerId(is_new ? order_->target + "0" : "a0");
     server.version = is_new ? order_->target : "v1";
     host->rollouts->RecordAnswer(server, "route", answer, fleet.now);
   }
 
+  const ServiceId service_{"s"};
   std::mt19937_64 random_;
   std::map<std::string, HostState> hosts_;
   std::vector<ServerEntry> servers_;
