--- a/src/gateway/fleet_messages.h
+++ b/src/gateway/fleet_messages.h
@@ -97,8 +97,8 @@
   std::uint16_t hosts = 1;       // Number of hosts that the state covers.
   // The most hosts that any of these knows, whether they are live or not.
   std::uint16_t known_hosts = 1;
-  bool complete = true;          // No expected host is missing.
-  bool draining = false;         // The sender is about to stop.
+  bool complete = true;   // No expected host is missing.
+  bool draining = false;  // The sender is about to stop.
   std::vector<WorkspaceUse> workspaces;
   std::vector<TableState> tables;
   // Roll-outs in progress. With scope kAll they include the recipient.
