--- a/src/gateway/limit_site_test.h
+++ b/src/gateway/limit_site_test.h
@@ -201,9 +201,9 @@
   // Running hosts learn of those that they reach, as they would from messages.
   void MeetReachablePeers() {
     for (auto& [name, host] : fleet_.hosts) {
+      if (!host.up) continue;
       for (const FleetSite::Host* peer : fleet_.Up()) {
-        if (host.up && peer->side == host.side)
-          host.fleet->AddHost(peer->entry);
+        if (peer->side == host.side) host.fleet->AddHost(peer->entry);
       }
     }
   }
