Claims: a key that no server has gets a final answer

Its host was killed between the write of the row that names the engine and the arrival of the request there (the only way to that text is a row in state dispatched, a dead owner, and an engine without the stream). The engine will never have it, yet each answer told the caller to come back.

Now the come-back time is given only while the request may be on its way (10 s from the row) or a server couldn't be asked. After that the answer is final: 4003, run unknown, which stays true whatever becomes of it.

Test: an engine that forgets its streams makes the case each time.

--- a/src/claim/claim_machine.cc
+++ b/src/claim/claim_machine.cc
@@ -18,6 +18,9 @@
 // Maximum time between two timer events.
 constexpr absl::Duration kTickInterval = absl::Seconds(1);
 
+// How long after its row was written a request may still reach its server.
+constexpr absl::Duration kMaxSendTime = absl::Seconds(10);
+
 }  // namespace
 
 ClaimMachine::ClaimMachine(ClaimOptions options, absl::Time now)
@@ -146,7 +149,7 @@
       GiveRefusal(claim, Code::kKeyAlreadyRun,
                   "ran at " + finished->server.str());
     } else {
-      GiveResume(claim, finished->server, true);
+      GiveResume(claim, {claim.request.key, finished->server, true});
     }
     return;
   }
@@ -256,7 +259,7 @@
   } else if (state == PeerState::kAbandoned) {
     TakeOver(claim);
   } else if (state == PeerState::kFinished && claim.request.idempotent) {
-    GiveResume(claim, answer->server, true);
+    GiveResume(claim, {claim.request.key, answer->server, true});
   } else if (state == PeerState::kFinished) {
     GiveRefusal(claim, Code::kKeyAlreadyRun, "ran at " + answer->server.str());
   } else {
@@ -271,7 +274,9 @@
     // That write fails once our row is in place.
     TakeOver(claim);
   } else if (claim.request.idempotent) {
-    GiveResume(claim, foreign.server, false);
+    Resume resume{claim.request.key, foreign.server, /*finished=*/false};
+    resume.may_be_in_transit = now_ - foreign.written <= kMaxSendTime;
+    GiveResume(claim, resume);
   } else {
     GiveRefusal(claim, Code::kClaimInDoubt,
                 "sent to " + foreign.server.str() + " by a host that is gone");
@@ -354,7 +359,7 @@
     return;
   }
   if (answer && answer->state == PeerState::kFinished) {
-    GiveResume(claim, answer->server, true);
+    GiveResume(claim, {claim.request.key, answer->server, true});
     return;
   }
   if (!ProvesNotRun(claim, peer, answer)) claim.in_doubt = true;
@@ -441,12 +446,10 @@
   actions_->push_back(VerdictGiven{claim.id, Attach{owner}});
 }
 
-void ClaimMachine::GiveResume(Claim& claim, const ServerId& server,
-                              bool finished) {
+void ClaimMachine::GiveResume(Claim& claim, const Resume& resume) {
   ++counters_.resumed;
   Release(claim);
-  actions_->push_back(
-      VerdictGiven{claim.id, Resume{claim.request.key, server, finished}});
+  actions_->push_back(VerdictGiven{claim.id, resume});
   claims_.erase(claim.id);
 }
 
--- a/src/claim/claim_machine.h
+++ b/src/claim/claim_machine.h
@@ -186,7 +186,7 @@
   void OnAllPeersAnswered(Claim& claim);
   void GiveProceed(Claim& claim);
   void GiveAttach(Claim& claim, const EntryHostId& owner);
-  void GiveResume(Claim& claim, const ServerId& server, bool finished);
+  void GiveResume(Claim& claim, const Resume& resume);
   void GiveRefusal(Claim& claim, Code code, std::string detail);
   void Release(Claim& claim);
   Code TableDownCode(const Claim& claim) const;
--- a/src/claim/messages.h
+++ b/src/claim/messages.h
@@ -70,6 +70,9 @@
   ClaimKey key;
   ServerId server;
   bool finished = false;
+  // False: the owner sent the request so long ago that a server which has no
+  // such stream now won't have one later.
+  bool may_be_in_transit = false;
   bool operator==(const Resume&) const = default;
 };
 
--- a/src/entry/calls.h
+++ b/src/entry/calls.h
@@ -66,6 +66,8 @@
   int resumes = 0;
   std::vector<ServerId> search;  // Servers that may still have the stream.
   bool search_ended = false;     // The claim says that it ran to its end.
+  // Set if a later search may find what this one doesn't.
+  bool search_again = false;
   std::optional<GivenUp> stop;   // Why it is being stopped.
   TimerId unserved_timer = 0;
   TimerId deadline_timer = 0;
--- a/src/entry/calls_claim.cc
+++ b/src/entry/calls_claim.cc
@@ -145,6 +145,7 @@
 
 void Calls::ReadElsewhere(const CallPtr& call, const claim::Resume& resume) {
   call->search_ended = resume.finished;
+  call->search_again = resume.may_be_in_transit;
   if (call->request.kind == config::ServiceKind::kPlain) {
     // A plain service keeps no answers.
     Code code = resume.finished ? Code::kKeyAlreadyRun : Code::kClaimInDoubt;
@@ -166,7 +167,8 @@
 void Calls::SearchNext(const CallPtr& call) {
   if (call->search.empty()) {
     Code code = call->search_ended ? Code::kAnswerGone : Code::kClaimInDoubt;
-    GiveUp(call, {{code, "no server has its stream"}, kAskAgain});
+    GiveUp(call, {{code, "no server has its stream"},
+                  call->search_again ? kAskAgain : absl::ZeroDuration()});
     return;
   }
   ServerId server = call->search.back();
@@ -178,6 +180,7 @@
         loop_->Post([this, id, server, stream = std::move(stream)] {
           CallPtr found = Find(id);
           if (found == nullptr) return;
+          found->search_again |= !stream.ok();
           if (!stream.ok() || !stream.value().has_value()) {
             SearchNext(found);
             return;
--- a/tests/process/host_failure_test.cc
+++ b/tests/process/host_failure_test.cc
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 #include "process/deployment.h"
 #include "process/verdicts.h"
 
@@ -131,6 +132,25 @@
   }
 }
 
+// Guards against callers who are told for ever to come back for an answer that
+// no server has: an entry host died, and its engine has not received the
+// request or has forgotten it.
+BOOST_AUTO_TEST_CASE(AKeyThatNoServerHasGetsAFinalAnswer) {
+  Deployment site(GENTIANLB_BUILD_DIR, Narrow());
+  Json::Value forgetful;
+  forgetful["keep_ms"] = 0;
+  SetControl(site.engine(0).address, forgetful);
+  Caller caller(kDraftingToken);
+  Chat chat{kModel, "a draft", 200};
+  Call first = caller.Ask(site.host(0).address, chat, Sending("k", 1));
+  first.WaitForBytes(1);
+  site.host(0).process->KillAndWait();
+  absl::SleepFor(absl::Seconds(1));  // The engine ends the stream meanwhile.
+  Answer answer = AskUntilFinal(caller, site.host(1).address, chat, "k", 2);
+  BOOST_TEST(answer.Run() == "unknown", answer.body);
+  BOOST_TEST(site.AllExecutions() == 1);
+}
+
 // An entry host is killed while a permit check runs for it. Nobody can know
 // whether it took effect, so that no host may run it again.
 BOOST_AUTO_TEST_CASE(APermitCheckOfAKilledHostIsNotRepeated) {
