Dispatcher: no streams are kept from requests with a first token deadline

Tenants' priorities make six tiers of three, and each active tier above keeps one stream in sixteen of each server, at most a quarter: two of eight for the two lowest tiers.

The reserve answers streams that last for minutes. Here some 700 streams come free a second, and all requests wait for their first token at least 500 ms, so that a higher tier has the next free stream long before its own deadline. Requests without such a deadline keep the reserve, late ones included.

--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -20,7 +20,10 @@
 
 // Trunk reservation, as in telephone networks: a small reserve for a higher
 // class shields it almost completely, at little cost for the lower class. One
-// stream in 16 for each higher tier, at most a quarter.
+// stream in 16 for each higher tier, at most a quarter. This doesn't apply to
+// requests with a first token deadline: none runs for minutes, so that higher
+// tiers get the streams that come free long before their own deadlines, while
+// a reserve would be idle exactly when lower tiers are refused.
 constexpr double kStreamReservePerTier = 1.0 / 16;
 constexpr double kMaxStreamReserve = 0.25;
 constexpr double kPowerReservePerTier = 0.04;
@@ -296,16 +299,16 @@
   Reserves reserves;
   const int rank = waiting.request.tier.rank;
   const absl::Time since = state.now - kTierActivityWindow;
+  const bool has_first_token_deadline =
+      waiting.request.first_token_due != absl::InfiniteFuture();
   for (const auto& [above, activity] : state.activity) {
     if (above >= rank) break;
     if (activity.last_arrival < since) continue;
-    reserves.streams += kStreamReservePerTier;
+    if (!has_first_token_deadline) reserves.streams += kStreamReservePerTier;
     reserves.power += kPowerReservePerTier;
   }
   reserves.streams = std::min(reserves.streams, kMaxStreamReserve);
   reserves.power = std::min(reserves.power, kMaxPowerReserve);
-  const bool has_first_token_deadline =
-      waiting.request.first_token_due != absl::InfiniteFuture();
   if (!waiting.is_long || has_first_token_deadline) return reserves;
   for (const auto& [tier, activity] : state.activity) {
     if (tier > rank) break;
