Roll-outs: other hosts write the status while no aggregator can

A roll-back would have stood still as well.

Now each host that knows the newest status and the reports of all hosts takes the decision, and writes it when it has been due for 0.6 s plus up to a second by a hash of its name. The write is on the condition of the row's version, as before, so that two writers, or a late one, do no harm.

--- a/src/gateway/fleet_messages.cc
+++ b/src/gateway/fleet_messages.cc
@@ -154,6 +154,11 @@
   return XXH32(name.data(), name.size(), /*seed=*/0);
 }
 
+double FractionOf(std::string_view name) {
+  constexpr std::uint32_t kSteps = 1 << 20;
+  return static_cast<double>(HashName(name) % kSteps) / kSteps;
+}
+
 bool RanksBelow(const HostEntry& a, const HostEntry& b) {
   if (a.processor != b.processor) return a.processor < b.processor;
   const NameHash hash_a = HashName(a.host);
--- a/src/gateway/fleet_messages.h
+++ b/src/gateway/fleet_messages.h
@@ -22,6 +22,8 @@
 // Identifies a server, a workspace or a table in messages.
 using NameHash = std::uint32_t;
 NameHash HashName(std::string_view name);
+// Returns a number from 0 to below 1 that depends only on `name`.
+double FractionOf(std::string_view name);
 
 // Address and properties of an entry host.
 struct HostEntry {
--- a/src/gateway/host_rollouts.cc
+++ b/src/gateway/host_rollouts.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "gateway/fleet_messages.h"
 #include "gateway/host.h"
 
 namespace gentianlb::gateway {
@@ -92,6 +93,7 @@
       status_subscription_.complete() && follows &&
       status_subscription_.Lag() <= absl::ZeroDuration();
   context.is_aggregator = peers_->fleet().is_aggregator();
+  context.turn = FractionOf(settings_.id.str());
   context.all_reachable = peers.all_reachable;
   context.hosts = peers_current ? peers.reachable + 1 : 1;
   return context;
--- a/src/gateway/rollout_site_test.h
+++ b/src/gateway/rollout_site_test.h
@@ -10,11 +10,13 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "gateway/demand.h"
+#include "gateway/fleet_messages.h"
 #include "gateway/fleet_site_test.h"
 #include "gateway/rollouts.h"
 
@@ -30,6 +32,8 @@
   absl::Time failing_from = absl::InfinitePast();
   // While false, no host reads or writes statuses.
   bool table_up = true;
+  // Hosts whose writes fail, though they learn statuses from their peers.
+  std::set<std::string> unable_to_write;
   double requests_per_second = 700;
 
   explicit RolloutSite(std::uint64_t seed, int hosts = 12, int zones = 4)
@@ -155,7 +159,7 @@
                                std::uint64_t expected,
                                std::function<void(bool)> done) {
       const bool cut = fleet.hosts.at(name).side != 0;
-      done(!cut && Write(status, expected));
+      done(!cut && !unable_to_write.contains(name) && Write(status, expected));
     };
     hooks.on_pools = [] {};
     hooks.open_requests = [this, name](const ServiceId& pool) {
@@ -220,6 +224,7 @@
     context.status_is_current =
         fleet.now - host->reached_table <= absl::Milliseconds(100);
     context.is_aggregator = fleet.hosts.at(name).fleet->is_aggregator();
+    context.turn = FractionOf(name);
     context.all_reachable = peers.all_reachable;
     context.hosts = peers.reachable + 1;
     host->rollouts->Tick(context, fleet.now);
--- a/src/gateway/rollouts.cc
+++ b/src/gateway/rollouts.cc
@@ -20,11 +20,10 @@
 // Time for an own or a peer's write to arrive here as a row.
 constexpr absl::Duration kWriteInterval = absl::Milliseconds(500);
 
-// Returns a number from 0 to below 1 that depends only on `id`.
-double FractionOf(const RequestId& id) {
-  constexpr std::uint32_t kSteps = 1 << 20;
-  return static_cast<double>(HashName(id.str()) % kSteps) / kSteps;
-}
+// The table service may serve other hosts while it is silent to all
+// aggregators. Hosts then write one after the other, as each attempt is a call.
+constexpr absl::Duration kTakeoverAfter = absl::Milliseconds(600);
+constexpr absl::Duration kTakeoverSpread = absl::Seconds(1);
 
 // Returns the sums of all routes of one version.
 RouteEvidence TotalOf(const std::vector<RouteEvidence>& evidence, bool is_new) {
@@ -187,8 +186,8 @@
   if (found == services_.end() || !found->second.order) return service;
   const ServiceState& state = found->second;
   const double share = ShareOf(state.stage, max_exposure_);
-  return FractionOf(id) < share ? NewPoolId(service, state.order->target)
-                                : service;
+  return FractionOf(id.str()) < share ? NewPoolId(service, state.order->target)
+                                      : service;
 }
 
 ServiceId Rollouts::ChooseOtherPool(const ServiceId& service,
@@ -270,7 +269,7 @@
 void Rollouts::Tick(const RolloutContext& context, absl::Time now) {
   if (context.status_is_current) current_at_ = now;
   UpdateStages(now);
-  if (!context.is_aggregator || !context.status_is_current) return;
+  if (!context.status_is_current) return;
   for (auto& [service, state] : services_) Lead(service, &state, context, now);
 }
 
@@ -292,7 +291,20 @@
                   state->merged.hosts, state->merged.stage,
                   state->merged.open_old};
   const auto decision = NextStatus(inputs);
-  if (decision) Write(service, state, *decision, inputs, now);
+  if (!decision) state->due_at = absl::InfiniteFuture();
+  if (!decision || !IsTurn(state, context, now)) return;
+  Write(service, state, *decision, inputs, now);
+}
+
+bool Rollouts::IsTurn(ServiceState* state, const RolloutContext& context,
+                      absl::Time now) {
+  if (state->due_version != state->status_version) {
+    state->due_at = absl::InfiniteFuture();
+  }
+  state->due_version = state->status_version;
+  state->due_at = std::min(state->due_at, now);
+  return context.is_aggregator ||
+         now >= state->due_at + kTakeoverAfter + context.turn * kTakeoverSpread;
 }
 
 void Rollouts::Write(const ServiceId& service, ServiceState* state,
--- a/src/gateway/rollouts.h
+++ b/src/gateway/rollouts.h
@@ -1,12 +1,12 @@
 // The roll-outs of all services on one entry host: which servers receive a
-// request, what this host reports of their answers, and, on an aggregator, the
-// status that it writes.
+// request, what this host reports of their answers, and the status that it
+// writes, as an aggregator or while no aggregator can.
 //
 // A host sends requests to a new version only while it knows that the status
 // which allows that is the newest one. It stops by itself as soon as the counts
-// of all hosts show a bad version; the status follows. Aggregators write it on
-// the condition that the row is the one that they decided on, so that one that
-// was frozen or cut off can't restore an old status.
+// of all hosts show a bad version; the status follows. A host writes it on the
+// condition that the row is the one that it decided on, so that one that was
+// frozen or cut off can't restore an old status.
 //
 // Has no network and no clock of its own.
 
@@ -49,6 +49,9 @@
 struct RolloutContext {
   bool status_is_current = false;  // The status rows here are the newest ones.
   bool is_aggregator = false;
+  // From 0 to below 1, differs by host: hosts that are not aggregators write in
+  // this order.
+  double turn = 0;
   bool all_reachable = false;  // No known host is missing.
   int hosts = 1;               // Reachable hosts, including this one.
 };
@@ -135,6 +138,9 @@
     RolloutReport merged;                 // Of all hosts.
     absl::Time merged_at = absl::InfinitePast();
     RolloutJudge judge;
+    // Since when the row of this version should have been replaced.
+    absl::Time due_at = absl::InfiniteFuture();
+    std::uint64_t due_version = 0;
     bool writing = false;
     absl::Time write_from = absl::InfinitePast();
   };
@@ -146,6 +152,9 @@
                           ServiceState* state, absl::Time now);
   void Lead(const ServiceId& service, ServiceState* state,
             const RolloutContext& context, absl::Time now);
+  // Returns whether it is this host's turn to write a decision that is due.
+  static bool IsTurn(ServiceState* state, const RolloutContext& context,
+                     absl::Time now);
   void Write(const ServiceId& service, ServiceState* state,
              const RolloutDecision& decision, const RolloutInputs& inputs,
              absl::Time now);
--- a/src/gateway/rollouts_test.cc
+++ b/src/gateway/rollouts_test.cc
@@ -76,6 +76,27 @@
   }
 }
 
+// Guards against a roll-out that stands still because the table service is
+// silent to the aggregators alone.
+BOOST_AUTO_TEST_CASE(OtherHostsWriteWhatAggregatorsCant) {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    for (const double failing : {0.0, 0.3}) {
+      RolloutSite site(seed);
+      for (const std::string& name : site.Aggregators()) {
+        site.unable_to_write.insert(name);
+      }
+      site.failing = failing;
+      site.failing_from = site.fleet.now;
+      site.Order("v2", kDuration);
+      site.Run(kDuration);
+      BOOST_TEST(site.Is(failing > 0 ? RolloutState::kRolledBack
+                                     : RolloutState::kCompleted),
+                 "seed " << seed << " failing " << failing);
+      BOOST_TEST(site.stopped_early == 0, "seed " << seed);
+    }
+  }
+}
+
 // Guards against a roll-out that stops, or starts over, with the host that
 // leads it.
 BOOST_AUTO_TEST_CASE(ARollOutOutlivesItsAggregatorsAtEachStage) {
