Roll-outs: failures of all servers at once are not the version's fault

The failure rate of the old servers was a mean over 10 s, so a fault that both share looked like the new version's.

Now the rate of the old servers' last 0.2 s counts if it is higher and rests on 20 answers.

--- a/src/gateway/rollout_judge.cc
+++ b/src/gateway/rollout_judge.cc
@@ -12,8 +12,12 @@
 // Time constants in which answers lose their weight: for the failure rate of
 // the old servers, and for durations, where a version may turn slow late.
 constexpr absl::Duration kRateMemory = absl::Seconds(10);
+constexpr absl::Duration kLatestMemory = absl::Milliseconds(200);
 constexpr absl::Duration kLatencyMemory = absl::Seconds(1);
 
+// With fewer answers the latest rate is chance.
+constexpr double kMinLatestAnswers = 20;
+
 // The failure rates of a sound and a bad version, from the rate of the old
 // servers. The margin covers servers that fail for reasons of their own: few
 // new servers are in use at first, so that one of them weighs much.
@@ -161,14 +165,24 @@
   squares += other.squares;
 }
 
+void RolloutJudge::Outcomes::Scale(double factor) {
+  answers *= factor;
+  failed *= factor;
+  broken *= factor;
+}
+
+void RolloutJudge::Outcomes::Add(const RouteEvidence& growth) {
+  answers += growth.answered + growth.failed + growth.broken;
+  failed += growth.failed;
+  broken += growth.broken;
+}
+
 void RolloutJudge::Fade(absl::Duration elapsed, Recent* recent) const {
   const auto remaining = [elapsed](absl::Duration memory) {
     return std::exp(-absl::FDivDuration(elapsed, memory));
   };
-  const double answers = remaining(kRateMemory);
-  recent->answers *= answers;
-  recent->failed *= answers;
-  recent->broken *= answers;
+  recent->outcomes.Scale(remaining(kRateMemory));
+  recent->latest.Scale(remaining(kLatestMemory));
   for (Durations* durations : {&recent->first, &recent->pace}) {
     Logs faded = durations->recent;
     faded.Scale(1 - remaining(kLatencyMemory));
@@ -179,9 +193,8 @@
 }
 
 void RolloutJudge::Add(const RouteEvidence& growth, Recent* recent) {
-  recent->answers += growth.answered + growth.failed + growth.broken;
-  recent->failed += growth.failed;
-  recent->broken += growth.broken;
+  recent->outcomes.Add(growth);
+  recent->latest.Add(growth);
   const auto logs_of = [](const LatencySums& sums) {
     return Logs{static_cast<double>(sums.count), sums.logs, sums.squares};
   };
@@ -194,9 +207,15 @@
   const Recent& old = recent_[{route, false}];
   Cusum& cusum = cusums_[route];
   const double fine = growth.answered;
-  cusum.failures += LogLikelihood(kFailures, RateOf(old.failed, old.answers),
+  // What makes all servers fail at once shows in the latest answers first.
+  const auto rate_of = [&old](double Outcomes::*part) {
+    const double usual = RateOf(old.outcomes.*part, old.outcomes.answers);
+    if (old.latest.answers < kMinLatestAnswers) return usual;
+    return std::max(usual, RateOf(old.latest.*part, old.latest.answers));
+  };
+  cusum.failures += LogLikelihood(kFailures, rate_of(&Outcomes::failed),
                                   growth.failed, fine + growth.broken);
-  cusum.broken += LogLikelihood(kBroken, RateOf(old.broken, old.answers),
+  cusum.broken += LogLikelihood(kBroken, rate_of(&Outcomes::broken),
                                 growth.broken, fine + growth.failed);
   cusum.failures = std::max(0.0, cusum.failures);
   cusum.broken = std::max(0.0, cusum.broken);
--- a/src/gateway/rollout_judge.h
+++ b/src/gateway/rollout_judge.h
@@ -66,10 +66,17 @@
     Logs earlier;  // What has faded from `recent`.
   };
   // Numbers of answers that fade with time.
-  struct Recent {
+  struct Outcomes {
     double answers = 0;
     double failed = 0;
     double broken = 0;
+
+    void Scale(double factor);
+    void Add(const RouteEvidence& growth);
+  };
+  struct Recent {
+    Outcomes outcomes;
+    Outcomes latest;  // Fades faster.
     Durations first;
     Durations pace;
   };
--- a/src/gateway/rollout_judge_test.cc
+++ b/src/gateway/rollout_judge_test.cc
@@ -215,6 +215,14 @@
           .most <= kMaxFalseAlarms);
 }
 
+// Guards against a sound version that is rolled back because the servers of
+// both versions begin to fail at the same moment.
+BOOST_AUTO_TEST_CASE(FailuresOfAllServersAreNotTheVersionsFault) {
+  const Behaviour failing = {.failing = 0.45, .from = absl::Seconds(2)};
+  BOOST_TEST(Play("all servers fail", failing, failing, kSoundSpan).most <=
+             kMaxFalseAlarms);
+}
+
 // Guards against a bad version that is not noticed within the first stage.
 BOOST_AUTO_TEST_CASE(ABadVersionIsNoticedInTime) {
   const absl::Duration span = absl::Seconds(3);
