--- a/src/entry/calls.h
+++ b/src/entry/calls.h
@@ -68,7 +68,7 @@
   bool search_ended = false;     // The claim says that it ran to its end.
   // Set if a later search may find what this one doesn't.
   bool search_again = false;
-  std::optional<GivenUp> stop;   // Why it is being stopped.
+  std::optional<GivenUp> stop;  // Why it is being stopped.
   TimerId unserved_timer = 0;
   TimerId deadline_timer = 0;
 };
