Roll-outs: a comment says what IsTurn also records

A newcomer would take it for a question without effect; it sets since when a decision is due. Comment alone; `make format` passes, nothing else was run.

--- a/src/gateway/rollouts.h
+++ b/src/gateway/rollouts.h
@@ -152,7 +152,8 @@
                           ServiceState* state, absl::Time now);
   void Lead(const ServiceId& service, ServiceState* state,
             const RolloutContext& context, absl::Time now);
-  // Returns whether it is this host's turn to write a decision that is due.
+  // Records since when the row should have been replaced, and returns whether
+  // it is this host's turn to do so.
   static bool IsTurn(ServiceState* state, const RolloutContext& context,
                      absl::Time now);
   void Write(const ServiceId& service, ServiceState* state,
