Fleet: a host that wins the election while it handles a message begins to count

An aggregator begins to count in Tick(), when it finds that it won the election since the Tick() before. But the election also proceeds while a host handles the message of an aggregator; a host that won it there found itself aggregator "already", kept an incarnation of 0 and an age since the epoch, and took itself for settled. Receivers take incarnation 0 for a first message each time, and an age of hours for an aggregator older than what they know: no peer in its zone nor any other zone ever charged a use that it merged. It happens when a worse host elects itself first, as when hosts start together and the table service is slow.

Fleet remembers whether it aggregated at the last Tick(), and doesn't ask the election for it.

AnAggregatorThatTakesOverFromAWorseOneBeginsToCount: 3 checks failed before (incarnation 0, age 3,600,050 ms, settled). TheLimitHoldsThroughARestartWithinACut, 200 seeds at eight times the limit, elections up to 1.5 s apart: 114 seeds over the limit before (up to 9.6 million tokens where 1.72 are allowed), none now. The simulated site draws nothing for hosts without a delay, so earlier seeds play as before.

--- a/src/gateway/fleet.cc
+++ b/src/gateway/fleet.cc
@@ -154,12 +154,12 @@
 
 void Fleet::Tick(absl::Time now) {
   ++ticks_;
-  const bool was_aggregator = election_.won();
   const bool paused = now - last_tick_ > LivenessTimeout(period_);
   last_tick_ = now;
   election_.Tick(period_, now);
-  if (!election_.won()) return SendReport();
-  if (!was_aggregator || paused) StartAggregating(now);
+  const bool was_aggregating = std::exchange(aggregating_, election_.won());
+  if (!aggregating_) return SendReport();
+  if (!was_aggregating || paused) StartAggregating(now);
   Publish(now);
 }
 
--- a/src/gateway/fleet.h
+++ b/src/gateway/fleet.h
@@ -106,6 +106,9 @@
   bool hosts_read_ = false;
   std::uint64_t ticks_ = 0;
   absl::Time last_tick_ = absl::InfinitePast();
+  // Whether this host was the aggregator at the last Tick(). It may win the
+  // election between two, when it handles a message.
+  bool aggregating_ = false;
   absl::Time aggregating_since_;  // When this host became the aggregator.
   absl::Time last_detailed_ = absl::InfinitePast();
   std::vector<HostEntry> sent_dispatchers_;
--- a/src/gateway/fleet_site_test.h
+++ b/src/gateway/fleet_site_test.h
@@ -26,6 +26,7 @@
     HostEntry entry;
     std::unique_ptr<Fleet> fleet;
     absl::Time due;
+    absl::Time elects_at;
     bool up = false;
     bool frozen = false;  // Neither receives nor sends.
     int side = 0;  // Hosts of different sides are cut off from each other.
@@ -95,7 +96,11 @@
     host->frozen = false;
     host->due = now + absl::Milliseconds(random() % 50);
     if (reads_table) ReadTable(name);
-    host->fleet->StartElection(now - host->clock_lag);
+    host->elects_at = now;
+    if (max_election_delay > absl::ZeroDuration()) {
+      host->elects_at += max_election_delay * FractionBelowOne();
+    }
+    StartElectionIfDue(host);
   }
 
   void ReadTable(const std::string& name) {
@@ -110,7 +115,9 @@
     now += kStep;
     Deliver();
     for (auto& [name, host] : hosts) {
-      if (!host.up || host.frozen || now < host.due) continue;
+      if (!host.up || host.frozen) continue;
+      StartElectionIfDue(&host);
+      if (now < host.due) continue;
       host.fleet->Tick(now - host.clock_lag);
       host.due = now + host.fleet->Period();
     }
@@ -154,6 +161,8 @@
   unsigned duplicated_percent = 0;
   int max_delay_ms = 5;
   bool reads_table = true;
+  // Until a started host has read the table, or gives that up.
+  absl::Duration max_election_delay;
   bool counts_bytes = false;
   std::map<std::string, Host> hosts;
 
@@ -195,6 +204,15 @@
     }
   }
 
+  void StartElectionIfDue(Host* host) const {
+    if (now < host->elects_at) return;
+    host->fleet->StartElection(now - host->clock_lag);
+  }
+
+  double FractionBelowOne() {
+    return std::uniform_real_distribution<>(0, 1)(random);
+  }
+
   std::vector<Datagram> queue_;
 };
 
--- a/src/gateway/fleet_test.cc
+++ b/src/gateway/fleet_test.cc
@@ -250,5 +250,41 @@
   BOOST_TEST(site.CountUninformed(10) == 0);
 }
 
+// Guards against an aggregator that sends counts without an incarnation,
+// because it took over from a worse one while it handled that one's message:
+// no peer would charge them, and workspaces would exceed their limits.
+BOOST_AUTO_TEST_CASE(AnAggregatorThatTakesOverFromAWorseOneBeginsToCount) {
+  const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+  const HostEntry worse{"worse", "10.0.0.1:1001", "z", 0.12F};
+  std::vector<FleetUpdate> sent;
+  FleetHooks hooks;
+  hooks.compose = [](FleetUpdate*) {};
+  hooks.on_host = [](const HostEntry&) {};
+  hooks.on_peers = [](const FleetUpdate&) {};
+  hooks.send = [&](const std::string&, const FleetUpdate& update) {
+    sent.push_back(update);
+  };
+  Fleet fleet({"better", "10.0.0.1:1000", "z", 0.5F}, /*incarnation=*/1, hooks,
+              start);
+  fleet.AddHost(worse);
+  fleet.Tick(start);
+  fleet.StartElection(start);
+  FleetUpdate update;
+  update.scope = UpdateScope::kAll;
+  update.sender = worse;
+  update.incarnation = 1;
+  update.period_ms = 50;
+  fleet.OnUpdate(update, start);
+  BOOST_TEST_REQUIRE(fleet.is_aggregator());
+  sent.clear();
+  fleet.Tick(start + absl::Milliseconds(50));
+  BOOST_TEST_REQUIRE(!sent.empty());
+  for (const FleetUpdate& message : sent) {
+    BOOST_TEST(message.incarnation > 0);
+    BOOST_TEST(message.age_ms == 0);
+    BOOST_TEST(!message.settled);
+  }
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
--- a/src/gateway/limit_restart_test.cc
+++ b/src/gateway/limit_restart_test.cc
@@ -81,6 +81,28 @@
   }
 }
 
+// Guards against hosts that don't charge each other's use after a restart, as
+// when one becomes aggregator at the moment at which a worse one announces
+// itself: a workspace at many times its limit takes what others are owed.
+BOOST_AUTO_TEST_CASE(TheLimitHoldsThroughARestartWithinACut) {
+  constexpr double kLoad = 8;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Site site(seed, kHosts, kGrownZones);
+    site.Run(absl::Seconds(4), kLoad, /*uneven=*/false);
+    site.IsolateZone("z2");
+    site.Run(absl::Seconds(1), kLoad, false);
+    site.KillAll();
+    site.Run(kDown, 0, false);
+    site.SetMaxElectionDelay(absl::Milliseconds(1500));
+    site.Restart();
+    site.Run(absl::Seconds(5), kLoad, false);
+    site.HealPartition();
+    site.Run(absl::Seconds(8), kLoad, false);
+    BOOST_TEST(site.tally().max_in_window() < kAllowed,
+               "seed " << seed << " admitted " << site.tally().max_in_window());
+  }
+}
+
 // Guards against a debt for tokens that the other side of a healed partition
 // was entitled to: callers below the limit are refused.
 BOOST_AUTO_TEST_CASE(CallersBelowTheLimitAreServedOnceAPartitionHeals) {
--- a/src/gateway/limit_site_test.h
+++ b/src/gateway/limit_site_test.h
@@ -217,6 +217,12 @@
     }
   }
 
+  // Hosts that restart later begin to elect aggregators at different times, up
+  // to `delay` after their start, as with a slow table service.
+  void SetMaxElectionDelay(absl::Duration delay) {
+    fleet_.max_election_delay = delay;
+  }
+
   // Percentage of restarted hosts that can read the table of hosts.
   int table_readers_percent = 100;
   // Whether each restarted host knows another number of hosts at first.
