Entry host: a drain also waits for answers that peers read from here

What callers saw. The answer to a key is also read by peers, over the control port, for callers that repeat the key at another host; those bytes were not counted.

Answers of 16 MiB, more than the kernel's buffers hold, to readers that read only when all answers are complete at the draining host. ADrainingHostSendsTheRestToPeers failed on the code before this commit (nothing of the answer's end), and passes three times of three now. So the words lost were bytes that the server's threads had not sent when the process ended; a late thread loses a few, a reader that stalls all.

Why it works. A response is open until its last byte is with the kernel, on both servers, and the kernel delivers what it has after the process has ended.

--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -279,9 +279,11 @@
 }
 
 void EntryHost::CheckDrained() {
-  // A call has ended once its last bytes are queued. The server's threads have
-  // yet to send them, and callers would miss the end of their answers.
-  if (calls_->open() == 0 && callers_->open_responses() == 0) drained_ = true;
+  // A call has ended once its last bytes are queued. The servers' threads have
+  // yet to send them, and callers would miss the rest of their answers, also
+  // those for whom a peer reads from here.
+  drained_ = calls_->open() == 0 && callers_->open_responses() == 0 &&
+             control_->open_responses() == 0;
 }
 
 std::vector<RequestId> EntryHost::OpenRequests() {
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -9,7 +9,6 @@
 namespace gentianlb::process {
 namespace {
 
-constexpr char kPeerKey[] = "peer-key-of-the-tests-0123456789";
 constexpr char kOperatorKey[] = "operator-key-of-the-tests-0123456789";
 
 // gentianctl's exit code for what no repetition can mend.
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -25,6 +25,9 @@
 inline constexpr char kPermitToken[] = "token-permit-checks";
 inline constexpr char kModel[] = "drafter";
 
+// With it, entry hosts call each other.
+inline constexpr char kPeerKey[] = "peer-key-of-the-tests-0123456789";
+
 struct EngineShape {
   std::string zone;
   int decode_rate = 2000;  // Tokens a second of one stream.
--- a/tests/process/start_and_drain_test.cc
+++ b/tests/process/start_and_drain_test.cc
@@ -3,8 +3,14 @@
 #include <signal.h>
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "process/deployment.h"
+#include "process/slow_reader.h"
 #include "process/verdicts.h"
 
 namespace gentianlb::process {
@@ -59,6 +65,77 @@
   BOOST_TEST(site.host(0).process->Wait() == 0);
 }
 
+// More than the kernel's buffers hold.
+constexpr int kLargeAnswerBytes = 16 << 20;
+
+void MakeAnswersLarge(Deployment& site) {
+  Json::Value large;
+  large["padding_bytes"] = kLargeAnswerBytes;
+  for (const std::size_t portal : {0, 1}) {
+    SetControl(site.portal(portal).address, large);
+  }
+}
+
+std::string GetRequest(const std::string& path, const std::string& token) {
+  return absl::StrCat("GET ", path,
+                      " HTTP/1.1\r\nHost: site\r\nConnection: close\r\n"
+                      "Authorization: Bearer ",
+                      token, "\r\n\r\n");
+}
+
+// Drains host 0 while it sends large answers to readers that don't read before
+// all answers are complete at the host.
+void CheckThatDrainingSendsAll(
+    Deployment& site, std::vector<std::unique_ptr<SlowReader>>& readers) {
+  constexpr absl::Duration kServiceTime = absl::Seconds(3);
+  for (auto& reader : readers) reader->WaitForStart();
+  site.host(0).process->Signal(SIGTERM);
+  absl::SleepFor(kServiceTime);
+  for (auto& reader : readers) {
+    reader->ReadToEnd();
+    BOOST_TEST(reader->Body().value_or("").size() > kLargeAnswerBytes);
+  }
+  BOOST_TEST(site.host(0).process->Wait() == 0);
+}
+
+// Guards against a host that ends while the rest of answers, long complete
+// here, waits for callers that read slowly.
+BOOST_AUTO_TEST_CASE(ADrainingHostSendsTheRestToSlowReaders) {
+  constexpr int kReaders = 4;
+  Deployment site(GENTIANLB_BUILD_DIR, {});
+  MakeAnswersLarge(site);
+  std::vector<std::unique_ptr<SlowReader>> readers;
+  for (int i = 0; i < kReaders; ++i) {
+    readers.push_back(std::make_unique<SlowReader>(
+        site.host(0).address,
+        GetRequest("/member-portal/members/7", kPermitToken)));
+  }
+  CheckThatDrainingSendsAll(site, readers);
+}
+
+// The same for a peer that reads the answer to a key on behalf of its caller.
+BOOST_AUTO_TEST_CASE(ADrainingHostSendsTheRestToPeers) {
+  Deployment site(GENTIANLB_BUILD_DIR, {});
+  MakeAnswersLarge(site);
+  Caller permits(kPermitToken);
+  BOOST_TEST_REQUIRE(permits
+                         .Send(site.host(0).address, "POST",
+                               "/member-portal/permits/check", "{}", {Key("k")})
+                         .Wait()
+                         .IsWhole());
+  constexpr std::string_view kKeyField = "key=";
+  const std::string events = site.Timeline().output;
+  const std::size_t begin = events.find(kKeyField);
+  BOOST_TEST_REQUIRE(begin != std::string::npos, events);
+  const std::string key = events.substr(begin + kKeyField.size());
+  std::vector<std::unique_ptr<SlowReader>> readers;
+  readers.push_back(std::make_unique<SlowReader>(
+      site.host(0).control,
+      GetRequest("/answers/" + key.substr(0, key.find_first_of(" \n")),
+                 kPeerKey)));
+  CheckThatDrainingSendsAll(site, readers);
+}
+
 // The operator can't wait for the last streams and sends the signal again. The
 // process ends at once and its log names each request that it cut.
 BOOST_AUTO_TEST_CASE(ASecondSignalCutsAndSaysWhat) {
--- a/tests/standins/plain_service.cc
+++ b/tests/standins/plain_service.cc
@@ -11,6 +11,7 @@
   own["lose_answer"] = 0;
   own["leaving"] = false;
   own["load_lag_ms"] = 200;
+  own["padding_bytes"] = 0;
   return WithCommonSwitches(own);
 }
 
@@ -43,6 +44,8 @@
   body["key"] = key;
   body["execution"] = execution;
   body["body"] = request.body;
+  body["padding"] = std::string(
+      static_cast<std::size_t>(control_.Number("padding_bytes")), 'x');
   AddRunning(1);
   timers_.After(control_.Milliseconds("work_ms"),
                 [this, answer, body] { Finish(answer, body); });
