Gateway: a draining host doesn't cut callers that read slowly

What callers saw. 2.5 s after a host began to stop, it closed connections that had made no progress for a second, also those with the rest of a response to send: the answer of a caller whose link stalls for a second broke off, long before the grace time was over.

AStopWaitsForSlowReaders: two streams of 8 MB to callers that read 4 s after SIGTERM, with 8 s of grace. Found while looking for other places where a drain ends with bytes queued.

Why it works. The short timeout is for connections that only wait for a next request. The server now keeps two: one without a response in progress, one with, and the drain shortens the first alone. A caller that never reads is cut when the grace time ends, as before.

--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -315,7 +315,7 @@
   path_monitor_->Drain();
   TimerService& timers = loop_->timers();
   timers_.push_back(timers.At(drain_.close_idle_from, [this](absl::Time) {
-    caller_server_->SetIdleTimeout(kDrainIdleTimeout);
+    caller_server_->SetKeepAliveTimeout(kDrainIdleTimeout);
   }));
   timers_.push_back(timers.At(drain_.refuse_requests_from, [this](absl::Time) {
     caller_server_->StopAccepting();
--- a/src/http/loop_connections.cc
+++ b/src/http/loop_connections.cc
@@ -17,8 +17,8 @@
   loop_->Watch(
       state.descriptor, EPOLLRDHUP | EPOLLET,
       [this, connection](std::uint32_t) { OnCallerDisconnect(connection); });
+  ApplyTimeout(connection, state);
   connections_.emplace(connection, std::move(state));
-  ApplyTimeout(connection);
 }
 
 void LoopConnections::OnClosed(MHD_Connection* connection) {
@@ -37,14 +37,38 @@
   return !found->second.caller_disconnected;
 }
 
+void LoopConnections::SetResponding(MHD_Connection* connection,
+                                    bool responding) {
+  const auto found = connections_.find(connection);
+  if (found == connections_.end()) return;
+  found->second.responding = responding;
+  if (keep_alive_timeout_ == stall_timeout_) return;
+  ApplyTimeout(connection, found->second);
+}
+
 void LoopConnections::SetIdleTimeout(absl::Duration timeout) {
-  idle_timeout_ = timeout;
-  for (const auto& [connection, state] : connections_) ApplyTimeout(connection);
+  keep_alive_timeout_ = timeout;
+  stall_timeout_ = timeout;
+  ApplyTimeouts();
+}
+
+void LoopConnections::SetKeepAliveTimeout(absl::Duration timeout) {
+  keep_alive_timeout_ = timeout;
+  ApplyTimeouts();
+}
+
+void LoopConnections::ApplyTimeouts() const {
+  for (const auto& [connection, state] : connections_) {
+    ApplyTimeout(connection, state);
+  }
 }
 
-void LoopConnections::ApplyTimeout(MHD_Connection* connection) const {
+void LoopConnections::ApplyTimeout(MHD_Connection* connection,
+                                   const Connection& state) const {
+  const absl::Duration timeout =
+      state.responding ? stall_timeout_ : keep_alive_timeout_;
   const auto seconds = static_cast<unsigned>(std::max<std::int64_t>(
-      1, absl::ToInt64Seconds(absl::Ceil(idle_timeout_, absl::Seconds(1)))));
+      1, absl::ToInt64Seconds(absl::Ceil(timeout, absl::Seconds(1)))));
   MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, seconds);
 }
 
--- a/src/http/loop_connections.h
+++ b/src/http/loop_connections.h
@@ -20,7 +20,9 @@
 class LoopConnections {
  public:
   LoopConnections(loop::EventLoop* loop, absl::Duration idle_timeout)
-      : loop_(loop), idle_timeout_(idle_timeout) {}
+      : loop_(loop),
+        keep_alive_timeout_(idle_timeout),
+        stall_timeout_(idle_timeout) {}
 
   void OnOpened(MHD_Connection* connection);
   void OnClosed(MHD_Connection* connection);
@@ -30,8 +32,16 @@
   bool SetPendingResponse(MHD_Connection* connection,
                           const std::shared_ptr<PendingResponse>& response);
 
-  // Applies to open connections and to new ones.
+  // Records that the whole request has been read, or that the response has
+  // ended.
+  void SetResponding(MHD_Connection* connection, bool responding);
+
+  // Sets the time without progress after which a connection is closed. Applies
+  // to open connections and to new ones.
   void SetIdleTimeout(absl::Duration timeout);
+  // Sets it only for connections without a response in progress: a caller that
+  // reads slowly must not lose the rest of its response.
+  void SetKeepAliveTimeout(absl::Duration timeout);
 
   std::size_t size() const { return connections_.size(); }
 
@@ -39,14 +49,17 @@
   struct Connection {
     int descriptor = -1;
     bool caller_disconnected = false;
+    bool responding = false;
     std::weak_ptr<PendingResponse> response;
   };
 
-  void ApplyTimeout(MHD_Connection* connection) const;
+  void ApplyTimeouts() const;
+  void ApplyTimeout(MHD_Connection* connection, const Connection& state) const;
   void OnCallerDisconnect(MHD_Connection* connection);
 
   loop::EventLoop* const loop_;
-  absl::Duration idle_timeout_;
+  absl::Duration keep_alive_timeout_;
+  absl::Duration stall_timeout_;  // While a response is in progress.
   absl::flat_hash_map<MHD_Connection*, Connection> connections_;
 };
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -138,6 +138,7 @@
       *upload_size = 0;
       return MHD_YES;
     }
+    if (connections != nullptr) connections->SetResponding(connection, true);
     if (!exchange.dispatched) Dispatch(exchange);
     return exchange.response->QueueOrSuspend(exchange.response);
   }
@@ -304,8 +305,12 @@
   bool slow = reason == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED;
   if (slow && !exchange->dispatched) RefuseSlowMessage(connection);
   if (exchange->response == nullptr) return;
-  static_cast<Server::Impl*>(closure)->Close(
-      exchange->response, reason == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+  auto& server = *static_cast<Server::Impl*>(closure);
+  if (server.connections != nullptr) {
+    server.connections->SetResponding(connection, false);
+  }
+  server.Close(exchange->response,
+               reason == MHD_REQUEST_TERMINATED_COMPLETED_OK);
 }
 
 void OnConnection(void* closure, MHD_Connection* connection,
@@ -417,6 +422,12 @@
   }
 }
 
+void Server::SetKeepAliveTimeout(absl::Duration timeout) {
+  if (impl_->connections != nullptr) {
+    impl_->connections->SetKeepAliveTimeout(timeout);
+  }
+}
+
 std::size_t Server::open_responses() const {
   absl::MutexLock lock(&impl_->mutex);
   return impl_->open_responses.size();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -56,6 +56,8 @@
   // Sets the time after which an idle connection is closed, also for open
   // connections. Requires an event loop.
   void SetIdleTimeout(absl::Duration timeout);
+  // The same for connections without a response in progress alone.
+  void SetKeepAliveTimeout(absl::Duration timeout);
 
   // Returns the number of requests whose response has not been sent whole. Safe
   // on any thread.
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -6,11 +6,14 @@
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <stdexcept>
+#include <thread>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 #include "http/client.h"
 #include "process/process.h"
+#include "process/slow_reader.h"
 #include "standins/feed_table.h"
 #include "standins/platform_server.h"
 
@@ -40,9 +43,9 @@
 
 class Site {
  public:
-  Site()
-      : llm_a_("llm-a"),
-        llm_b_("llm-b"),
+  explicit Site(int events = 5)
+      : llm_a_("llm-a", events),
+        llm_b_("llm-b", events),
         plain_a_("plain-a"),
         plain_b_("plain-b") {
     for (PlatformServer* server : {&llm_a_, &llm_b_}) Register(*server, "llm");
@@ -290,6 +293,53 @@
   BOOST_TEST(host_->Output().find("event=stopped") != std::string::npos);
 }
 
+class SiteWithLongStreams : public Site {
+ public:
+  static constexpr int kEvents = 400'000;  // Eight megabytes.
+  SiteWithLongStreams() : Site(kEvents) {}
+
+  std::string RequestOf(const std::string& id) const {
+    return absl::StrCat(
+        "POST /chat/1 HTTP/1.1\r\nHost: one.example\r\n"
+        "Request-Id: ",
+        id,
+        "\r\nDeadline-Ms: 9000\r\nAuthorization: Bearer key\r\n"
+        "Model: m\r\nToken-Count: 100,20\r\n"
+        "Content-Length: 0\r\n\r\n");
+  }
+};
+
+// Guards against a process that ends while the last events of streams, long
+// received, wait for callers that read slowly.
+BOOST_FIXTURE_TEST_CASE(AStopWaitsForSlowReaders, SiteWithLongStreams) {
+  constexpr int kReaders = 2;
+  Configure(1);
+  Start("h");
+  WaitUntilReady();
+  std::vector<std::unique_ptr<SlowReader>> readers;
+  for (int i = 0; i < kReaders; ++i) {
+    readers.push_back(std::make_unique<SlowReader>(
+        callers_, RequestOf(absl::StrCat("slow-", i))));
+  }
+  for (auto& reader : readers) reader->WaitForStart();
+  host_->Signal(SIGTERM);
+  // All streams have then ended here, and new ones are refused.
+  absl::SleepFor(absl::Seconds(4));
+  std::vector<std::jthread> threads;
+  threads.reserve(readers.size());
+  for (auto& reader : readers) {
+    threads.emplace_back([&reader] { reader->ReadToEnd(); });
+  }
+  threads.clear();  // Joins them.
+  const std::string last = absl::StrCat("id: ", kEvents, "\ndata: word\n\n");
+  for (auto& reader : readers) {
+    const auto body = reader->Body();
+    BOOST_TEST_REQUIRE(body.has_value());
+    BOOST_TEST(body->ends_with(last));
+  }
+  BOOST_TEST(host_->Wait() == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(BadSettingsAreRefusedWithNumbers, Site) {
   const std::string path =
       folder_.Write("bad.ini", "[host]\nid = h\n[other]\nx = 1\n");
