--- a/src/gateway/tunnel_test.cc
+++ b/src/gateway/tunnel_test.cc
@@ -7,6 +7,7 @@
 
 #include "http/loop_client.h"
 #include "http/raw_server_test.h"
+#include "loop/loop_runner_test.h"
 #include "tunnel/tunnel_server.h"
 
 namespace gentianlb::gateway {
@@ -14,7 +15,7 @@
 
 using http::TransferEnd;
 
-struct Fixture {
+struct Fixture : loop::LoopRunner {
   Fixture() {
     tunnel::TunnelServerHooks hooks;
     hooks.is_allowed = [this](const settings::Endpoint&) { return allowed; };
@@ -27,16 +28,6 @@
     tunnels = std::move(started.value());
   }
 
-  void RunLoop() {
-    loop.timers().At(loop::SteadyNow() + absl::Milliseconds(10),
-                     [this](absl::Time) { loop.Stop(); });
-    loop.Run();
-  }
-  void RunUntil(const std::function<bool()>& done) {
-    for (int i = 0; i < 500 && !done(); ++i) RunLoop();
-    BOOST_REQUIRE(done());
-  }
-
   http::TransferId Send(const std::string& request_body = "") {
     http::ClientRequest request;
     request.url = server.url();
@@ -62,7 +53,6 @@
     RunUntil([this] { return end.has_value(); });
   }
 
-  loop::EventLoop loop;
   http::LoopClient client{&loop, 4};
   http::RawServer server;
   std::unique_ptr<tunnel::TunnelServer> tunnels;
--- a/src/http/loop_client_test.cc
+++ b/src/http/loop_client_test.cc
@@ -7,21 +7,13 @@
 #include <string>
 
 #include "http/raw_server_test.h"
-#include "loop/event_loop.h"
+#include "loop/loop_runner_test.h"
 
 namespace gentianlb::http {
 namespace {
 
-struct Fixture {
-  void RunLoop() {
-    loop.timers().At(loop::SteadyNow() + absl::Milliseconds(20),
-                     [this](absl::Time) { loop.Stop(); });
-    loop.Run();
-  }
-  void RunUntil(const std::function<bool()>& done) {
-    for (int i = 0; i < 250 && !done(); ++i) RunLoop();
-    BOOST_REQUIRE(done());
-  }
+struct Fixture : loop::LoopRunner {
+  void RunLoop() { RunFor(absl::Milliseconds(20)); }
   void Send() {
     client.Start(
         {.url = server.url()},
@@ -36,7 +28,6 @@
     server.Write(bytes);
   }
 
-  loop::EventLoop loop;
   LoopClient client{&loop, 4};
   RawServer server;
   std::string body;
--- a/src/http/loop_server_test.cc
+++ b/src/http/loop_server_test.cc
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "http/server.h"
-#include "loop/event_loop.h"
+#include "loop/loop_runner_test.h"
 
 namespace gentianlb::http {
 namespace {
@@ -57,7 +57,7 @@
 
 constexpr char kGet[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
 
-struct Fixture {
+struct Fixture : loop::LoopRunner {
   Fixture() {
     ServerSettings settings;
     settings.loop = &loop;
@@ -70,16 +70,9 @@
   }
 
   // Runs the loop for 50 ms. The tests don't depend on the exact time.
-  void RunLoop() {
-    loop.timers().At(loop::SteadyNow() + absl::Milliseconds(50),
-                     [this](absl::Time) { loop.Stop(); });
-    loop.Run();
-  }
+  void RunLoop() { RunFor(absl::Milliseconds(50)); }
   // Runs one round of events without waiting.
-  void RunOneRound() {
-    loop.timers().At(loop::SteadyNow(), [this](absl::Time) { loop.Stop(); });
-    loop.Run();
-  }
+  void RunOneRound() { RunFor(absl::ZeroDuration()); }
   // Runs the loop until bytes arrive at `caller`, and returns them.
   std::string ReadResponse(const Caller& caller) {
     std::string received;
@@ -90,7 +83,6 @@
     return received;
   }
 
-  loop::EventLoop loop;
   bool hold_responses = false;
   std::vector<std::shared_ptr<Responder>> held;
   std::unique_ptr<Server> server;
