--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -317,6 +317,7 @@
   Start("h");
   WaitUntilReady();
   std::vector<std::unique_ptr<SlowReader>> readers;
+  readers.reserve(kReaders);
   for (int i = 0; i < kReaders; ++i) {
     readers.push_back(std::make_unique<SlowReader>(
         callers_, RequestOf(absl::StrCat("slow-", i))));
--- a/tests/process/slow_reader.cc
+++ b/tests/process/slow_reader.cc
@@ -96,11 +96,12 @@
 }
 
 std::optional<std::string> SlowReader::Body() const {
-  const std::size_t head_end = received_.find("\r\n\r\n");
-  if (head_end == std::string::npos) return std::nullopt;
-  const std::string_view head = std::string_view(received_).substr(0, head_end);
-  const std::string_view rest =
-      std::string_view(received_).substr(head_end + 4);
+  constexpr std::string_view kHeadEnd = "\r\n\r\n";
+  const std::string_view received = received_;
+  const std::size_t head_end = received.find(kHeadEnd);
+  if (head_end == std::string_view::npos) return std::nullopt;
+  const std::string_view head = received.substr(0, head_end);
+  const std::string_view rest = received.substr(head_end + kHeadEnd.size());
   constexpr std::string_view kLength = "Content-Length: ";
   const std::size_t length_at = head.find(kLength);
   if (length_at == std::string_view::npos) return JoinChunks(rest);
--- a/tests/process/start_and_drain_test.cc
+++ b/tests/process/start_and_drain_test.cc
@@ -105,6 +105,7 @@
   Deployment site(GENTIANLB_BUILD_DIR, {});
   MakeAnswersLarge(site);
   std::vector<std::unique_ptr<SlowReader>> readers;
+  readers.reserve(kReaders);
   for (int i = 0; i < kReaders; ++i) {
     readers.push_back(std::make_unique<SlowReader>(
         site.host(0).address,
