Table service: the monitor's wait is a second again

Now the wait is a second, an answer may be 0.1 s late (0.15 s before), and a missing report counts after 0.1 s (0.2 s). A false alarm costs a few probes. No call is added while the service answers in time.

--- a/src/gateway/table_sharing.cc
+++ b/src/gateway/table_sharing.cc
@@ -15,7 +15,7 @@
 
 // The monitor's reports are missing for longer only if the service doesn't
 // answer it, another one is elected, or messages were lost.
-constexpr absl::Duration kMonitorGap = absl::Milliseconds(200);
+constexpr absl::Duration kMonitorGap = absl::Milliseconds(100);
 
 // Time until a host that has just started receives reports of a monitor.
 constexpr absl::Duration kMonitorStart = absl::Seconds(4);
--- a/src/gateway/table_subscriber.cc
+++ b/src/gateway/table_subscriber.cc
@@ -160,9 +160,9 @@
 }
 
 absl::Duration TableSubscriber::PollWait() const {
-  if (monitoring_) return options_.monitor_wait;
-  const bool may_be_unresponsive =
-      !up_ || peers_newest_ > version_ || mode_ == SubscriptionMode::kProbing;
+  const bool may_be_unresponsive = monitoring_ || !up_ ||
+                                   peers_newest_ > version_ ||
+                                   mode_ == SubscriptionMode::kProbing;
   return may_be_unresponsive ? options_.short_wait : options_.wait;
 }
 
--- a/src/gateway/table_subscriber.h
+++ b/src/gateway/table_subscriber.h
@@ -81,11 +81,10 @@
   // answer may take, the outage is detected after two seconds, within the three
   // that hosts have after an outage.
   absl::Duration short_wait = absl::Seconds(1);
-  // The wait while this host monitors the service for its peers, and how much
-  // later an answer may come. Then other hosts probe the service, and have the
-  // rest of the two seconds to find a change and to propagate it.
-  absl::Duration monitor_wait = absl::Milliseconds(600);
-  absl::Duration monitor_tolerance = absl::Milliseconds(150);
+  // How much later an answer may come while this host monitors the service for
+  // its peers. Then other hosts probe the service, and have the rest of the two
+  // seconds to find a change and to propagate it.
+  absl::Duration monitor_tolerance = absl::Milliseconds(100);
   // How much later than its peers this host may receive a change, before it
   // requests it. Messages and answers of the service take some milliseconds.
   absl::Duration lag_tolerance = absl::Milliseconds(200);
