Gateway: lines of sent requests name what is asked

Cause: the lines name a request's id, and each retry of a caller has another one.

`sent` now has `content`, a hash of workspace, method, host, target, prompt and body. No decision reads it.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -46,6 +46,7 @@
   const Service* service = nullptr;
   ServiceId pool;  // The pool of the service's servers that runs the request.
   Tier tier;
+  schedule::ContentHash content = schedule::kNoContent;
 
   absl::Time arrival;
   absl::Time deadline;  // The earlier of the caller's and the route's.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/strings/str_cat.h"
+#include "gateway/content_hash.h"
 #include "gateway/forwarder_internal.h"
 
 namespace gentianlb::gateway {
@@ -151,6 +152,9 @@
     return Refuse(exchange, *error, kShortRetryAfter);
   }
   exchange.tier = TierOf(*exchange.route, exchange.workspace);
+  exchange.content = HashContent(
+      *exchange.request,
+      exchange.workspace == nullptr ? WorkspaceId() : exchange.workspace->id);
   const absl::Duration time_left =
       std::min(exchange.request->time_left, exchange.route->timeout);
   exchange.deadline = exchange.arrival + time_left;
--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -5,6 +5,7 @@
 
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "gateway/forwarder.h"
 #include "gateway/forwarder_internal.h"
 
@@ -63,6 +64,7 @@
             << " server=" << server.id
             << " address=" << settings::Format(server.address)
             << " zone=" << server.zone
+            << " content=" << absl::StrCat(absl::Hex(exchange.content))
             << " peer=" << exchange.attempt.path.peer_name()
             << " sending=" << exchange.attempts
             << " waited_ms=" << Milliseconds(now - exchange.arrival)
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -88,6 +88,10 @@
   auto operator<=>(const PrefixMark&) const = default;
 };
 
+// Hash of what a request asks for. All attempts of its caller have the same.
+using ContentHash = std::uint64_t;
+inline constexpr ContentHash kNoContent = 0;
+
 // A request as described by its entry host, which keeps the body.
 struct Request {
   RequestId id;
