--- /dev/null
+++ b/tests/process/gateway_process_test.h
@@ -0,0 +1,84 @@
+// A gateway as a process on loopback, its settings file and addresses.
+
+#ifndef GENTIANLB_PROCESS_GATEWAY_PROCESS_TEST_H_
+#define GENTIANLB_PROCESS_GATEWAY_PROCESS_TEST_H_
+
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "http/client.h"
+#include "process/process.h"
+
+namespace gentianlb::process {
+
+class GatewayProcess {
+ public:
+  // Writes the settings into `folder`, which must outlive this object, and
+  // starts the gateway. `table_port`: of the table service.
+  GatewayProcess(const TempFolder& folder, const std::string& name,
+                 int table_port)
+      : folder_(folder),
+        callers_(PickAddress()),
+        ready_(PickAddress()),
+        metrics_(PickAddress()) {
+    const std::string settings =
+        absl::StrCat("[host]\nid = ", name,
+                     "\nzone = z\ngrace = 8s\n[callers]\naddress = ", callers_,
+                     "\n[ready]\naddress = ", ready_,
+                     "\npath = /v1/readyz\n[metrics]\naddress = ", metrics_,
+                     "\n[peers]\naddress = ", PickAddress(),
+                     "\n[table]\naddress = 127.0.0.1:", table_port, "\n");
+    settings_ = folder_.Write(name + ".ini", settings);
+    Run(name);
+  }
+
+  // Starts another process with the same settings; its log is `log`.
+  void Run(const std::string& log) {
+    process_ = std::make_unique<Process>(
+        GENTIANLB_BUILD_DIR "/src/gentianlb/gentianlb",
+        std::vector<std::string>{"gateway", "--settings", settings_},
+        folder_.Path(log));
+  }
+
+  int Ready(http::Client& client) const {
+    return client.FetchAndWait({.url = Url(ready_, "/v1/readyz")}).status;
+  }
+  void WaitUntilReady(http::Client& client) {
+    WaitUntil("the gateway is ready", [&] {
+      // The folder with what it said is removed with the test.
+      if (process_->HasEnded()) {
+        throw std::runtime_error(
+            absl::StrCat("the gateway ended: ", process_->Errors()));
+      }
+      return Ready(client) == 200;
+    });
+  }
+
+  // Returns the text of the host's metrics.
+  std::string Metrics(http::Client& client) const {
+    return client.FetchAndWait({.url = Url(metrics_, "/metrics")}).body;
+  }
+
+  static std::string Url(const std::string& address, std::string_view path) {
+    return absl::StrCat("http://", address, std::string(path));
+  }
+
+  const std::string& callers() const { return callers_; }
+  Process& process() { return *process_; }
+
+ private:
+  const TempFolder& folder_;
+  const std::string callers_;
+  const std::string ready_;
+  const std::string metrics_;
+  std::string settings_;
+  std::unique_ptr<Process> process_;
+};
+
+}  // namespace gentianlb::process
+
+#endif  // GENTIANLB_PROCESS_GATEWAY_PROCESS_TEST_H_
--- a/tests/process/gateway_test.cc
+++ b/tests/process/gateway_test.cc
@@ -5,13 +5,13 @@
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
-#include <stdexcept>
 #include <thread>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
 #include "http/client.h"
+#include "process/gateway_process_test.h"
 #include "process/process.h"
 #include "process/slow_reader.h"
 #include "standins/feed_table.h"
@@ -66,47 +66,17 @@
   }
 
   void Start(const std::string& name) {
-    callers_ = PickAddress();
-    ready_ = PickAddress();
-    metrics_ = PickAddress();
-    const std::string settings =
-        absl::StrCat("[host]\nid = ", name,
-                     "\nzone = z\ngrace = 8s\n[callers]\naddress = ", callers_,
-                     "\n[ready]\naddress = ", ready_,
-                     "\npath = /v1/readyz\n[metrics]\naddress = ", metrics_,
-                     "\n[peers]\naddress = ", PickAddress(),
-                     "\n[table]\naddress = 127.0.0.1:", table_.port(), "\n");
-    settings_ = folder_.Write(name + ".ini", settings);
-    Run(name);
+    host_ = std::make_unique<GatewayProcess>(folder_, name, table_.port());
   }
 
-  // Another process with the settings of the one that was started last.
-  void Run(const std::string& name) {
-    host_ = std::make_unique<Process>(
-        GENTIANLB_BUILD_DIR "/src/gentianlb/gentianlb",
-        std::vector<std::string>{"gateway", "--settings", settings_},
-        folder_.Path(name));
-  }
-
-  int Ready() {
-    return client_.FetchAndWait({.url = Url(ready_, "/v1/readyz")}).status;
-  }
-  void WaitUntilReady() {
-    WaitUntil("the gateway is ready", [this] {
-      // The folder with what it said is removed with the test.
-      if (host_->HasEnded()) {
-        throw std::runtime_error(
-            absl::StrCat("the gateway ended: ", host_->Errors()));
-      }
-      return Ready() == 200;
-    });
-  }
+  int Ready() { return host_->Ready(client_); }
+  void WaitUntilReady() { host_->WaitUntilReady(client_); }
 
   http::Reply Ask(const std::string& path, const std::string& id,
                   const std::string& key = "key") {
     http::ClientRequest request;
     request.method = "POST";
-    request.url = Url(callers_, "/");
+    request.url = GatewayProcess::Url(host_->callers(), "/");
     request.target = path;
     request.headers = {{"Host", "one.example"},
                        {"Request-Id", id},
@@ -122,10 +92,6 @@
     return client_.FetchAndWait(std::move(request));
   }
 
-  static std::string Url(const std::string& address, std::string_view path) {
-    return absl::StrCat("http://", address, std::string(path));
-  }
-
   int TotalRuns(const std::string& id) {
     int runs = 0;
     for (PlatformServer* server : {&llm_a_, &llm_b_, &plain_a_, &plain_b_}) {
@@ -142,12 +108,8 @@
   PlatformServer plain_a_;
   PlatformServer plain_b_;
   TempFolder folder_;
-  std::string settings_;
-  std::string callers_;
-  std::string ready_;
-  std::string metrics_;
   http::Client client_;
-  std::unique_ptr<Process> host_;
+  std::unique_ptr<GatewayProcess> host_;
 };
 
 constexpr char kWholeStream[] =
@@ -173,10 +135,8 @@
   }
   BOOST_TEST(Ask("/nowhere/", "lost").status == 404);
   BOOST_TEST(Ask("/read/1", "stolen", "other").status == 401);
-  const http::Reply metrics =
-      client_.FetchAndWait({.url = Url(metrics_, "/metrics")});
-  BOOST_TEST(metrics.body.find("gentianlb_requests_answered_total") !=
-             std::string::npos);
+  BOOST_TEST(host_->Metrics(client_).find(
+                 "gentianlb_requests_answered_total") != std::string::npos);
   BOOST_TEST((table_.Keys("entry_hosts") == std::vector<std::string>{"h"}));
 }
 
@@ -247,9 +207,7 @@
   Configure(2);
   table_.SetDown(false);
   WaitUntil("the new version is in force", [this] {
-    const http::Reply metrics =
-        client_.FetchAndWait({.url = Url(metrics_, "/metrics")});
-    return metrics.body.find("gentianlb_configuration_version 2") !=
+    return host_->Metrics(client_).find("gentianlb_configuration_version 2") !=
            std::string::npos;
   });
   BOOST_TEST(Ask("/read/1", "after").status == 200);
@@ -261,17 +219,18 @@
   Configure(1);
   Start("a");
   WaitUntilReady();
-  const std::unique_ptr<Process> beside = std::move(host_);
+  const std::unique_ptr<GatewayProcess> beside = std::move(host_);
   Start("b");
   WaitUntilReady();
   WaitUntil("the hosts hear each other", [&] {
-    const std::string said = host_->Output() + beside->Output();
+    const std::string said =
+        host_->process().Output() + beside->process().Output();
     return said.find("event=aggregator ") != std::string::npos;
   });
   table_.SetDown(true);
-  host_->Signal(SIGKILL);
-  host_->Wait();
-  Run("b-again");
+  host_->process().Signal(SIGKILL);
+  host_->process().Wait();
+  host_->Run("b-again");
   WaitUntilReady();
   BOOST_TEST(Ask("/read/1", "while-away").status == 200);
   BOOST_TEST(Ask("/read/1", "stolen", "other").status == 401);
@@ -283,14 +242,15 @@
   Configure(1);
   Start("h");
   WaitUntilReady();
-  host_->Signal(SIGHUP);  // Changes nothing that is in force.
-  host_->Signal(SIGTERM);
+  host_->process().Signal(SIGHUP);  // Changes nothing that is in force.
+  host_->process().Signal(SIGTERM);
   WaitUntil("it says that it isn't ready", [this] { return Ready() == 503; });
   const http::Reply reply = Ask("/pay/1", "p");
   BOOST_TEST(reply.status == 200);
   BOOST_TEST(http::FindHeader(reply.headers, "Connection") == "close");
-  BOOST_TEST(host_->Wait() == 0);
-  BOOST_TEST(host_->Output().find("event=stopped") != std::string::npos);
+  BOOST_TEST(host_->process().Wait() == 0);
+  BOOST_TEST(host_->process().Output().find("event=stopped") !=
+             std::string::npos);
 }
 
 class SiteWithLongStreams : public Site {
@@ -320,10 +280,10 @@
   readers.reserve(kReaders);
   for (int i = 0; i < kReaders; ++i) {
     readers.push_back(std::make_unique<SlowReader>(
-        callers_, RequestOf(absl::StrCat("slow-", i))));
+        host_->callers(), RequestOf(absl::StrCat("slow-", i))));
   }
   for (auto& reader : readers) reader->WaitForStart();
-  host_->Signal(SIGTERM);
+  host_->process().Signal(SIGTERM);
   // All streams have then ended here, and new ones are refused.
   absl::SleepFor(absl::Seconds(4));
   std::vector<std::jthread> threads;
@@ -338,7 +298,7 @@
     BOOST_TEST_REQUIRE(body.has_value());
     BOOST_TEST(body->ends_with(last));
   }
-  BOOST_TEST(host_->Wait() == 0);
+  BOOST_TEST(host_->process().Wait() == 0);
 }
 
 BOOST_FIXTURE_TEST_CASE(BadSettingsAreRefusedWithNumbers, Site) {
