--- /dev/null
+++ b/tests/process/deadly_request_test.cc
@@ -0,0 +1,173 @@
+// Several gateways as processes, before servers that end under some requests.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "http/client.h"
+#include "process/gateway_process_test.h"
+#include "process/process.h"
+#include "standins/feed_table.h"
+#include "standins/platform_server.h"
+
+namespace gentianlb::process {
+namespace {
+
+using standins::FeedTable;
+using standins::PlatformServer;
+
+constexpr char kConfiguration[] = R"({"version":1,
+ "routes":[
+  {"name":"chat","host":"one.example","prefix":"/chat/",
+   "route_type":"streaming","timeout_ms":9000,"slo_ms":5000,"priority":0,
+   "service":"llm","max_attempts":2,"public":true,"resumable":true},
+  {"name":"read","host":"one.example","prefix":"/read/",
+   "route_type":"idempotent","timeout_ms":9000,"slo_ms":5000,"priority":1,
+   "service":"plain","max_attempts":2,"public":true}],
+ "services":[
+  {"name":"llm","engine":{"slots":8,"kv_capacity":100000,"stride":1,
+   "models":[{"name":"m"}]}},
+  {"name":"plain","max_conns":100}],
+ "limits":{"idle_timeout_ms":15000}})";
+
+// Ends each server of the site that runs a request whose body contains it.
+constexpr char kDeadly[] = "deadly";
+
+// As many servers may end under one request before it is sent to no other.
+constexpr int kMaxServersEnded = 3;
+
+class Site {
+ public:
+  static constexpr int kHosts = 4;
+  static constexpr int kServers = 9;  // Of each service.
+
+  Site() {
+    for (const char* service : {"llm", "plain"}) {
+      for (int i = 0; i < kServers; ++i) {
+        servers_.push_back(
+            std::make_unique<PlatformServer>(absl::StrCat(service, "-", i)));
+        PlatformServer& server = *servers_.back();
+        server.SetFaults({.ends_under = kDeadly});
+        table_.Put("servers", server.id(), server.Registration(service));
+      }
+    }
+    table_.Put("op", "config", kConfiguration);
+    for (int i = 0; i < kHosts; ++i) {
+      hosts_.push_back(std::make_unique<GatewayProcess>(
+          folder_, absl::StrCat("h", i), table_.port()));
+    }
+    for (auto& host : hosts_) host->WaitUntilReady(client_);
+    WaitUntil("all hosts dispatch for each other", [this] {
+      return std::all_of(hosts_.begin(), hosts_.end(), [this](auto& host) {
+        return host->Metrics(client_).find(
+                   absl::StrCat("gentianlb_peers_reachable ", kHosts - 1)) !=
+               std::string::npos;
+      });
+    });
+  }
+
+  // One attempt of a caller, over host number `host`.
+  http::Reply Ask(int host, const std::string& path, const std::string& body) {
+    http::ClientRequest request;
+    request.method = "POST";
+    request.url = GatewayProcess::Url(
+        hosts_[static_cast<std::size_t>(host % kHosts)]->callers(), "/");
+    request.target = path;
+    request.headers = {{"Host", "one.example"},
+                       {"Request-Id", absl::StrCat("r", ++asked_)},
+                       {"Deadline-Ms", "9000"}};
+    if (path.starts_with("/chat/")) {
+      request.headers.push_back({"Model", "m"});
+      request.headers.push_back({"Token-Count", "100,20"});
+    }
+    request.body = body;
+    request.send_policy = http::SendPolicy::kFreshConnection;
+    return client_.FetchAndWait(std::move(request));
+  }
+
+  int ServersEnded() const {
+    return static_cast<int>(
+        std::count_if(servers_.begin(), servers_.end(),
+                      [](const auto& server) { return server->HasEnded(); }));
+  }
+
+  // A caller repeats a request at once, each time over the next host.
+  void Insist(const std::string& path, const std::string& body) {
+    constexpr int kAttempts = 8;
+    for (int i = 0; i < kAttempts; ++i) {
+      last_ = Ask(i, path, body);
+      BOOST_TEST(last_.status != 200);
+    }
+  }
+
+  // Returns how many of as many other requests as there are servers get their
+  // answer.
+  int ServedOthers(const std::string& path) {
+    int served = 0;
+    for (int i = 0; i < kServers; ++i) {
+      const http::Reply reply = Ask(i, path, absl::StrCat("harmless ", i));
+      served += reply.status == 200 ? 1 : 0;
+    }
+    return served;
+  }
+
+  FeedTable table_;
+  std::vector<std::unique_ptr<PlatformServer>> servers_;
+  TempFolder folder_;
+  http::Client client_;
+  std::vector<std::unique_ptr<GatewayProcess>> hosts_;
+  http::Reply last_;
+  int asked_ = 0;
+};
+
+BOOST_FIXTURE_TEST_CASE(HarmlessRequestsAreServed, Site) {
+  BOOST_TEST(ServedOthers("/chat/1") == kServers);
+  BOOST_TEST(ServedOthers("/read/1") == kServers);
+  BOOST_TEST(ServersEnded() == 0);
+}
+
+// Guards against a stream that ends server after server, as its caller resumes
+// it over other hosts.
+BOOST_FIXTURE_TEST_CASE(AStreamEndsFewServersThoughItsCallerInsists, Site,
+                        *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  Insist("/chat/1", kDeadly);
+  BOOST_TEST(ServersEnded() <= kMaxServersEnded);
+  BOOST_TEST(last_.status == 503);
+  BOOST_TEST(!http::FindHeader(last_.headers, "Retry-After").empty());
+  BOOST_TEST(ServedOthers("/chat/1") == kServers);
+}
+
+// Guards against a plain call that ends server after server, as its caller
+// repeats it over other hosts.
+BOOST_FIXTURE_TEST_CASE(ACallEndsFewServersThoughItsCallerInsists, Site,
+                        *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  Insist("/read/1", kDeadly);
+  BOOST_TEST(ServersEnded() <= kMaxServersEnded);
+  BOOST_TEST(last_.status == 503);
+  BOOST_TEST(!http::FindHeader(last_.headers, "Retry-After").empty());
+  BOOST_TEST(ServedOthers("/read/1") == kServers);
+}
+
+// Guards against a request that ends more servers once the host that counted
+// them is gone.
+BOOST_FIXTURE_TEST_CASE(AStreamEndsFewServersThoughADispatcherIsKilled, Site,
+                        *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  Insist("/chat/1", kDeadly);
+  for (auto& host : hosts_) {
+    const std::string said = host->process().Output();
+    if (said.find("event=group-taken service=llm") == std::string::npos) {
+      continue;
+    }
+    host->process().KillAndWait();
+    break;
+  }
+  Insist("/chat/1", kDeadly);
+  BOOST_TEST(ServersEnded() <= kMaxServersEnded);
+}
+
+}  // namespace
+}  // namespace gentianlb::process
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "base/json_text.h"
@@ -18,13 +19,36 @@
                                            auto answer) {
         Handle(request, *answer);
       }).value());
+  port_ = server_->port();
+  closer_ = std::thread([this] { CloseAtEnd(); });
+}
+
+PlatformServer::~PlatformServer() {
+  {
+    absl::MutexLock lock(&mutex_);
+    closing_ = true;
+  }
+  closer_.join();
+}
+
+void PlatformServer::CloseAtEnd() {
+  {
+    absl::MutexLock lock(&mutex_);
+    mutex_.Await(absl::Condition(&closing_));
+  }
+  server_.reset();
+}
+
+bool PlatformServer::HasEnded() const {
+  absl::MutexLock lock(&mutex_);
+  return ended_;
 }
 
 std::string PlatformServer::Registration(const std::string& service,
                                          const std::string& state) const {
   Json::Value row;
   row["service"] = service;
-  row["address"] = absl::StrCat("127.0.0.1:", server_->port());
+  row["address"] = absl::StrCat("127.0.0.1:", port_);
   row["zone"] = "z";
   row["slots"] = 8;
   row["state"] = state;
@@ -55,12 +79,21 @@
     return answer.Respond(421, {{"Instance-Id", id_}}, "");
   }
   Faults faults;
+  bool ended = false;
   {
     absl::MutexLock lock(&mutex_);
     faults = faults_;
-    last_ = request;
-    if (!faults.sheds) ++runs_[request_id];
+    const bool deadly = !faults.ends_under.empty() &&
+                        absl::StrContains(request.body, faults.ends_under);
+    ended = ended_ || deadly;
+    closing_ |= deadly;
+    if (!ended_) {
+      last_ = request;
+      if (!faults.sheds) ++runs_[request_id];
+    }
+    ended_ = ended;
   }
+  if (ended) return answer.Abort();
   if (faults.sheds) return answer.Respond(503, {{"Not-Executed", "1"}}, "");
   if (faults.loses_answers) return answer.Abort();
   if (!request.header("Model").empty()) {
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "absl/synchronization/mutex.h"
 #include "http/server.h"
@@ -19,10 +20,15 @@
     int cut_after_events = -1;   // Streams break off there; -1: never.
     bool sheds = false;          // Says of everything that it has not run it.
     bool loses_answers = false;  // Runs it, and breaks the connection.
+    // Ends while it runs a request whose body contains this; empty: none.
+    std::string ends_under;
   };
 
   // Listens on a port that the kernel picks.
   explicit PlatformServer(std::string id, int events = 5);
+  ~PlatformServer();
+  PlatformServer(const PlatformServer&) = delete;
+  PlatformServer& operator=(const PlatformServer&) = delete;
 
   // Its row in the table of servers.
   std::string Registration(const std::string& service,
@@ -30,6 +36,8 @@
   const std::string& id() const { return id_; }
 
   void SetFaults(const Faults& faults);
+  // Whether it has ended under a request. It accepts no connections any more.
+  bool HasEnded() const;
   // How often each request has run here, by its id.
   std::map<std::string, int> Runs() const;
   // What the last request looked like here.
@@ -39,6 +47,9 @@
   void Handle(const http::Request& request, http::Responder& answer);
   void Stream(const http::Request& request, http::Responder& answer,
               const Faults& faults) const;
+  // Closes the port and all connections once `closing_` is set. Runs on a
+  // thread of its own, as the server's threads can't end their server.
+  void CloseAtEnd();
 
   const std::string id_;
   const int events_;
@@ -46,7 +57,11 @@
   Faults faults_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
   http::Request last_ ABSL_GUARDED_BY(mutex_);
-  std::unique_ptr<http::Server> server_;  // Ends first.
+  bool ended_ ABSL_GUARDED_BY(mutex_) = false;    // Under a request.
+  bool closing_ ABSL_GUARDED_BY(mutex_) = false;  // Ended, or destroyed.
+  std::unique_ptr<http::Server> server_;          // Ends first.
+  int port_ = 0;
+  std::thread closer_;
 };
 
 }  // namespace gentianlb::standins
