Dispatcher: a crash makes no content suspect for good that many callers ask for

What callers would see: many ask for the same; one of its servers crashes. Those that ran there weren't sent on, since all others with the same content counted as losses to come: 5 or 6 of 40 were refused, 34 or 35 served.

Cause: MayEndServers counted all running requests with a suspected content. Those that ran before the first loss end their servers or don't, whatever is sent now.

Change: only requests granted since the first loss count, and a request that has lost its server itself waits for them instead of being refused.

The other cases of deadly_request_test as before.

--- a/src/gateway/deadly_request_test.cc
+++ b/src/gateway/deadly_request_test.cc
@@ -44,6 +44,8 @@
     }
   }
 
+  void SendHarmless(ContentHash content) { Start(content, /*attempts=*/2); }
+
   // A caller insists on a request that ends each server.
   void SendDeadly(ContentHash content) {
     deadly_.insert(content);
@@ -101,7 +103,10 @@
   }
 
   void Submit(Call call) {
-    call.id = groups.Submit(call.host, 0, absl::Seconds(5), call.content);
+    // The server that it lost, if any.
+    const ServerId avoid(call.server);
+    call.id =
+        groups.Submit(call.host, 0, absl::Seconds(5), call.content, avoid);
     call.decisions = 0;
     call.running = false;
     calls_.push_back(std::move(call));
@@ -197,6 +202,7 @@
 };
 
 constexpr ContentHash kDeadly = 1;
+constexpr ContentHash kWanted = 2;
 
 // Guards against a request that ends server after server, as its caller repeats
 // it over other hosts.
@@ -254,6 +260,21 @@
   }
 }
 
+// Guards against a content that many callers ask for and that is refused since
+// one of its servers crashed.
+BOOST_AUTO_TEST_CASE(AContentThatManyAskForOutlivesACrash) {
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    Site site(8, seed);
+    site.Run(absl::Milliseconds(500), /*harmless_per_step=*/0);
+    for (int i = 0; i < 40; ++i) site.SendHarmless(kWanted);
+    site.Run(absl::Milliseconds(10), /*harmless_per_step=*/0);
+    site.EndServer(site.ServerName(0));
+    site.Run(absl::Seconds(1), /*harmless_per_step=*/0);
+    BOOST_TEST(site.harmless_suspected <= 2);
+    BOOST_TEST(site.harmless_served >= 38);
+  }
+}
+
 // Guards against a request that ends more servers once another host dispatches.
 BOOST_AUTO_TEST_CASE(ANewDispatcherKnowsTheDeadlyRequests) {
   for (const int hosts : {8, 64}) {
--- a/src/gateway/group_site_test.h
+++ b/src/gateway/group_site_test.h
@@ -107,7 +107,8 @@
 
   RequestId Submit(const std::string& host, int rank = 0,
                    absl::Duration deadline = absl::Seconds(5),
-                   schedule::ContentHash content = schedule::kNoContent) {
+                   schedule::ContentHash content = schedule::kNoContent,
+                   const ServerId& avoid = ServerId()) {
     schedule::Request request;
     request.id = RequestId(std::to_string(++submitted));
     request.host = EntryHostId(host);
@@ -120,6 +121,7 @@
     request.prompt_tokens = 100;
     request.max_output_tokens = 50;
     request.content = content;
+    request.avoid = avoid;
     Host& origin = hosts.at(host);
     const bool handled =
         origin.link->OnEvent(service.id, schedule::RequestArrived{request});
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -183,6 +183,7 @@
   for (const WaitIndex index : heads_) {
     const WaitingRequest& waiting = state_.queue.Get(index);
     if (MayEndServers(state_, waiting.request)) {
+      if (WaitsForSuspects(state_, waiting.request)) continue;
       RefuseWaiting(state_, index, Code::kEndsServers,
                     SuspectRetryAfter(state_, waiting.request));
       return true;
--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -271,7 +271,7 @@
     return;
   }
 
-  if (MayEndServers(state, request)) {
+  if (MayEndServers(state, request) && !WaitsForSuspects(state, request)) {
     RefuseRequest(state, request, Code::kEndsServers,
                   SuspectRetryAfter(state, request));
     return;
--- a/src/schedule/running.cc
+++ b/src/schedule/running.cc
@@ -40,10 +40,13 @@
   return found == by_id_.end() ? kNoIndex : found->second;
 }
 
-std::size_t RunningTable::CountContent(ContentHash content) const {
+std::size_t RunningTable::CountContent(ContentHash content,
+                                       absl::Time since) const {
   return static_cast<std::size_t>(
       std::count_if(by_id_.begin(), by_id_.end(), [&](const auto& item) {
-        return running_[item.second].origin.request.content == content;
+        const RunningRequest& running = running_[item.second];
+        return running.origin.request.content == content &&
+               running.granted_at >= since;
       }));
 }
 
--- a/src/schedule/running.h
+++ b/src/schedule/running.h
@@ -50,8 +50,9 @@
 
   // Returns kNoIndex if unknown.
   RunIndex Find(const RequestId& id) const;
-  // Returns the number of requests with this content. Scans all.
-  std::size_t CountContent(ContentHash content) const;
+  // Returns the number of requests with this content that were granted at
+  // `since` or later. Scans all.
+  std::size_t CountContent(ContentHash content, absl::Time since) const;
   const RunningRequest& Get(RunIndex index) const { return running_[index]; }
   std::size_t size() const { return running_.size(); }
 
--- a/src/schedule/state.cc
+++ b/src/schedule/state.cc
@@ -78,10 +78,17 @@
 
 bool MayEndServers(const State& state, const Request& request) {
   const ContentHash content = request.content;
-  // Only suspects are worth a scan of the running requests.
-  if (state.suspects().ServersLost(content, state.now) == 0) return false;
-  return !state.suspects().MayRun(content, state.running.CountContent(content),
-                                  state.now);
+  const absl::Time first_loss = state.suspects().FirstLoss(content, state.now);
+  // Only suspects are worth a scan of the running requests. Those that ran
+  // before end their servers or don't, whatever is sent now.
+  if (first_loss == absl::InfiniteFuture()) return false;
+  return !state.suspects().MayRun(
+      content, state.running.CountContent(content, first_loss), state.now);
+}
+
+bool WaitsForSuspects(const State& state, const Request& request) {
+  return !request.avoid.empty() &&
+         state.suspects().MayRun(request.content, /*running=*/0, state.now);
 }
 
 absl::Duration SuspectRetryAfter(State& state, const Request& request) {
--- a/src/schedule/state.h
+++ b/src/schedule/state.h
@@ -114,6 +114,11 @@
 // requests with the same content.
 bool MayEndServers(const State& state, const Request& request);
 
+// Returns whether such a request waits for what the running ones show. Only
+// those do that lost their server themselves, no more than ran there: others
+// could fill the front of the queue.
+bool WaitsForSuspects(const State& state, const Request& request);
+
 // Returns how long the caller of such a request should wait before a retry:
 // until the running ones have shown what they do, or the content is forgotten.
 absl::Duration SuspectRetryAfter(State& state, const Request& request);
--- a/src/schedule/suspects.cc
+++ b/src/schedule/suspects.cc
@@ -95,6 +95,14 @@
   return suspect == nullptr ? 0 : suspect->losses.size();
 }
 
+absl::Time SuspectRequests::FirstLoss(ContentHash content,
+                                      absl::Time now) const {
+  const Suspect* suspect = Find(content, now);
+  // In the order of their times.
+  return suspect == nullptr ? absl::InfiniteFuture()
+                            : suspect->losses.front().at;
+}
+
 bool SuspectRequests::MayRun(ContentHash content, std::size_t running,
                              absl::Time now) const {
   const std::size_t lost = ServersLost(content, now);
--- a/src/schedule/suspects.h
+++ b/src/schedule/suspects.h
@@ -62,9 +62,11 @@
 
   // Returns the number of servers lost under `content`.
   std::size_t ServersLost(ContentHash content, absl::Time now) const;
+  // Returns when the first of these was lost; InfiniteFuture() if none was.
+  absl::Time FirstLoss(ContentHash content, absl::Time now) const;
   // Returns whether a request may be sent while `running` others with the same
-  // content run: if all of them end their servers too, no more than
-  // kMaxServersLost are lost.
+  // content run that were granted since the first loss: if all of them end
+  // their servers too, no more than kMaxServersLost are lost.
   bool MayRun(ContentHash content, std::size_t running, absl::Time now) const;
   // Returns the time until `content` is forgotten; zero if it isn't suspected.
   absl::Duration TimeUntilForgotten(ContentHash content, absl::Time now) const;
--- a/src/schedule/suspects_test.cc
+++ b/src/schedule/suspects_test.cc
@@ -37,6 +37,15 @@
   BOOST_TEST(!WithLosses(2).MayRun(kContent, 1, kStart));
 }
 
+// Guards against requests that ran before and are counted as new attempts.
+BOOST_AUTO_TEST_CASE(TheFirstLossIsKnown) {
+  SuspectRequests suspects = WithLosses(1);
+  suspects.OnServerLost(kContent, Server(1), kStart + kMs);
+  BOOST_TEST((suspects.FirstLoss(kContent, kStart + kMs) == kStart));
+  BOOST_TEST((suspects.FirstLoss(kContent + 1, kStart + kMs) ==
+              absl::InfiniteFuture()));
+}
+
 // Guards against a server that counts twice, as seen by its host and by its
 // dispatcher.
 BOOST_AUTO_TEST_CASE(AServerCountsOnce) {
