--- a/tests/process/deadly_request_test.cc
+++ b/tests/process/deadly_request_test.cc
@@ -2,24 +2,16 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <memory>
 #include <string>
-#include <thread>
-#include <vector>
+#include <utility>
 
 #include "absl/strings/str_cat.h"
 #include "http/client.h"
-#include "process/gateway_process_test.h"
-#include "process/process.h"
-#include "standins/feed_table.h"
-#include "standins/platform_server.h"
+#include "process/gateway_site_test.h"
 
 namespace gentianlb::process {
 namespace {
 
-using standins::FeedTable;
-using standins::PlatformServer;
-
 constexpr char kConfiguration[] = R"({"version":1,
  "routes":[
   {"name":"chat","host":"one.example","prefix":"/chat/",
@@ -40,51 +32,20 @@
 // As many servers may end under one request before it is sent to no other.
 constexpr int kMaxServersEnded = 3;
 
-class Site {
+class Site : public GatewaySite {
  public:
-  static constexpr int kHosts = 4;
   static constexpr int kServers = 9;  // Of each service.
 
-  Site() {
-    for (const char* service : {"llm", "plain"}) {
-      for (int i = 0; i < kServers; ++i) {
-        servers_.push_back(
-            std::make_unique<PlatformServer>(absl::StrCat(service, "-", i)));
-        PlatformServer& server = *servers_.back();
-        server.SetFaults({.ends_under = kDeadly});
-        table_.Put("servers", server.id(), server.Registration(service));
-      }
-    }
-    table_.Put("op", "config", kConfiguration);
-    for (int i = 0; i < kHosts; ++i) {
-      hosts_.push_back(std::make_unique<GatewayProcess>(
-          folder_, absl::StrCat("h", i), table_.port()));
-    }
-    for (auto& host : hosts_) host->WaitUntilReady(client_);
-    WaitUntil("all hosts dispatch for each other", [this] {
-      return std::all_of(hosts_.begin(), hosts_.end(), [this](auto& host) {
-        return host->Metrics(client_).find(
-                   absl::StrCat("gentianlb_peers_reachable ", kHosts - 1)) !=
-               std::string::npos;
-      });
-    });
+  Site() : GatewaySite(kConfiguration, {"llm", "plain"}, kServers) {
+    for (auto& server : servers_) server->SetFaults({.ends_under = kDeadly});
   }
 
-  // One attempt of a caller, over host number `host`.
   http::Reply Ask(int host, const std::string& path, const std::string& body) {
-    http::ClientRequest request;
-    request.method = "POST";
-    request.url = GatewayProcess::Url(
-        hosts_[static_cast<std::size_t>(host % kHosts)]->callers(), "/");
-    request.target = path;
-    request.headers = {{"Host", "one.example"},
-                       {"Request-Id", absl::StrCat("r", ++asked_)},
-                       {"Deadline-Ms", "9000"}};
+    http::ClientRequest request = MakeRequest(host, path, body, "9000");
     if (path.starts_with("/chat/")) {
       request.headers.push_back({"Model", "m"});
       request.headers.push_back({"Token-Count", "100,20"});
     }
-    request.body = body;
     request.send_policy = http::SendPolicy::kFreshConnection;
     return client_.FetchAndWait(std::move(request));
   }
@@ -115,13 +76,7 @@
     return served;
   }
 
-  FeedTable table_;
-  std::vector<std::unique_ptr<PlatformServer>> servers_;
-  TempFolder folder_;
-  http::Client client_;
-  std::vector<std::unique_ptr<GatewayProcess>> hosts_;
   http::Reply last_;
-  int asked_ = 0;
 };
 
 BOOST_FIXTURE_TEST_CASE(HarmlessRequestsAreServed, Site) {
--- a/tests/process/request_limit_test.cc
+++ b/tests/process/request_limit_test.cc
@@ -11,15 +11,13 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "http/client.h"
-#include "process/gateway_process_test.h"
+#include "process/gateway_site_test.h"
 #include "process/process.h"
-#include "standins/feed_table.h"
 #include "standins/platform_server.h"
 
 namespace gentianlb::process {
 namespace {
 
-using standins::FeedTable;
 using standins::PlatformServer;
 
 constexpr char kConfiguration[] = R"({"version":1,
@@ -39,34 +37,13 @@
   return 1.5 * per_second * absl::ToDoubleSeconds(kWindow) + 5;
 }
 
-class Site {
+class Site : public GatewaySite {
  public:
-  static constexpr std::size_t kHosts = 4;
-  static constexpr std::size_t kServers = 8;
+  static constexpr int kServers = 8;
   static constexpr double kRequestsPerSecond = 140;
 
-  Site() {
-    for (std::size_t i = 0; i < kServers; ++i) {
-      servers_.push_back(
-          std::make_unique<PlatformServer>(absl::StrCat("plain-", i)));
-      const PlatformServer& server = *servers_.back();
-      table_.Put("servers", server.id(), server.Registration("plain"));
-    }
-    table_.Put("op", "config", kConfiguration);
-    for (std::size_t i = 0; i < kHosts; ++i) {
-      hosts_.push_back(std::make_unique<GatewayProcess>(
-          folder_, absl::StrCat("h", i), table_.port()));
-    }
-    for (auto& host : hosts_) host->WaitUntilReady(client_);
-    WaitUntil("all hosts dispatch for each other", [this] {
-      return std::all_of(hosts_.begin(), hosts_.end(), [this](auto& host) {
-        return host->Metrics(client_).find(
-                   absl::StrCat("gentianlb_peers_reachable ", kHosts - 1)) !=
-               std::string::npos;
-      });
-    });
-  }
-  ~Site() { client_.Stop(); }
+  Site() : GatewaySite(kConfiguration, {"plain"}, kServers) {}
+  ~Site() { client_.Stop(); }  // Its callbacks refer to the members below.
 
   // Sends requests over all hosts in turn.
   void Send(absl::Duration span) {
@@ -98,11 +75,6 @@
     server.SetFaults({.request_limit = limit});
   }
 
-  FeedTable table_;
-  std::vector<std::unique_ptr<PlatformServer>> servers_;
-  TempFolder folder_;
-  http::Client client_;
-  std::vector<std::unique_ptr<GatewayProcess>> hosts_;
   std::atomic<int> open_ = 0;
   std::atomic<int> served_ = 0;
   std::atomic<int> refused_ = 0;
@@ -113,15 +85,8 @@
   void SendOne(int number) {
     // No refusal needs longer.
     constexpr absl::Duration kAtOnce = absl::Milliseconds(500);
-    http::ClientRequest request;
-    request.method = "POST";
-    request.url = GatewayProcess::Url(
-        hosts_[static_cast<std::size_t>(number) % kHosts]->callers(), "/");
-    request.target = "/read/1";
-    request.headers = {{"Host", "one.example"},
-                       {"Request-Id", absl::StrCat("r", number)},
-                       {"Deadline-Ms", "2000"}};
-    request.body = absl::StrCat("body of ", number);
+    http::ClientRequest request = MakeRequest(
+        number, "/read/1", absl::StrCat("body of ", number), "2000");
     const absl::Time sent = absl::Now();
     ++open_;
     client_.Fetch(std::move(request), [this, sent](const http::Reply& reply) {
