--- a/src/gateway/content_hash_test.cc
+++ b/src/gateway/content_hash_test.cc
@@ -5,7 +5,7 @@
 namespace gentianlb::gateway {
 namespace {
 
-const WorkspaceId kWorkspace("w");
+const WorkspaceId workspace("w");
 
 CallerRequest MakeRequest() {
   CallerRequest request;
@@ -28,29 +28,29 @@
   retry.id = RequestId("second");
   retry.time_left = absl::Seconds(1);
   retry.last_event = 12;
-  BOOST_TEST(HashContent(first, kWorkspace) == HashContent(retry, kWorkspace));
+  BOOST_TEST(HashContent(first, workspace) == HashContent(retry, workspace));
 }
 
 // Guards against requests that are refused for what others ask.
 BOOST_AUTO_TEST_CASE(OtherContentsDiffer) {
   const CallerRequest request = MakeRequest();
-  const auto hash = HashContent(request, kWorkspace);
+  const auto hash = HashContent(request, workspace);
   BOOST_TEST(HashContent(request, WorkspaceId("v")) != hash);
   CallerRequest other = request;
   other.method = "PUT";
-  BOOST_TEST(HashContent(other, kWorkspace) != hash);
+  BOOST_TEST(HashContent(other, workspace) != hash);
   other = request;
   other.target = "/chat/7?x=2";
-  BOOST_TEST(HashContent(other, kWorkspace) != hash);
+  BOOST_TEST(HashContent(other, workspace) != hash);
   other = request;
   other.body = "other words";
-  BOOST_TEST(HashContent(other, kWorkspace) != hash);
+  BOOST_TEST(HashContent(other, workspace) != hash);
   other = request;
   other.prompt->parts.back().hash = 6;
-  BOOST_TEST(HashContent(other, kWorkspace) != hash);
+  BOOST_TEST(HashContent(other, workspace) != hash);
   other = request;
   other.prompt->model = ModelId("n");
-  BOOST_TEST(HashContent(other, kWorkspace) != hash);
+  BOOST_TEST(HashContent(other, workspace) != hash);
 }
 
 }  // namespace
--- a/src/gateway/deadly_request_test.cc
+++ b/src/gateway/deadly_request_test.cc
@@ -97,7 +97,7 @@
 
   std::string NextHost() {
     while (true) {
-      const std::string name = "h" + std::to_string(random_() % host_count_);
+      std::string name = "h" + std::to_string(random_() % host_count_);
       if (!groups.hosts.at(name).frozen) return name;
     }
   }
--- a/src/gateway/service_queue.cc
+++ b/src/gateway/service_queue.cc
@@ -12,8 +12,8 @@
 
 // Part of a server's request limit that the local dispatchers of all hosts may
 // use together, and as much the dispatchers of its group that aren't primary.
-// Less would leave nothing to hosts that get no answer; more would pass what
-// callers of a limit tolerate.
+// Less would leave nothing to hosts that get no answer; more would pass the
+// limit.
 constexpr double kLimitShareOfAll = 0.1;
 
 // Returns null if `servers`, in the order of their ids, lack `id`.
