--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -167,7 +167,7 @@
   void OnFailure(Exchange& exchange, schedule::RequestOutcome kind,
                  const std::string& detail);
   // Returns whether too many servers were lost under requests with the same
-  // content.
+  // content, and logs it if so.
   bool EndsServers(const Exchange& exchange) const;
   // Returns true if the request was queued again.
   bool Retry(Exchange& exchange, std::string_view reason);
