--- a/src/gateway/request_limit_test.cc
+++ b/src/gateway/request_limit_test.cc
@@ -123,10 +123,12 @@
     std::erase_if(calls_, [this](const Call& call) {
       if (!call.running || call.ends_at > groups.now) return false;
       ++served;
-      const auto limit = limits_.find(call.server);
-      const double named =
-          limit == limits_.end() ? schedule::kNoRequestLimit : limit->second;
-      if (limit != limits_.end()) last_named_[call.server] = groups.now;
+      double named = schedule::kNoRequestLimit;
+      if (const auto limit = limits_.find(call.server);
+          limit != limits_.end()) {
+        named = limit->second;
+        last_named_[call.server] = groups.now;
+      }
       groups.FinishRequest(call.host, call.id, RequestOutcome::kComplete,
                            named);
       return true;
