--- a/tests/process/request_limit_test.cc
+++ b/tests/process/request_limit_test.cc
@@ -33,6 +33,9 @@
 // From this long after it was first named.
 constexpr absl::Duration kSettled = absl::Seconds(3);
 
+// No refusal needs longer.
+constexpr absl::Duration kAtOnce = absl::Milliseconds(500);
+
 double AllowedInWindow(double per_second) {
   return 1.5 * per_second * absl::ToDoubleSeconds(kWindow) + 5;
 }
@@ -83,8 +86,6 @@
 
  private:
   void SendOne(int number) {
-    // No refusal needs longer.
-    constexpr absl::Duration kAtOnce = absl::Milliseconds(500);
     http::ClientRequest request = MakeRequest(
         number, "/read/1", absl::StrCat("body of ", number), "2000");
     const absl::Time sent = absl::Now();
