Tests: the dispatcher is killed for certain in the test of a new dispatcher's memory

Cause: the test looked for the dispatcher's line once, right after the first attempts, while a host flushes its log each 200 ms. Without the line it killed nobody and still passed.

Change: it waits for the line, then kills that host.

--- a/src/schedule/request_limit_test.cc
+++ b/src/schedule/request_limit_test.cc
@@ -80,7 +80,7 @@
   BOOST_TEST(!limit.limited());
 }
 
-// Guards against a limit of zero whose end nobody would see.
+// Guards against a limit of zero whose end no response would show.
 BOOST_AUTO_TEST_CASE(AServerThatTakesNothingIsStillAskedNowAndThen) {
   RequestLimit limit = Limited(0);
   const int grants = GrantAll(limit, start, absl::Seconds(4));
@@ -98,7 +98,7 @@
   BOOST_TEST(limit.limited());
 }
 
-// Guards against hosts that tell each other of a limit for ever.
+// Guards against hosts that report a limit to each other for ever.
 BOOST_AUTO_TEST_CASE(OnlyWhatResponsesNameLatelyIsPublished) {
   const RequestLimit limit = Limited(6.2);
   BOOST_TEST((limit.Observed(start + absl::Seconds(1)) == 6.2));
--- a/tests/process/deadly_request_test.cc
+++ b/tests/process/deadly_request_test.cc
@@ -109,14 +109,17 @@
 // them is gone.
 BOOST_FIXTURE_TEST_CASE(AStreamEndsFewServersThoughADispatcherIsKilled, Site) {
   Insist("/chat/1", kDeadly);
-  for (auto& host : hosts_) {
-    const std::string said = host->process().Output();
-    if (said.find("event=group-taken service=llm") == std::string::npos) {
-      continue;
+  GatewayProcess* dispatcher = nullptr;
+  WaitUntil("a host's log names it as dispatcher", [&] {
+    for (auto& host : hosts_) {
+      const std::string said = host->process().Output();
+      if (said.find("event=group-taken service=llm") != std::string::npos) {
+        dispatcher = host.get();
+      }
     }
-    host->process().KillAndWait();
-    break;
-  }
+    return dispatcher != nullptr;
+  });
+  dispatcher->process().KillAndWait();
   Insist("/chat/1", kDeadly);
   BOOST_TEST(ServersEnded() <= kMaxServersEnded);
 }
