Directory: lines that tell when and why a removal is delayed

The record of DRAIN can't be told apart from a lost change by the lines that exist: nothing says that a removal is withheld, until when, and by whose recovery. table-recovered names the observer and the age of its report, removal-delayed the delay and the age of the recovery it rests on, delayed-removal the moment at which it takes effect. No decision changes.

--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -1,5 +1,7 @@
 #include "gateway/directory.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 
 #include "absl/container/flat_hash_set.h"
@@ -41,6 +43,10 @@
     Registration& registration = found->second;
     registration.removed_at =
         std::min(registration.removed_at, recovered_at_ + kReregistrationTime);
+    LOG(INFO) << "event=removal-delayed server=" << key << " delay_ms="
+              << absl::ToInt64Milliseconds(registration.removed_at - now)
+              << " table_recovered_ms_ago="
+              << absl::ToInt64Milliseconds(now - recovered_at_);
     return false;
   }
   entries_.erase(found);
@@ -49,7 +55,9 @@
 
 bool Directory::Expire(absl::Time now) {
   return absl::erase_if(entries_, [now](const auto& item) {
-           return item.second.removed_at <= now;
+           if (item.second.removed_at > now) return false;
+           LOG(INFO) << "event=delayed-removal server=" << item.first;
+           return true;
          }) > 0;
 }
 
--- a/src/gateway/table_recovery.h
+++ b/src/gateway/table_recovery.h
@@ -12,6 +12,8 @@
 #ifndef GENTIANLB_GATEWAY_TABLE_RECOVERY_H_
 #define GENTIANLB_GATEWAY_TABLE_RECOVERY_H_
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <cstdint>
 
@@ -25,13 +27,13 @@
   // Records that the service responds to this host's own calls again.
   void OnRecovered(absl::Time now) {
     observed_at_ = now;
-    OnPeerReport(0, now);
+    Record(now, now, "this-host");
   }
   // Records that a peer observed a recovery `milliseconds` ago; negative: none
   // recently.
   void OnPeerReport(std::int32_t milliseconds, absl::Time now) {
     if (milliseconds < 0) return;
-    latest_ = std::max(latest_, now - absl::Milliseconds(milliseconds));
+    Record(now - absl::Milliseconds(milliseconds), now, "peer");
   }
 
   absl::Time latest() const { return latest_; }
@@ -44,6 +46,18 @@
   }
 
  private:
+  // Reports of one recovery differ by less, as messages take a while.
+  static constexpr absl::Duration kReportSpread = absl::Milliseconds(500);
+
+  void Record(absl::Time at, absl::Time now, const char* observer) {
+    if (at <= latest_) return;
+    if (at - latest_ > kReportSpread) {
+      LOG(INFO) << "event=table-recovered observer=" << observer
+                << " age_ms=" << absl::ToInt64Milliseconds(now - at);
+    }
+    latest_ = at;
+  }
+
   absl::Time observed_at_ = absl::InfinitePast();
   absl::Time latest_ = absl::InfinitePast();
 };
