Forwarder: lines say which software a stream goes on at

No line named the version of a server, or said that a request takes up a stream and which attempt began it, so that a mixed stream could not be found in the logs. No decision changes.

--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -69,7 +69,10 @@
             << " sending=" << exchange.attempts
             << " waited_ms=" << Milliseconds(now - exchange.arrival)
             << " left_ms=" << Milliseconds(exchange.deadline - now)
-            << " version=" << exchange.index->configuration().version;
+            << " version=" << exchange.index->configuration().version
+            << " software=" << server.version
+            << " after_event=" << exchange.splitter.last_event()
+            << " takes_up=" << exchange.request->first_attempt;
   ServerCall call;
   call.request = exchange.request;
   call.server = server;
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -285,7 +285,8 @@
     LOG(INFO) << "event=server-registration server=" << row.key
               << " usable=" << entry.has_value()
               << " draining=" << (entry && entry->draining)
-              << " started=" << (entry ? entry->started : 0);
+              << " started=" << (entry ? entry->started : 0)
+              << " software=" << (entry ? entry->version : "");
     if (full_list && entry) listed.emplace_back(row.key, *entry);
     if (!full_list) changed |= directory_.Update(row.key, entry, now);
   }
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -47,6 +47,14 @@
   absl::Duration time_left = absl::InfiniteDuration();  // Set by the caller.
   std::optional<Prompt> prompt;
   std::int64_t last_event = 0;  // A stream resumes after this event; 0: start.
+  // The caller's attempt that got the first event of that stream; empty: not
+  // stated.
+  RequestId first_attempt;
+
+  // Returns whether it takes up a stream of which the caller got a part.
+  bool takes_up_stream() const {
+    return last_event > 0 && !first_attempt.empty();
+  }
 };
 
 // A registered backend server. `started` distinguishes a restarted server from
