--- a/tests/process/gateway_site_test.h
+++ b/tests/process/gateway_site_test.h
@@ -21,14 +21,18 @@
 class GatewaySite {
  public:
   static constexpr std::size_t kHosts = 4;
+  static constexpr int kEvents = 5;  // Of a stream.
 
-  // Starts `servers` servers of each service, and the gateways.
+  // Starts `servers` servers of each service, with the versions in turn, and
+  // the gateways.
   GatewaySite(const std::string& configuration,
-              const std::vector<std::string>& services, int servers) {
+              const std::vector<std::string>& services, int servers,
+              const std::vector<std::string>& versions = {""}) {
     for (const std::string& service : services) {
       for (int i = 0; i < servers; ++i) {
+        const auto turn = static_cast<std::size_t>(i) % versions.size();
         servers_.push_back(std::make_unique<standins::PlatformServer>(
-            absl::StrCat(service, "-", i)));
+            absl::StrCat(service, "-", i), kEvents, versions[turn]));
         const standins::PlatformServer& server = *servers_.back();
         table_.Put("servers", server.id(), server.Registration(service));
       }
@@ -39,6 +43,12 @@
           folder_, absl::StrCat("h", i), table_.port()));
     }
     for (auto& host : hosts_) host->WaitUntilReady(client_);
+    WaitUntilConnected();
+  }
+  GatewaySite(const GatewaySite&) = delete;
+  GatewaySite& operator=(const GatewaySite&) = delete;
+
+  void WaitUntilConnected() {
     WaitUntil("all hosts dispatch for each other", [this] {
       return std::all_of(hosts_.begin(), hosts_.end(), [this](auto& host) {
         return host->Metrics(client_).find(
@@ -47,8 +57,6 @@
       });
     });
   }
-  GatewaySite(const GatewaySite&) = delete;
-  GatewaySite& operator=(const GatewaySite&) = delete;
 
   // Returns one attempt of a caller, over host number `host` modulo kHosts.
   http::ClientRequest MakeRequest(int host, const std::string& path,
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -11,14 +11,19 @@
 #include "base/json_text.h"
 
 namespace gentianlb::standins {
+namespace {
 
-PlatformServer::PlatformServer(std::string id, int events)
-    : id_(std::move(id)), events_(events) {
+constexpr absl::Duration kTimeToSend = absl::Milliseconds(30);
+
+}  // namespace
+
+PlatformServer::PlatformServer(std::string id, int events, std::string version)
+    : id_(std::move(id)), events_(events), version_(std::move(version)) {
   http::ServerSettings settings;
   server_ = std::move(
       http::Server::Start(settings, [this](const http::Request& request,
                                            auto answer) {
-        Handle(request, *answer);
+        Handle(request, answer);
       }).value());
   port_ = server_->port();
   closer_ = std::thread([this] { CloseAtEnd(); });
@@ -55,6 +60,7 @@
   row["state"] = state;
   row["seq"] = 1;
   row["born"] = 1;
+  if (!version_.empty()) row["version"] = version_;
   return ToText(row);
 }
 
@@ -79,10 +85,10 @@
 }
 
 void PlatformServer::Handle(const http::Request& request,
-                            http::Responder& answer) {
+                            const Answer& answer) {
   const std::string request_id(request.header("Request-Id"));
   if (request.header("Expect-Instance") != id_) {
-    return answer.Respond(421, {{"Instance-Id", id_}}, "");
+    return answer->Respond(421, {{"Instance-Id", id_}}, "");
   }
   Faults faults;
   bool ended = false;
@@ -100,29 +106,29 @@
     }
     ended_ = ended;
   }
-  if (ended) return answer.Abort();
+  if (ended) return answer->Abort();
   std::vector<http::Header> headers;
   if (!faults.request_limit.empty()) {
     headers.push_back({"Server-Limit", faults.request_limit});
   }
   if (faults.sheds) {
     headers.push_back({"Not-Executed", "1"});
-    return answer.Respond(503, std::move(headers), "");
+    return answer->Respond(503, std::move(headers), "");
   }
-  if (faults.loses_answers) return answer.Abort();
+  if (faults.loses_answers) return answer->Abort();
   if (!request.header("Model").empty()) {
     return Stream(request, answer, faults, std::move(headers));
   }
   headers.insert(headers.end(), {{"Request-Id", request_id},
                                  {"Server-Stamp", id_},
                                  {"Server-Load", "1,0,8"}});
-  answer.Respond(200, std::move(headers),
-                 absl::StrCat("done by ", id_, ": ", request.body));
+  answer->Respond(200, std::move(headers),
+                  absl::StrCat("done by ", id_, ": ", request.body));
 }
 
-void PlatformServer::Stream(const http::Request& request,
-                            http::Responder& answer, const Faults& faults,
-                            std::vector<http::Header> headers) const {
+void PlatformServer::Stream(const http::Request& request, const Answer& answer,
+                            const Faults& faults,
+                            std::vector<http::Header> headers) {
   int last = 0;
   const std::string resumed(request.header("Last-Event-Id"));
   if (!absl::SimpleAtoi(resumed, &last)) last = 0;
@@ -130,16 +136,19 @@
                  {{"Request-Id", std::string(request.header("Request-Id"))},
                   {"Server-Stamp", id_},
                   {"Content-Type", "text/event-stream"}});
-  answer.Begin(200, std::move(headers));
+  answer->Begin(200, std::move(headers));
   for (int i = last + 1; i <= events_; ++i) {
-    const std::string event = absl::StrCat("id: ", i, "\ndata: word\n\n");
+    const std::string event =
+        absl::StrCat("id: ", i, "\ndata: word", version_, "\n\n");
     if (i - 1 == faults.cut_after_events) {
-      answer.Write(event.substr(0, event.size() / 2));
-      return answer.Abort();
+      answer->Write(event.substr(0, event.size() / 2));
+      // An abort drops what the connection has yet to send.
+      timers_.After(kTimeToSend, [answer] { answer->Abort(); });
+      return;
     }
-    answer.Write(event);
+    answer->Write(event);
   }
-  answer.Finish();
+  answer->Finish();
 }
 
 }  // namespace gentianlb::standins
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -13,6 +13,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "http/server.h"
+#include "standins/timer_queue.h"
 
 namespace gentianlb::standins {
 
@@ -28,8 +29,10 @@
     std::string request_limit;
   };
 
-  // Listens on a port that the kernel picks.
-  explicit PlatformServer(std::string id, int events = 5);
+  // Listens on a port that the kernel picks. The events of its streams hold
+  // `version`, that of its software, if it states one.
+  explicit PlatformServer(std::string id, int events = 5,
+                          std::string version = "");
   ~PlatformServer();
   PlatformServer(const PlatformServer&) = delete;
   PlatformServer& operator=(const PlatformServer&) = delete;
@@ -50,15 +53,18 @@
   http::Request LastRequest() const;
 
  private:
-  void Handle(const http::Request& request, http::Responder& answer);
-  void Stream(const http::Request& request, http::Responder& answer,
-              const Faults& faults, std::vector<http::Header> headers) const;
+  using Answer = std::shared_ptr<http::Responder>;
+
+  void Handle(const http::Request& request, const Answer& answer);
+  void Stream(const http::Request& request, const Answer& answer,
+              const Faults& faults, std::vector<http::Header> headers);
   // Closes the port and all connections once `closing_` is set. Runs on a
   // thread of its own, as the server's threads can't end their server.
   void CloseAtEnd();
 
   const std::string id_;
   const int events_;
+  const std::string version_;
   mutable absl::Mutex mutex_;
   Faults faults_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
@@ -66,7 +72,8 @@
   http::Request last_ ABSL_GUARDED_BY(mutex_);
   bool ended_ ABSL_GUARDED_BY(mutex_) = false;    // Under a request.
   bool closing_ ABSL_GUARDED_BY(mutex_) = false;  // Ended, or destroyed.
-  std::unique_ptr<http::Server> server_;          // Ends first.
+  TimerQueue timers_;
+  std::unique_ptr<http::Server> server_;  // Ends first.
   int port_ = 0;
   std::thread closer_;
 };
