Dispatcher: requests that servers of one software version alone may run

A request may name a version; the servers of that version form a pool of their own beside that of all versions once a first request names it, so that waits, refusals, drains, limits, suspects and lost paths are those of this part, and a lane of its own takes turns with the others of its tier. Hosts submit such a request to a group that has a server of the version. Without such requests no decision changes.

Datagrams of groups have a new format (GG4).

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "absl/hash/hash.h"
@@ -42,9 +43,20 @@
                              const std::vector<ServerEntry>& servers) {
   ServiceGroups& entry = services_[service];
   entry.name = HashName(service.str());
-  entry.groups = servers.empty() ? 0 : GroupCount(servers);
+  const int count = servers.empty() ? 0 : GroupCount(servers);
+  entry.groups.clear();
+  for (int i = 0; i < count; ++i) {
+    entry.groups.push_back(static_cast<std::uint16_t>(i));
+  }
+  std::map<std::string, std::set<std::uint16_t>> by_version;
   for (const ServerEntry& server : servers) {
-    group_of_[server.id] = {entry.name, GroupOf(server.id, entry.groups)};
+    const std::uint16_t group = GroupOf(server.id, count);
+    group_of_[server.id] = {entry.name, group};
+    if (!server.draining) by_version[server.version].insert(group);
+  }
+  entry.groups_by_version.clear();
+  for (const auto& [version, groups] : by_version) {
+    entry.groups_by_version[version].assign(groups.begin(), groups.end());
   }
 }
 
@@ -75,15 +87,15 @@
 
 // Returns the group with more free capacity of two groups that the hash of the
 // request id selects: the power of two choices.
-GroupKey GroupClient::ChooseGroup(const ServiceGroups& service,
+GroupKey GroupClient::ChooseGroup(NameHash service,
+                                  const std::vector<std::uint16_t>& groups,
                                   const RequestId& id) const {
   const auto hash = static_cast<std::uint32_t>(absl::HashOf(id));
-  const auto groups = static_cast<std::uint32_t>(service.groups);
-  GroupKey first{service.name, static_cast<std::uint16_t>(hash % groups)};
-  if (groups == 1) return first;
-  const std::uint32_t step = 1 + (hash / groups) % (groups - 1);
-  GroupKey second{service.name,
-                  static_cast<std::uint16_t>((first.group + step) % groups)};
+  const auto count = static_cast<std::uint32_t>(groups.size());
+  const GroupKey first{service, groups[hash % count]};
+  if (count == 1) return first;
+  const std::uint32_t step = 1 + (hash / count) % (count - 1);
+  const GroupKey second{service, groups[(hash % count + step) % count]};
   const auto capacity = [this](const GroupKey& key) {
     const auto found = capacities_.find(key);
     return found == capacities_.end() ? 0 : found->second;
@@ -91,17 +103,27 @@
   return capacity(second) > capacity(first) ? second : first;
 }
 
+const std::vector<std::uint16_t>* GroupClient::GroupsFor(
+    const ServiceId& service, const schedule::Request& request) const {
+  const auto found = services_.find(service);
+  if (found == services_.end() || found->second.groups.empty()) return nullptr;
+  if (request.version.empty()) return &found->second.groups;
+  const auto& by_version = found->second.groups_by_version;
+  const auto groups = by_version.find(request.version);
+  return groups == by_version.end() ? nullptr : &groups->second;
+}
+
 void GroupClient::Send(const OpenRequest& open, GroupEvent event) {
   hooks_.send(open.dispatcher, {open.group, std::move(event)});
 }
 
 bool GroupClient::Submit(const ServiceId& service,
                          const schedule::Request& request, absl::Time now) {
-  const auto found = services_.find(service);
-  if (found == services_.end() || found->second.groups == 0) return false;
+  const std::vector<std::uint16_t>* groups = GroupsFor(service, request);
+  if (groups == nullptr) return false;
   OpenRequest open;
   open.service = service;
-  open.group = ChooseGroup(found->second, request.id);
+  open.group = ChooseGroup(services_.at(service).name, *groups, request.id);
   open.dispatcher = selector_->DispatcherOf(open.group, now);
   if (open.dispatcher.empty()) return false;
   open.request = request;
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -18,6 +18,7 @@
 
 #include <functional>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -85,11 +86,19 @@
     int output_tokens = 0;
   };
   struct ServiceGroups {
-    int groups = 0;  // 0: the service has no servers.
+    std::vector<std::uint16_t> groups;  // Empty: the service has no servers.
+    // Of these, those with a server of a software version.
+    std::map<std::string, std::vector<std::uint16_t>> groups_by_version;
     NameHash name = 0;
   };
 
-  GroupKey ChooseGroup(const ServiceGroups& service, const RequestId& id) const;
+  GroupKey ChooseGroup(NameHash service,
+                       const std::vector<std::uint16_t>& groups,
+                       const RequestId& id) const;
+  // Returns the groups with a server that may run the request; null if there
+  // are none.
+  const std::vector<std::uint16_t>* GroupsFor(
+      const ServiceId& service, const schedule::Request& request) const;
   bool Submit(const ServiceId& service, const schedule::Request& request,
               absl::Time now);
   void Send(const OpenRequest& open, GroupEvent event);
--- a/src/gateway/group_messages.cc
+++ b/src/gateway/group_messages.cc
@@ -8,7 +8,7 @@
 namespace gentianlb::gateway {
 namespace {
 
-constexpr std::string_view kMagic = "GG3";
+constexpr std::string_view kMagic = "GG4";
 
 using schedule::RequestOutcome;
 
@@ -63,6 +63,7 @@
     WriteText(writer_, request.workspace.str());
     WriteText(writer_, request.model.str());
     WriteText(writer_, request.avoid.str());
+    WriteText(writer_, request.version);
     writer_(static_cast<std::int16_t>(request.tier.rank),
             static_cast<std::int32_t>(request.prompt_tokens),
             static_cast<std::int32_t>(request.max_output_tokens),
@@ -191,6 +192,7 @@
     GetId(&request->workspace);
     GetId(&request->model);
     GetId(&request->avoid);
+    ReadText(reader_, &request->version);
     GetNumber<std::int16_t>(&request->tier.rank);
     GetNumber<std::int32_t>(&request->prompt_tokens);
     GetNumber<std::int32_t>(&request->max_output_tokens);
--- a/src/gateway/service_queue.cc
+++ b/src/gateway/service_queue.cc
@@ -50,6 +50,7 @@
   schedule::ServerSpec spec;
   spec.id = entry.id;
   spec.max_streams = entry.streams;
+  spec.version = entry.version;
   spec.cost_factor = affinity.cost_factor;
   spec.expected_competitors = affinity.expected_competitors;
   if (!service.engine) return spec;
--- a/src/schedule/answers.cc
+++ b/src/schedule/answers.cc
@@ -211,7 +211,7 @@
     RemoveWaiting(state, waits->second);
     state.changes.all = true;
   }
-  const PoolIndex pool = state.servers.FindPool(request.model);
+  const PoolIndex pool = PoolFor(state, request);
   if (pool == kNoIndex) return;
   const WorkspaceIndex workspace = state.limits.IndexOf(request.workspace);
 
--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -264,7 +264,7 @@
   if (already_known) return;
 
   // At least one server must be usable.
-  const PoolIndex pool = state.servers.FindPool(request.model);
+  const PoolIndex pool = PoolFor(state, request);
   if (pool == kNoIndex || state.servers.pool(pool).usable == 0) {
     RefuseRequest(state, request, Code::kNoServer,
                   state.retry_after_jitter.RetryAfter(kNoServerRetrySeconds));
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -38,6 +38,7 @@
   int generation = 1;
   ServerRole role = ServerRole::kMixed;
   std::vector<ModelId> models;  // Loaded models, adapters and versions.
+  std::string version;          // Of its software; empty: not stated.
   double prefill_tokens_per_second = 0;
   double decode_tokens_per_second = 0;  // Of one stream on an idle server.
   // The speeds are mere estimates, which the first responses replace.
@@ -117,6 +118,8 @@
   int expected_output_tokens = 0;    // The caller's estimate; 0: none.
   ServerId avoid;                    // Server of a failed attempt; empty: none.
   ContentHash content = kNoContent;  // kNoContent: unknown.
+  // Version of the software of the servers that may run it; empty: any.
+  std::string version;
   bool operator==(const Request&) const = default;
 };
 
--- a/src/schedule/server_set.cc
+++ b/src/schedule/server_set.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "absl/strings/str_cat.h"
 #include "schedule/work.h"
 
 namespace gentianlb::schedule {
@@ -25,6 +26,11 @@
 // Most updates change the key by less; Placer compares the candidates exactly.
 constexpr double kKeyTolerance = 0.02;
 
+// Returns the key of the pool of one version of a model's servers.
+ModelId VersionKey(const ModelId& model, const std::string& version) {
+  return ModelId(absl::StrCat(model.str(), "@", version));
+}
+
 // Returns whether `server` may take work, now or after a suspicion is cleared.
 bool Usable(const Server& server) {
   return server.configured && (server.health == ServerHealth::kAlive ||
@@ -51,8 +57,12 @@
     servers_[server].Configure(spec);
     // Servers of a plain service list no models and form the pool of the empty
     // model.
-    if (spec.models.empty()) AddToPool(server, ModelId());
-    for (const ModelId& model : spec.models) AddToPool(server, model);
+    std::vector<ModelId> models = spec.models;
+    if (models.empty()) models.emplace_back();
+    for (const ModelId& model : models) {
+      AddToPool(server, InternPool(model, ""));
+      AddToVersionPool(server, model);
+    }
     configured.push_back(server);
   }
   SummarizePools();
@@ -61,14 +71,41 @@
   return configured;
 }
 
-PoolIndex ServerSet::FindOrAddPool(const ModelId& model) {
-  const PoolIndex index = models_.Intern(model);
-  if (index == pools_.size()) pools_.push_back(Pool{.model = model});
+PoolIndex ServerSet::InternPool(const ModelId& model,
+                                const std::string& version) {
+  const PoolIndex index =
+      models_.Intern(version.empty() ? model : VersionKey(model, version));
+  if (index == pools_.size()) {
+    pools_.push_back(Pool{.model = model, .version = version});
+  }
   return index;
 }
 
-void ServerSet::AddToPool(ServerIndex server, const ModelId& model) {
-  const PoolIndex index = FindOrAddPool(model);
+PoolIndex ServerSet::FindOrAddPool(const ModelId& model,
+                                   const std::string& version, absl::Time now) {
+  const PoolIndex all = models_.Find(model);
+  if (version.empty() || all == kNoIndex) return all;
+  const PoolIndex known = models_.Find(VersionKey(model, version));
+  if (known != kNoIndex) return known;
+  const PoolIndex added = InternPool(model, version);
+  const std::vector<ServerIndex> servers = pools_[all].servers;
+  for (const ServerIndex server : servers) {
+    Unindex(server);
+    AddToVersionPool(server, model);
+  }
+  SummarizePools();
+  for (const ServerIndex server : servers) Reindex(server, now);
+  return added;
+}
+
+void ServerSet::AddToVersionPool(ServerIndex server, const ModelId& model) {
+  const std::string& version = servers_[server].spec.version;
+  if (version.empty()) return;
+  const PoolIndex pool = models_.Find(VersionKey(model, version));
+  if (pool != kNoIndex) AddToPool(server, pool);
+}
+
+void ServerSet::AddToPool(ServerIndex server, PoolIndex index) {
   std::vector<PoolIndex>& pools = servers_[server].pools;
   // A configuration may list a model twice.
   if (std::find(pools.begin(), pools.end(), index) != pools.end()) return;
--- a/src/schedule/server_set.h
+++ b/src/schedule/server_set.h
@@ -10,6 +10,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -22,9 +23,11 @@
 namespace gentianlb::schedule {
 
 // The servers that have one model loaded. Servers of a plain service list no
-// models and form the pool of the empty model.
+// models and form the pool of the empty model. Those of one version of their
+// software form a further pool once a request needs that version.
 struct Pool {
   ModelId model;
+  std::string version;               // Empty: all versions.
   std::vector<ServerIndex> servers;  // All configured servers of the pool.
   // Servers with free capacity, ordered by predicted seconds of a typical
   // request.
@@ -51,6 +54,10 @@
   // Return kNoIndex if the server or model is unknown.
   ServerIndex Find(const ServerId& id) const { return server_ids_.Find(id); }
   PoolIndex FindPool(const ModelId& model) const { return models_.Find(model); }
+  // Returns the pool of the servers of one version; empty: all versions. Adds
+  // it if it is the first request for that version.
+  PoolIndex FindOrAddPool(const ModelId& model, const std::string& version,
+                          absl::Time now);
 
   Server& at(ServerIndex server) { return servers_[server]; }
   const Server& at(ServerIndex server) const { return servers_[server]; }
@@ -97,8 +104,10 @@
     bool waits_for_limit = false;  // Rechecked when its limit allows a request.
   };
 
-  PoolIndex FindOrAddPool(const ModelId& model);
-  void AddToPool(ServerIndex server, const ModelId& model);
+  PoolIndex InternPool(const ModelId& model, const std::string& version);
+  void AddToPool(ServerIndex server, PoolIndex pool);
+  // Adds the server to the pool of its version, if there is one.
+  void AddToVersionPool(ServerIndex server, const ModelId& model);
   // Recomputes the totals of all pools.
   void SummarizePools();
   void Unindex(ServerIndex server);
--- a/src/schedule/state.cc
+++ b/src/schedule/state.cc
@@ -26,6 +26,14 @@
 
 }  // namespace
 
+PoolIndex PoolFor(State& state, const Request& request) {
+  const PoolIndex pool =
+      state.servers.FindOrAddPool(request.model, request.version, state.now);
+  state.pool_drains.resize(state.servers.pools());
+  state.pool_mean_work.resize(state.servers.pools(), 0);
+  return pool;
+}
+
 void Emit(State& state, Decision decision) {
   ++state.counters.decisions;
   state.signature.Add(decision);
--- a/src/schedule/state.h
+++ b/src/schedule/state.h
@@ -94,6 +94,10 @@
   Signature signature;
 };
 
+// Returns the pool of the servers that may run the request; kNoIndex if no
+// server has its model.
+PoolIndex PoolFor(State& state, const Request& request);
+
 // Appends a decision and counts it.
 void Emit(State& state, Decision decision);
 
