Roll-outs: where no version needs an order, all versions serve side by side

Callers saw refusals while servers of a newer version stood idle: without an order a host kept every version that appeared later from any request until the last server of the first one had gone, and a host that started in between knew both, so that hosts disagreed.

A site whose operators order new versions says so by the section [rollouts], as before; without it, a server serves from its registration on. With an order the rest stays as it is (EXPOSURE). Streams stay at their version.

gateway_version_pools_test: VersionsServeSideBySideWhereNoneNeedsAnOrder.

--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -165,6 +165,7 @@
       loop->timers().Every(loop->now() + kLogFlushInterval, kLogFlushInterval,
                            [log](absl::Time) { log->Flush(); }));
   host->forwarder_.SetGroupLink(&host->groups_);
+  if (!settings.has_rollouts) host->rollouts_.AllowAllVersions();
   host->forwarder_.SetRollouts(&host->rollouts_);
   host->forwarder_.SetPaths(&host->paths_);
   host->forwarder_.SetStreamVersions(&host->streams_);
--- a/src/gateway/rollouts.cc
+++ b/src/gateway/rollouts.cc
@@ -150,6 +150,7 @@
     const ServiceId& service, const std::vector<ServerEntry>& servers,
     absl::Time now) {
   ServiceState& state = services_[service];
+  if (allows_all_versions_) state.known.AllowAll();
   const std::string target = state.order ? state.order->target : "";
   VersionSplit split = state.known.Split(servers, target);
   state.old_servers = static_cast<int>(split.old_servers.size());
--- a/src/gateway/rollouts.h
+++ b/src/gateway/rollouts.h
@@ -84,6 +84,9 @@
   Rollouts(const Rollouts&) = delete;
   Rollouts& operator=(const Rollouts&) = delete;
 
+  // From now on servers of any version serve without an order.
+  void AllowAllVersions() { allows_all_versions_ = true; }
+
   // Handle rows of orders and statuses. nullopt: there is no such row, or it
   // can't be read. `version` is that of the status' row; 0: it was removed.
   void SetOrder(const ServiceId& service,
@@ -164,6 +167,7 @@
              absl::Time now);
 
   const double max_exposure_;
+  bool allows_all_versions_ = false;
   const RolloutHooks hooks_;
   std::map<ServiceId, ServiceState> services_;
   absl::Time now_ = absl::InfinitePast();  // Of the last call with a time.
--- a/src/gateway/version_pools.cc
+++ b/src/gateway/version_pools.cc
@@ -33,7 +33,8 @@
     any_known |= versions_.contains(server.version);
   }
   // The first versions that this host sees, or all that is left.
-  if (!any_known && !others.empty()) versions_ = others;
+  const bool replaces_known = allows_all_ || !any_known;
+  if (replaces_known && !others.empty()) versions_ = others;
   for (const ServerEntry& server : servers) {
     const bool is_target = !target.empty() && server.version == target;
     if (is_target || !versions_.contains(server.version)) continue;
--- a/src/gateway/version_pools.h
+++ b/src/gateway/version_pools.h
@@ -31,9 +31,12 @@
 };
 
 // Remembers which versions may serve without an order. A server of another
-// version may register before its order arrives; requests must not reach it.
+// version may register before its order arrives; requests must not reach it,
+// unless no version needs an order.
 class KnownVersions {
  public:
+  // From now on no version needs an order.
+  void AllowAll() { allows_all_ = true; }
   // Splits `servers`. `target` is empty without an order.
   VersionSplit Split(const std::vector<ServerEntry>& servers,
                      const std::string& target);
@@ -41,6 +44,7 @@
   void Replace(const std::string& version) { versions_ = {version}; }
 
  private:
+  bool allows_all_ = false;
   std::set<std::string> versions_;
 };
 
--- a/src/gateway/version_pools_test.cc
+++ b/src/gateway/version_pools_test.cc
@@ -43,6 +43,19 @@
   BOOST_TEST(known.Split(MakeServers("v2", 2), "").old_servers.size() == 2u);
 }
 
+// Guards against servers that get no request until the last one of an earlier
+// version has left, where no version needs an order.
+BOOST_AUTO_TEST_CASE(VersionsServeSideBySideWhereNoneNeedsAnOrder) {
+  KnownVersions known;
+  known.AllowAll();
+  known.Split(MakeServers("v1", 3), "");
+  const auto both = MakeServers("v1", 2) + MakeServers("v2", 3);
+  BOOST_TEST((known.Split(both, "").old_servers == both));
+  const VersionSplit split = known.Split(both, "v2");
+  BOOST_TEST((split.old_servers == MakeServers("v1", 2)));
+  BOOST_TEST(split.new_servers.size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(AllHostsSelectTheSameServers) {
   const auto servers = MakeServers("v2", 90);
   const auto few = SelectServers(servers, 0.05);
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -42,6 +42,7 @@
     reader.Number("tolerance_tokens", kNonNegative,
                   &settings->limit_tolerance_tokens);
   } else if (kind == "rollouts") {
+    settings->has_rollouts = true;
     reader.Number("max_exposure", kExposureRange,
                   &settings->max_rollout_exposure);
   } else if (kind == "retries") {
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -28,6 +28,9 @@
   double retries_per_request = 0.1;   // Over all hosts.
   double retry_burst = 10;            // Over all hosts.
   double limit_tolerance_tokens = 0;  // Above a workspace's limit.
+  // Operators order new versions of a service. Otherwise servers of any version
+  // serve from their registration on.
+  bool has_rollouts = false;
   // Fraction of a service's requests that a bad version may receive from the
   // order of its roll-out to the deadline.
   double max_rollout_exposure = 0.1;
--- a/src/settings/gateway_settings_test.cc
+++ b/src/settings/gateway_settings_test.cc
@@ -52,6 +52,7 @@
   BOOST_TEST(Format(settings.table) == "10.0.0.2:84");
   BOOST_TEST(settings.retry_burst == 56);
   BOOST_TEST(settings.limit_tolerance_tokens == 140000);
+  BOOST_TEST(settings.has_rollouts);
   BOOST_TEST(settings.max_rollout_exposure == 0.2);
 }
 
