Table service: a host that was cut off itself delays removals for a moment

A zone that is cut off has lapsed registrations of its own servers when it returns: its hosts dropped all of them at once, since the others had got answers, and the servers register again a second later.

A host that the service merely refuses has its peers' answers and delays nothing.

table_availability_test: two new cases. process_late_removal_test passes.

--- a/src/gateway/table_availability.cc
+++ b/src/gateway/table_availability.cc
@@ -39,17 +39,25 @@
   return {std::max(a.first_ms, b.first_ms), later.last_ms};
 }
 
-void TableAvailability::OnAnswer(absl::Time now) {
+void TableAvailability::OnAnswer(OwnCalls before, absl::Time now) {
+  RecordReturn(before, now);
   own_last_ = now;
   Add(now, now, now, "this-host");
 }
 
-void TableAvailability::OnPeerReport(const AnswerAges& ages, absl::Time now) {
+void TableAvailability::OnPeerReport(const AnswerAges& ages, OwnCalls own,
+                                     absl::Time now) {
   if (!ages.known()) return;
+  RecordReturn(own, now);
   Add(now - absl::Milliseconds(ages.first_ms),
       now - absl::Milliseconds(ages.last_ms), now, "peer");
 }
 
+void TableAvailability::RecordReturn(OwnCalls own, absl::Time now) {
+  const bool cut_off = own == OwnCalls::kFailed && now - last_ >= kMinOutage;
+  if (cut_off) returned_at_ = now;
+}
+
 void TableAvailability::Add(absl::Time first, absl::Time last, absl::Time now,
                             const char* observer) {
   if (first_ - last >= kMinOutage) return;  // It ended before the last outage.
--- a/src/gateway/table_availability.h
+++ b/src/gateway/table_availability.h
@@ -12,6 +12,7 @@
 #ifndef GENTIANLB_GATEWAY_TABLE_AVAILABILITY_H_
 #define GENTIANLB_GATEWAY_TABLE_AVAILABILITY_H_
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -38,17 +39,22 @@
 // them, else the later one.
 AnswerAges Join(const AnswerAges& a, const AnswerAges& b);
 
+// Whether this host's own calls of the service failed lately.
+enum class OwnCalls { kAnswered, kFailed };
+
 class TableAvailability {
  public:
-  // Records that the service answered this host.
-  void OnAnswer(absl::Time now);
+  // Records that the service answered this host. `before`: its earlier calls.
+  void OnAnswer(OwnCalls before, absl::Time now);
   // Records when it answered a peer.
-  void OnPeerReport(const AnswerAges& ages, absl::Time now);
+  void OnPeerReport(const AnswerAges& ages, OwnCalls own, absl::Time now);
 
-  // Returns the time of the first answer since the last outage. May return an
-  // earlier time later, when a peer reports answers that this host missed.
+  // Returns the time of the first answer since the last outage, or of the
+  // return of this host alone if that is later: the servers beside it were
+  // probably cut off too, and their registrations lapsed. May return an earlier
+  // time later, when a peer reports answers that this host missed.
   // InfinitePast() if no answer is known.
-  absl::Time recovered_at() const { return first_; }
+  absl::Time recovered_at() const { return std::max(first_, returned_at_); }
 
   // Returns the ages to publish regularly. The last answer is one to this host:
   // hosts that published each other's would keep it young forever.
@@ -57,12 +63,15 @@
   AnswerAges KnownAges(absl::Time now) const;
 
  private:
+  void RecordReturn(OwnCalls own, absl::Time now);
   void Add(absl::Time first, absl::Time last, absl::Time now,
            const char* observer);
 
   absl::Time own_last_ = absl::InfinitePast();
   absl::Time first_ = absl::InfinitePast();
   absl::Time last_ = absl::InfinitePast();
+  // When this host learnt of an answer after an outage of its own.
+  absl::Time returned_at_ = absl::InfinitePast();
 };
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/table_availability_test.cc
+++ b/src/gateway/table_availability_test.cc
@@ -19,14 +19,14 @@
   TableAvailability first;
   TableAvailability second;
   absl::Time now = start;
-  first.OnAnswer(now);
-  second.OnAnswer(now);
+  first.OnAnswer(OwnCalls::kAnswered, now);
+  second.OnAnswer(OwnCalls::kAnswered, now);
   for (int i = 0; i < 100; ++i) {
     const AnswerAges of_first = first.OwnAges(now);
     const AnswerAges of_second = second.OwnAges(now);
     now += absl::Milliseconds(100);
-    first.OnPeerReport(of_second, now);
-    second.OnPeerReport(of_first, now);
+    first.OnPeerReport(of_second, OwnCalls::kAnswered, now);
+    second.OnPeerReport(of_first, OwnCalls::kAnswered, now);
   }
   BOOST_TEST((first.recovered_at() <= At(200)));
   Directory directory;
@@ -44,16 +44,16 @@
   TableAvailability first;
   TableAvailability second;
   absl::Time now = start;
-  first.OnAnswer(now);
-  second.OnAnswer(now);
+  first.OnAnswer(OwnCalls::kAnswered, now);
+  second.OnAnswer(OwnCalls::kAnswered, now);
   while (now < At(5000)) {
     const AnswerAges of_first = first.OwnAges(now);
     const AnswerAges of_second = second.OwnAges(now);
     now += absl::Milliseconds(50);
-    first.OnPeerReport(of_second, now);
-    second.OnPeerReport(of_first, now);
+    first.OnPeerReport(of_second, OwnCalls::kAnswered, now);
+    second.OnPeerReport(of_first, OwnCalls::kAnswered, now);
   }
-  first.OnAnswer(now);
+  first.OnAnswer(OwnCalls::kAnswered, now);
   BOOST_TEST((first.recovered_at() == now));
 }
 
@@ -62,9 +62,10 @@
 BOOST_AUTO_TEST_CASE(ARecoveryFromAPeerDelaysRemovals) {
   TableAvailability observer;
   TableAvailability receiver;
-  receiver.OnAnswer(At(-10000));
-  observer.OnAnswer(start);
-  receiver.OnPeerReport(observer.OwnAges(At(300)), At(400));
+  receiver.OnAnswer(OwnCalls::kAnswered, At(-10000));
+  observer.OnAnswer(OwnCalls::kAnswered, start);
+  receiver.OnPeerReport(observer.OwnAges(At(300)), OwnCalls::kAnswered,
+                        At(400));
   Directory directory;
   ServerEntry server;
   server.id = ServerId("s");
@@ -76,11 +77,12 @@
 
 BOOST_AUTO_TEST_CASE(AShortSilenceIsNoOutage) {
   TableAvailability availability;
-  availability.OnAnswer(start);
-  availability.OnAnswer(start + kMinOutage - absl::Milliseconds(1));
+  availability.OnAnswer(OwnCalls::kAnswered, start);
+  availability.OnAnswer(OwnCalls::kAnswered,
+                        start + kMinOutage - absl::Milliseconds(1));
   BOOST_TEST((availability.recovered_at() == start));
   const absl::Time back = start + 2 * kMinOutage;
-  availability.OnAnswer(back);
+  availability.OnAnswer(OwnCalls::kAnswered, back);
   BOOST_TEST((availability.recovered_at() == back));
 }
 
@@ -89,26 +91,59 @@
 BOOST_AUTO_TEST_CASE(AnswersToAPeerShowThatThereWasNoOutage) {
   TableAvailability peer;
   TableAvailability cut_off;
-  for (int ms = 0; ms <= 8000; ms += 1000) peer.OnAnswer(At(ms));
-  cut_off.OnAnswer(start);
-  cut_off.OnAnswer(At(8100));
+  for (int ms = 0; ms <= 8000; ms += 1000)
+    peer.OnAnswer(OwnCalls::kAnswered, At(ms));
+  cut_off.OnAnswer(OwnCalls::kAnswered, start);
+  cut_off.OnAnswer(OwnCalls::kAnswered, At(8100));
   BOOST_TEST((cut_off.recovered_at() == At(8100)));
-  cut_off.OnPeerReport(peer.OwnAges(At(8100)), At(8110));
+  cut_off.OnPeerReport(peer.OwnAges(At(8100)), OwnCalls::kAnswered, At(8110));
   BOOST_TEST((cut_off.recovered_at() <= At(10)));
   // Nor does the report of the host that was cut off tell the peer otherwise.
   TableAvailability other;
-  other.OnAnswer(At(0));
-  other.OnAnswer(At(8100));
-  peer.OnPeerReport(other.OwnAges(At(8100)), At(8110));
+  other.OnAnswer(OwnCalls::kAnswered, At(0));
+  other.OnAnswer(OwnCalls::kAnswered, At(8100));
+  peer.OnPeerReport(other.OwnAges(At(8100)), OwnCalls::kAnswered, At(8110));
   BOOST_TEST((peer.recovered_at() == start));
 }
 
+// Guards against a host without the servers beside it, whose registrations
+// lapsed while they were cut off together.
+BOOST_AUTO_TEST_CASE(AHostThatWasCutOffDelaysRemovalsItself) {
+  TableAvailability peer;
+  TableAvailability cut_off;
+  for (int ms = 0; ms <= 8000; ms += 1000) {
+    peer.OnAnswer(OwnCalls::kAnswered, At(ms));
+  }
+  cut_off.OnAnswer(OwnCalls::kAnswered, start);
+  cut_off.OnPeerReport(peer.OwnAges(At(8100)), OwnCalls::kFailed, At(8110));
+  BOOST_TEST((cut_off.recovered_at() == At(8110)));
+  cut_off.OnAnswer(OwnCalls::kFailed, At(8400));
+  BOOST_TEST((cut_off.recovered_at() == At(8110)));
+  // It tells no other host to delay them.
+  peer.OnPeerReport(cut_off.OwnAges(At(8400)), OwnCalls::kAnswered, At(8410));
+  BOOST_TEST((peer.recovered_at() == start));
+}
+
+// A host whose own calls fail, but whose peers get answers, was not cut off.
+BOOST_AUTO_TEST_CASE(AHostThatTheServiceRefusesDelaysNothing) {
+  TableAvailability peer;
+  TableAvailability refused;
+  refused.OnAnswer(OwnCalls::kAnswered, start);
+  for (int ms = 0; ms <= 8000; ms += 1000) {
+    peer.OnAnswer(OwnCalls::kAnswered, At(ms));
+    refused.OnPeerReport(peer.OwnAges(At(ms)), OwnCalls::kFailed, At(ms + 50));
+  }
+  refused.OnAnswer(OwnCalls::kFailed, At(8100));
+  BOOST_TEST((refused.recovered_at() <= At(50)));
+}
+
 // A host that got no answer since the outage has nothing to publish.
 BOOST_AUTO_TEST_CASE(AnswersBeforeTheOutageAreNotPublished) {
   TableAvailability availability;
   BOOST_TEST(!availability.OwnAges(start).known());
-  availability.OnAnswer(start);
-  availability.OnPeerReport({.first_ms = 100, .last_ms = 0}, At(9000));
+  availability.OnAnswer(OwnCalls::kAnswered, start);
+  availability.OnPeerReport({.first_ms = 100, .last_ms = 0},
+                            OwnCalls::kAnswered, At(9000));
   BOOST_TEST(!availability.OwnAges(At(9000)).known());
   BOOST_TEST((availability.KnownAges(At(9050)) == AnswerAges{150, 50}));
 }
--- a/src/gateway/table_subscriber.cc
+++ b/src/gateway/table_subscriber.cc
@@ -280,7 +280,7 @@
     if (*failure == TableFailure::kHistoryGone) {
       LOG(INFO) << "event=history-gone table=" << options_.table
                 << " version=" << version_;
-      availability_.OnAnswer(clock_());
+      availability_.OnAnswer(own_calls(), clock_());
       return RetryLater([this] { Read(""); });
     }
     OnFailure(*failure);
@@ -311,7 +311,7 @@
 }
 
 void TableSubscriber::OnAnswer() {
-  availability_.OnAnswer(clock_());
+  availability_.OnAnswer(own_calls(), clock_());
   failures_ = 0;
   probe_answered_ = true;
   answered_monitor_ = monitoring_;
--- a/src/gateway/table_subscriber.h
+++ b/src/gateway/table_subscriber.h
@@ -165,7 +165,7 @@
   // Records when the service answered a peer. To be called before the changes
   // that the peer sends are applied.
   void RecordPeerAnswers(const AnswerAges& ages) {
-    availability_.OnPeerReport(ages, clock_());
+    availability_.OnPeerReport(ages, own_calls(), clock_());
   }
   // Applies changes after `since` that a peer propagates; 0: all rows. Returns
   // whether the copy is newer than before.
@@ -214,6 +214,9 @@
   void Poll();
   // Returns the time that the next call waits for changes.
   absl::Duration PollWait() const;
+  OwnCalls own_calls() const {
+    return up_ ? OwnCalls::kAnswered : OwnCalls::kFailed;
+  }
   // Returns whether the next call is to show that the service answers.
   bool IsCheck() const;
   bool MayPoll() const;
