--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -55,7 +55,7 @@
   if (now < RemovalsDue()) return false;
   return absl::erase_if(entries_, [](const auto& item) {
            if (!item.second.removed) return false;
-           LOG(INFO) << "event=delayed-removal server=" << item.first;
+           LOG(INFO) << "event=removal-applied server=" << item.first;
            return true;
          }) > 0;
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -67,7 +67,7 @@
   bool responding = false;  // The response's head was sent to the caller.
   // Version of the software that wrote the stream's first event, at which alone
   // it may go on; empty: not known, or none is stated.
-  std::string version;
+  std::string stream_version;
   bool finds_version = false;  // It waits until the version is found.
   absl::Time first_event = absl::InfinitePast();
 
@@ -84,6 +84,11 @@
                                                  : request->id);
   }
 
+  // Returns whether its stream may go on at `server`.
+  bool Fits(const ServerEntry& server) const {
+    return stream_version.empty() || stream_version == server.version;
+  }
+
   // Returns whether a retry is allowed when an earlier attempt may have run.
   bool safe_to_retry() const {
     return route->kind == RouteKind::kIdempotent ||
--- a/src/gateway/fake_site_test.h
+++ b/src/gateway/fake_site_test.h
@@ -152,21 +152,25 @@
     return route;
   }
 
-  void AddServer(const std::string& id, const char* service, int streams) {
+  void AddServer(const std::string& id, const char* service, int streams,
+                 const std::string& version = "") {
     ServerEntry entry;
     entry.id = ServerId(id);
     entry.service = ServiceId(service);
     entry.address = {"10.0.0.1", 80};
     entry.streams = streams;
+    entry.version = version;
     directory.Update(id, entry, now);
   }
 
   std::shared_ptr<FakeCaller> SendRequest(const std::string& path,
                                           const std::string& key = "key",
-                                          std::int64_t last_event = 0) {
+                                          std::int64_t last_event = 0,
+                                          const char* first_attempt = "") {
     auto caller = std::make_shared<FakeCaller>();
     CallerRequest request;
     request.last_event = last_event;
+    request.first_attempt = RequestId(first_attempt);
     request.id = RequestId("r" + std::to_string(++requests_sent));
     request.method = "POST";
     request.host = "one.example";
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -264,7 +264,7 @@
   request.body_bytes = static_cast<std::int64_t>(exchange.request->body.size());
   request.avoid = avoid;
   request.content = exchange.content;
-  request.version = exchange.version;
+  request.version = exchange.stream_version;
   // After the objective has passed or the first event was sent, only the
   // deadline counts.
   const absl::Time due =
@@ -350,7 +350,7 @@
 }
 
 void Forwarder::MoveToOldServers(Exchange& exchange) {
-  if (!exchange.version.empty()) return RefuseStream(exchange);
+  if (!exchange.stream_version.empty()) return RefuseStream(exchange);
   LOG(INFO) << "event=pool-left request=" << exchange.request->id
             << " pool=" << exchange.pool;
   CancelAttempt(exchange);
@@ -365,11 +365,11 @@
   exchange_by_dispatch_id_.erase(found);
   if (exchange == nullptr) return;
   exchange->attempt.dispatch_id = RequestId();
-  if (refusal.code == Code::kNoServer && !exchange->version.empty()) {
+  if (refusal.code == Code::kNoServer && !exchange->stream_version.empty()) {
     return RefuseStream(*exchange);
   }
   // A few new servers may be full while the old ones have room.
-  const bool any_version = exchange->version.empty();
+  const bool any_version = exchange->stream_version.empty();
   if (any_version && rollouts_ != nullptr &&
       refusal.code != Code::kEndsServers) {
     const ServiceId other = rollouts_->ChooseOtherPool(
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -289,10 +289,11 @@
   if (exchange.responding) metrics_->CountResumed();
   if (rollouts_ != nullptr) {
     const ServiceId& service = exchange.service->id;
-    exchange.pool = exchange.version.empty()
-                        ? rollouts_->ChooseOtherPool(service, exchange.pool,
-                                                     exchange.request->id)
-                        : rollouts_->PoolOfVersion(service, exchange.version);
+    exchange.pool =
+        exchange.stream_version.empty()
+            ? rollouts_->ChooseOtherPool(service, exchange.pool,
+                                         exchange.request->id)
+            : rollouts_->PoolOfVersion(service, exchange.stream_version);
   }
   Enqueue(exchange, avoid);
   return true;
--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -24,9 +24,7 @@
                                           const ServerId& server) {
   const ServerEntry* entry = QueueOf(exchange.pool).FindServer(server);
   if (entry == nullptr || entry->draining) return nullptr;
-  const bool fits =
-      exchange.version.empty() || exchange.version == entry->version;
-  return fits ? entry : nullptr;
+  return exchange.Fits(*entry) ? entry : nullptr;
 }
 
 bool Forwarder::SendOnBestPath(Exchange& exchange, const ServerEntry& server) {
--- a/src/gateway/forwarder_streams.cc
+++ b/src/gateway/forwarder_streams.cc
@@ -18,14 +18,14 @@
 
 void Forwarder::RecordVersion(Exchange& exchange) {
   if (streams_ == nullptr || !exchange.safe_to_retry()) return;
-  if (exchange.version.empty()) {
-    exchange.version = exchange.attempt.server->version;
+  if (exchange.stream_version.empty()) {
+    exchange.stream_version = exchange.attempt.server->version;
   }
-  if (exchange.version.empty()) return;
+  if (exchange.stream_version.empty()) return;
   const absl::Duration life =
       std::min(exchange.request->time_left, kMaxStreamLife);
-  streams_->OnBegin(exchange.service->id, exchange.stream(), exchange.version,
-                    exchange.arrival + life);
+  streams_->OnBegin(exchange.service->id, exchange.stream(),
+                    exchange.stream_version, exchange.arrival + life);
 }
 
 void Forwarder::FindVersion(Exchange& exchange) {
@@ -41,7 +41,7 @@
                                const std::optional<std::string>& version) {
   exchange.finds_version = false;
   if (!version) return RefuseStream(exchange);
-  exchange.version = *version;
+  exchange.stream_version = *version;
   if (rollouts_ != nullptr) {
     exchange.pool = rollouts_->PoolOfVersion(exchange.service->id, *version);
     const bool may_send =
@@ -54,17 +54,16 @@
 
 bool Forwarder::HasServerOfVersion(Exchange& exchange) {
   const std::vector<ServerEntry>& servers = QueueOf(exchange.pool).servers();
-  return std::any_of(
-      servers.begin(), servers.end(), [&](const ServerEntry& server) {
-        const bool fits =
-            exchange.version.empty() || server.version == exchange.version;
-        return fits && !server.draining;
-      });
+  return std::any_of(servers.begin(), servers.end(),
+                     [&](const ServerEntry& server) {
+                       return !server.draining && exchange.Fits(server);
+                     });
 }
 
 void Forwarder::RefuseStream(Exchange& exchange) {
-  const std::string version =
-      exchange.version.empty() ? "an unknown version" : exchange.version;
+  const std::string version = exchange.stream_version.empty()
+                                  ? "an unknown version"
+                                  : exchange.stream_version;
   Refuse(exchange, {Code::kNoServerOfVersion, "the stream began at " + version},
          exchange.deadline - clock_());
 }
--- /dev/null
+++ b/src/gateway/forwarder_streams_test.cc
@@ -0,0 +1,99 @@
+// Streams that break off and are resumed, before servers of two software
+// versions.
+
+#include <boost/test/unit_test.hpp>
+
+#include "gateway/fake_site_test.h"
+
+namespace gentianlb::gateway {
+namespace {
+
+constexpr char kEvent[] = "id: 1\ndata: a\n\n";
+
+// Each of the two servers of the model service has a version of its own and
+// runs two streams.
+struct Fixture {
+  Fixture() {
+    site.forwarder->SetStreamVersions(&streams);
+    site.Configure();
+    site.AddServer("llm-a", "llm", 2, "v1");
+    site.AddServer("llm-b", "llm", 2, "v2");
+    OnServersChanged();
+  }
+
+  void OnServersChanged() {
+    streams.SetServers(site.directory.AllServers());
+    site.forwarder->OnServersChanged();
+  }
+
+  std::shared_ptr<FakeCaller> Begin() {
+    auto caller = site.SendRequest("/resume/1");
+    site.last().SendHead(200);
+    site.last().SendData(kEvent);
+    return caller;
+  }
+  std::shared_ptr<FakeCaller> TakeUp(const char* first_attempt) {
+    return site.SendRequest("/resume/1", "key", /*last_event=*/1,
+                            first_attempt);
+  }
+
+  FakeSite site;
+  StreamVersions streams{EntryHostId("h"),
+                         ZoneId("z"),
+                         &site.timers,
+                         [this] { return site.now; },
+                         {.send = [](const auto&...) {}}};
+};
+
+// Guards against a stream that goes on at another version because that has
+// room.
+BOOST_FIXTURE_TEST_CASE(ATakenUpStreamWaitsForItsVersion, Fixture) {
+  const auto first = Begin();
+  const std::string server = site.last().server();
+  first->on_disconnect();
+  TakeUp("r1");
+  TakeUp("r1");
+  BOOST_REQUIRE(site.calls.size() == 3u);
+  BOOST_TEST(site.calls[1]->server() == server);
+  BOOST_TEST(site.calls[2]->server() == server);
+  BOOST_TEST(site.calls[2]->call.last_event == 1);
+  TakeUp("r1");
+  BOOST_TEST(site.calls.size() == 3u);  // Its server is full.
+  site.calls[1]->SendData("id: 2\ndata: b\n\n");
+  site.calls[1]->Finish();
+  BOOST_REQUIRE(site.calls.size() == 4u);
+  BOOST_TEST(site.last().server() == server);
+}
+
+// Guards against a guess, and against a caller that comes back in vain.
+BOOST_FIXTURE_TEST_CASE(AStreamThatNobodyKnowsIsRefusedForItsWholeTime,
+                        Fixture) {
+  const auto caller = TakeUp("unknown");
+  BOOST_TEST(site.calls.empty());
+  BOOST_TEST(caller->status == 503);
+  BOOST_TEST(caller->header("Retry-After") == "5.000");
+  BOOST_TEST(site.forwarder->open_requests() == 0u);
+}
+
+// Guards against a stream that the gateway resumes at another version, or ends
+// as if it were complete.
+BOOST_FIXTURE_TEST_CASE(AStreamWithoutAServerOfItsVersionBreaksOff, Fixture) {
+  const auto caller = Begin();
+  site.directory.Update(site.last().server(), std::nullopt, site.now);
+  OnServersChanged();
+  site.last().Finish(http::TransferEnd::kBroken);
+  BOOST_TEST(site.calls.size() == 1u);
+  BOOST_TEST(caller->aborted);
+  BOOST_TEST(!caller->complete);
+  BOOST_TEST(TakeUp("r1")->status == 503);
+}
+
+// Guards against refusals of streams whose callers name no first attempt, as
+// before versions served side by side.
+BOOST_FIXTURE_TEST_CASE(AStreamWithoutAFirstAttemptGoesToAnyServer, Fixture) {
+  TakeUp("");
+  BOOST_TEST(site.calls.size() == 1u);
+}
+
+}  // namespace
+}  // namespace gentianlb::gateway
--- a/src/gateway/stream_messages.h
+++ b/src/gateway/stream_messages.h
@@ -41,7 +41,7 @@
   kBegan,        // A server of `version` began it.
   kOnlyVersion,  // Only `version` served while it may have begun.
   kSeveral,      // Several versions served then.
-  kNothing,      // The host has not run for long enough to tell.
+  kNothing,      // The host started too recently to know.
 };
 
 struct StreamAnswer {
--- a/src/gateway/stream_versions.h
+++ b/src/gateway/stream_versions.h
@@ -7,7 +7,7 @@
 // stream that begins to two others, one of them in another zone. A host that
 // doesn't know a stream asks all hosts that may dispatch. If none knows and
 // several versions served, the version is not known: a guess would mix events
-// of two versions, and the caller can't tell.
+// of two versions, which the caller doesn't notice.
 //
 // Has no network and no clock of its own.
 
--- a/src/gateway/table_availability_test.cc
+++ b/src/gateway/table_availability_test.cc
@@ -98,7 +98,7 @@
   BOOST_TEST((cut_off.recovered_at() == At(8100)));
   cut_off.OnPeerReport(peer.OwnAges(At(8100)), OwnCalls::kAnswered, At(8110));
   BOOST_TEST((cut_off.recovered_at() <= At(10)));
-  // Nor does the report of the host that was cut off tell the peer otherwise.
+  // Nor does the peer assume one by the report of a host that was cut off.
   TableAvailability other;
   other.OnAnswer(OwnCalls::kAnswered, At(0));
   other.OnAnswer(OwnCalls::kAnswered, At(8100));
@@ -119,7 +119,7 @@
   BOOST_TEST((cut_off.recovered_at() == At(8110)));
   cut_off.OnAnswer(OwnCalls::kFailed, At(8400));
   BOOST_TEST((cut_off.recovered_at() == At(8110)));
-  // It tells no other host to delay them.
+  // Its report delays none at others.
   peer.OnPeerReport(cut_off.OwnAges(At(8400)), OwnCalls::kAnswered, At(8410));
   BOOST_TEST((peer.recovered_at() == start));
 }
