--- a/src/gateway/fleet_messages_test.cc
+++ b/src/gateway/fleet_messages_test.cc
@@ -19,7 +19,7 @@
   update.draining = true;
   update.workspaces = {
       {HashName("w"), 1234.5F, 99, 7, 0.5F, 3, 2, 40.0F, -7.5F, 5}};
-  update.tables = {{HashName("t"), {77, 60, 80}, true, true, 350}};
+  update.tables = {{HashName("t"), {77, 60, 80}, true, true, {350, 20}}};
   update.rollouts = {
       {HashName("s"),
        155,
@@ -40,6 +40,7 @@
   TableChanges changes;
   changes.table = HashName("t");
   changes.since = 7;
+  changes.answers = {350, 20};
   changes.page.version = 12;
   changes.page.rows = {{"a", std::string(20'000, 'v'), false, 11},
                        {"b", "", true, 12}};
