--- a/src/gateway/groups_test.cc
+++ b/src/gateway/groups_test.cc
@@ -131,6 +131,7 @@
   request.body_bytes = 18000;
   request.parts = {{7, 60}, {8, 2890}};
   request.content = 0x123456789abcdef0;
+  request.version = "v1.2";
   return request;
 }
 
--- a/src/gateway/stream_versions_test.cc
+++ b/src/gateway/stream_versions_test.cc
@@ -156,10 +156,10 @@
   std::vector<Datagram> queue_;
 };
 
-const std::vector<std::string> kVersions = {"v1", "v2"};
+const std::vector<std::string> versions = {"v1", "v2"};
 
 std::string VersionOf(int stream) {
-  return kVersions.at(static_cast<std::size_t>(stream) % 2);
+  return versions.at(static_cast<std::size_t>(stream) % 2);
 }
 
 struct Result {
@@ -196,7 +196,7 @@
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
       Site site(hosts, zones, seed);
       site.lost_percent = 2;
-      site.SetVersions(kVersions);
+      site.SetVersions(versions);
       for (int i = 0; i < kStreams; ++i) {
         site.Begin(site.Random(hosts), i, VersionOf(i));
       }
@@ -218,7 +218,7 @@
   site.SetVersions({"v1"});
   site.Pass(kLife);
   for (int i = 0; i < kStreams; i += 2) site.Begin(1 + i % 7, i, "v1");
-  site.SetVersions(kVersions);
+  site.SetVersions(versions);
   site.Pass(absl::Seconds(1));
   site.SetVersions({"v2"});
   site.Start(0);
@@ -235,7 +235,7 @@
   site.Pass(kLife);
   for (int i = 0; i < kStreams; i += 2) site.Begin(0, i, "v1");
   BOOST_TEST(site.sent == 0);
-  site.SetVersions(kVersions);
+  site.SetVersions(versions);
   site.Pass(absl::Milliseconds(20));
   site.Kill(0);
   for (int i = 0; i < kStreams; i += 2) {
@@ -255,7 +255,7 @@
 // Guards against a guess where all that knew were killed at once.
 BOOST_AUTO_TEST_CASE(AStreamThatNobodyKnowsHasNoVersion) {
   Site site(8, 3, 1);
-  site.SetVersions(kVersions);
+  site.SetVersions(versions);
   for (int i = 0; i < kStreams; ++i) site.Begin(i % 8, i, VersionOf(i));
   site.Pass(absl::Milliseconds(20));
   for (int i = 0; i < 8; ++i) site.Start(i);
@@ -265,7 +265,7 @@
 // Guards against callers in a zone that is cut off whose streams don't go on.
 BOOST_AUTO_TEST_CASE(AZoneThatIsCutOffKnowsItsStreams) {
   Site site(8, 2, 1);
-  site.SetVersions(kVersions);
+  site.SetVersions(versions);
   for (int i = 0; i < kStreams; ++i) site.Begin(2 * (i % 4), i, VersionOf(i));
   site.Pass(absl::Milliseconds(20));
   site.CutOff("z0");
@@ -278,7 +278,7 @@
 // Bounds what replication costs.
 BOOST_AUTO_TEST_CASE(AStreamCostsTwoMessages) {
   Site site(64, 4, 1);
-  site.SetVersions(kVersions);
+  site.SetVersions(versions);
   for (int i = 0; i < kStreams; ++i) site.Begin(i % 64, i, VersionOf(i));
   BOOST_TEST(site.sent <= 2 * kStreams);
 }
--- a/src/gateway/table_availability_test.cc
+++ b/src/gateway/table_availability_test.cc
@@ -91,8 +91,9 @@
 BOOST_AUTO_TEST_CASE(AnswersToAPeerShowThatThereWasNoOutage) {
   TableAvailability peer;
   TableAvailability cut_off;
-  for (int ms = 0; ms <= 8000; ms += 1000)
+  for (int ms = 0; ms <= 8000; ms += 1000) {
     peer.OnAnswer(OwnCalls::kAnswered, At(ms));
+  }
   cut_off.OnAnswer(OwnCalls::kAnswered, start);
   cut_off.OnAnswer(OwnCalls::kAnswered, At(8100));
   BOOST_TEST((cut_off.recovered_at() == At(8100)));
