--- a/tests/process/stream_version_test.cc
+++ b/tests/process/stream_version_test.cc
@@ -193,6 +193,7 @@
   Site site;
   site.Cut(kEventsBeforeTheCut, /*every=*/3);
   std::vector<http::ClientRequest> requests;
+  requests.reserve(kStreams);
   for (int i = 0; i < kStreams; ++i) {
     requests.push_back(site.MakeStream(i, absl::StrCat("/twice/", i)));
   }
