Lines name the parts of a prompt, and whether an answer had begun

No line told which parts a request's prompt holds, nor whether a server had begun to write when its connection was lost: head=0 also where the head's bytes had come. So requests that share one part and nothing else could not be told from repeats of one content.

Parts are now known by themselves, wherever they stand; the marks of the prefix caches, which cover the parts before, are computed from them where they are looked up (tests of both moved with them). 'sent' lines name the parts, 'sending-failed' ones say begun=. No decision changes: the marks stand for the same prefixes. Unit tests of schedule, platform, http and gateway pass.

--- a/src/gateway/content_hash.cc
+++ b/src/gateway/content_hash.cc
@@ -38,10 +38,24 @@
     hasher.Add(prompt.model.str());
     hasher.Add(static_cast<std::uint64_t>(prompt.prompt_tokens));
     hasher.Add(static_cast<std::uint64_t>(prompt.max_output_tokens));
-    if (!prompt.parts.empty()) hasher.Add(prompt.parts.back().hash);
+    for (const schedule::PromptPart& part : prompt.parts) hasher.Add(part.hash);
   }
   hasher.Add(request.body);
   return hasher.hash() == schedule::kNoContent ? 1 : hasher.hash();
 }
 
+std::vector<schedule::PromptPart> PartsAt(const ServiceId& service,
+                                          const Prompt& prompt) {
+  FieldHasher scope;
+  scope.Add(service.str());
+  scope.Add(prompt.model.str());
+  std::vector<schedule::PromptPart> parts = prompt.parts;
+  for (schedule::PromptPart& part : parts) {
+    FieldHasher hasher = scope;
+    hasher.Add(part.hash);
+    part.hash = hasher.hash();
+  }
+  return parts;
+}
+
 }  // namespace gentianlb::gateway
--- a/src/gateway/content_hash.h
+++ b/src/gateway/content_hash.h
@@ -1,4 +1,5 @@
-// Identifies what a request asks for, whatever attempt of its caller it is.
+// Identifies what a request asks for, whatever attempt of its caller it is, and
+// the parts of prompts that requests share.
 //
 // Each retry by a caller has a new request id and usually another entry host.
 // What it asks for stays the same.
@@ -6,6 +7,8 @@
 #ifndef GENTIANLB_GATEWAY_CONTENT_HASH_H_
 #define GENTIANLB_GATEWAY_CONTENT_HASH_H_
 
+#include <vector>
+
 #include "gateway/messages.h"
 
 namespace gentianlb::gateway {
@@ -15,6 +18,11 @@
 schedule::ContentHash HashContent(const CallerRequest& request,
                                   const WorkspaceId& workspace);
 
+// Returns the prompt's parts with hashes that differ between services and
+// models: a part says nothing about the servers of others.
+std::vector<schedule::PromptPart> PartsAt(const ServiceId& service,
+                                          const Prompt& prompt);
+
 }  // namespace gentianlb::gateway
 
 #endif  // GENTIANLB_GATEWAY_CONTENT_HASH_H_
--- a/src/gateway/content_hash_test.cc
+++ b/src/gateway/content_hash_test.cc
@@ -53,5 +53,17 @@
   BOOST_TEST(HashContent(other, workspace) != hash);
 }
 
+// Guards against a part that one service's servers end under and for which
+// another service's requests are refused.
+BOOST_AUTO_TEST_CASE(APartIsAnotherOneAtAnotherServiceOrModel) {
+  Prompt prompt = *MakeRequest().prompt;
+  const auto parts = PartsAt(ServiceId("llm"), prompt);
+  BOOST_TEST(parts.front().tokens == 100);
+  BOOST_TEST((PartsAt(ServiceId("llm"), prompt) == parts));
+  BOOST_TEST((PartsAt(ServiceId("other"), prompt) != parts));
+  prompt.model = ModelId("n");
+  BOOST_TEST((PartsAt(ServiceId("llm"), prompt) != parts));
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "base/timer_service.h"
@@ -31,6 +32,7 @@
   absl::Time sent_at;
   http::TransferId transfer = 0;  // 0 unless the transfer is in progress.
   ResponseHead head;
+  bool has_begun = false;  // A byte of the response has arrived.
   bool has_head = false;
   bool foreign_answer = false;  // A head came that isn't for this request.
   bool first_event_reported = false;  // To the dispatcher.
@@ -49,6 +51,7 @@
   ServiceId pool;  // The pool of the service's servers that runs the request.
   Tier tier;
   schedule::ContentHash content = schedule::kNoContent;
+  std::vector<schedule::PromptPart> parts;  // Of its prompt.
 
   absl::Time arrival;
   absl::Time deadline;  // The earlier of the caller's and the route's.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -178,6 +178,9 @@
     return Refuse(exchange, {Code::kNoServer, "the service is not configured"},
                   kShortRetryAfter);
   }
+  if (exchange.service->engine && exchange.request->prompt) {
+    exchange.parts = PartsAt(service, *exchange.request->prompt);
+  }
   metrics_->CountAccepted(exchange.tier);
   QueueOf(service).retries().OnCall();
   exchange.deadline_timer =
@@ -276,7 +279,7 @@
   request.prompt_tokens = prompt->prompt_tokens;
   request.max_output_tokens = prompt->max_output_tokens;
   request.expected_output_tokens = prompt->expected_output_tokens;
-  request.parts = prompt->parts;
+  request.parts = exchange.parts;
   return request;
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -201,6 +201,8 @@
   // Stops the server's work on the request, or removes it from the queue.
   void CancelAttempt(Exchange& exchange);
 
+  // Returns the hashes of the request's prompt parts for a log line.
+  static std::string PartsText(const Exchange& exchange);
   // Returns the inputs that decided on a suspect, as fields of a line.
   std::string SuspectInputs(const Exchange& exchange) const;
   void BeginStream(Exchange& exchange);
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -245,6 +245,7 @@
                << " partial_bytes=" << exchange.splitter.partial().size()
                << " ends_with_connection="
                << exchange.attempt.head.ends_with_connection
+               << " begun=" << exchange.attempt.has_begun
                << " head=" << exchange.attempt.has_head;
   exchange.may_have_run = true;
   const ResponseHead head = exchange.attempt.head;
--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -55,6 +55,14 @@
   return SendOnBestPath(exchange, *server);
 }
 
+std::string Forwarder::PartsText(const Exchange& exchange) {
+  std::string text;
+  for (const schedule::PromptPart& part : exchange.parts) {
+    absl::StrAppend(&text, text.empty() ? "" : ",", absl::Hex(part.hash));
+  }
+  return text.empty() ? "-" : text;
+}
+
 void Forwarder::Send(Exchange& exchange, const ServerEntry& server) {
   const absl::Time now = clock_();
   ++exchange.attempts;
@@ -66,6 +74,7 @@
             << " address=" << settings::Format(server.address)
             << " zone=" << server.zone
             << " content=" << absl::StrCat(absl::Hex(exchange.content))
+            << " parts=" << PartsText(exchange)
             << " peer=" << exchange.attempt.path.peer_name()
             << " sending=" << exchange.attempts
             << " waited_ms=" << Milliseconds(now - exchange.arrival)
@@ -90,6 +99,9 @@
                                                                  : nullptr;
   };
   CallSink sink;
+  sink.on_first_byte = [current] {
+    if (Exchange* found = current()) found->attempt.has_begun = true;
+  };
   sink.on_head = [this, current](ResponseHead head) {
     Exchange* found = current();
     return found == nullptr ? http::ReadAction::kStop
--- a/src/gateway/group_messages.cc
+++ b/src/gateway/group_messages.cc
@@ -73,8 +73,8 @@
     PutTime(request.deadline);
     PutTime(request.first_token_due);
     writer_(request.content);
-    WriteList(writer_, request.parts, [&](const schedule::PrefixMark& mark) {
-      writer_(mark.hash, static_cast<std::int32_t>(mark.tokens));
+    WriteList(writer_, request.parts, [&](const schedule::PromptPart& part) {
+      writer_(part.hash, static_cast<std::int32_t>(part.tokens));
     });
   }
   void Put(const schedule::RequestArrived& event) { Put(event.request); }
@@ -202,9 +202,9 @@
     GetTime(&request->deadline);
     GetTime(&request->first_token_due);
     reader_(request->content);
-    ReadList(reader_, &request->parts, [&](schedule::PrefixMark& mark) {
-      reader_(mark.hash);
-      GetNumber<std::int32_t>(&mark.tokens);
+    ReadList(reader_, &request->parts, [&](schedule::PromptPart& part) {
+      reader_(part.hash);
+      GetNumber<std::int32_t>(&part.tokens);
     });
   }
   void Get(schedule::RequestArrived* event) { Get(&event->request); }
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -28,9 +28,9 @@
   int prompt_tokens = 0;
   int max_output_tokens = 0;       // 0: not stated.
   int expected_output_tokens = 0;  // The caller's estimate; 0: none.
-  // The prompt's prefixes in order, as depths: each hash covers its part of the
-  // prompt and all parts before it.
-  std::vector<schedule::PrefixMark> parts;
+  // In order. Requests share parts; the last one is the request's own, or its
+  // session's.
+  std::vector<schedule::PromptPart> parts;
   bool operator==(const Prompt&) const = default;
 };
 
@@ -126,6 +126,8 @@
   std::function<http::ReadAction(ResponseHead head)> on_head;
   std::function<void(std::string_view bytes)> on_data;
   std::function<void(http::TransferEnd end, std::string detail)> on_end;
+  // The first byte of the head arrived. Comes before the others.
+  std::function<void()> on_first_byte;
 };
 
 // Sends requests to backend servers. Implemented by the platform's adapter over
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -69,6 +69,8 @@
   std::function<ReadAction(int status, std::vector<Header> headers)> on_head;
   std::function<void(std::string_view bytes)> on_data;
   std::function<void(TransferEnd end, std::string detail)> on_end;
+  // The first line of the head arrived. Comes before the others.
+  std::function<void()> on_first_byte;
 };
 
 // A buffered response, for callers that don't stream.
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -140,6 +140,9 @@
 
 void Transfer::ParseHeaderLine(std::string_view line) {
   last_byte_time_ = absl::Now();
+  if (!std::exchange(has_begun_, true) && sink_.on_first_byte) {
+    sink_.on_first_byte();
+  }
   if (line.starts_with("HTTP/")) headers_.clear();
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return;
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -66,6 +66,7 @@
   CURL* handle_ = nullptr;
   curl_slist* header_list_ = nullptr;
   std::vector<Header> headers_;
+  bool has_begun_ = false;  // A line of the response's head has arrived.
   bool head_delivered_ = false;
   bool stopped_by_sink_ = false;
   int send_attempts_ = 0;
--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -219,8 +219,8 @@
                                   WorkspaceIndex workspace, PoolIndex pool) {
   WaitingRequest waiting;
   waiting.request = request;
-  waiting.marks =
-      request.parts.empty() ? MakePrefixMarks(request.prefix) : request.parts;
+  waiting.marks = request.parts.empty() ? MakePrefixMarks(request.prefix)
+                                        : MakePrefixMarks(request.parts);
   waiting.request.prefix = {};  // The marks suffice and are far smaller.
   waiting.request.parts = {};
   waiting.avoid = state.servers.Find(request.avoid);
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -93,6 +93,16 @@
   auto operator<=>(const PrefixMark&) const = default;
 };
 
+// Hash of one part of a prompt, wherever it stands.
+using PartHash = std::uint64_t;
+
+// A part of a prompt, as its caller splits it.
+struct PromptPart {
+  PartHash hash = 0;
+  int tokens = 0;
+  auto operator<=>(const PromptPart&) const = default;
+};
+
 // Hash of what a request asks for. All attempts of its caller have the same.
 using ContentHash = std::uint64_t;
 inline constexpr ContentHash kNoContent = 0;
@@ -110,9 +120,8 @@
   int max_output_tokens = 0;  // The caller's limit; 0: none.
   std::int64_t body_bytes = 0;
   std::vector<PrefixHash> prefix;  // Empty if unknown.
-  // Used instead of `prefix` by callers that split their prompts themselves:
-  // the end of each part, in ascending order.
-  std::vector<PrefixMark> parts;
+  // Used instead of `prefix` by callers that split their prompts themselves.
+  std::vector<PromptPart> parts;
   // Deadline of the first token; InfiniteFuture() if there is none.
   absl::Time first_token_due = absl::InfiniteFuture();
   int expected_output_tokens = 0;    // The caller's estimate; 0: none.
--- a/src/schedule/modules_test.cc
+++ b/src/schedule/modules_test.cc
@@ -201,6 +201,22 @@
   std::vector<PrefixMark> marks = MakePrefixMarks(Chain(100));
 };
 
+// Guards against a cached part that is counted though a part before it, without
+// which it is useless, is another one.
+BOOST_AUTO_TEST_CASE(AMarkOfAPartCoversThePartsBeforeIt) {
+  const std::vector<PrefixMark> first =
+      MakePrefixMarks(std::vector<PromptPart>{{1, 800}, {2, 410}, {3, 250}});
+  const std::vector<PrefixMark> second =
+      MakePrefixMarks(std::vector<PromptPart>{{9, 800}, {2, 410}, {3, 250}});
+  BOOST_REQUIRE(first.size() == 3u);
+  BOOST_TEST(first[0].tokens == 800);
+  BOOST_TEST(first[1].tokens == 1210);
+  BOOST_TEST(first[2].tokens == 1460);
+  for (std::size_t i = 0; i < first.size(); ++i) {
+    BOOST_TEST(first[i].hash != second[i].hash);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(EntriesOfOwnGrantsExpireWithAge) {
   PrefixCacheFixture fixture;
   fixture.cache.OnGrant(0, fixture.marks, 6400, At(1));
--- a/src/schedule/prefix_cache_tracker.cc
+++ b/src/schedule/prefix_cache_tracker.cc
@@ -1,5 +1,7 @@
 #include "schedule/prefix_cache_tracker.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 
 namespace gentianlb::schedule {
@@ -39,6 +41,17 @@
   return marks;
 }
 
+std::vector<PrefixMark> MakePrefixMarks(const std::vector<PromptPart>& parts) {
+  std::vector<PrefixMark> marks;
+  PrefixMark mark;
+  for (const PromptPart& part : parts) {
+    mark.hash = XXH3_64bits_withSeed(&part.hash, sizeof part.hash, mark.hash);
+    mark.tokens += part.tokens;
+    marks.push_back(mark);
+  }
+  return marks;
+}
+
 double PrefixCacheTracker::Lookup::CachedTokens(ServerIndex server,
                                                 absl::Time now) const {
   for (const Level& level : levels_) {
--- a/src/schedule/prefix_cache_tracker.h
+++ b/src/schedule/prefix_cache_tracker.h
@@ -36,6 +36,9 @@
 // Returns the depths of `prefix` to look up, shallowest first. The last block
 // is always included.
 std::vector<PrefixMark> MakePrefixMarks(const std::vector<PrefixHash>& prefix);
+// Returns the end of each part. A mark covers its part and all parts before it,
+// without which the part's cache entry is useless.
+std::vector<PrefixMark> MakePrefixMarks(const std::vector<PromptPart>& parts);
 
 // Tracks the cached prefixes of all servers.
 class PrefixCacheTracker {
