Tests: a part of prompts that ends server after server; red

Four gateways as processes, eight servers that end as they begin to write on a prompt with one part and are back after 3 s, 30 sound streams a second, five deadly ones, no two alike.

--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -15,6 +15,13 @@
 
 constexpr absl::Duration kTimeToSend = absl::Milliseconds(30);
 
+// Returns whether a prompt's list of parts, ID:TOKENS each, holds `part`.
+bool HoldsPart(std::string_view parts, std::string_view part) {
+  if (part.empty()) return false;
+  const std::string list = "," + std::string(parts);
+  return list.find("," + std::string(part) + ":") != std::string::npos;
+}
+
 }  // namespace
 
 PlatformServer::PlatformServer(std::string id, int events, std::string version)
@@ -74,6 +81,11 @@
   return arrivals_;
 }
 
+std::vector<absl::Time> PlatformServer::DeadlyArrivals() const {
+  absl::MutexLock lock(&mutex_);
+  return deadly_arrivals_;
+}
+
 std::map<std::string, int> PlatformServer::Runs() const {
   absl::MutexLock lock(&mutex_);
   return runs_;
@@ -105,6 +117,9 @@
       if (!faults.sheds) ++runs_[request_id];
     }
     ended_ = ended;
+    const bool deadly_part =
+        HoldsPart(request.header("Prefix-Hash"), faults.ends_under_part);
+    if (deadly_part && !ended) deadly_arrivals_.push_back(absl::Now());
   }
   if (ended) return answer->Abort();
   std::vector<http::Header> headers;
@@ -136,10 +151,15 @@
                  {{"Request-Id", std::string(request.header("Request-Id"))},
                   {"Server-Stamp", id_},
                   {"Content-Type", "text/event-stream"}});
+  if (HoldsPart(request.header("Prefix-Hash"), faults.ends_under_part)) {
+    return EndUnder(answer, std::move(headers));
+  }
   answer->Begin(200, std::move(headers));
+  if (faults.event_gap > absl::ZeroDuration()) {
+    return WriteEvents(answer, last + 1, faults.event_gap);
+  }
   for (int i = last + 1; i <= events_; ++i) {
-    const std::string event =
-        absl::StrCat("id: ", i, "\ndata: word", version_, "\n\n");
+    const std::string event = EventText(i);
     if (i - 1 == faults.cut_after_events) {
       answer->Write(event.substr(0, event.size() / 2));
       // An abort drops what the connection has yet to send.
@@ -151,4 +171,26 @@
   answer->Finish();
 }
 
+void PlatformServer::EndUnder(const Answer& answer,
+                              std::vector<http::Header> headers) {
+  answer->Begin(200, std::move(headers));
+  timers_.After(kTimeToSend, [this] {
+    absl::MutexLock lock(&mutex_);
+    ended_ = true;
+    closing_ = true;
+  });
+}
+
+void PlatformServer::WriteEvents(const Answer& answer, int next,
+                                 absl::Duration gap) {
+  if (next > events_) return answer->Finish();
+  answer->Write(EventText(next));
+  timers_.After(
+      gap, [this, answer, next, gap] { WriteEvents(answer, next + 1, gap); });
+}
+
+std::string PlatformServer::EventText(int number) const {
+  return absl::StrCat("id: ", number, "\ndata: word", version_, "\n\n");
+}
+
 }  // namespace gentianlb::standins
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -25,6 +25,9 @@
     bool loses_answers = false;  // Runs it, and breaks the connection.
     // Ends while it runs a request whose body contains this; empty: none.
     std::string ends_under;
+    // Ends as it begins to write on a prompt with this part; empty: none.
+    std::string ends_under_part;
+    absl::Duration event_gap;  // Between the events of its streams.
     // Named in all answers, as it stands; empty: none.
     std::string request_limit;
   };
@@ -49,6 +52,8 @@
   std::vector<absl::Time> Arrivals() const;
   // How often each request has run here, by its id.
   std::map<std::string, int> Runs() const;
+  // When it began to write on a prompt with the part under which it ends.
+  std::vector<absl::Time> DeadlyArrivals() const;
   // What the last request looked like here.
   http::Request LastRequest() const;
 
@@ -58,6 +63,11 @@
   void Handle(const http::Request& request, const Answer& answer);
   void Stream(const http::Request& request, const Answer& answer,
               const Faults& faults, std::vector<http::Header> headers);
+  // Begins a stream, and ends the server a moment later.
+  void EndUnder(const Answer& answer, std::vector<http::Header> headers);
+  // Writes the events from number `next` on, `gap` apart.
+  void WriteEvents(const Answer& answer, int next, absl::Duration gap);
+  std::string EventText(int number) const;
   // Closes the port and all connections once `closing_` is set. Runs on a
   // thread of its own, as the server's threads can't end their server.
   void CloseAtEnd();
@@ -69,6 +79,7 @@
   Faults faults_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
   std::vector<absl::Time> arrivals_ ABSL_GUARDED_BY(mutex_);
+  std::vector<absl::Time> deadly_arrivals_ ABSL_GUARDED_BY(mutex_);
   http::Request last_ ABSL_GUARDED_BY(mutex_);
   bool ended_ ABSL_GUARDED_BY(mutex_) = false;    // Under a request.
   bool closing_ ABSL_GUARDED_BY(mutex_) = false;  // Ended, or destroyed.
