--- a/src/gateway/group_site_test.h
+++ b/src/gateway/group_site_test.h
@@ -108,7 +108,8 @@
   RequestId Submit(const std::string& host, int rank = 0,
                    absl::Duration deadline = absl::Seconds(5),
                    schedule::ContentHash content = schedule::kNoContent,
-                   const ServerId& avoid = ServerId()) {
+                   const ServerId& avoid = ServerId(),
+                   const std::vector<schedule::PromptPart>& prompt = {}) {
     schedule::Request request;
     request.id = RequestId(std::to_string(++submitted));
     request.host = EntryHostId(host);
@@ -122,6 +123,7 @@
     request.max_output_tokens = 50;
     request.content = content;
     request.avoid = avoid;
+    request.parts = prompt;
     Host& origin = hosts.at(host);
     const bool handled =
         origin.link->OnEvent(service.id, schedule::RequestArrived{request});
@@ -132,9 +134,11 @@
   void FinishRequest(
       const std::string& host, const RequestId& id,
       schedule::RequestOutcome kind = schedule::RequestOutcome::kComplete,
-      std::optional<double> request_limit = std::nullopt) {
+      std::optional<double> request_limit = std::nullopt,
+      schedule::ResponseProgress progress = schedule::ResponseProgress::kNone) {
     hosts.at(host).link->OnEvent(
-        service.id, schedule::RequestFinished{id, kind, 50, 0, request_limit});
+        service.id,
+        schedule::RequestFinished{id, kind, 50, 0, request_limit, progress});
   }
 
   void Advance(absl::Duration span) {
