Group client: three empty lists of open requests, as one may be lost

On the code as it was 5 of 100 seeds fail (24, 28, 65, 67, 71; 1 to 20, which it played, pass).

The client now sends three empty lists. The test plays seeds 1 to 100, its first 20 as before: 5 red before, none now.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -23,6 +23,10 @@
 // heartbeats four times as often to hosts whose requests it has queued.
 constexpr absl::Duration kHeartbeatTimeout = absl::Milliseconds(100);
 
+// A dispatcher that misses the end of a request and the empty list after it
+// takes the server for slow two seconds later.
+constexpr int kEmptyLists = 3;
+
 // How often the client checks whether a group has another dispatcher.
 constexpr absl::Duration kDispatcherCheckInterval = absl::Milliseconds(100);
 
@@ -292,15 +296,15 @@
 void GroupClient::ReportOpenRequests(absl::Time now) {
   last_report_ = now;
   std::map<std::pair<EntryHostId, GroupKey>, OpenRequests> open_requests;
-  for (auto& [dispatcher, has_requests] : reported_to_) {
-    if (std::exchange(has_requests, false)) open_requests[dispatcher];
+  for (auto& [dispatcher, left] : empty_lists_left_) {
+    if (left-- > 0) open_requests[dispatcher];
   }
-  std::erase_if(reported_to_, [&](const auto& item) {
+  std::erase_if(empty_lists_left_, [&](const auto& item) {
     return !open_requests.contains(item.first);
   });
   for (const auto& [id, open] : open_) {
     open_requests[{open.dispatcher, open.group}].ids.push_back(id);
-    reported_to_[{open.dispatcher, open.group}] = true;
+    empty_lists_left_[{open.dispatcher, open.group}] = kEmptyLists;
   }
   for (auto& [dispatcher, ids] : open_requests) {
     hooks_.send(dispatcher.first, {dispatcher.second, std::move(ids)});
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -125,9 +125,9 @@
   int pending_ = 0;
   absl::Time last_move_ = absl::InfinitePast();
   absl::Time last_report_ = absl::InfinitePast();
-  // Dispatchers that received a list of open requests, and whether the last
-  // list had any. One without requests receives an empty list once.
-  std::map<std::pair<EntryHostId, GroupKey>, bool> reported_to_;
+  // Dispatchers that received a list of open requests, and how many empty lists
+  // each still receives once it has none.
+  std::map<std::pair<EntryHostId, GroupKey>, int> empty_lists_left_;
 };
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/group_link_test.cc
+++ b/src/gateway/group_link_test.cc
@@ -214,12 +214,13 @@
 // by the dispatcher or by its own host, soon after its submission, and lost
 // datagrams don't keep streams occupied.
 BOOST_AUTO_TEST_CASE(EachRequestIsDecidedOnceOverLossyNetwork) {
-  for (unsigned seed = 1; seed <= 20; ++seed) {
+  for (unsigned seed = 1; seed <= 100; ++seed) {
+    const unsigned percent = 1 + (seed - 1) % 20;
     GroupSite site(4, 2, 4);
     site.random.seed(seed);
-    site.max_delay_ms = 1 + seed;
-    site.lost_percent = seed;
-    site.duplicated_percent = seed;
+    site.max_delay_ms = 1 + percent;
+    site.lost_percent = percent;
+    site.duplicated_percent = percent;
     std::vector<std::tuple<absl::Time, std::string, RequestId>> running;
     for (int i = 0; i < 200; ++i) {
       const std::string name = "h" + std::to_string(i % 4);
