Group client: a dispatcher gets empty lists also of requests between two lists

A request that is submitted, granted and finished between two lists of open requests left no trace at its client: if the report of its end was lost, nothing told the dispatcher, which took the server for slow two seconds later. The empty lists are now due from the submission on.

--- a/src/gateway/group_client.cc
+++ b/src/gateway/group_client.cc
@@ -137,6 +137,7 @@
   ++pending_;
   const GroupKey group = open.group;
   const EntryHostId dispatcher = open.dispatcher;
+  empty_lists_left_[{dispatcher, group}] = kEmptyLists;
   open_[request.id] = std::move(open);
   // The answer may arrive before send() returns.
   hooks_.send(dispatcher, {group, schedule::RequestArrived{request}});
@@ -332,6 +333,7 @@
     // A copy, because a dispatcher of this host may answer at once and change
     // the table.
     const OpenRequest open = found->second;
+    empty_lists_left_[{open.dispatcher, open.group}] = kEmptyLists;
     hooks_.send(before, {open.group,
                          schedule::RequestFinished{
                              id, schedule::RequestOutcome::kCancelled, 0, 0}});
--- a/src/gateway/group_client.h
+++ b/src/gateway/group_client.h
@@ -125,8 +125,8 @@
   int pending_ = 0;
   absl::Time last_move_ = absl::InfinitePast();
   absl::Time last_report_ = absl::InfinitePast();
-  // Dispatchers that received a list of open requests, and how many empty lists
-  // each still receives once it has none.
+  // Dispatchers that received a request or a list of open ones, and how many
+  // empty lists each still receives once it has none.
   std::map<std::pair<EntryHostId, GroupKey>, int> empty_lists_left_;
 };
 
