A host that starts learns from peers under what servers ended

Callers saw servers end anew once hosts were started again: a host takes the groups that it dispatched for within some 30 ms and remembers nothing, while its peers ask it for grants.

A host now asks peers that it has not known, two at a time until one answers: all of them once it has started, those of the other side once a partition ends. The answer holds the losses with their ages, contents and parts alike, in one datagram. Until it is there, for 12 ms at most, what peers ask of a host that has just started waits. Datagrams have a new format (GG5): during an update two versions don't exchange state.

--- a/src/gateway/deadly_part_test.cc
+++ b/src/gateway/deadly_part_test.cc
@@ -93,5 +93,40 @@
   }
 }
 
+// Guards against a part that ends servers anew once hosts that knew it have
+// been started again, one after the other.
+BOOST_AUTO_TEST_CASE(HostsThatStartAgainKnowTheDeadlyParts) {
+  for (const int hosts : {4, 8, 64}) {
+    for (unsigned seed = 1; seed <= 5; ++seed) {
+      Site site(hosts, seed);
+      site.RunMixed(absl::Seconds(2));
+      const int before = site.DeadlySends();
+      for (int i = 0; i < hosts; ++i) {
+        site.StartHostAgain("h" + std::to_string(i));
+        site.RunMixed(absl::Milliseconds(500));
+      }
+      BOOST_TEST(site.DeadlySends() == before);
+    }
+  }
+}
+
+// Guards against the same for contents.
+BOOST_AUTO_TEST_CASE(HostsThatStartAgainKnowTheDeadlyRequests) {
+  constexpr schedule::ContentHash kContent = 1;
+  for (const int hosts : {4, 8, 64}) {
+    Site site(hosts);
+    site.SendDeadly(kContent);
+    site.Run(absl::Seconds(1), 0);
+    const int before = site.SendsOf(kContent);
+    for (int i = 0; i < hosts; ++i) {
+      site.StartHostAgain("h" + std::to_string(i));
+      site.Run(absl::Milliseconds(300), 0);
+      site.SendDeadly(kContent);
+      site.Run(absl::Milliseconds(200), 0);
+    }
+    BOOST_TEST(site.SendsOf(kContent) == before);
+  }
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
--- a/src/gateway/group_link.cc
+++ b/src/gateway/group_link.cc
@@ -14,6 +14,14 @@
 // below kMinTimeout of group_client.cc.
 constexpr absl::Duration kClientTickInterval = absl::Milliseconds(5);
 
+// How long a host that has just started keeps what peers ask of it until one
+// has told it what it remembers; peers decide for themselves soon after.
+constexpr absl::Duration kMaxHold = absl::Milliseconds(12);
+constexpr std::size_t kMaxHeld = 256;
+
+// Losses of each kind in one answer, which must fit into a datagram.
+constexpr std::size_t kMaxLossesSent = 500;
+
 }  // namespace
 
 GroupLink::GroupLink(EntryHostId self, const ServiceQueueOptions& queue_options,
@@ -26,6 +34,7 @@
       options_(WithSuspects(queue_options)),
       suspects_(options_.dispatcher.suspects),
       selector_(self),
+      queries_(self),
       client_(self, &selector_,
               {.send =
                    [this](const EntryHostId& host, AddressedEvent item) {
@@ -62,6 +71,7 @@
 
 GroupLink::~GroupLink() {
   timers_->Cancel(tick_timer_);
+  timers_->Cancel(hold_timer_);
   suspects_->requests.OnChange(nullptr);
   suspects_->parts.OnChange(nullptr);
 }
@@ -82,30 +92,83 @@
 
 void GroupLink::HandleDatagram(std::string_view bytes) {
   const absl::Time now = clock_();
-  const auto message = DecodeGroupMessage(bytes, now);
+  auto message = DecodeGroupMessage(bytes, now);
   if (!message) {
     ++malformed_;
     return;
   }
   client_.RecordContact(message->from, now);
-  for (const schedule::SuspectChange& change : message->suspects) {
-    suspects_->requests.OnPeerChange(change, now);
+  RecordLosses(*message, now);
+  if (Holds(*message, now)) return held_.push_back(*std::move(message));
+  HandleRequests(*message, now);
+  ScheduleTick();
+}
+
+bool GroupLink::Holds(const GroupMessage& message, absl::Time now) {
+  if (memory_known_) return false;
+  if (held_.size() >= kMaxHeld) ReleaseHeld();
+  if (memory_known_) return false;
+  Outgoing(message.from).memory = MemoryTransfer::kQuery;
+  if (hold_timer_ == 0) {
+    hold_timer_ =
+        timers_->At(now + kMaxHold, [this](absl::Time) { ReleaseHeld(); });
   }
-  for (const schedule::PartChange& change : message->parts) {
-    suspects_->parts.OnPeerChange(change, now);
+  return true;
+}
+
+void GroupLink::ReleaseHeld() {
+  memory_known_ = true;
+  timers_->Cancel(hold_timer_);
+  hold_timer_ = 0;
+  const absl::Time now = clock_();
+  for (const GroupMessage& message : std::exchange(held_, {})) {
+    HandleRequests(message, now);
   }
-  for (const GroupCapacity& cap : message->capacities) client_.SetCapacity(cap);
-  for (const AddressedEvent& item : message->events) {
-    dispatchers_.HandleEvent(message->from, item, now);
+  ScheduleTick();
+}
+
+void GroupLink::HandleRequests(const GroupMessage& message, absl::Time now) {
+  for (const GroupCapacity& cap : message.capacities) client_.SetCapacity(cap);
+  for (const AddressedEvent& item : message.events) {
+    dispatchers_.HandleEvent(message.from, item, now);
   }
-  for (const GroupAnswer& answer : message->answers) {
-    client_.HandleAnswer(message->from, answer, now);
+  for (const GroupAnswer& answer : message.answers) {
+    client_.HandleAnswer(message.from, answer, now);
   }
-  ScheduleTick();
 }
 
 void GroupLink::SetDispatchers(const std::vector<HostEntry>& hosts) {
   if (selector_.SetHosts(hosts)) dispatchers_.OnHostsChanged(clock_());
+  for (const EntryHostId& host : queries_.OnHosts(hosts)) {
+    Outgoing(host).memory = MemoryTransfer::kQuery;
+  }
+}
+
+void GroupLink::RecordLosses(const GroupMessage& message, absl::Time now) {
+  for (const schedule::SuspectChange& change : message.suspects) {
+    suspects_->requests.OnPeerChange(change, now);
+  }
+  for (const schedule::PartChange& change : message.parts) {
+    suspects_->parts.OnPeerChange(change, now);
+  }
+  if (message.memory == MemoryTransfer::kQuery) SendMemory(message.from);
+  if (message.memory != MemoryTransfer::kAnswer) return;
+  queries_.OnAnswer();
+  LOG(INFO) << "event=memory-received from=" << message.from
+            << " content_losses=" << message.suspects.size()
+            << " part_losses=" << message.parts.size();
+  if (!memory_known_) ReleaseHeld();
+}
+
+void GroupLink::SendMemory(const EntryHostId& host) {
+  // A message of its own: an outgoing one may already hold a query.
+  const absl::Time now = clock_();
+  GroupMessage answer;
+  answer.from = self_;
+  answer.memory = MemoryTransfer::kAnswer;
+  answer.suspects = suspects_->requests.Snapshot(kMaxLossesSent, now);
+  answer.parts = suspects_->parts.Snapshot(kMaxLossesSent, now);
+  hooks_.send(host, Encode(answer, now));
 }
 
 void GroupLink::Drain() {
--- a/src/gateway/group_link.h
+++ b/src/gateway/group_link.h
@@ -15,6 +15,7 @@
 #include "gateway/group_client.h"
 #include "gateway/group_dispatchers.h"
 #include "gateway/groups.h"
+#include "gateway/memory_queries.h"
 
 namespace gentianlb::gateway {
 
@@ -67,6 +68,17 @@
   void SendSuspect(const schedule::SuspectChange& change);
   // The same of a part of prompts.
   void SendPart(const schedule::PartChange& change);
+  // Sends all that this host remembers of lost servers to a peer that asked.
+  void SendMemory(const EntryHostId& host);
+  // Handles what a peer has learnt, or remembers, of lost servers.
+  void RecordLosses(const GroupMessage& message, absl::Time now);
+  // Handles the rest of a message: what concerns requests and groups.
+  void HandleRequests(const GroupMessage& message, absl::Time now);
+  // Returns whether `message` must wait, since this host has just started and
+  // knows of no lost servers yet. Asks its sender.
+  bool Holds(const GroupMessage& message, absl::Time now);
+  // Handles what has waited for the memory of peers.
+  void ReleaseHeld();
   void Flush();
   void ScheduleTick();
   void Tick(absl::Time now);
@@ -78,10 +90,15 @@
   const ServiceQueueOptions options_;
   const std::shared_ptr<schedule::Suspects> suspects_;
   DispatcherSelector selector_;
+  MemoryQueries queries_;
   GroupClient client_;
   GroupDispatchers dispatchers_;
   std::map<EntryHostId, GroupMessage> outgoing_;
   bool flush_pending_ = false;  // Flush() is deferred.
+  // Messages that came before this host knew what its peers remember.
+  std::vector<GroupMessage> held_;
+  bool memory_known_ = false;
+  TimerId hold_timer_ = 0;
   TimerId tick_timer_ = 0;
   absl::Time next_tick_ = absl::InfiniteFuture();
   std::uint64_t malformed_ = 0;
--- a/src/gateway/group_messages.cc
+++ b/src/gateway/group_messages.cc
@@ -28,15 +28,18 @@
 
   void Put(const GroupMessage& message) {
     WriteText(writer_, message.from.str());
+    writer_(static_cast<std::uint8_t>(message.memory));
     WriteList(writer_, message.suspects,
               [&](const schedule::SuspectChange& change) {
                 writer_(change.content);
                 WriteText(writer_, change.server.str());
+                PutSpan(change.age);
               });
     WriteList(writer_, message.parts, [&](const schedule::PartChange& change) {
       writer_(change.part);
       WriteText(writer_, change.server.str());
       writer_(static_cast<std::uint8_t>(change.weight));
+      PutSpan(change.age);
     });
     WriteList(writer_, message.events, [&](const AddressedEvent& item) {
       writer_(item.group.service, item.group.group,
@@ -54,13 +57,16 @@
   }
 
  private:
+  void PutSpan(absl::Duration span) {
+    writer_(static_cast<std::int32_t>(absl::ToInt64Microseconds(span) /
+                                      kTimeUnitMicroseconds));
+  }
   void PutTime(absl::Time time) {
-    std::int32_t span = kInfiniteSpan;
-    if (time != absl::InfiniteFuture()) {
-      span = static_cast<std::int32_t>(absl::ToInt64Microseconds(time - now_) /
-                                       kTimeUnitMicroseconds);
+    if (time == absl::InfiniteFuture()) {
+      writer_(kInfiniteSpan);
+    } else {
+      PutSpan(time - now_);
     }
-    writer_(span);
   }
 
   void Put(const schedule::Request& request) {
@@ -135,14 +141,20 @@
 
   void Get(GroupMessage* message) {
     GetId(&message->from);
+    GetNumber<std::uint8_t>(&message->memory);
+    if (message->memory > MemoryTransfer::kAnswer) {
+      throw std::out_of_range("unknown kind of transfer");
+    }
     ReadList(reader_, &message->suspects, [&](schedule::SuspectChange& change) {
       reader_(change.content);
       GetId(&change.server);
+      GetSpan(&change.age);
     });
     ReadList(reader_, &message->parts, [&](schedule::PartChange& change) {
       reader_(change.part);
       GetId(&change.server);
       GetNumber<std::uint8_t>(&change.weight);
+      GetSpan(&change.age);
     });
     ReadList(reader_, &message->events, [&](AddressedEvent& item) {
       std::uint8_t kind = 0;
@@ -190,6 +202,11 @@
     *target = static_cast<Target>(number);
   }
 
+  void GetSpan(absl::Duration* span) {
+    std::int32_t units = 0;
+    reader_(units);
+    *span = absl::Microseconds(kTimeUnitMicroseconds * units);
+  }
   void GetTime(absl::Time* time) {
     std::int32_t span = 0;
     reader_(span);
--- a/src/gateway/group_messages.h
+++ b/src/gateway/group_messages.h
@@ -70,10 +70,15 @@
   auto operator<=>(const GroupCapacity&) const = default;
 };
 
+// Whether the sender asks for what the receiver remembers of lost servers, or
+// whether this message is the answer.
+enum class MemoryTransfer : std::uint8_t { kNone, kQuery, kAnswer };
+
 // The content of one datagram. An empty message serves as a heartbeat.
 // `suspects` and `parts` come before the events that follow from them.
 struct GroupMessage {
   EntryHostId from;
+  MemoryTransfer memory = MemoryTransfer::kNone;
   std::vector<schedule::SuspectChange> suspects;
   std::vector<schedule::PartChange> parts;
   std::vector<AddressedEvent> events;
--- a/src/schedule/server_losses.cc
+++ b/src/schedule/server_losses.cc
@@ -1,6 +1,7 @@
 #include "schedule/server_losses.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace gentianlb::schedule {
@@ -33,7 +34,10 @@
     return std::exchange(before.weight, std::max(before.weight, loss.weight)) <
            loss.weight;
   }
-  losses.push_back(loss);
+  const auto later = std::upper_bound(
+      losses.begin(), losses.end(), loss.at,
+      [](absl::Time at, const Loss& other) { return at < other.at; });
+  losses.insert(later, loss);
   by_server_[loss.server].insert(key);
   return true;
 }
@@ -74,6 +78,22 @@
   return refuted;
 }
 
+std::vector<std::pair<ServerLosses::Key, ServerLosses::Loss>>
+ServerLosses::MostSuspected(std::size_t most) const {
+  std::vector<std::pair<std::size_t, Key>> keys;
+  keys.reserve(losses_.size());
+  for (const auto& [key, losses] : losses_) {
+    keys.emplace_back(losses.size(), key);
+  }
+  std::sort(keys.begin(), keys.end(), std::greater<>());
+  std::vector<std::pair<Key, Loss>> found;
+  for (const auto& [count, key] : keys) {
+    if (found.size() + count > most) break;
+    for (const Loss& loss : losses_.at(key)) found.emplace_back(key, loss);
+  }
+  return found;
+}
+
 void ServerLosses::ForgetOld(absl::Time now) {
   std::vector<Key> old;
   for (const auto& [key, losses] : losses_) {
--- a/src/schedule/server_losses.h
+++ b/src/schedule/server_losses.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -52,6 +53,9 @@
   std::vector<Key> RefutedBy(const ServerId& server,
                              absl::Time granted_at) const;
 
+  // Returns the losses of the keys with the most of them, at most `most`.
+  std::vector<std::pair<Key, Loss>> MostSuspected(std::size_t most) const;
+
   std::size_t size() const { return losses_.size(); }
   bool empty() const { return losses_.empty(); }
 
--- a/src/schedule/suspect_parts.cc
+++ b/src/schedule/suspect_parts.cc
@@ -74,10 +74,19 @@
   } else if (IsRefuted(change.part, now)) {
     Report({change.part, ServerId(), 0});
   } else {
-    losses_.Add(change.part, {change.server, now, change.weight});
+    losses_.Add(change.part, {change.server, now - change.age, change.weight});
   }
 }
 
+std::vector<PartChange> SuspectParts::Snapshot(std::size_t most,
+                                               absl::Time now) const {
+  std::vector<PartChange> changes;
+  for (const auto& [part, loss] : losses_.MostSuspected(most)) {
+    changes.push_back({part, loss.server, loss.weight, now - loss.at});
+  }
+  return changes;
+}
+
 std::optional<PartHash> SuspectParts::FindDeadly(
     std::span<const PromptPart> prompt, absl::Time now) const {
   if (losses_.empty()) return std::nullopt;
--- a/src/schedule/suspect_parts.h
+++ b/src/schedule/suspect_parts.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <optional>
 #include <span>
+#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
@@ -31,8 +32,9 @@
 // What one host has learnt of a part, for its peers.
 struct PartChange {
   PartHash part = 0;
-  ServerId server;  // That was lost under it; empty: the part is cleared.
-  int weight = 0;   // Of the loss.
+  ServerId server;     // That was lost under it; empty: the part is cleared.
+  int weight = 0;      // Of the loss.
+  absl::Duration age;  // Of the loss.
   auto operator<=>(const PartChange&) const = default;
 };
 
@@ -74,6 +76,9 @@
   // Records what a peer has learnt.
   void OnPeerChange(const PartChange& change, absl::Time now);
 
+  // Returns what a peer that knows nothing should learn, at most `most` losses.
+  std::vector<PartChange> Snapshot(std::size_t most, absl::Time now) const;
+
   // Returns a part for which the prompt must not be sent to a server now. A
   // loss doesn't count against a part if the server was lost under another
   // deadly part as well that the prompt doesn't hold.
--- a/src/schedule/suspects.cc
+++ b/src/schedule/suspects.cc
@@ -23,7 +23,7 @@
   if (change.server.empty()) {
     losses_.Clear(change.content);
   } else {
-    losses_.Add(change.content, {change.server, now});
+    losses_.Add(change.content, {change.server, now - change.age});
   }
 }
 
@@ -35,6 +35,15 @@
   }
 }
 
+std::vector<SuspectChange> SuspectRequests::Snapshot(std::size_t most,
+                                                     absl::Time now) const {
+  std::vector<SuspectChange> changes;
+  for (const auto& [content, loss] : losses_.MostSuspected(most)) {
+    changes.push_back({content, loss.server, now - loss.at});
+  }
+  return changes;
+}
+
 std::size_t SuspectRequests::ServersLost(ContentHash content,
                                          absl::Time now) const {
   const ServerLosses::Losses* losses = losses_.Find(content, now);
--- a/src/schedule/suspects.h
+++ b/src/schedule/suspects.h
@@ -16,6 +16,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "schedule/messages.h"
@@ -26,7 +27,8 @@
 // What one host has learnt of a content, for its peers.
 struct SuspectChange {
   ContentHash content = kNoContent;
-  ServerId server;  // That was lost under it; empty: the content is cleared.
+  ServerId server;     // That was lost under it; empty: the content is cleared.
+  absl::Duration age;  // Of the loss.
   auto operator<=>(const SuspectChange&) const = default;
 };
 
@@ -58,6 +60,9 @@
   // Records what a peer has learnt.
   void OnPeerChange(const SuspectChange& change, absl::Time now);
 
+  // Returns what a peer that knows nothing should learn, at most `most` losses.
+  std::vector<SuspectChange> Snapshot(std::size_t most, absl::Time now) const;
+
   // Returns the number of servers lost under `content`.
   std::size_t ServersLost(ContentHash content, absl::Time now) const;
   // Returns when the first of these was lost; InfiniteFuture() if none was.
