Answers without end are broken off before they fill a host's memory

A faulty server writes without end: an event that never closes, or a body. A host has 160 MB.

Bounds on what is kept of one answer: 1 MiB of an event, 16 MiB of a plain body, 16 MiB of events that the caller has yet to read. Open: back-pressure towards the server; many such answers at once.

--- a/src/base/result.h
+++ b/src/base/result.h
@@ -64,9 +64,11 @@
   X(kServerTimeout, 3005, 504, kUnknown, "the server did not finish in time") \
   X(kCancelledRunning, 3006, 504, kUnknown, "cancelled after it had begun")   \
   X(kEndsServers, 3007, 503, kNo,                                             \
-    "servers have ended under requests with this content")                    \
+    "servers have ended under this content or a part of its prompt")          \
   X(kNoServerOfVersion, 3008, 503, kNo,                                       \
     "no server is known to have the version that began this stream")          \
+  X(kAnswerTooLong, 3009, 502, kUnknown, "the server's answer does not end")  \
+  X(kCallerTooSlow, 3010, 502, kUnknown, "the caller does not read on")       \
   X(kClaimHeldElsewhere, 4001, 409, kUnknown,                                 \
     "the key is being run elsewhere")                                         \
   X(kClaimStoreDown, 4002, 503, kNo, "the key can't be claimed now")          \
--- a/src/gateway/fake_site_test.h
+++ b/src/gateway/fake_site_test.h
@@ -33,7 +33,7 @@
   void OnDisconnect(std::function<void()> callback) override {
     on_disconnect = std::move(callback);
   }
-  std::size_t Backlog() const override { return 0; }
+  std::size_t Backlog() const override { return reads ? 0 : body.size(); }
 
   std::string header(std::string_view name) const {
     return std::string(http::FindHeader(headers, name));
@@ -44,6 +44,7 @@
   std::string body;
   bool complete = false;
   bool aborted = false;
+  bool reads = true;
   std::function<void()> on_disconnect;
 };
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -180,7 +180,9 @@
   void OnShed(Exchange& exchange);
   // `kind`: kFailed or kConnectionLost.
   void OnFailure(Exchange& exchange, schedule::RequestOutcome kind,
-                 const std::string& detail);
+                 const Error& error);
+  // Ends an answer that is longer than this host can keep.
+  void BreakOffAnswer(Exchange& exchange);
   // Returns whether too many servers were lost under requests with the same
   // content, and logs it if so.
   bool EndsServers(const Exchange& exchange) const;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -29,6 +29,13 @@
 // With so many events a stream had not just begun.
 constexpr int kEventsUnderWay = 3;
 
+// What a host keeps of one answer: a stream's event until its end, a plain
+// answer until it is complete, and events until the caller reads them. A host
+// has little memory, and a faulty server may write without end.
+constexpr std::size_t kMaxEventBytes = 1 << 20;
+constexpr std::size_t kMaxBodyBytes = 16 << 20;
+constexpr std::size_t kMaxBacklogBytes = 16 << 20;
+
 // Returns how far the response of the current attempt has come.
 schedule::ResponseProgress ProgressOf(const Exchange& exchange) {
   const int events =
@@ -106,15 +113,30 @@
   const bool relayed = exchange.is_stream() && IsSuccess(head.status);
   if (!relayed) {
     exchange.body.append(bytes);
+    if (exchange.body.size() > kMaxBodyBytes) BreakOffAnswer(exchange);
     return;
   }
   const std::string events = exchange.splitter.Feed(bytes);
+  if (exchange.splitter.partial().size() > kMaxEventBytes) {
+    return BreakOffAnswer(exchange);
+  }
   if (events.empty()) return;
   BeginStream(exchange);
   exchange.responder->Write(events);
+  if (exchange.responder->Backlog() > kMaxBacklogBytes) {
+    return FailRequest(exchange,
+                       {Code::kCallerTooSlow, "its events pile up here"});
+  }
   ReportProgress(exchange);
 }
 
+void Forwarder::BreakOffAnswer(Exchange& exchange) {
+  servers_.cancel(exchange.attempt.transfer);
+  FinishTransfer(exchange);
+  OnFailure(exchange, RequestOutcome::kFailed,
+            {Code::kAnswerTooLong, "it exceeds what this host keeps"});
+}
+
 void Forwarder::BeginStream(Exchange& exchange) {
   if (exchange.responding) return;
   exchange.responding = true;
@@ -164,17 +186,18 @@
     return OnFailure(
         exchange,
         lost ? RequestOutcome::kConnectionLost : RequestOutcome::kFailed,
-        detail);
+        {Code::kServerBroke, detail});
   }
   const std::string_view truncation = FindTruncation(exchange);
   if (!truncation.empty()) {
     return OnFailure(exchange, RequestOutcome::kConnectionLost,
-                     std::string(truncation));
+                     {Code::kServerBroke, std::string(truncation)});
   }
   const bool failed = IsServerFailure(attempt.head.status);
   if (failed && exchange.safe_to_retry()) {
-    return OnFailure(exchange, RequestOutcome::kFailed,
-                     absl::StrCat("status ", attempt.head.status));
+    return OnFailure(
+        exchange, RequestOutcome::kFailed,
+        {Code::kServerBroke, absl::StrCat("status ", attempt.head.status)});
   }
   OnResponseComplete(exchange);
 }
@@ -251,10 +274,11 @@
 
 // The server may have run the request.
 void Forwarder::OnFailure(Exchange& exchange, RequestOutcome kind,
-                          const std::string& detail) {
+                          const Error& error) {
   LOG(WARNING) << "event=sending-failed request=" << exchange.request->id
                << " server=" << exchange.attempt.server->id << " cause=\""
-               << detail << "\" events=" << exchange.splitter.event_count()
+               << error.detail
+               << "\" events=" << exchange.splitter.event_count()
                << " partial_bytes=" << exchange.splitter.partial().size()
                << " ends_with_connection="
                << exchange.attempt.head.ends_with_connection
@@ -262,8 +286,9 @@
                << " head=" << exchange.attempt.has_head;
   exchange.may_have_run = true;
   const ResponseHead head = exchange.attempt.head;
-  const bool complete_failure =
-      exchange.attempt.has_head && IsServerFailure(head.status);
+  const bool complete_failure = error.code != Code::kAnswerTooLong &&
+                                exchange.attempt.has_head &&
+                                IsServerFailure(head.status);
   RecordAnswer(exchange, complete_failure ? ServerAnswer::Kind::kFailed
                                           : ServerAnswer::Kind::kBroken);
   std::string body = std::move(exchange.body);
@@ -278,7 +303,7 @@
     exchange.body = std::move(body);
     return FinishResponse(exchange);
   }
-  FailRequest(exchange, {Code::kServerBroke, detail});
+  FailRequest(exchange, error);
 }
 
 bool Forwarder::EndsServers(const Exchange& exchange) const {
