--- a/src/gateway/group_link.cc
+++ b/src/gateway/group_link.cc
@@ -106,8 +106,10 @@
 
 bool GroupLink::Holds(const GroupMessage& message, absl::Time now) {
   if (memory_known_) return false;
-  if (held_.size() >= kMaxHeld) ReleaseHeld();
-  if (memory_known_) return false;
+  if (held_.size() >= kMaxHeld) {
+    ReleaseHeld();
+    return false;
+  }
   Outgoing(message.from).memory = MemoryTransfer::kQuery;
   if (hold_timer_ == 0) {
     hold_timer_ =
--- a/src/schedule/suspect_parts.h
+++ b/src/schedule/suspect_parts.h
@@ -35,7 +35,7 @@
   ServerId server;     // That was lost under it; empty: the part is cleared.
   int weight = 0;      // Of the loss.
   absl::Duration age;  // Of the loss.
-  auto operator<=>(const PartChange&) const = default;
+  bool operator==(const PartChange&) const = default;
 };
 
 // Not thread-safe. Shared by the dispatchers of one entry host.
--- a/src/schedule/suspects.h
+++ b/src/schedule/suspects.h
@@ -29,7 +29,7 @@
   ContentHash content = kNoContent;
   ServerId server;     // That was lost under it; empty: the content is cleared.
   absl::Duration age;  // Of the loss.
-  auto operator<=>(const SuspectChange&) const = default;
+  bool operator==(const SuspectChange&) const = default;
 };
 
 // Not thread-safe. Shared by the dispatchers of one entry host.
