--- a/src/gateway/deadly_part_test.cc
+++ b/src/gateway/deadly_part_test.cc
@@ -58,7 +58,7 @@
 }
 
 // Guards against a caller whose sound requests are refused for good, since its
-// part came along with the deadly one and nobody else sends it.
+// part came along with the deadly one and no other caller sends it.
 BOOST_AUTO_TEST_CASE(APartThatCameAlongIsServed) {
   for (unsigned seed = 1; seed <= 10; ++seed) {
     Site site(8, seed);
--- a/src/gateway/deadly_site_test.h
+++ b/src/gateway/deadly_site_test.h
@@ -50,7 +50,8 @@
 
   void SendHarmless(ContentHash content) { Start(content, /*attempts=*/2); }
 
-  // Sends a request that nobody repeats, with these parts and one of its own.
+  // Sends a request that its caller doesn't repeat, with these parts and one of
+  // its own.
   void SendPrompt(const Parts& parts) {
     Call call;
     call.content = ++last_content_;
--- a/src/gateway/group_link.cc
+++ b/src/gateway/group_link.cc
@@ -14,8 +14,8 @@
 // below kMinTimeout of group_client.cc.
 constexpr absl::Duration kClientTickInterval = absl::Milliseconds(5);
 
-// How long a host that has just started keeps what peers ask of it until one
-// has told it what it remembers; peers decide for themselves soon after.
+// How long a host that has just started holds the messages of peers until one
+// answers its query. Shorter than the time after which peers decide locally.
 constexpr absl::Duration kMaxHold = absl::Milliseconds(12);
 constexpr std::size_t kMaxHeld = 256;
 
