Tests: how far an answer had come counts as it should

Read at the end: nothing tested that the first byte of an answer reaches the decision. No product file changes.

--- a/src/gateway/fake_site_test.h
+++ b/src/gateway/fake_site_test.h
@@ -63,13 +63,17 @@
     head.headers = {{"X-From", server()}};
     return head;
   }
+  // The first byte of a head arrives.
+  void Begin() { sink.on_first_byte(); }
   void SendHead(int status, bool not_run = false) {
+    Begin();
     ResponseHead head = MakeHead(status);
     head.not_run = not_run;
     sink.on_head(head);
   }
   // The head of a body that ends with its connection.
   void SendUnframedHead(int status) {
+    Begin();
     ResponseHead head = MakeHead(status);
     head.ends_with_connection = true;
     sink.on_head(head);
@@ -164,10 +168,10 @@
     directory.Update(id, entry, now);
   }
 
-  std::shared_ptr<FakeCaller> SendRequest(const std::string& path,
-                                          const std::string& key = "key",
-                                          std::int64_t last_event = 0,
-                                          const char* first_attempt = "") {
+  std::shared_ptr<FakeCaller> SendRequest(
+      const std::string& path, const std::string& key = "key",
+      std::int64_t last_event = 0, const char* first_attempt = "",
+      std::vector<schedule::PromptPart> parts = {}) {
     auto caller = std::make_shared<FakeCaller>();
     CallerRequest request;
     request.last_event = last_event;
@@ -182,6 +186,7 @@
     if (path.starts_with("/stream") || path.starts_with("/resume")) {
       request.prompt = Prompt{
           .model = ModelId("m"), .prompt_tokens = 100, .max_output_tokens = 50};
+      request.prompt->parts = std::move(parts);
     }
     forwarder->Accept(std::move(request), caller);
     return caller;
--- a/src/gateway/forwarder_streams_test.cc
+++ b/src/gateway/forwarder_streams_test.cc
@@ -2,6 +2,8 @@
 // versions.
 
 #include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
 
 #include "gateway/fake_site_test.h"
 
@@ -95,5 +97,53 @@
   BOOST_TEST(site.calls.size() == 1u);
 }
 
+// How far an answer had come when its connection was lost.
+enum class Lost { kBeforeAByte, kAfterTheHead, kAfterAnEvent, kUnderWay };
+
+// Sends prompts, no two alike, with one part in common, each of which loses its
+// server. Returns how many servers were lost when one is refused for that; 0 if
+// none is.
+std::size_t ServersLostUntilRefused(Lost lost) {
+  constexpr int kServers = 20;
+  FakeSite site;
+  site.Configure();
+  for (int i = 0; i < kServers; ++i) {
+    site.AddServer("llm-" + std::to_string(i), "llm", 2);
+  }
+  site.forwarder->OnServersChanged();
+  std::set<std::string> servers;
+  for (schedule::PartHash own = 100; own < 100 + kServers; ++own) {
+    const std::size_t sent = site.calls.size();
+    const auto caller =
+        site.SendRequest("/stream/1", "key", 0, "", {{7, 50}, {own, 50}});
+    if (site.calls.size() == sent) {
+      BOOST_TEST(caller->status == 503);
+      BOOST_TEST(caller->body.find("3007") != std::string::npos);
+      return servers.size();
+    }
+    FakeCall& call = site.last();
+    servers.insert(call.server());
+    if (lost == Lost::kAfterTheHead) call.Begin();
+    if (lost == Lost::kAfterAnEvent || lost == Lost::kUnderWay) {
+      call.SendHead(200);
+      call.SendData(kEvent);
+    }
+    if (lost == Lost::kUnderWay) {
+      call.SendData("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+    }
+    call.Finish(http::TransferEnd::kBroken);
+  }
+  return 0;
+}
+
+// Guards against a server that ended as it began to write and that counts like
+// one on which a request had waited, or like one that had written on.
+BOOST_AUTO_TEST_CASE(ALossCountsByHowFarTheAnswerHadCome) {
+  BOOST_TEST(ServersLostUntilRefused(Lost::kAfterTheHead) == 3u);
+  BOOST_TEST(ServersLostUntilRefused(Lost::kAfterAnEvent) == 3u);
+  BOOST_TEST(ServersLostUntilRefused(Lost::kBeforeAByte) == 6u);
+  BOOST_TEST(ServersLostUntilRefused(Lost::kUnderWay) == 0u);
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
--- a/src/gateway/memory_queries_test.cc
+++ b/src/gateway/memory_queries_test.cc
@@ -12,7 +12,7 @@
   return hosts;
 }
 
-// Guards against a host that starts and asks nobody, or itself, or all.
+// Guards against a host that starts and asks no peer, or itself, or all peers.
 BOOST_AUTO_TEST_CASE(AHostThatStartsAsksTwoPeers) {
   MemoryQueries queries(EntryHostId("h0"));
   BOOST_TEST(queries.OnHosts(Hosts(1)).empty());
--- a/src/http/loop_client_test.cc
+++ b/src/http/loop_client_test.cc
@@ -20,7 +20,8 @@
         {.on_head = [](int,
                        std::vector<Header>) { return ReadAction::kContinue; },
          .on_data = [this](std::string_view data) { body += data; },
-         .on_end = [this](TransferEnd got, const std::string&) { end = got; }});
+         .on_end = [this](TransferEnd got, const std::string&) { end = got; },
+         .on_first_byte = [this] { ++begun; }});
     RunLoop();
   }
   void Answer(const std::string& bytes) {
@@ -31,6 +32,7 @@
   LoopClient client{&loop, 4};
   RawServer server;
   std::string body;
+  int begun = 0;
   std::optional<TransferEnd> end;
 };
 
@@ -66,5 +68,27 @@
   BOOST_TEST((*end == TransferEnd::kBroken));
 }
 
+// Guards against a server that ends as it begins to write and that is taken for
+// one that had not begun: the head isn't delivered without a body.
+BOOST_FIXTURE_TEST_CASE(AHeadWithoutABodyIsABegunAnswer, Fixture) {
+  Send();
+  Answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+  server.Close();
+  RunUntil([this] { return end.has_value(); });
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(begun == 1);
+}
+
+// Guards against a server that ends before it writes and that is taken for one
+// that had begun.
+BOOST_FIXTURE_TEST_CASE(AConnectionWithoutAByteIsNoBegunAnswer, Fixture) {
+  Send();
+  RunUntil([this] { return server.HasRequest(); });
+  server.Close();
+  RunUntil([this] { return end.has_value(); });
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(begun == 0);
+}
+
 }  // namespace
 }  // namespace gentianlb::http
