Tests: two configurations of process tests stand once

Calls of a plain service (request_limit_test, late_removal_test, the same to the letter), and streams and calls (deadly_request_test, one_host_test). The last one's routes have the times of the former now, 9 s and 5 s in place of 5 s and 2 s; its callers wait for 4 s as before, its checks are as they were.

--- a/tests/process/gateway_site_test.h
+++ b/tests/process/gateway_site_test.h
@@ -18,6 +18,30 @@
 
 namespace gentianlb::process {
 
+// Calls of a plain service.
+inline constexpr char kCallConfiguration[] = R"({"version":1,
+ "routes":[
+  {"name":"read","host":"one.example","prefix":"/read/",
+   "route_type":"idempotent","timeout_ms":2000,"slo_ms":500,"priority":1,
+   "service":"plain","max_attempts":2,"public":true}],
+ "services":[{"name":"plain","max_conns":100}],
+ "limits":{"idle_timeout_ms":15000}})";
+
+// Streams of a model service and calls of a plain one.
+inline constexpr char kStreamAndCallConfiguration[] = R"({"version":1,
+ "routes":[
+  {"name":"chat","host":"one.example","prefix":"/chat/",
+   "route_type":"streaming","timeout_ms":9000,"slo_ms":5000,"priority":0,
+   "service":"llm","max_attempts":2,"public":true,"resumable":true},
+  {"name":"read","host":"one.example","prefix":"/read/",
+   "route_type":"idempotent","timeout_ms":9000,"slo_ms":5000,"priority":1,
+   "service":"plain","max_attempts":2,"public":true}],
+ "services":[
+  {"name":"llm","engine":{"slots":8,"kv_capacity":100000,"stride":1,
+   "models":[{"name":"m"}]}},
+  {"name":"plain","max_conns":100}],
+ "limits":{"idle_timeout_ms":15000}})";
+
 class GatewaySite {
  public:
   static constexpr std::size_t kHosts = 4;
