--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -40,6 +40,8 @@
   int max_attempts = 1;      // Servers that one request may be sent to.
   absl::Duration timeout;    // From arrival to the end of the response.
   absl::Duration objective;  // To the response, or a stream's first event.
+  // Longest pause between two events with which a stream is in time.
+  absl::Duration max_pause = absl::InfiniteDuration();
   std::vector<ServiceShare> services;
   bool operator==(const Route&) const = default;
 };
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -258,6 +258,7 @@
   schedule::Request request;
   request.id = exchange.attempt.dispatch_id;
   request.host = options_.host;
+  request.zone = options_.zone;
   if (exchange.workspace != nullptr) {
     request.workspace = exchange.workspace->id;
   }
@@ -273,6 +274,7 @@
   const absl::Time due =
       exchange.arrival + kServerObjectiveShare * exchange.route->objective;
   if (!exchange.responding && due > clock_()) request.first_token_due = due;
+  if (exchange.is_stream()) request.max_pause = exchange.route->max_pause;
   const auto& prompt = exchange.request->prompt;
   if (!exchange.service->engine || !prompt) return request;
   request.model = prompt->model;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -40,6 +40,7 @@
 
 struct ForwarderOptions {
   EntryHostId host;
+  ZoneId zone;
   ServiceQueueOptions queue;
   // Retries that all hosts together may accumulate; each has an equal share.
   double retry_burst = 10;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -45,6 +45,11 @@
                                     : schedule::ResponseProgress::kNone;
 }
 
+// Returns nullopt if the response doesn't state it.
+std::optional<double> MachineSlowdownOf(const ResponseHead& head) {
+  return head.load ? head.load->machine_slowdown : std::nullopt;
+}
+
 // Returns why a response that the transfer completed is not the server's whole
 // response, or an empty string. The end of a body that ends with its connection
 // is no evidence: a server that dies closes its connections too.
@@ -88,9 +93,10 @@
   if (!load) return http::ReadAction::kContinue;
   // Applying the decisions that follow may finish this request too.
   const ExchangeId id = exchange.id;
-  NotifyDispatcher(exchange.pool, schedule::ResponseLoadReported{
-                                      exchange.attempt.server->id,
-                                      load->running, load->waiting});
+  NotifyDispatcher(
+      exchange.pool,
+      schedule::ResponseLoadReported{exchange.attempt.server->id, load->running,
+                                     load->waiting, load->machine_slowdown});
   return Find(id) == nullptr ? http::ReadAction::kStop
                              : http::ReadAction::kContinue;
 }
@@ -157,7 +163,10 @@
   exchange.attempt.first_event_reported = true;
   const int tokens = events * exchange.service->engine->tokens_per_event;
   schedule::TokensStreamed event{exchange.attempt.dispatch_id, tokens};
-  if (first) event.request_limit = exchange.attempt.head.request_limit;
+  if (first) {
+    event.request_limit = exchange.attempt.head.request_limit;
+    event.machine_slowdown = MachineSlowdownOf(exchange.attempt.head);
+  }
   NotifyDispatcher(exchange.pool, event);
 }
 
@@ -237,10 +246,12 @@
     tokens = exchange.splitter.event_count() *
              exchange.service->engine->tokens_per_event;
   }
-  NotifyDispatcher(exchange.pool, schedule::RequestFinished{
-                                      dispatch_id, kind, tokens, 0,
-                                      exchange.attempt.head.request_limit,
-                                      ProgressOf(exchange)});
+  NotifyDispatcher(
+      exchange.pool,
+      schedule::RequestFinished{
+          dispatch_id, kind, tokens, 0, exchange.attempt.head.request_limit,
+          ProgressOf(exchange),
+          /*pauses=*/{}, MachineSlowdownOf(exchange.attempt.head)});
 }
 
 void Forwarder::OnResponseComplete(Exchange& exchange) {
--- a/src/gateway/group_messages.cc
+++ b/src/gateway/group_messages.cc
@@ -8,7 +8,7 @@
 namespace gentianlb::gateway {
 namespace {
 
-constexpr std::string_view kMagic = "GG5";
+constexpr std::string_view kMagic = "GG6";
 
 using schedule::RequestOutcome;
 
@@ -16,11 +16,12 @@
 // a datagram takes, and six hours fit into 32 bits.
 constexpr std::int64_t kTimeUnitMicroseconds = 10;
 
-// Encodes absl::InfiniteFuture(). No request lasts as long as this value.
+// Encodes an infinite duration and absl::InfiniteFuture(). No request lasts as
+// long as this value.
 constexpr std::int32_t kInfiniteSpan = INT32_MAX;
 
-// Encodes an unknown request limit.
-constexpr double kUnknownLimit = -1;
+// Encodes an unknown request limit or slowdown.
+constexpr double kUnknownNumber = -1;
 
 class Writer {
  public:
@@ -58,16 +59,14 @@
 
  private:
   void PutSpan(absl::Duration span) {
-    writer_(static_cast<std::int32_t>(absl::ToInt64Microseconds(span) /
-                                      kTimeUnitMicroseconds));
-  }
-  void PutTime(absl::Time time) {
-    if (time == absl::InfiniteFuture()) {
+    if (span == absl::InfiniteDuration()) {
       writer_(kInfiniteSpan);
     } else {
-      PutSpan(time - now_);
+      writer_(static_cast<std::int32_t>(absl::ToInt64Microseconds(span) /
+                                        kTimeUnitMicroseconds));
     }
   }
+  void PutTime(absl::Time time) { PutSpan(time - now_); }
 
   void Put(const schedule::Request& request) {
     WriteText(writer_, request.id.str());
@@ -75,6 +74,7 @@
     WriteText(writer_, request.model.str());
     WriteText(writer_, request.avoid.str());
     WriteText(writer_, request.version);
+    WriteText(writer_, request.zone.str());
     writer_(static_cast<std::int16_t>(request.tier.rank),
             static_cast<std::int32_t>(request.prompt_tokens),
             static_cast<std::int32_t>(request.max_output_tokens),
@@ -83,6 +83,7 @@
     PutTime(request.arrival);
     PutTime(request.deadline);
     PutTime(request.first_token_due);
+    PutSpan(request.max_pause);
     writer_(request.content);
     WriteList(writer_, request.parts, [&](const schedule::PromptPart& part) {
       writer_(part.hash, static_cast<std::int32_t>(part.tokens));
@@ -100,13 +101,19 @@
   void Put(const schedule::RequestDelayed& event) {
     WriteText(writer_, event.id.str());
   }
-  void Put(std::optional<double> request_limit) {
-    writer_(static_cast<float>(request_limit.value_or(kUnknownLimit)));
+  void Put(std::optional<double> number) {
+    writer_(static_cast<float>(number.value_or(kUnknownNumber)));
+  }
+  void Put(const schedule::EventPauses& pauses) {
+    PutSpan(pauses.longest);
+    PutSpan(pauses.typical);
   }
   void Put(const schedule::TokensStreamed& event) {
     WriteText(writer_, event.id.str());
     writer_(static_cast<std::int32_t>(event.output_tokens));
     Put(event.request_limit);
+    Put(event.pauses);
+    Put(event.machine_slowdown);
   }
   void Put(const schedule::RequestFinished& event) {
     WriteText(writer_, event.id.str());
@@ -114,6 +121,8 @@
             static_cast<std::int32_t>(event.output_tokens),
             static_cast<std::uint8_t>(event.progress));
     Put(event.request_limit);
+    Put(event.pauses);
+    Put(event.machine_slowdown);
   }
   void Put(const OpenRequests& open) {
     WriteList(writer_, open.ids,
@@ -205,14 +214,14 @@
   void GetSpan(absl::Duration* span) {
     std::int32_t units = 0;
     reader_(units);
-    *span = absl::Microseconds(kTimeUnitMicroseconds * units);
+    *span = units == kInfiniteSpan
+                ? absl::InfiniteDuration()
+                : absl::Microseconds(kTimeUnitMicroseconds * units);
   }
   void GetTime(absl::Time* time) {
-    std::int32_t span = 0;
-    reader_(span);
-    *time = span == kInfiniteSpan
-                ? absl::InfiniteFuture()
-                : now_ + absl::Microseconds(kTimeUnitMicroseconds * span);
+    absl::Duration span;
+    GetSpan(&span);
+    *time = now_ + span;
   }
 
   void Get(schedule::Request* request) {
@@ -221,6 +230,7 @@
     GetId(&request->model);
     GetId(&request->avoid);
     ReadText(reader_, &request->version);
+    GetId(&request->zone);
     GetNumber<std::int16_t>(&request->tier.rank);
     GetNumber<std::int32_t>(&request->prompt_tokens);
     GetNumber<std::int32_t>(&request->max_output_tokens);
@@ -229,6 +239,7 @@
     GetTime(&request->arrival);
     GetTime(&request->deadline);
     GetTime(&request->first_token_due);
+    GetSpan(&request->max_pause);
     reader_(request->content);
     ReadList(reader_, &request->parts, [&](schedule::PromptPart& part) {
       reader_(part.hash);
@@ -243,16 +254,22 @@
   }
   void Get(schedule::CallerDisconnected* event) { GetId(&event->id); }
   void Get(schedule::RequestDelayed* event) { GetId(&event->id); }
-  void Get(std::optional<double>* request_limit) {
-    float per_second = 0;
-    reader_(per_second);
-    request_limit->reset();
-    if (per_second >= 0) *request_limit = per_second;
+  void Get(std::optional<double>* number) {
+    float value = 0;
+    reader_(value);
+    number->reset();
+    if (value >= 0) *number = value;
+  }
+  void Get(schedule::EventPauses* pauses) {
+    GetSpan(&pauses->longest);
+    GetSpan(&pauses->typical);
   }
   void Get(schedule::TokensStreamed* event) {
     GetId(&event->id);
     GetNumber<std::int32_t>(&event->output_tokens);
     Get(&event->request_limit);
+    Get(&event->pauses);
+    Get(&event->machine_slowdown);
   }
   void Get(schedule::RequestFinished* event) {
     GetId(&event->id);
@@ -266,6 +283,8 @@
       throw std::out_of_range("unknown progress");
     }
     Get(&event->request_limit);
+    Get(&event->pauses);
+    Get(&event->machine_slowdown);
   }
   void Get(OpenRequests* open) {
     ReadList(reader_, &open->ids, [&](RequestId& id) { GetId(&id); });
--- a/src/gateway/groups_test.cc
+++ b/src/gateway/groups_test.cc
@@ -132,6 +132,8 @@
   request.parts = {{7, 60}, {8, 2830}};
   request.content = 0x123456789abcdef0;
   request.version = "v1.2";
+  request.zone = ZoneId("z");
+  request.max_pause = absl::Milliseconds(300);
   return request;
 }
 
@@ -146,7 +148,12 @@
       {group, schedule::RequestArrived{SampleRequest()}},
       {group, schedule::RequestRunning{SampleRequest(), ServerId("t"), 12}},
       {group, schedule::CallerDisconnected{RequestId("1")}},
-      {group, schedule::TokensStreamed{RequestId("2"), 5, 6.25}},
+      {group, schedule::TokensStreamed{RequestId("2"),
+                                       5,
+                                       6.25,
+                                       {absl::Milliseconds(220),
+                                        absl::Milliseconds(40)},
+                                       2.5}},
       {group, schedule::RequestFinished{RequestId("3"),
                                         schedule::RequestOutcome::kFailed, 9, 0,
                                         schedule::kNoRequestLimit,
@@ -190,6 +197,10 @@
   const auto& streamed =
       std::get<schedule::TokensStreamed>(decoded->events[3].event);
   BOOST_TEST((streamed.request_limit == 6.25));
+  BOOST_TEST((streamed.pauses.longest == absl::Milliseconds(220)));
+  BOOST_TEST((streamed.pauses.typical == absl::Milliseconds(40)));
+  BOOST_TEST((streamed.machine_slowdown == 2.5));
+  BOOST_TEST(!finished.machine_slowdown.has_value());
   BOOST_TEST(std::get<OpenRequests>(decoded->events[5].event).ids.size() == 2u);
   BOOST_TEST(
       std::get<schedule::RequestDelayed>(decoded->events[6].event).id.str() ==
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -36,6 +36,7 @@
     const std::shared_ptr<schedule::Suspects>& suspects) {
   ForwarderOptions options;
   options.host = settings.id;
+  options.zone = settings.zone;
   options.queue.host = settings.id;
   options.limit_tolerance_tokens = settings.limit_tolerance_tokens;
   options.queue.dispatcher.seed = SeedOf(settings);
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -99,6 +99,9 @@
 struct ServerLoad {
   int running = 0;
   int waiting = 0;
+  // How long work takes on the server's machine at this moment, relative to its
+  // usual time. Changes many times a second. Nullopt: not stated.
+  std::optional<double> machine_slowdown;
   auto operator<=>(const ServerLoad&) const = default;
 };
 
--- a/src/gateway/service_queue.cc
+++ b/src/gateway/service_queue.cc
@@ -51,6 +51,7 @@
   spec.id = entry.id;
   spec.max_streams = entry.streams;
   spec.version = entry.version;
+  spec.zone = entry.zone;
   spec.cost_factor = affinity.cost_factor;
   spec.expected_competitors = affinity.expected_competitors;
   if (!service.engine) return spec;
@@ -58,6 +59,7 @@
   spec.prefill_tokens_per_second = initial_speed_.prefill_tokens_per_second;
   spec.decode_tokens_per_second = initial_speed_.decode_tokens_per_second;
   spec.speeds_estimated = true;
+  spec.tokens_per_event = service.engine->tokens_per_event;
   spec.kv_tokens = service.engine->kv_tokens;
   spec.cache_tokens = service.engine->kv_tokens;
   return spec;
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -56,6 +56,8 @@
   double expected_competitors = 0;
   // Part of the server's request limit that this dispatcher may use.
   double limit_share = 1;
+  ZoneId zone;               // Empty: unknown.
+  int tokens_per_event = 1;  // Of its streams.
   bool operator==(const ServerSpec&) const = default;
 };
 
@@ -129,6 +131,9 @@
   ContentHash content = kNoContent;  // kNoContent: unknown.
   // Version of the software of the servers that may run it; empty: any.
   std::string version;
+  ZoneId zone;  // Of its entry host; empty: unknown.
+  // Longest pause between two events with which its stream is in time.
+  absl::Duration max_pause = absl::InfiniteDuration();
   bool operator==(const Request&) const = default;
 };
 
@@ -158,6 +163,14 @@
   RequestId id;
 };
 
+// The pauses between the events of one attempt's stream; zero: fewer than two
+// events.
+struct EventPauses {
+  absl::Duration longest;
+  absl::Duration typical;  // The mean without the longest one.
+  auto operator<=>(const EventPauses&) const = default;
+};
+
 // Reports the number of tokens streamed so far. Sent for the first token, then
 // from time to time.
 struct TokensStreamed {
@@ -166,6 +179,11 @@
   // With the first token: the limit that the response named, or
   // kNoRequestLimit. Nullopt: not known.
   std::optional<double> request_limit;
+  EventPauses pauses;
+  // How long work takes on the server's machine at the moment of the response,
+  // relative to its usual time. With the first token, if the response states
+  // it.
+  std::optional<double> machine_slowdown;
 };
 
 enum class RequestOutcome {
@@ -193,6 +211,8 @@
   int cached_prompt_tokens = 0;         // From the engine; 0 if not reported.
   std::optional<double> request_limit;  // As in TokensStreamed.
   ResponseProgress progress = ResponseProgress::kNone;  // If it was lost.
+  EventPauses pauses;
+  std::optional<double> machine_slowdown;  // If the response states it.
 };
 
 // Load reported by a server when polled; outdated on arrival.
@@ -210,6 +230,7 @@
   ServerId server;
   int running = 0;
   int queued = 0;
+  std::optional<double> machine_slowdown;
 };
 
 // Prefix blocks were added to a server's cache or removed from it. `sequence`
