Servers in the request's own zone are preferred

The index by zone exists only while the cost is on. Attempts to other zones are counted by gentianlb_requests_sent_total.

Without the cost, or with unknown zones, the decision signature is the same.

--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -66,6 +66,8 @@
 void Forwarder::Send(Exchange& exchange, const ServerEntry& server) {
   const absl::Time now = clock_();
   ++exchange.attempts;
+  metrics_->CountSent(exchange.tier,
+                      !server.zone.empty() && server.zone != options_.zone);
   exchange.quota_tokens = 0;  // From now on they are not refunded.
   exchange.attempt.server = server;
   exchange.attempt.sent_at = now;
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -42,6 +42,7 @@
   options.queue.dispatcher.seed = SeedOf(settings);
   options.queue.dispatcher.allow_preemption = false;
   options.queue.dispatcher.suspects = suspects;
+  options.queue.dispatcher.zone_crossing_cost = settings.zone_crossing_cost;
   options.queue.dispatcher.min_retry_after = absl::Milliseconds(300);
   options.queue.retries.retries_per_call =
       kRetryShare * settings.retries_per_request;
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -34,6 +34,9 @@
                             "Messages refused before scheduling")),
       resumed_(AddCounter("gentianlb_streams_resumed_total",
                           "Broken streams that were taken up again")),
+      sent_(AddCounter("gentianlb_requests_sent_total",
+                       "Attempts sent to servers, by whether the server is in "
+                       "another zone")),
       cancelled_(AddCounter("gentianlb_requests_cancelled_total",
                             "Running requests that were stopped")),
       first_token_(prometheus::BuildHistogram()
@@ -68,6 +71,12 @@
 
 void Metrics::CountResumed() { resumed_.Add({}).Increment(); }
 
+void Metrics::CountSent(Tier tier, bool other_zone) {
+  prometheus::Labels labels = TierLabel(tier);
+  labels["other_zone"] = other_zone ? "yes" : "no";
+  sent_.Add(labels).Increment();
+}
+
 void Metrics::CountCancelled(Code code) {
   cancelled_.Add({{"code", CodeLabel(code)}}).Increment();
 }
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -31,6 +31,8 @@
   // Counts a message that was refused before scheduling.
   void CountMalformed(Code code);
   void CountResumed();
+  // Counts an attempt; `other_zone`: the server is not in the host's zone.
+  void CountSent(Tier tier, bool other_zone);
   void CountCancelled(Code code);
   void ObserveFirstToken(Tier tier, absl::Duration since_arrival);
 
@@ -52,6 +54,7 @@
   prometheus::Family<prometheus::Counter>& refused_;
   prometheus::Family<prometheus::Counter>& malformed_;
   prometheus::Family<prometheus::Counter>& resumed_;
+  prometheus::Family<prometheus::Counter>& sent_;
   prometheus::Family<prometheus::Counter>& cancelled_;
   prometheus::Family<prometheus::Histogram>& first_token_;
 };
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -67,7 +67,8 @@
   explicit GrantRound(State& state)
       : state_(state),
         placer_(state.options.weights, state.servers, state.power, state.cache,
-                state.lost_paths),
+                state.lost_paths,
+                ZonePreference(state.options.zone_crossing_cost)),
         closed_pools_(state.servers.pools(), false) {}
 
   void Run();
--- a/src/schedule/options.h
+++ b/src/schedule/options.h
@@ -37,6 +37,9 @@
   bool allow_preemption = true;
   // Minimum retry-after time sent to a refused caller.
   absl::Duration min_retry_after = absl::Seconds(1);
+  // Cost of sending a request to a server in another zone, added to the
+  // server's predicted time within the bound of ZonePreference; zero: off.
+  absl::Duration zone_crossing_cost;
   // Shared by all dispatchers of an entry host. Null: the dispatcher's own.
   std::shared_ptr<Suspects> suspects;
   bool operator==(const DispatcherOptions&) const = default;
--- a/src/schedule/placer.cc
+++ b/src/schedule/placer.cc
@@ -7,7 +7,8 @@
 namespace gentianlb::schedule {
 namespace {
 
-// Maximum numbers of candidates: the fastest open servers, the servers with the
+// Maximum numbers of candidates: the fastest open servers (of the request's own
+// zone as many again where crossing zones has a cost), the servers with the
 // most of the prompt cached, and the fastest that are already computing
 // prompts. Two random candidates come close to the best choice (power of two
 // choices); more than the best 8 gain little. Scoring costs under 1 us.
@@ -46,8 +47,8 @@
 constexpr double kProbeMargin = 2;
 
 // Appends the first `limit` servers of `from`.
-void AddFront(const absl::btree_set<std::pair<double, ServerIndex>>& from,
-              std::size_t limit, std::vector<ServerIndex>* candidates) {
+void AddFront(const ServerOrder& from, std::size_t limit,
+              std::vector<ServerIndex>* candidates) {
   for (const auto& [key, server] : from) {
     if (limit-- == 0) return;
     candidates->push_back(server);
@@ -152,6 +153,11 @@
   candidates_.clear();
   AddFront(pool.open, kMaxFastest + lost_paths_.CountOf(waiting.request.host),
            &candidates_);
+  if (const ServerOrder* own =
+          pool.OpenInZone(servers_.FindZone(waiting.request.zone))) {
+    AddFront(*own, kMaxFastest + lost_paths_.CountOf(waiting.request.host),
+             &candidates_);
+  }
   // With little power left, only servers that are already computing prompts may
   // fit.
   AddFront(pool.open_prefilling, kMaxPrefilling, &candidates_);
@@ -254,11 +260,13 @@
   const double uncached = server.speed.PrefillSeconds(demand.prefill_tokens);
   // A probe gets the best score, so that the first request that can afford it
   // is sent to the server.
-  const double score =
+  double score =
       probe ? 0
             : server.spec.cost_factor *
                   (weights_.goodput * finish +
                    weights_.wasted_prefill * kUncachedCostFactor * uncached);
+  score +=
+      zones_.CrossingSeconds(waiting.request.zone, server.spec.zone, score);
   if (best->reason == BlockReason::kNone && score >= *best_score) return;
   *best_score = score;
   *best = {BlockReason::kNone, index, demand, cached};
--- a/src/schedule/placer.h
+++ b/src/schedule/placer.h
@@ -7,8 +7,9 @@
 // A few candidates are scored: the fastest servers with free capacity, and
 // those that have most of the prompt cached. The score is the predicted finish
 // time plus the time to compute the uncached part of the prompt, in seconds,
-// with the weights of the deployment. A server on which the request would be
-// late is not selected as long as a better one may become free.
+// with the weights of the deployment, plus the cost of crossing zones. A server
+// on which the request would be late is not selected as long as a better one
+// may become free.
 
 #ifndef GENTIANLB_SCHEDULE_PLACER_H_
 #define GENTIANLB_SCHEDULE_PLACER_H_
@@ -22,6 +23,7 @@
 #include "schedule/power_ledger.h"
 #include "schedule/prefix_cache_tracker.h"
 #include "schedule/server_set.h"
+#include "schedule/zone_preference.h"
 
 namespace gentianlb::schedule {
 
@@ -73,12 +75,13 @@
  public:
   Placer(const Weights& weights, const ServerSet& servers,
          const PowerLedger& power, const PrefixCacheTracker& cache,
-         const LostPaths<ServerIndex>& lost_paths)
+         const LostPaths<ServerIndex>& lost_paths, const ZonePreference& zones)
       : weights_(weights),
         servers_(servers),
         power_(power),
         cache_(cache),
-        lost_paths_(lost_paths) {}
+        lost_paths_(lost_paths),
+        zones_(zones) {}
 
   // Returns the best placement of `waiting`. Changes no state.
   Placement Place(const WaitingRequest& waiting, const Reserves& reserves,
@@ -110,6 +113,7 @@
   const PowerLedger& power_;
   const PrefixCacheTracker& cache_;
   const LostPaths<ServerIndex>& lost_paths_;
+  ZonePreference zones_;
   std::vector<ServerIndex> candidates_;  // Reused to avoid allocations.
 };
 
--- a/src/schedule/server_set.cc
+++ b/src/schedule/server_set.cc
@@ -55,6 +55,7 @@
       entries_.emplace_back();
     }
     servers_[server].Configure(spec);
+    SetZone(server);
     // Servers of a plain service list no models and form the pool of the empty
     // model.
     std::vector<ModelId> models = spec.models;
@@ -113,6 +114,20 @@
   pools_[index].servers.push_back(server);
 }
 
+void ServerSet::SetZone(ServerIndex server) {
+  const ZoneId& zone = servers_[server].spec.zone;
+  const bool indexed = index_zones_ && !zone.empty();
+  entries_[server].zone = indexed ? zones_.Intern(zone) : kNoIndex;
+}
+
+ServerOrder* ServerSet::ZoneOrder(ServerIndex server, PoolIndex pool) {
+  const ZoneIndex zone = entries_[server].zone;
+  if (zone == kNoIndex) return nullptr;
+  std::vector<ServerOrder>& orders = pools_[pool].open_by_zone;
+  if (orders.size() <= zone) orders.resize(zone + 1);
+  return &orders[zone];
+}
+
 void ServerSet::SummarizePools() {
   for (Pool& pool : pools_) {
     pool.usable = 0;
@@ -148,6 +163,9 @@
   if (!entry.open) return;
   for (const PoolIndex pool : servers_[server].pools) {
     pools_[pool].open.erase({entry.key, server});
+    if (ServerOrder* zone = ZoneOrder(server, pool)) {
+      zone->erase({entry.key, server});
+    }
     if (entry.prefilling) {
       pools_[pool].open_prefilling.erase({entry.key, server});
     }
@@ -193,6 +211,9 @@
   }
   for (const PoolIndex pool : server.pools) {
     pools_[pool].open.insert({entry.key, index});
+    if (ServerOrder* zone = ZoneOrder(index, pool)) {
+      zone->insert({entry.key, index});
+    }
     if (entry.prefilling) {
       pools_[pool].open_prefilling.insert({entry.key, index});
     }
--- a/src/schedule/server_set.h
+++ b/src/schedule/server_set.h
@@ -9,6 +9,7 @@
 #define GENTIANLB_SCHEDULE_SERVER_SET_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <string>
 #include <utility>
@@ -22,6 +23,11 @@
 
 namespace gentianlb::schedule {
 
+using ZoneIndex = std::uint32_t;
+
+// Servers ordered by predicted seconds of a typical request.
+using ServerOrder = absl::btree_set<std::pair<double, ServerIndex>>;
+
 // The servers that have one model loaded. Servers of a plain service list no
 // models and form the pool of the empty model. Those of one version of their
 // software form a further pool once a request needs that version.
@@ -29,22 +35,32 @@
   ModelId model;
   std::string version;               // Empty: all versions.
   std::vector<ServerIndex> servers;  // All configured servers of the pool.
-  // Servers with free capacity, ordered by predicted seconds of a typical
-  // request.
-  absl::btree_set<std::pair<double, ServerIndex>> open;
+  ServerOrder open;                  // Servers with free capacity.
   // The servers of `open` that are computing prompts. One more prompt there
   // does not raise the worst-case power of prefill.
-  absl::btree_set<std::pair<double, ServerIndex>> open_prefilling;
+  ServerOrder open_prefilling;
+  // The servers of `open` by zone, indexed by ZoneIndex. Empty unless
+  // ServerSet::IndexZones() was called.
+  std::vector<ServerOrder> open_by_zone;
   // Highest configured speeds of the usable servers, in tokens per second.
   double best_prefill_speed = 0;
   double best_decode_speed = 0;
   int usable = 0;       // Number of configured servers alive or suspect.
   double capacity = 0;  // Tokens of work per second with all windows full.
+
+  // Returns the servers of `open` in one zone; null if it is not indexed.
+  const ServerOrder* OpenInZone(ZoneIndex zone) const {
+    return zone < open_by_zone.size() ? &open_by_zone[zone] : nullptr;
+  }
 };
 
 // Keeps the state of all servers and finds those that can take a request.
 class ServerSet {
  public:
+  // Maintains Pool::open_by_zone from now on. Must be called before
+  // Configure().
+  void IndexZones() { index_zones_ = true; }
+
   // Replaces the configuration of all servers and rebuilds the pools. Returns
   // the indexes of the servers in `specs`, in the same order. Servers that are
   // no longer configured take no new work.
@@ -54,6 +70,9 @@
   // Return kNoIndex if the server or model is unknown.
   ServerIndex Find(const ServerId& id) const { return server_ids_.Find(id); }
   PoolIndex FindPool(const ModelId& model) const { return models_.Find(model); }
+  // Returns kNoIndex if no server in the zone was ever configured, its name is
+  // empty or zones are not indexed.
+  ZoneIndex FindZone(const ZoneId& zone) const { return zones_.Find(zone); }
   // Returns the pool of the servers of one version; empty: all versions. Adds
   // it if it is the first request for that version.
   PoolIndex FindOrAddPool(const ModelId& model, const std::string& version,
@@ -97,9 +116,10 @@
 
  private:
   struct IndexEntry {
-    double key = 0;           // Seconds; orders the servers of a pool.
-    bool open = false;        // Whether the server is in Pool::open.
-    bool prefilling = false;  // Whether it is in Pool::open_prefilling.
+    double key = 0;             // Seconds; orders the servers of a pool.
+    ZoneIndex zone = kNoIndex;  // kNoIndex: unknown, or zones not indexed.
+    bool open = false;          // Whether the server is in Pool::open.
+    bool prefilling = false;    // Whether it is in Pool::open_prefilling.
     absl::Time recheck_at = absl::InfiniteFuture();
     bool waits_for_limit = false;  // Rechecked when its limit allows a request.
   };
@@ -108,6 +128,10 @@
   void AddToPool(ServerIndex server, PoolIndex pool);
   // Adds the server to the pool of its version, if there is one.
   void AddToVersionPool(ServerIndex server, const ModelId& model);
+  // Sets the zone of the server's index entry, which must not be open.
+  void SetZone(ServerIndex server);
+  // Returns the server's set in Pool::open_by_zone; null if there is none.
+  ServerOrder* ZoneOrder(ServerIndex server, PoolIndex pool);
   // Recomputes the totals of all pools.
   void SummarizePools();
   void Unindex(ServerIndex server);
@@ -117,6 +141,8 @@
 
   Interner<ServerId> server_ids_;
   Interner<ModelId> models_;
+  Interner<ZoneId> zones_;
+  bool index_zones_ = false;
   std::deque<Server> servers_;
   std::vector<IndexEntry> entries_;
   int limited_ = 0;
--- a/src/schedule/state.h
+++ b/src/schedule/state.h
@@ -55,6 +55,9 @@
         retry_after_jitter(dispatcher_options.seed,
                            dispatcher_options.min_retry_after) {
     power.SetShare(dispatcher_options.initial_share_watts);
+    if (dispatcher_options.zone_crossing_cost > absl::ZeroDuration()) {
+      servers.IndexZones();
+    }
     if (options.suspects == nullptr) {
       options.suspects = std::make_shared<Suspects>();
     }
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -11,6 +11,8 @@
 
 constexpr Range<absl::Duration> kGraceRange = {absl::Seconds(1),
                                                absl::Hours(1)};
+constexpr Range<absl::Duration> kCrossingCostRange = {absl::ZeroDuration(),
+                                                      absl::Seconds(10)};
 constexpr Range<double> kBurstRange = {0, 1e6};
 constexpr Range<double> kRatioRange = {0, 10};
 constexpr Range<double> kExposureRange = {0, 0.5};
@@ -38,6 +40,9 @@
     reader.Address("address", &settings->peers, Need::kRequired);
   } else if (kind == "table") {
     reader.Address("address", &settings->table, Need::kRequired);
+  } else if (kind == "servers") {
+    reader.Duration("zone_crossing_cost", kCrossingCostRange,
+                    &settings->zone_crossing_cost);
   } else if (kind == "limits") {
     reader.Number("tolerance_tokens", kNonNegative,
                   &settings->limit_tolerance_tokens);
@@ -58,8 +63,8 @@
   constexpr const char* kRequired[] = {"host",    "callers", "ready",
                                        "metrics", "peers",   "table"};
   const absl::flat_hash_set<std::string> known_sections = {
-      "host",  "callers", "ready",  "metrics", "peers",
-      "table", "retries", "limits", "rollouts"};
+      "host",  "callers", "ready",  "metrics",  "peers",
+      "table", "retries", "limits", "rollouts", "servers"};
   GatewaySettings settings;
   absl::flat_hash_set<std::string> seen_sections;
   auto add_problem = [&](int line, Code code, std::string text) {
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -28,6 +28,8 @@
   double retries_per_request = 0.1;   // Over all hosts.
   double retry_burst = 10;            // Over all hosts.
   double limit_tolerance_tokens = 0;  // Above a workspace's limit.
+  // Cost of sending a request to a server in another zone; zero: off.
+  absl::Duration zone_crossing_cost;
   // Operators order new versions of a service. Otherwise servers of any version
   // serve from their registration on.
   bool has_rollouts = false;
