A server lost inside an event without a head of its own counts as lost

Cause: a head with neither Request-Id nor Server-Stamp doesn't match the request. OnHead stopped the transfer there, so its end was the host's own doing ("Failed writing received data") and never counted as a lost server. Without a body the head isn't delivered, so the same head without the half event did count.

Change: a head that states the id of another request (names_other_request) is the late answer of a server that runs: stopped at once and no loss, as before. After any other that doesn't match, on a stream, the body is read on and thrown away, for 100 ms at most. If the transfer breaks within that time, the server is lost, and its answer had begun. It is no loss if the body completes, reaches three events, or stays open: broken servers and other programs do that and run on. A body with neither a length nor chunks ends with its connection whether or not its server ends, so it counts only if it ends inside an event (id:, data: or event:); other bytes are of another program. Plain calls are answered as before: their objective leaves no time to wait.

Why the id and not the signature decides: a sound server that answers late always states whose answer it is, and only that statement shows that it runs. A missing signature is common to servers that end and broken ones, so the end itself tells them apart.

Limit: a broken server that breaks its connection inside its answer each time and runs on looks the same as one that ends, as it did with a head of its own.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -35,6 +35,10 @@
   bool has_begun = false;  // A byte of the response has arrived.
   bool has_head = false;
   bool foreign_answer = false;  // A head came that isn't for this request.
+  // The body after such a head, as long as it may be that of a server that ends
+  // as it begins to write. None of it is relayed.
+  std::optional<EventSplitter> unidentified;
+  TimerId unidentified_timer = 0;     // When it is no longer waited for.
   bool first_event_reported = false;  // To the dispatcher.
   int events_before = 0;              // Of the stream, by earlier attempts.
 };
--- a/src/gateway/fake_site_test.h
+++ b/src/gateway/fake_site_test.h
@@ -53,6 +53,7 @@
   ServerCall call;
   CallSink sink;
   bool cancelled = false;
+  bool stopped = false;  // The host did not read beyond the head.
 
   std::string server() const { return call.server.id.str(); }
 
@@ -78,6 +79,19 @@
     head.ends_with_connection = true;
     sink.on_head(head);
   }
+  // A head that names neither its request nor its server, or another request.
+  // Where the host reads no further, the transfer ends as broken.
+  void SendUnidentifiedHead(bool names_other_request = false,
+                            bool ends_with_connection = false) {
+    Begin();
+    ResponseHead head;
+    head.status = 200;
+    head.matches_request = false;
+    head.names_other_request = names_other_request;
+    head.ends_with_connection = ends_with_connection;
+    stopped = sink.on_head(head) == http::ReadAction::kStop;
+    if (stopped) Finish(http::TransferEnd::kBroken);
+  }
   void SendData(std::string_view bytes) { sink.on_data(bytes); }
   void Finish(http::TransferEnd end = http::TransferEnd::kComplete) {
     sink.on_end(end, "fake");
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -52,6 +52,7 @@
 Forwarder::~Forwarder() {
   for (auto& [id, exchange] : exchanges_) {
     timers_->Cancel(exchange->deadline_timer);
+    timers_->Cancel(exchange->attempt.unidentified_timer);
   }
   for (auto& [service, queue] : queues_) timers_->Cancel(queue.wakeup);
 }
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -172,7 +172,12 @@
   http::ReadAction OnHead(Exchange& exchange, ResponseHead head);
   // Logs a limit that differs from what this host's dispatcher knows.
   void LogLimitChange(const Exchange& exchange, const ResponseHead& head);
+  // Handles a head that must not be forwarded.
+  http::ReadAction OnForeignHead(Exchange& exchange, const ResponseHead& head);
   void OnBytes(Exchange& exchange, std::string_view bytes);
+  // Handles the body after such a head.
+  void OnUnidentifiedBytes(Exchange& exchange, std::string_view bytes);
+  void LeaveUnidentifiedAnswer(Exchange& exchange);
   void OnTransferEnd(Exchange& exchange, http::TransferEnd end,
                      const std::string& detail);
 
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -4,6 +4,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -36,6 +37,11 @@
 constexpr std::size_t kMaxBodyBytes = 16 << 20;
 constexpr std::size_t kMaxBacklogBytes = 16 << 20;
 
+// A server that ends as it begins to write an answer does so within
+// milliseconds. The caller of a server that doesn't end waits for this long
+// before another one gets its request.
+constexpr absl::Duration kMaxWaitForEnd = absl::Milliseconds(100);
+
 // Returns how far the response of the current attempt has come.
 schedule::ResponseProgress ProgressOf(const Exchange& exchange) {
   const int events =
@@ -65,9 +71,31 @@
   return "";
 }
 
+// Returns whether bytes are the beginning of an event, and not of a document
+// that another program writes.
+bool BeginsEvent(std::string_view bytes) {
+  constexpr std::string_view kFields[] = {"id:", "data:", "event:"};
+  return std::any_of(
+      std::begin(kFields), std::end(kFields),
+      [&](std::string_view field) { return bytes.starts_with(field); });
+}
+
+// Returns whether the server was lost in an attempt whose transfer broke or
+// completed.
+bool IsServerLost(const Attempt& attempt, http::TransferEnd end) {
+  if (!attempt.foreign_answer) return end == http::TransferEnd::kBroken;
+  if (!attempt.unidentified) return false;
+  if (end == http::TransferEnd::kBroken) return true;
+  // The end of an unframed body may be the end of its server.
+  return attempt.head.ends_with_connection &&
+         BeginsEvent(attempt.unidentified->partial());
+}
+
 }  // namespace
 
 void Forwarder::FinishTransfer(Exchange& exchange) {
+  timers_->Cancel(exchange.attempt.unidentified_timer);
+  exchange.attempt.unidentified_timer = 0;
   if (exchange.attempt.transfer == 0) return;
   exchange.attempt.transfer = 0;
   const auto found = running_.find(exchange.attempt.server->id);
@@ -76,12 +104,7 @@
 }
 
 http::ReadAction Forwarder::OnHead(Exchange& exchange, ResponseHead head) {
-  if (!head.matches_request) {
-    LOG(WARNING) << "event=foreign-answer request=" << exchange.request->id
-                 << " server=" << exchange.attempt.server->id;
-    exchange.attempt.foreign_answer = true;
-    return http::ReadAction::kStop;
-  }
+  if (!head.matches_request) return OnForeignHead(exchange, head);
   if (paths_ != nullptr) {
     paths_->OnReached(exchange.attempt.server->id, exchange.attempt.path,
                       exchange.attempt.sent_at, clock_());
@@ -101,6 +124,30 @@
                              : http::ReadAction::kContinue;
 }
 
+// A head that names another request is a running server's answer to that. Any
+// other may be the last that a server writes before it ends. That shows only
+// once the transfer ends, so the body is read for a short time.
+http::ReadAction Forwarder::OnForeignHead(Exchange& exchange,
+                                          const ResponseHead& head) {
+  Attempt& attempt = exchange.attempt;
+  const bool may_end = exchange.is_stream() && !head.names_other_request;
+  LOG(WARNING) << "event=foreign-answer request=" << exchange.request->id
+               << " server=" << attempt.server->id << " status=" << head.status
+               << " signed=" << head.signed_
+               << " names_other_request=" << head.names_other_request
+               << " waits_for_end=" << may_end;
+  attempt.foreign_answer = true;
+  if (!may_end) return http::ReadAction::kStop;
+  attempt.unidentified.emplace(/*last_event=*/0);
+  attempt.head.ends_with_connection = head.ends_with_connection;
+  const absl::Time until = clock_() + kMaxWaitForEnd;
+  attempt.unidentified_timer =
+      timers_->At(until, [this, id = exchange.id](absl::Time) {
+        if (Exchange* waiting = Find(id)) LeaveUnidentifiedAnswer(*waiting);
+      });
+  return http::ReadAction::kContinue;
+}
+
 void Forwarder::LogLimitChange(const Exchange& exchange,
                                const ResponseHead& head) {
   if (!head.request_limit) return;
@@ -115,6 +162,9 @@
 }
 
 void Forwarder::OnBytes(Exchange& exchange, std::string_view bytes) {
+  if (exchange.attempt.foreign_answer) {
+    return OnUnidentifiedBytes(exchange, bytes);
+  }
   const ResponseHead& head = exchange.attempt.head;
   const bool relayed = exchange.is_stream() && IsSuccess(head.status);
   if (!relayed) {
@@ -136,6 +186,23 @@
   ReportProgress(exchange);
 }
 
+void Forwarder::OnUnidentifiedBytes(Exchange& exchange,
+                                    std::string_view bytes) {
+  if (!exchange.attempt.unidentified) return;
+  EventSplitter& events = *exchange.attempt.unidentified;
+  events.Feed(bytes);
+  const bool goes_on = events.event_count() >= kEventsUnderWay ||
+                       events.partial().size() > kMaxEventBytes;
+  if (goes_on) LeaveUnidentifiedAnswer(exchange);
+}
+
+void Forwarder::LeaveUnidentifiedAnswer(Exchange& exchange) {
+  servers_.cancel(exchange.attempt.transfer);
+  FinishTransfer(exchange);
+  OnFailure(exchange, RequestOutcome::kFailed,
+            {Code::kServerBroke, "its answer doesn't name the request"});
+}
+
 void Forwarder::BreakOffAnswer(Exchange& exchange) {
   servers_.cancel(exchange.attempt.transfer);
   FinishTransfer(exchange);
@@ -189,13 +256,12 @@
                                                RequestOutcome::kNotSent, 0, 0});
   }
   if (attempt.has_head && attempt.head.not_run) return OnShed(exchange);
-  if (end != http::TransferEnd::kComplete) {
-    const bool lost =
-        end == http::TransferEnd::kBroken && !attempt.foreign_answer;
-    return OnFailure(
-        exchange,
-        lost ? RequestOutcome::kConnectionLost : RequestOutcome::kFailed,
-        {Code::kServerBroke, detail});
+  if (end != http::TransferEnd::kComplete || attempt.foreign_answer) {
+    return OnFailure(exchange,
+                     IsServerLost(attempt, end)
+                         ? RequestOutcome::kConnectionLost
+                         : RequestOutcome::kFailed,
+                     {Code::kServerBroke, detail});
   }
   const std::string_view truncation = FindTruncation(exchange);
   if (!truncation.empty()) {
--- a/src/gateway/forwarder_streams_test.cc
+++ b/src/gateway/forwarder_streams_test.cc
@@ -97,22 +97,65 @@
   BOOST_TEST(site.calls.size() == 1u);
 }
 
-// How far an answer had come when its connection was lost.
-enum class Lost { kBeforeAByte, kAfterTheHead, kAfterAnEvent, kUnderWay };
+// How far an answer had come when its connection was lost. The last ones follow
+// a head without the request's id and the server's signature.
+enum class Lost {
+  kBeforeAByte,
+  kAfterTheHead,
+  kAfterAnEvent,
+  kUnderWay,
+  kInsideUnidentifiedEvent,
+  kInsideUnframedUnidentifiedEvent,
+};
 
-// Sends prompts, no two alike, with one part in common, each of which loses its
-// server. Returns how many servers were lost when one is refused for that; 0 if
-// none is.
-std::size_t ServersLostUntilRefused(Lost lost) {
-  constexpr int kServers = 20;
+constexpr char kHalfEvent[] = "id: 1\nda";
+
+// Ends an attempt at a server that is lost.
+void Lose(FakeCall& call, Lost lost) {
+  switch (lost) {
+    case Lost::kBeforeAByte:
+      break;
+    case Lost::kAfterTheHead:
+      call.Begin();
+      break;
+    case Lost::kAfterAnEvent:
+      call.SendHead(200);
+      call.SendData(kEvent);
+      break;
+    case Lost::kUnderWay:
+      call.SendHead(200);
+      call.SendData(kEvent);
+      call.SendData("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+      break;
+    case Lost::kInsideUnidentifiedEvent:
+      call.SendUnidentifiedHead();
+      if (!call.stopped) call.SendData(kHalfEvent);
+      break;
+    case Lost::kInsideUnframedUnidentifiedEvent:
+      call.SendUnidentifiedHead(/*names_other_request=*/false,
+                                /*ends_with_connection=*/true);
+      if (call.stopped) return;
+      call.SendData(kHalfEvent);
+      return call.Finish();
+  }
+  if (!call.stopped) call.Finish(http::TransferEnd::kBroken);
+}
+
+constexpr int kPromptServers = 20;
+
+// Sends prompts, no two alike, with one part in common, to a server each, whose
+// answer `answer` ends. Returns how many servers had them when one is refused
+// since servers ended under it; 0 if none is.
+template <typename Answer>
+std::size_t ServersUntilRefused(Answer answer) {
   FakeSite site;
   site.Configure();
-  for (int i = 0; i < kServers; ++i) {
+  for (int i = 0; i < kPromptServers; ++i) {
     site.AddServer("llm-" + std::to_string(i), "llm", 2);
   }
   site.forwarder->OnServersChanged();
   std::set<std::string> servers;
-  for (schedule::PartHash own = 100; own < 100 + kServers; ++own) {
+  for (schedule::PartHash own = 100; own < 100 + kPromptServers; ++own) {
     const std::size_t sent = site.calls.size();
     const auto caller =
         site.SendRequest("/stream/1", "key", 0, "", {{7, 50}, {own, 50}});
@@ -121,21 +164,17 @@
       BOOST_TEST(caller->body.find("3007") != std::string::npos);
       return servers.size();
     }
-    FakeCall& call = site.last();
-    servers.insert(call.server());
-    if (lost == Lost::kAfterTheHead) call.Begin();
-    if (lost == Lost::kAfterAnEvent || lost == Lost::kUnderWay) {
-      call.SendHead(200);
-      call.SendData(kEvent);
-    }
-    if (lost == Lost::kUnderWay) {
-      call.SendData("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
-    }
-    call.Finish(http::TransferEnd::kBroken);
+    servers.insert(site.last().server());
+    answer(site);
   }
   return 0;
 }
 
+std::size_t ServersLostUntilRefused(Lost lost) {
+  return ServersUntilRefused(
+      [lost](FakeSite& site) { Lose(site.last(), lost); });
+}
+
 // Guards against a server that ended as it began to write and that counts like
 // one on which a request had waited, or like one that had written on.
 BOOST_AUTO_TEST_CASE(ALossCountsByHowFarTheAnswerHadCome) {
@@ -145,5 +184,74 @@
   BOOST_TEST(ServersLostUntilRefused(Lost::kUnderWay) == 0u);
 }
 
+// Guards against servers that end one after the other under one part since what
+// they wrote before is taken for another program's answer.
+BOOST_AUTO_TEST_CASE(AServerLostInsideAnUnidentifiedEventCounts) {
+  BOOST_TEST(ServersLostUntilRefused(Lost::kInsideUnidentifiedEvent) == 3u);
+  BOOST_TEST(ServersLostUntilRefused(Lost::kInsideUnframedUnidentifiedEvent) ==
+             3u);
+}
+
+// Guards against a part that is refused since servers answer it late, with the
+// answer to another request, and go on.
+BOOST_AUTO_TEST_CASE(AnAnswerToAnotherRequestIsNoLoss) {
+  BOOST_TEST(ServersUntilRefused([](FakeSite& site) {
+               site.last().SendUnidentifiedHead(/*names_other_request=*/true);
+               BOOST_TEST(site.last().stopped);
+             }) == 0u);
+}
+
+// Guards against a part that is refused since broken servers, or other programs
+// at their addresses, answer without a signature and go on.
+BOOST_AUTO_TEST_CASE(AnUnidentifiedAnswerOfARunningServerIsNoLoss) {
+  const auto writes = [](const char* bytes, bool ends_with_connection) {
+    return [=](FakeSite& site) {
+      const auto call = site.calls.back();
+      call->SendUnidentifiedHead(/*names_other_request=*/false,
+                                 ends_with_connection);
+      if (!call->stopped) call->SendData(bytes);
+      if (!call->stopped && !call->cancelled) call->Finish();
+    };
+  };
+  for (const char* bytes : {"", "oops", kHalfEvent, kEvent}) {
+    BOOST_TEST(ServersUntilRefused(writes(bytes, false)) == 0u);
+  }
+  for (const char* bytes : {"", "oops", "<html>", kEvent}) {
+    BOOST_TEST(ServersUntilRefused(writes(bytes, true)) == 0u);
+  }
+}
+
+// Guards against the same where the server leaves its answer open, and against
+// a caller who waits for that.
+BOOST_AUTO_TEST_CASE(AnUnidentifiedAnswerThatStaysOpenIsLeft) {
+  BOOST_TEST(ServersUntilRefused([](FakeSite& site) {
+               const auto call = site.calls.back();
+               call->SendUnidentifiedHead();
+               if (!call->stopped) call->SendData(kHalfEvent);
+               site.AdvanceTime(absl::Milliseconds(100));
+               BOOST_TEST((call->stopped || call->cancelled));
+               BOOST_TEST(site.forwarder->open_requests() == 0u);
+             }) == 0u);
+}
+
+// Guards against an answer that is read on though the server writes events.
+BOOST_AUTO_TEST_CASE(AnUnidentifiedAnswerThatGoesOnIsLeft) {
+  FakeSite site;
+  site.Configure();
+  const auto caller = site.SendRequest("/resume/1");
+  const auto call = site.calls.back();
+  call->SendUnidentifiedHead();
+  if (!call->stopped) {
+    call->SendData("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  }
+  BOOST_TEST((call->stopped || call->cancelled));
+  // Another server answers, and no byte of the first answer is relayed.
+  BOOST_REQUIRE(site.calls.size() == 2u);
+  BOOST_TEST(site.last().call.last_event == 0);
+  site.last().SendResponse(200, kEvent);
+  BOOST_TEST(caller->complete);
+  BOOST_TEST(caller->body == kEvent);
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -109,8 +109,10 @@
 struct ResponseHead {
   int status = 0;
   std::vector<http::Header> headers;  // Forwarded to the caller.
-  bool matches_request = true;        // False: it is for another request.
-  bool signed_ = false;               // Made by a server of the platform.
+  bool matches_request = true;        // False: it must not be forwarded.
+  // It states the id of another request: a late response to that one.
+  bool names_other_request = false;
+  bool signed_ = false;  // Made by a server of the platform.
   bool not_run = false;  // The server has not run the request and never will.
   bool wrong_server = false;  // The address belongs to another server now.
   bool closing = false;       // The server is about to leave.
