Entry hosts measure the pauses between a stream's events

Cause: a response is late if a pause between two events exceeds the route's bound, but neither the log nor the metrics showed pauses, and dispatchers did not learn them.

Change: the forwarder measures the pauses of each attempt and reports them in TokensStreamed and RequestFinished. The answered line states the longest pause over all attempts and the bound, in_time takes it into account, and gentianlb_streams_late_by_pause_total counts streams late by a pause alone. A pause between two requests of a caller that takes up its stream again is not measured, as the second request may come to another host.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -13,6 +13,7 @@
 #include "base/timer_service.h"
 #include "gateway/event_splitter.h"
 #include "gateway/messages.h"
+#include "gateway/pause_meter.h"
 #include "gateway/quota.h"
 #include "gateway/route_index.h"
 #include "gateway/stream_messages.h"
@@ -41,6 +42,7 @@
   TimerId unidentified_timer = 0;     // When it is no longer waited for.
   bool first_event_reported = false;  // To the dispatcher.
   int events_before = 0;              // Of the stream, by earlier attempts.
+  PauseMeter pauses;                  // Of the events of this attempt alone.
 };
 
 struct Exchange {
@@ -78,6 +80,8 @@
   std::string stream_version;
   bool finds_version = false;  // It waits until the version is found.
   absl::Time first_event = absl::InfinitePast();
+  // Of the events of all attempts, as the caller sees them.
+  PauseMeter pauses;
 
   // Returns 0 for a plain call.
   int prompt_tokens() const {
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -172,11 +172,15 @@
     if (exchange.body.size() > kMaxBodyBytes) BreakOffAnswer(exchange);
     return;
   }
+  const int events_before = exchange.splitter.event_count();
   const std::string events = exchange.splitter.Feed(bytes);
   if (exchange.splitter.partial().size() > kMaxEventBytes) {
     return BreakOffAnswer(exchange);
   }
   if (events.empty()) return;
+  const int new_events = exchange.splitter.event_count() - events_before;
+  exchange.attempt.pauses.OnEvents(new_events, clock_());
+  exchange.pauses.OnEvents(new_events, clock_());
   BeginStream(exchange);
   exchange.responder->Write(events);
   if (exchange.responder->Backlog() > kMaxBacklogBytes) {
@@ -230,6 +234,7 @@
   exchange.attempt.first_event_reported = true;
   const int tokens = events * exchange.service->engine->tokens_per_event;
   schedule::TokensStreamed event{exchange.attempt.dispatch_id, tokens};
+  event.pauses = exchange.attempt.pauses.pauses();
   if (first) {
     event.request_limit = exchange.attempt.head.request_limit;
     event.machine_slowdown = MachineSlowdownOf(exchange.attempt.head);
@@ -316,8 +321,8 @@
       exchange.pool,
       schedule::RequestFinished{
           dispatch_id, kind, tokens, 0, exchange.attempt.head.request_limit,
-          ProgressOf(exchange),
-          /*pauses=*/{}, MachineSlowdownOf(exchange.attempt.head)});
+          ProgressOf(exchange), exchange.attempt.pauses.pauses(),
+          MachineSlowdownOf(exchange.attempt.head)});
 }
 
 void Forwarder::OnResponseComplete(Exchange& exchange) {
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -77,9 +77,14 @@
                                 std::move(exchange.body));
   }
   const absl::Time responded_at = stream ? exchange.first_event : now;
-  const bool in_time =
+  const bool first_in_time =
       responded_at - exchange.arrival <= exchange.route->objective;
+  const absl::Duration max_pause = exchange.route->max_pause;
+  const absl::Duration longest_pause = exchange.pauses.longest();
+  const bool paused = longest_pause > max_pause;
+  const bool in_time = first_in_time && !paused;
   metrics_->CountAnswered(exchange.tier, in_time);
+  if (first_in_time && paused) metrics_->CountLateByPause(exchange.tier);
   LOG(INFO) << "event=answered request=" << exchange.request->id
             << " route=" << exchange.route->name
             << " tier=" << exchange.tier.rank << " status=" << head.status
@@ -91,6 +96,8 @@
             << " events=" << exchange.splitter.event_count()
             << " partial_bytes=" << exchange.splitter.partial().size()
             << " ends_with_connection=" << head.ends_with_connection
+            << " longest_pause_ms=" << Milliseconds(longest_pause)
+            << " max_pause_ms=" << MillisecondsOrDash(max_pause)
             << " in_time=" << in_time;
   Remove(exchange.id);
 }
--- a/src/gateway/forwarder_internal.h
+++ b/src/gateway/forwarder_internal.h
@@ -4,6 +4,7 @@
 #define GENTIANLB_GATEWAY_FORWARDER_INTERNAL_H_
 
 #include <cstdint>
+#include <string>
 
 #include "absl/time/time.h"
 
@@ -25,6 +26,13 @@
   return absl::ToInt64Milliseconds(duration);
 }
 
+// Returns "-" if there is no bound.
+inline std::string MillisecondsOrDash(absl::Duration bound) {
+  return bound == absl::InfiniteDuration()
+             ? "-"
+             : std::to_string(Milliseconds(bound));
+}
+
 }  // namespace gentianlb::gateway
 
 #endif  // GENTIANLB_GATEWAY_FORWARDER_INTERNAL_H_
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -28,6 +28,9 @@
                            "Requests that were scheduled")),
       answered_(AddCounter("gentianlb_requests_answered_total",
                            "Whole answers, by whether the deadline was kept")),
+      late_by_pause_(
+          AddCounter("gentianlb_streams_late_by_pause_total",
+                     "Streams late because of a pause between events alone")),
       refused_(AddCounter("gentianlb_requests_refused_total",
                           "Final refusals, by result code")),
       malformed_(AddCounter("gentianlb_messages_malformed_total",
@@ -59,6 +62,10 @@
   answered_.Add(labels).Increment();
 }
 
+void Metrics::CountLateByPause(Tier tier) {
+  late_by_pause_.Add(TierLabel(tier)).Increment();
+}
+
 void Metrics::CountRefused(Tier tier, Code code) {
   prometheus::Labels labels = TierLabel(tier);
   labels["code"] = CodeLabel(code);
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -26,6 +26,8 @@
 
   // Counts a complete response; `in_time`: it met the deadline.
   void CountAnswered(Tier tier, bool in_time);
+  // Counts a stream whose first event was in time, but a later one was not.
+  void CountLateByPause(Tier tier);
   void CountRefused(Tier tier, Code code);
 
   // Counts a message that was refused before scheduling.
@@ -51,6 +53,7 @@
   const std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& accepted_;
   prometheus::Family<prometheus::Counter>& answered_;
+  prometheus::Family<prometheus::Counter>& late_by_pause_;
   prometheus::Family<prometheus::Counter>& refused_;
   prometheus::Family<prometheus::Counter>& malformed_;
   prometheus::Family<prometheus::Counter>& resumed_;
