Test: workspaces at several times their load each get their share

Guards against workspaces of one tier that take the share of one which is within its own, or of each other, when two hosts dispatch for two groups of servers. Four workspaces send 5 to 7 times a tenth of the capacity, a fifth one half of an equal share. No product file changes: the dispatchers already meet the requirement.

Found on the way: with streams that all take exactly 500 ms, those that begin together end together. Streams of the test end 200 to 800 ms after they begin.

--- a/src/gateway/group_site_test.h
+++ b/src/gateway/group_site_test.h
@@ -113,7 +113,7 @@
     schedule::Request request;
     request.id = RequestId(std::to_string(++submitted));
     request.host = EntryHostId(host);
-    request.workspace = WorkspaceId("w");
+    request.workspace = WorkspaceId(workspace);
     request.model = ModelId("m");
     request.tier = Tier{rank};
     request.arrival = now;
@@ -188,6 +188,7 @@
   std::function<absl::flat_hash_map<NameHash, ServerUse>()> peer_uses = [] {
     return absl::flat_hash_map<NameHash, ServerUse>();
   };
+  std::string workspace = "w";  // Of the requests that follow.
   int submitted = 0;
   int sent = 0;  // Number of datagrams.
 
