Streams that hosts decided themselves take memory on their server

Cause: Server::MemoryFits counted what its dispatcher granted or adopted. Streams of peers (PeerLoadReported: those that hosts decided without the dispatcher of the group) took streams but no memory, and a server with nothing but such streams counted as empty. Besides, GroupDispatchers reported their number only when it changed, and a dispatcher forgets a report after 10 s, so streams that run for longer took nothing.

Change: each stream of a peer reserves as much as an average request that was granted on the server, or as much as the request itself if none was. A server is empty only without streams of peers. Their number is reported again every 3 s while it isn't zero.

--- a/src/gateway/group_dispatchers.cc
+++ b/src/gateway/group_dispatchers.cc
@@ -30,6 +30,10 @@
 // this and is not in the list has finished, and its report was lost.
 constexpr absl::Duration kMaxReorder = absl::Milliseconds(300);
 
+// The dispatcher forgets reported streams of peers after 10 s. Those that run
+// on are reported again well before.
+constexpr absl::Duration kUngrantedReportInterval = absl::Seconds(3);
+
 // A host that has requests here and sends nothing for this long was killed, is
 // frozen or is partitioned: several lists of open requests are missing. Its
 // running requests would otherwise occupy server streams until their deadlines.
@@ -286,9 +290,11 @@
       ReportPeerLimit(group, &state, server.id, now);
       const auto found = uses.find(HashName(server.id.str()));
       const int ungranted = found == uses.end() ? 0 : found->second.ungranted;
-      int& reported = state.ungranted[server.id];
-      if (reported == ungranted) continue;
-      reported = ungranted;
+      UngrantedStreams& reported = state.ungranted[server.id];
+      const bool is_recent = ungranted == 0 || now - reported.reported_at <
+                                                   kUngrantedReportInterval;
+      if (reported.count == ungranted && is_recent) continue;
+      reported = {ungranted, now};
       Handle(group, &state, schedule::PeerLoadReported{server.id, ungranted},
              now);
     }
--- a/src/gateway/group_dispatchers.h
+++ b/src/gateway/group_dispatchers.h
@@ -62,6 +62,12 @@
   absl::Time NextWakeup() const;
 
  private:
+  // The streams of a server that run without a grant of its group's dispatcher,
+  // as last reported to it.
+  struct UngrantedStreams {
+    int count = 0;
+    absl::Time reported_at;
+  };
   struct GroupState {
     explicit GroupState(const ServiceQueueOptions& options) : queue(options) {}
     ServiceQueue queue;
@@ -73,7 +79,7 @@
     absl::flat_hash_map<EntryHostId, absl::flat_hash_map<RequestId, absl::Time>>
         requests_by_host;
     absl::flat_hash_map<EntryHostId, absl::Time> last_contact;
-    absl::flat_hash_map<ServerId, int> ungranted;
+    absl::flat_hash_map<ServerId, UngrantedStreams> ungranted;
   };
   struct ServiceInfo {
     Service service;
--- a/src/gateway/group_link_test.cc
+++ b/src/gateway/group_link_test.cc
@@ -210,6 +210,27 @@
   BOOST_TEST(!host.local.contains(queued));
 }
 
+// Guards against a server that gets too much since its dispatcher forgets the
+// streams that hosts decided themselves and that run on for long.
+BOOST_AUTO_TEST_CASE(LongStreamsThatHostsDecidedTakeStreams) {
+  GroupSite site(8, /*servers=*/1, /*streams=*/10);
+  constexpr int kUngranted = 6;
+  site.peer_uses = [] {
+    ServerUse use;
+    use.server = HashName("s0");
+    use.ungranted = kUngranted;
+    return absl::flat_hash_map<NameHash, ServerUse>{{use.server, use}};
+  };
+  // From now on the group has a dispatcher.
+  const RequestId first = site.Submit("h1");
+  site.Advance(absl::Milliseconds(50));
+  site.FinishRequest("h1", first);
+  site.Advance(absl::Seconds(15));
+  for (int i = 0; i < 10; ++i) site.Submit("h1");
+  site.Advance(absl::Milliseconds(50));
+  BOOST_TEST(site.Granted("s0") == 10 - kUngranted);
+}
+
 // Datagrams are lost, duplicated and reordered. Each request is decided once,
 // by the dispatcher or by its own host, soon after its submission, and lost
 // datagrams don't keep streams occupied.
--- a/src/schedule/placer.cc
+++ b/src/schedule/placer.cc
@@ -220,11 +220,13 @@
   demand.kv_tokens = waiting.request.prompt_tokens + waiting.output.p90;
   demand.plain = waiting.request.model.empty();
 
-  if (!server.MemoryFits(demand.kv_tokens) ||
+  if (!server.MemoryFits(demand.kv_tokens, criteria.now) ||
       !server.PrefillFits(demand.prefill_tokens)) {
     const bool first = best->server == kNoIndex;
     const bool more_memory =
-        first || server.FreeMemory() > servers_.at(best->server).FreeMemory();
+        first || server.FreeMemory(demand.kv_tokens, criteria.now) >
+                     servers_.at(best->server)
+                         .FreeMemory(demand.kv_tokens, criteria.now);
     if (best->reason != BlockReason::kNone && more_memory) best->server = index;
     return Block(BlockReason::kTooLarge, best);
   }
--- a/src/schedule/server.cc
+++ b/src/schedule/server.cc
@@ -27,6 +27,10 @@
 // more than a second for their first token.
 constexpr absl::Duration kPeerUpdateDelay = absl::Milliseconds(300);
 
+// Weight of a granted request in the mean memory of the server's requests. The
+// mean of about 20 follows a change of the load within seconds.
+constexpr double kMeanMemoryWeight = 0.05;
+
 }  // namespace
 
 Server::Server(const ServerSpec& server)
@@ -56,6 +60,11 @@
   recent_grants_.Add(1, now);
   window.OnGrant();
   kv_tokens_ += demand.kv_tokens;
+  const auto granted = static_cast<double>(demand.kv_tokens);
+  mean_kv_tokens_ =
+      mean_kv_tokens_ <= 0
+          ? granted
+          : mean_kv_tokens_ + kMeanMemoryWeight * (granted - mean_kv_tokens_);
   if (prefilling_++ == 0) prefill_since_ = now;
   prefill_tokens_ += demand.prefill_tokens;
   UpdatePeak(now);
@@ -130,11 +139,22 @@
          kMaxPrefillSeconds * speed.prefill_speed();
 }
 
-bool Server::MemoryFits(std::int64_t kv_tokens) const {
+bool Server::MemoryFits(std::int64_t kv_tokens, absl::Time now) const {
   // A request larger than the whole memory goes to an empty server, where the
   // engine decides whether to run it.
-  if (spec.kv_tokens <= 0 || running_ == 0) return true;
-  return kv_tokens_ + kv_tokens <= spec.kv_tokens;
+  const bool empty = running_ == 0 && PeerStreams(now) == 0;
+  if (spec.kv_tokens <= 0 || empty) return true;
+  return kv_tokens <= FreeMemory(kv_tokens, now);
+}
+
+std::int64_t Server::FreeMemory(std::int64_t kv_tokens, absl::Time now) const {
+  return spec.kv_tokens - kv_tokens_ - PeerMemory(kv_tokens, now);
+}
+
+std::int64_t Server::PeerMemory(std::int64_t kv_tokens, absl::Time now) const {
+  const double each =
+      mean_kv_tokens_ > 0 ? mean_kv_tokens_ : static_cast<double>(kv_tokens);
+  return static_cast<std::int64_t>(PeerStreams(now) * each);
 }
 
 double Server::PrefillBacklog(absl::Time now) const {
--- a/src/schedule/server.h
+++ b/src/schedule/server.h
@@ -70,9 +70,11 @@
   int FreeStreams(absl::Time now) const;
   // Returns whether the prompt work fits within the admission limit.
   bool PrefillFits(double prefill_tokens) const;
-  // Returns whether the memory reservation fits.
-  bool MemoryFits(std::int64_t kv_tokens) const;
-  std::int64_t FreeMemory() const { return spec.kv_tokens - kv_tokens_; }
+  // Returns whether the memory reservation fits beside the streams of all
+  // dispatchers.
+  bool MemoryFits(std::int64_t kv_tokens, absl::Time now) const;
+  // Returns the memory that is free for a request that needs `kv_tokens`.
+  std::int64_t FreeMemory(std::int64_t kv_tokens, absl::Time now) const;
 
   // --- Predicted times ---
   // Returns the predicted seconds to the first token of a request granted now.
@@ -117,6 +119,10 @@
   double PrefillBacklog(absl::Time now) const;
   // Returns the maximum of running_ over the last one to two periods.
   int OwnPeak() const;
+  // Returns the memory of peer dispatchers' streams, whose sizes are not known:
+  // each counts like an average request granted here, or like one of
+  // `kv_tokens` if none was.
+  std::int64_t PeerMemory(std::int64_t kv_tokens, absl::Time now) const;
   // Returns an estimate of the streams that peer dispatchers have granted but
   // not yet reported, assuming that they make the same choices.
   int UnreportedStreams(absl::Time now) const;
@@ -133,6 +139,7 @@
   double prefill_tokens_ = 0;   // Of the streams without a first token.
   absl::Time prefill_since_;    // When the current prompt was started.
   std::int64_t kv_tokens_ = 0;  // Reserved for running streams.
+  double mean_kv_tokens_ = 0;   // Of granted requests; 0: none yet.
   int peer_streams_ = 0;        // Streams of peer dispatchers, last known.
   // Streams of peer dispatchers that slow down the batch. Not updated by load
   // reports, which are too old for it.
