Servers on a slowed machine are avoided while the slowdown lasts

A server's machine is slowed to 2.5 times the usual time for some 0.6 s, which the averages of SpeedEstimator show only when it is over. MachineSlowdown keeps the last value that a server stated; it fades to 1 with its age, at a rate learnt from how long the server's values last. Predicted times are the usual time plus the fading excess over it, so calls count as slowed as a whole and long streams in part. Samples of SpeedEstimator are divided by the stated value, so that the slowdown does not count twice. The index of open servers follows by the server's own events and every 200 ms until the value has faded. A restart clears it. refusal-decided states how many servers are slowed.

Servers that state nothing, or always 100, get the same decisions.

--- a/src/gateway/group_dispatchers.cc
+++ b/src/gateway/group_dispatchers.cc
@@ -84,7 +84,7 @@
   LOG(INFO) << "event=refusal-decided request=" << refusal.id
             << " code=" << static_cast<int>(refusal.code)
             << " servers=" << servers.usable << " open=" << servers.open
-            << " limited=" << servers.limited
+            << " limited=" << servers.limited << " slowed=" << servers.slowed
             << " free_streams=" << dispatcher.FreeStreams()
             << " waiting=" << dispatcher.waiting()
             << " lost_paths=" << dispatcher.counters().lost_paths
--- a/src/schedule/answers.cc
+++ b/src/schedule/answers.cc
@@ -30,6 +30,31 @@
   server.window.OnGoodResponse(state.now, running >= server.window.streams());
 }
 
+// Records how slow the machine of the server of `running` is.
+void RecordSlowdown(State& state, const RunningRequest& running,
+                    std::optional<double> stated) {
+  if (!stated) return;
+  state.servers.at(running.server).slowdown.OnStated(*stated, state.now);
+}
+
+// Returns `seconds`, measured until the response that stated `slowdown`, at the
+// usual speed of the server's machine. Without this, predictions would count
+// the slowdown twice.
+double UsualSeconds(double seconds, std::optional<double> slowdown) {
+  return slowdown ? seconds / MachineSlowdown::Limited(*slowdown) : seconds;
+}
+
+// Returns the seconds per token since the last report at the usual speed of the
+// server's machine. Reports after the first token state no slowdown, so the one
+// expected in the middle of the time counts.
+double UsualTokenSeconds(const State& state, const RunningRequest& running,
+                         int new_tokens) {
+  const absl::Duration span = state.now - running.last_report_at;
+  const double slowdown = state.servers.at(running.server)
+                              .slowdown.At(running.last_report_at + span / 2);
+  return absl::ToDoubleSeconds(span) / slowdown / new_tokens;
+}
+
 // A time between the two expectations means that the cache was misjudged, not
 // the server's speed, and gives no sample.
 void LearnFirstToken(Server& server, const RunningRequest& running,
@@ -43,14 +68,15 @@
   }
 }
 
-void OnFirstToken(State& state, RunIndex index) {
+void OnFirstToken(State& state, RunIndex index,
+                  std::optional<double> slowdown) {
   const RunningRequest& running = state.running.Get(index);
   Server& server = state.servers.at(running.server);
   const double seconds = absl::ToDoubleSeconds(state.now - running.granted_at);
   bool slow = false;
   if (!running.times_unknown) {
     server.RecordServedGrant(running.granted_at);
-    LearnFirstToken(server, running, seconds);
+    LearnFirstToken(server, running, UsualSeconds(seconds, slowdown));
     slow = seconds >
            kSlowFactor * running.predicted_first_token_seconds + kSlowSeconds;
   }
@@ -66,9 +92,8 @@
   Server& server = state.servers.at(running.server);
   const int new_tokens = tokens - running.output_tokens;
   if (new_tokens <= 0) return;  // An older report arrived late.
-  const double seconds =
-      absl::ToDoubleSeconds(state.now - running.last_report_at);
-  server.speed.AddDecodeSample(seconds / new_tokens, server.running());
+  server.speed.AddDecodeSample(UsualTokenSeconds(state, running, new_tokens),
+                               server.running());
   UpdateWindow(state, server, server.running(), /*slow=*/false);
 }
 
@@ -106,15 +131,15 @@
   if (running.demand.plain) {
     if (running.times_unknown) return;
     server.speed.AddCallSample(
-        absl::ToDoubleSeconds(state.now - running.granted_at));
+        UsualSeconds(absl::ToDoubleSeconds(state.now - running.granted_at),
+                     event.machine_slowdown));
     return UpdateWindow(state, server, server.running() + 1, /*slow=*/false);
   }
   // Tokens since the last report; nearly all of them if reports are rare.
   const int new_tokens = event.output_tokens - running.output_tokens;
   if (running.first_token && new_tokens > 0) {
-    const double seconds =
-        absl::ToDoubleSeconds(state.now - running.last_report_at);
-    server.speed.AddDecodeSample(seconds / new_tokens, server.running() + 1);
+    server.speed.AddDecodeSample(UsualTokenSeconds(state, running, new_tokens),
+                                 server.running() + 1);
     UpdateWindow(state, server, server.running() + 1, /*slow=*/false);
   }
   state.estimator.Learn(origin.request, origin.workspace, event.output_tokens);
@@ -270,7 +295,8 @@
   const int window = state.servers.at(server).window.streams();
   const bool first = !running.first_token;
   if (first) {
-    OnFirstToken(state, index);
+    RecordSlowdown(state, running, event.machine_slowdown);
+    OnFirstToken(state, index, event.machine_slowdown);
   } else {
     OnMoreTokens(state, index, event.output_tokens);
     state.suspect_parts().OnWritten(running.origin.request.parts);
@@ -297,6 +323,10 @@
                        event.kind == RequestOutcome::kShed;
   if (reached) RecordReached(state, running);
   RecordLimit(state, running, event.request_limit);
+  // The head of a stream came with its first token, so its value is old now.
+  if (running.demand.plain) {
+    RecordSlowdown(state, running, event.machine_slowdown);
+  }
   switch (event.kind) {
     case RequestOutcome::kComplete:
       ++state.counters.completed;
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -39,6 +39,7 @@
   if (before == ServerHealth::kDead) {
     state.cache.Clear(server, state.now);
     state.servers.at(server).limit.OnRestart();
+    state.servers.at(server).slowdown.Clear();
     state.servers.CountLimited();
   }
   state.servers.SetHealth(server, event.health, state.now);
@@ -219,6 +220,7 @@
     ++counts.usable;
     if (server.window.IsOpen(state_->now)) ++counts.open;
     if (server.limit.limited()) ++counts.limited;
+    if (server.slowdown.IsInEffect(state_->now)) ++counts.slowed;
   }
   return counts;
 }
--- a/src/schedule/dispatcher.h
+++ b/src/schedule/dispatcher.h
@@ -55,6 +55,7 @@
     int usable = 0;
     int open = 0;
     int limited = 0;  // Of the usable ones, those that name a request limit.
+    int slowed = 0;   // Of the usable ones, those on a slowed machine.
   };
   ServerCounts CountServers() const;
 
--- a/src/schedule/placer.cc
+++ b/src/schedule/placer.cc
@@ -259,7 +259,8 @@
   }
 
   finish += RoleMismatchSeconds(server, demand);
-  const double uncached = server.speed.PrefillSeconds(demand.prefill_tokens);
+  const double uncached =
+      server.PrefillSeconds(demand.prefill_tokens, criteria.now);
   // A probe gets the best score, so that the first request that can afford it
   // is sent to the server.
   double score =
--- a/src/schedule/server.cc
+++ b/src/schedule/server.cc
@@ -109,6 +109,7 @@
   peer_streams_measured_ = now;
   peer_streams_ = std::max(0, load.running + load.queued - running_);
   peer_batch_streams_ = std::max(0, load.running - running_);
+  if (load.machine_slowdown) slowdown.OnStated(*load.machine_slowdown, now);
 }
 
 void Server::OnPeerLoad(const PeerLoadReported& load, absl::Time now) {
@@ -164,17 +165,29 @@
   return std::max(0.0, prefill_tokens_ - done);
 }
 
+double Server::PrefillSeconds(double tokens, absl::Time now) const {
+  return slowdown.Seconds(speed.PrefillSeconds(tokens), now);
+}
+
 double Server::FirstTokenSeconds(double prefill_tokens, absl::Time now) const {
+  return slowdown.Seconds(UsualFirstTokenSeconds(prefill_tokens, now), now);
+}
+
+double Server::UsualFirstTokenSeconds(double prefill_tokens,
+                                      absl::Time now) const {
   return speed.FirstTokenSeconds(PrefillBacklog(now) + prefill_tokens,
                                  running_ + peer_batch_streams_ + 1);
 }
 
 double Server::FinishSeconds(const Demand& demand, absl::Time now) const {
-  if (demand.plain) return WithFailureCost(speed.CallSeconds());
-  return WithFailureCost(
-      FirstTokenSeconds(demand.prefill_tokens, now) +
+  if (demand.plain) {
+    return WithFailureCost(slowdown.Seconds(speed.CallSeconds(), now));
+  }
+  const double usual =
+      UsualFirstTokenSeconds(demand.prefill_tokens, now) +
       demand.output_tokens *
-          speed.TokenSeconds(running_ + peer_batch_streams_ + 1));
+          speed.TokenSeconds(running_ + peer_batch_streams_ + 1);
+  return WithFailureCost(slowdown.Seconds(usual, now));
 }
 
 FirstTokenTime Server::ExpectedFirstToken(double prefill_tokens,
--- a/src/schedule/server.h
+++ b/src/schedule/server.h
@@ -19,6 +19,7 @@
 #include "absl/time/time.h"
 #include "base/decaying_sum.h"
 #include "schedule/index.h"
+#include "schedule/machine_slowdown.h"
 #include "schedule/messages.h"
 #include "schedule/request_limit.h"
 #include "schedule/speed_estimator.h"
@@ -79,6 +80,8 @@
   // --- Predicted times ---
   // Returns the predicted seconds to the first token of a request granted now.
   double FirstTokenSeconds(double prefill_tokens, absl::Time now) const;
+  // Returns the predicted seconds to compute prompt tokens alone.
+  double PrefillSeconds(double tokens, absl::Time now) const;
   // Returns the predicted seconds to the completion of a request granted now,
   // including the expected cost of failures.
   double FinishSeconds(const Demand& demand, absl::Time now) const;
@@ -110,7 +113,8 @@
   ServerHealth health = ServerHealth::kAlive;
   bool configured = true;
   std::vector<PoolIndex> pools;
-  SpeedEstimator speed;
+  SpeedEstimator speed;      // At the usual speed of the server's machine.
+  MachineSlowdown slowdown;  // Of its machine at the moment.
   Window window;
   RequestLimit limit;
 
@@ -130,6 +134,8 @@
 
   // Returns `seconds` plus the expected cost of failures.
   double WithFailureCost(double seconds) const;
+  // Returns the seconds to the first token at the machine's usual speed.
+  double UsualFirstTokenSeconds(double prefill_tokens, absl::Time now) const;
 
   absl::Time last_reached_ = absl::InfinitePast();
   absl::Time last_served_grant_ = absl::InfinitePast();
--- a/src/schedule/server_set.cc
+++ b/src/schedule/server_set.cc
@@ -22,6 +22,10 @@
 // interval.
 constexpr absl::Duration kRecheckInterval = absl::Seconds(1);
 
+// Recheck of a server whose machine is slowed, until the slowdown has faded.
+// The server's own responses update its place in the index between rechecks.
+constexpr absl::Duration kFadingRecheckInterval = absl::Milliseconds(200);
+
 // Relative change of the key below which a server keeps its place in the index.
 // Most updates change the key by less; Placer compares the candidates exactly.
 constexpr double kKeyTolerance = 0.02;
@@ -188,6 +192,7 @@
   Unindex(index);
   IndexEntry& entry = entries_[index];
   entry.waits_for_limit = false;
+  entry.fading = false;
   if (!server.window.IsOpen(now)) {
     entry.recheck_at = server.window.closed_until();
     rechecks_.insert({entry.recheck_at, index});
@@ -205,8 +210,10 @@
   entry.open = true;
   entry.prefilling = server.prefilling() > 0;
   const bool idle_slow = server.running() == 0 && server.speed.slowed();
-  if (probing || idle_slow) {
-    entry.recheck_at = now + kRecheckInterval;
+  entry.fading = server.slowdown.IsInEffect(now);
+  if (probing || idle_slow || entry.fading) {
+    entry.recheck_at =
+        now + (entry.fading ? kFadingRecheckInterval : kRecheckInterval);
     rechecks_.insert({entry.recheck_at, index});
   }
   for (const PoolIndex pool : server.pools) {
@@ -291,7 +298,8 @@
     // Without this, a server whose predicted times exceed every deadline would
     // never get the request that could show it has recovered.
     const bool idle = servers_[server].running() == 0;
-    if (idle && !entries_[server].waits_for_limit) {
+    const IndexEntry& entry = entries_[server];
+    if (idle && !entry.waits_for_limit && !entry.fading) {
       servers_[server].speed.Decay();
     }
     Reindex(server, now);
--- a/src/schedule/server_set.h
+++ b/src/schedule/server_set.h
@@ -122,6 +122,7 @@
     bool prefilling = false;    // Whether it is in Pool::open_prefilling.
     absl::Time recheck_at = absl::InfiniteFuture();
     bool waits_for_limit = false;  // Rechecked when its limit allows a request.
+    bool fading = false;           // Rechecked as its machine was slowed.
   };
 
   PoolIndex InternPool(const ModelId& model, const std::string& version);
--- a/src/schedule/timed_site_test.h
+++ b/src/schedule/timed_site_test.h
@@ -25,6 +25,7 @@
   double per_second = 0;
   absl::Duration objective;
   absl::Duration deadline;
+  double call_seconds = 0.015;  // Of a plain call, usually.
 };
 
 // What callers got.
@@ -103,7 +104,6 @@
  private:
   static constexpr double kPrefillSpeed = 112000;
   static constexpr double kStepSeconds = 0.00323;
-  static constexpr double kCallSeconds = 0.015;
 
   struct Attempt {
     Kind kind;
@@ -165,7 +165,7 @@
     const double factor = factors_.at(grant.server);
     const double slow = factor * slowdown(grant.server, now);
     if (attempt.kind.prompt == 0) {
-      attempt.first_at = now + absl::Seconds(kCallSeconds * slow);
+      attempt.first_at = now + absl::Seconds(attempt.kind.call_seconds * slow);
       return Schedule(attempt.first_at, [this, grant] { Finish(grant); });
     }
     absl::Time& prompt_done = prompt_done_[grant.server];
