Placement avoids making streams late by a pause

Cause: a server computes a prompt in chunks between the tokens of its streams. On a server at 2.8 times the usual time, a prompt of 20,000 tokens or more stretches the events of all its streams to 600 ms, and the placer did not take that into account.

Change: StreamPauses learns the event time of each server and how much prompt work fits into one event, and predicts which streams of the same or a higher tier a request makes late. The placer chooses the server with the fewest, then by score. If every server has some, the request waits for at most 250 ms and not beyond its latest start, then it is placed on the least harmful one. The deciding host logs pause-decided. Without a bound on pauses nothing changes.

The admission limit kMaxPrefillSeconds is unchanged: a stricter hard limit would refuse requests at their latest start, so the bound applies through the prediction, while the request may still wait.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -347,6 +347,7 @@
       !rollouts_->MaySend(exchange->service->id, exchange->pool)) {
     return MoveToOldServers(*exchange);
   }
+  LogPauses(grant);
   exchange->attempt.failed_paths = 0;
   const ServerEntry* server = FindGranted(*exchange, grant.server);
   if (server != nullptr && SendOnBestPath(*exchange, *server)) return;
--- a/src/gateway/group_dispatchers.cc
+++ b/src/gateway/group_dispatchers.cc
@@ -257,6 +257,7 @@
   for (const schedule::Decision& decision : decisions) {
     if (const auto* grant = std::get_if<schedule::Grant>(&decision)) {
       state->waiting.erase(grant->id);
+      LogPauses(*grant);
       state->requests_by_host[grant->host][grant->id] = now;
       hooks_.answer(grant->host,
                     schedule::Grant{UnqualifiedId(grant->host, grant->id),
--- a/src/gateway/service_queue.cc
+++ b/src/gateway/service_queue.cc
@@ -114,4 +114,18 @@
   return Find(servers_, id);
 }
 
+void LogPauses(const schedule::Grant& grant) {
+  const schedule::PauseForecast& pauses = grant.pauses;
+  if (pauses.weight <= 0 && pauses.held <= absl::ZeroDuration()) return;
+  LOG(INFO) << "event=pause-decided request=" << grant.id
+            << " server=" << grant.server << " streams_late=" << pauses.streams
+            << " itself_late=" << pauses.itself << " weight=" << pauses.weight
+            << " held_ms=" << absl::ToInt64Milliseconds(pauses.held)
+            << " pause_ms=" << absl::ToInt64Milliseconds(pauses.pause)
+            << " event_ms=" << absl::ToInt64Milliseconds(pauses.event_time)
+            << " prompt_work=" << pauses.prompt_work
+            << " event_work=" << pauses.event_work
+            << " age_ms=" << absl::ToInt64Milliseconds(pauses.age);
+}
+
 }  // namespace gentianlb::gateway
--- a/src/gateway/service_queue.h
+++ b/src/gateway/service_queue.h
@@ -100,6 +100,10 @@
   std::vector<schedule::ServerSpec> specs_;
 };
 
+// Logs a grant that makes streams late by a pause, or that was held back to
+// avoid that; once per grant, on the host that decided.
+void LogPauses(const schedule::Grant& grant);
+
 }  // namespace gentianlb::gateway
 
 #endif  // GENTIANLB_GATEWAY_SERVICE_QUEUE_H_
--- a/src/schedule/answers.cc
+++ b/src/schedule/answers.cc
@@ -82,6 +82,8 @@
   }
   // The prompt is computed: frees its prefill capacity and power.
   server.OnFirstToken(running.demand, state.now);
+  state.pauses.OnFirstToken(running.server, index,
+                            server.PromptLoadAt(state.now), state.now);
   state.power.OnFirstToken(running.server, running.cancel_cause.has_value());
   state.running.SetFirstToken(index);
   UpdateWindow(state, server, server.running(), slow);
@@ -191,6 +193,13 @@
   OnCapacityFreed(state, server);
 }
 
+void LearnPauses(State& state, RunIndex index, const RunningRequest& running,
+                 const EventPauses& pauses) {
+  const Server& server = state.servers.at(running.server);
+  state.pauses.OnPauses(running.server, index, pauses,
+                        server.PromptLoadAt(state.now), state.now);
+}
+
 // Records the limit that the response to `running` named, if it is known.
 void RecordLimit(State& state, const RunningRequest& running,
                  std::optional<double> per_second) {
@@ -267,7 +276,12 @@
   }
   state.limits.AddRunning(workspace);
   state.cache.OnGrant(server, running.origin.marks, 0, state.now);
-  state.running.Add(std::move(running));
+  const RunIndex run = state.running.Add(std::move(running));
+  const PromptLoad load = target.PromptLoadAt(state.now);
+  state.pauses.OnGrant(server, run, request, load, state.now);
+  if (event.output_tokens > 0) {
+    state.pauses.OnFirstToken(server, run, load, state.now);
+  }
   state.servers.Reindex(server, state.now);
 }
 
@@ -301,6 +315,7 @@
     OnMoreTokens(state, index, event.output_tokens);
     state.suspect_parts().OnWritten(running.origin.request.parts);
   }
+  LearnPauses(state, index, running, event.pauses);
   GrowMemoryReservation(state, index, event.output_tokens);
   const int tokens = std::max(running.output_tokens, event.output_tokens);
   state.running.SetOutputTokens(index, tokens, state.now);
@@ -315,8 +330,10 @@
 void OnRequestFinished(State& state, const RequestFinished& event) {
   const RunIndex index = state.running.Find(event.id);
   if (index == kNoIndex) return;
+  LearnPauses(state, index, state.running.Get(index), event.pauses);
   RunningRequest running = state.running.Remove(index);
   const ServerIndex server_index = running.server;
+  state.pauses.OnFinish(server_index, index);
   Server& server = state.servers.at(server_index);
   Release(state, running);
   const bool reached = event.kind == RequestOutcome::kComplete ||
--- a/src/schedule/dispatcher.cc
+++ b/src/schedule/dispatcher.cc
@@ -23,6 +23,7 @@
     const Server& server = state.servers.at(i);
     state.power.SetServer(i, server.spec, server.configured);
     state.cache.SetServer(i, server.spec);
+    if (!server.configured) state.pauses.Forget(i);
   }
   state.pool_drains.resize(state.servers.pools());
   state.pool_mean_work.resize(state.servers.pools(), 0);
@@ -38,6 +39,7 @@
   // A server that was dead has restarted, with an empty cache and no limit.
   if (before == ServerHealth::kDead) {
     state.cache.Clear(server, state.now);
+    state.pauses.Forget(server);
     state.servers.at(server).limit.OnRestart();
     state.servers.at(server).slowdown.Clear();
     state.servers.CountLimited();
@@ -164,6 +166,7 @@
   PenalizeOverdueServers(state);
   state.changes.all |= state.servers.RecheckDue(state.now);
   state.changes.all |= state.now >= state.next_urgent_check;
+  state.changes.all |= state.pauses.TakeEndedHolds(state.now);
   EnforcePowerShare(state);
   CancelExpired(state);
 
@@ -184,6 +187,7 @@
   absl::Time next = std::min(next_overdue, state.queue.NextExpiryTime());
   next = std::min(next, state.servers.NextRecheckTime());
   next = std::min(next, state.next_urgent_check);
+  next = std::min(next, state.pauses.next_hold_end());
   const RunIndex earliest = state.running.EarliestDeadline();
   if (earliest == kNoIndex) return next;
   return std::min(next, state.running.Get(earliest).origin.request.deadline);
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -40,6 +40,10 @@
 constexpr double kOverdueFactor = 4;
 constexpr double kOverdueMarginSeconds = 2;
 
+// Heads of a lane that may be held at one time so that they make no stream late
+// by a pause. The requests behind the heads are not tried meanwhile.
+constexpr std::size_t kMaxHeldHeads = kMaxHeads / 2;
+
 // Weight of a granted request in the mean work of its pool's requests.
 constexpr double kMeanWorkWeight = 0.05;
 
@@ -68,7 +72,7 @@
       : state_(state),
         placer_(state.options.weights, state.servers, state.power, state.cache,
                 state.lost_paths,
-                ZonePreference(state.options.zone_crossing_cost)),
+                ZonePreference(state.options.zone_crossing_cost), state.pauses),
         closed_pools_(state.servers.pools(), false) {}
 
   void Run();
@@ -175,12 +179,13 @@
   block_ = {};
   if (state_.queue.LaneEmpty(lane)) return false;
   state_.queue.Heads(lane, kMaxHeads, &heads_);
-  const SearchScope search{.closed_pools = &closed_pools_,
-                           .held_servers = &held_,
-                           .only_servers = changed_servers_,
-                           .contended = state_.queue.LaneSize(lane) > 1,
-                           .optimistic = optimistic};
+  SearchScope search{.closed_pools = &closed_pools_,
+                     .held_servers = &held_,
+                     .only_servers = changed_servers_,
+                     .contended = state_.queue.LaneSize(lane) > 1,
+                     .optimistic = optimistic};
   bool urgent = false;
+  std::size_t held_requests = 0;
   for (const WaitIndex index : heads_) {
     const WaitingRequest& waiting = state_.queue.Get(index);
     if (MayEndServers(state_, waiting.request)) {
@@ -222,6 +227,11 @@
       case BlockReason::kTooLarge:
         HoldServer(index, placement);
         break;
+      case BlockReason::kPauses:
+        state_.pauses.Hold(waiting.request.id, state_.now,
+                           state_.now + placement.hold);
+        search.may_hold = ++held_requests < kMaxHeldHeads;
+        break;
       case BlockReason::kTooSlow:
         urgent |= state_.now >= waiting.urgent_at;
         break;
@@ -249,6 +259,8 @@
   // Must come before the removal, which may end the backlog.
   state_.lane_drains.at({head.request.tier, head.pool})
       .RecordGrant(head.work, now);
+  PauseForecast pauses = placement.pauses;
+  pauses.held = now - state_.pauses.HeldSince(head.request.id).value_or(now);
   WaitingRequest waiting = RemoveWaiting(state_, index);
   Server& server = state_.servers.at(placement.server);
   const Demand& demand = placement.demand;
@@ -273,8 +285,11 @@
   state_.cache.OnGrant(placement.server, origin.marks,
                        demand.prefill_tokens + origin.output.median, now);
   const schedule::Grant decision{origin.request.id, origin.request.host,
-                                 server.spec.id};
-  state_.running.Add(std::move(running));
+                                 server.spec.id, pauses};
+  const RunIndex run = state_.running.Add(std::move(running));
+  state_.pauses.OnGrant(placement.server, run,
+                        state_.running.Get(run).origin.request,
+                        server.PromptLoadAt(now), now);
   state_.servers.Reindex(placement.server, now);
   ++state_.counters.granted;
   Emit(state_, decision);
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -168,7 +168,7 @@
 struct EventPauses {
   absl::Duration longest;
   absl::Duration typical;  // The mean without the longest one.
-  auto operator<=>(const EventPauses&) const = default;
+  bool operator==(const EventPauses&) const = default;
 };
 
 // Reports the number of tokens streamed so far. Sent for the first token, then
@@ -298,11 +298,27 @@
 
 // --- Decisions --------------------------------------------------------------
 
+// The predicted effect of a grant on the streams of its server. All zero:
+// nothing is known.
+struct PauseForecast {
+  int streams = 0;            // Running streams that it makes late by a pause.
+  bool itself = false;        // Whether its own stream becomes late by one.
+  double weight = 0;          // Of all of these, by their tiers.
+  double prompt_work = 0;     // Tokens that are not computed, with its own.
+  absl::Duration event_time;  // Between two events without prompts.
+  absl::Duration pause;       // The longest of running streams.
+  double event_work = 0;      // Prompt tokens that fit into one event.
+  absl::Duration age;         // Of the last measurement.
+  absl::Duration held;        // How long it waited for a better server.
+  auto operator<=>(const PauseForecast&) const = default;
+};
+
 // `host` sends request `id` to `server` now.
 struct Grant {
   RequestId id;
   EntryHostId host;
   ServerId server;
+  PauseForecast pauses;  // Not sent to `host`.
   bool operator==(const Grant&) const = default;
 };
 
--- a/src/schedule/placer.cc
+++ b/src/schedule/placer.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
 
 namespace gentianlb::schedule {
 namespace {
@@ -189,9 +190,19 @@
   for (const ServerIndex server : candidates_) {
     Consider(server, criteria, &best, &best_score);
   }
+  if (scope.may_hold) HoldForPauses(waiting, now, &best);
   return best;
 }
 
+void Placer::HoldForPauses(const WaitingRequest& waiting, absl::Time now,
+                           Placement* best) {
+  if (best->reason != BlockReason::kNone || best->pauses.weight <= 0) return;
+  best->hold = StreamPauses::HoldTime(
+      waiting.enqueued_at, std::min(best->spare, waiting.latest_start - now),
+      now);
+  if (best->hold > absl::ZeroDuration()) best->reason = BlockReason::kPauses;
+}
+
 void Placer::Consider(ServerIndex index, const Criteria& criteria,
                       Placement* best, double* best_score) const {
   const Server& server = servers_.at(index);
@@ -270,9 +281,24 @@
                    weights_.wasted_prefill * kUncachedCostFactor * uncached);
   score +=
       zones_.CrossingSeconds(waiting.request.zone, server.spec.zone, score);
-  if (best->reason == BlockReason::kNone && score >= *best_score) return;
+  const PauseForecast pauses =
+      pauses_.Predict(index, waiting.request, demand.prefill_tokens,
+                      server.PromptLoadAt(criteria.now), criteria.now);
+  if (best->reason == BlockReason::kNone &&
+      std::pair(pauses.weight, score) >=
+          std::pair(best->pauses.weight, *best_score)) {
+    return;
+  }
   *best_score = score;
-  *best = {BlockReason::kNone, index, demand, cached};
+  const double spare = std::min(criteria.seconds_left - finish * margin,
+                                criteria.first_token_left - first * margin);
+  *best = {.reason = BlockReason::kNone,
+           .server = index,
+           .demand = demand,
+           .cached_tokens = cached,
+           .pauses = pauses,
+           .spare = absl::Seconds(spare),
+           .hold = {}};
 }
 
 }  // namespace gentianlb::schedule
--- a/src/schedule/placer.h
+++ b/src/schedule/placer.h
@@ -23,6 +23,7 @@
 #include "schedule/power_ledger.h"
 #include "schedule/prefix_cache_tracker.h"
 #include "schedule/server_set.h"
+#include "schedule/stream_pauses.h"
 #include "schedule/zone_preference.h"
 
 namespace gentianlb::schedule {
@@ -34,6 +35,7 @@
   kNoCapacity,  // No server has a free stream.
   kNoPath,      // The request's host can't reach the servers with free streams.
   kReserved,    // Free streams are reserved for short requests or higher tiers.
+  kPauses,      // Would make a stream late by a pause, and may still wait.
   kTooSlow,     // Late on every server with capacity, or better off waiting for
                 // a server that has the prompt cached.
   kTooLarge,    // Streams are free, but memory or prefill capacity is short.
@@ -47,6 +49,10 @@
   ServerIndex server = kNoIndex;
   Demand demand;  // On the selected server.
   double cached_tokens = 0;
+  PauseForecast pauses;  // On the selected server.
+  // Until the request would be late on the selected server.
+  absl::Duration spare;
+  absl::Duration hold;  // For kPauses: the longest time to wait.
 };
 
 // Capacity to keep free for short requests and higher tiers.
@@ -68,6 +74,8 @@
   // Whether to grant a request that meets its deadline only with a short
   // output.
   bool optimistic = false;
+  // Whether the request may wait for a server on which it makes no stream late.
+  bool may_hold = true;
 };
 
 // Scores candidate servers and selects the best one for a request.
@@ -75,13 +83,15 @@
  public:
   Placer(const Weights& weights, const ServerSet& servers,
          const PowerLedger& power, const PrefixCacheTracker& cache,
-         const LostPaths<ServerIndex>& lost_paths, const ZonePreference& zones)
+         const LostPaths<ServerIndex>& lost_paths, const ZonePreference& zones,
+         const StreamPauses& pauses)
       : weights_(weights),
         servers_(servers),
         power_(power),
         cache_(cache),
         lost_paths_(lost_paths),
-        zones_(zones) {}
+        zones_(zones),
+        pauses_(pauses) {}
 
   // Returns the best placement of `waiting`. Changes no state.
   Placement Place(const WaitingRequest& waiting, const Reserves& reserves,
@@ -103,6 +113,10 @@
   // Fills `candidates_`.
   void Collect(const WaitingRequest& waiting, const SearchScope& scope,
                const PrefixCacheTracker::Lookup& lookup);
+  // Blocks a placement that makes a stream late, if the request may still wait
+  // for a better server.
+  static void HoldForPauses(const WaitingRequest& waiting, absl::Time now,
+                            Placement* best);
   // Scores one candidate and updates `best` if it is better or blocked for a
   // different reason.
   void Consider(ServerIndex server, const Criteria& criteria, Placement* best,
@@ -114,6 +128,7 @@
   const PrefixCacheTracker& cache_;
   const LostPaths<ServerIndex>& lost_paths_;
   ZonePreference zones_;
+  const StreamPauses& pauses_;
   std::vector<ServerIndex> candidates_;  // Reused to avoid allocations.
 };
 
--- a/src/schedule/server.cc
+++ b/src/schedule/server.cc
@@ -169,6 +169,12 @@
   return slowdown.Seconds(speed.PrefillSeconds(tokens), now);
 }
 
+PromptLoad Server::PromptLoadAt(absl::Time now) const {
+  return {.backlog = PrefillBacklog(now),
+          .tokens_per_second = speed.prefill_speed(),
+          .streams = running_ + peer_batch_streams_};
+}
+
 double Server::FirstTokenSeconds(double prefill_tokens, absl::Time now) const {
   return slowdown.Seconds(UsualFirstTokenSeconds(prefill_tokens, now), now);
 }
--- a/src/schedule/server.h
+++ b/src/schedule/server.h
@@ -23,6 +23,7 @@
 #include "schedule/messages.h"
 #include "schedule/request_limit.h"
 #include "schedule/speed_estimator.h"
+#include "schedule/stream_pauses.h"
 #include "schedule/window.h"
 
 namespace gentianlb::schedule {
@@ -78,6 +79,7 @@
   std::int64_t FreeMemory(std::int64_t kv_tokens, absl::Time now) const;
 
   // --- Predicted times ---
+  PromptLoad PromptLoadAt(absl::Time now) const;
   // Returns the predicted seconds to the first token of a request granted now.
   double FirstTokenSeconds(double prefill_tokens, absl::Time now) const;
   // Returns the predicted seconds to compute prompt tokens alone.
--- a/src/schedule/speed_estimator.cc
+++ b/src/schedule/speed_estimator.cc
@@ -55,11 +55,6 @@
 // about 20 calls shows which servers are slow.
 constexpr double kCallWeight = 0.05;
 
-// Returns the step time of a batch of `streams` relative to a batch of one.
-double BatchFactor(int streams) {
-  return 1 + kBatchSlope * std::max(0, streams - 1);
-}
-
 // Returns the seconds per token at `speed` tokens per second, or at `fallback`
 // if `speed` is not positive.
 double SecondsPerToken(double speed, double fallback) {
@@ -68,6 +63,10 @@
 
 }  // namespace
 
+double BatchFactor(int streams) {
+  return 1 + kBatchSlope * std::max(0, streams - 1);
+}
+
 void Slowdown::Add(double sample) {
   sample = std::clamp(sample, kMinSample, kMaxSample);
   if (samples_ < kEnoughSamples) {
--- a/src/schedule/speed_estimator.h
+++ b/src/schedule/speed_estimator.h
@@ -17,6 +17,9 @@
 
 namespace gentianlb::schedule {
 
+// Returns the step time of a batch of `streams` relative to a batch of one.
+double BatchFactor(int streams);
+
 // Short-term and long-term average of measured time divided by expected time.
 class Slowdown {
  public:
--- a/src/schedule/state.cc
+++ b/src/schedule/state.cc
@@ -56,6 +56,7 @@
 WaitingRequest RemoveWaiting(State& state, WaitIndex index) {
   WaitingRequest waiting = state.queue.Remove(index);
   state.waiting_by_id.erase(waiting.request.id);
+  state.pauses.EndHold(waiting.request.id);
   state.limits.RemoveWaiting(waiting.workspace, waiting.request);
   if (state.queue.PoolSize(waiting.pool) == 0) {
     state.pool_drains[waiting.pool].SetBacklog(false, state.now);
--- a/src/schedule/state.h
+++ b/src/schedule/state.h
@@ -25,6 +25,7 @@
 #include "schedule/running.h"
 #include "schedule/server_set.h"
 #include "schedule/signature.h"
+#include "schedule/stream_pauses.h"
 
 namespace gentianlb::schedule {
 
@@ -73,6 +74,7 @@
   PowerLedger power;
   PrefixCacheTracker cache;
   LostPaths<ServerIndex> lost_paths;
+  StreamPauses pauses;
   SuspectRequests& suspects() const { return options.suspects->requests; }
   SuspectParts& suspect_parts() const { return options.suspects->parts; }
   WorkspaceLimits limits;
