Refused callers return when capacity is forecast for them

Cause: a retry-after followed from the backlog alone, below a second, so callers returned within the burst that refused them, and nothing recorded which capacity was meant for whom.

A returning request has its deadline alone and follows those of its tier in time. Requests without a first token deadline are refused as before; reserve_returns switches the decision off.

--- a/src/entry/entry_host_rpc.cc
+++ b/src/entry/entry_host_rpc.cc
@@ -204,6 +204,16 @@
       dispatcher.worst_watts());
   set("inversions", "Refusals of a tier while a lower one waited",
       static_cast<double>(counters.inversions));
+  const auto set_returns = [&](const char* outcome, std::uint64_t count) {
+    prometheus::Labels by_outcome = labels;
+    by_outcome["outcome"] = outcome;
+    metrics_.Set("gentianlb_dispatcher_returns",
+                 "Reservations for retries of refused callers, by outcome",
+                 by_outcome, static_cast<double>(count));
+  };
+  set_returns("reserved", counters.returns_reserved);
+  set_returns("kept", counters.returns_kept);
+  set_returns("expired", counters.returns_expired);
   set("prefill_tokens", "Prompt tokens computed", counters.prefill_computed);
   for (std::size_t i = 0; i < schedule::kNumWasteCauses; ++i) {
     prometheus::Labels by_cause = labels;
--- a/src/gateway/group_dispatchers.cc
+++ b/src/gateway/group_dispatchers.cc
@@ -3,12 +3,14 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
 #include "absl/container/flat_hash_set.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
 
 namespace gentianlb::gateway {
 namespace {
@@ -77,10 +79,22 @@
   }
 };
 
+// Returns the inputs of the choice of a retry-after, in work per second and in
+// work. All are of this moment but the rates, which are smoothed.
+std::string ForecastInputs(const schedule::ReturnForecast& forecast) {
+  return absl::StrFormat(
+      " reserved=%d drain=%.0f backlog=%.0f arriving=%.0f usually=%.0f "
+      "room=%.0f",
+      forecast.reserved, forecast.drain_rate, forecast.backlog,
+      forecast.present_rate, forecast.usual_rate, forecast.room);
+}
+
 // The host of the request can't log the inputs that decided this refusal.
 void LogRefusal(const schedule::Dispatcher& dispatcher,
                 const schedule::Refuse& refusal) {
   const auto servers = dispatcher.CountServers();
+  const std::string forecast =
+      refusal.forecast ? ForecastInputs(*refusal.forecast) : "";
   LOG(INFO) << "event=refusal-decided request=" << refusal.id
             << " code=" << static_cast<int>(refusal.code)
             << " servers=" << servers.usable << " open=" << servers.open
@@ -89,7 +103,7 @@
             << " waiting=" << dispatcher.waiting()
             << " lost_paths=" << dispatcher.counters().lost_paths
             << " retry_after_ms="
-            << absl::ToInt64Milliseconds(refusal.retry_after);
+            << absl::ToInt64Milliseconds(refusal.retry_after) << forecast;
 }
 
 }  // namespace
@@ -244,6 +258,17 @@
   }
 }
 
+GroupDispatchers::ReturnCounts GroupDispatchers::CountReturns() const {
+  ReturnCounts counts;
+  for (const auto& [group, state] : groups_) {
+    const schedule::Counters& counters = state.queue.dispatcher().counters();
+    counts.reserved += counters.returns_reserved;
+    counts.kept += counters.returns_kept;
+    counts.expired += counters.returns_expired;
+  }
+  return counts;
+}
+
 void GroupDispatchers::Handle(const GroupKey& group, GroupState* state,
                               const schedule::Event& event, absl::Time now) {
   std::vector<schedule::Decision> decisions;
--- a/src/gateway/group_dispatchers.h
+++ b/src/gateway/group_dispatchers.h
@@ -8,6 +8,7 @@
 #ifndef GENTIANLB_GATEWAY_GROUP_DISPATCHERS_H_
 #define GENTIANLB_GATEWAY_GROUP_DISPATCHERS_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <set>
@@ -61,6 +62,15 @@
   void Tick(absl::Time now);
   absl::Time NextWakeup() const;
 
+  // Counts the reservations for retries, by outcome, in the groups for which
+  // this host dispatches now.
+  struct ReturnCounts {
+    std::uint64_t reserved = 0;
+    std::uint64_t kept = 0;
+    std::uint64_t expired = 0;
+  };
+  ReturnCounts CountReturns() const;
+
  private:
   // The streams of a server that run without a grant of its group's dispatcher,
   // as last reported to it.
--- a/src/gateway/group_link.h
+++ b/src/gateway/group_link.h
@@ -58,6 +58,9 @@
   int GrantedOn(const ServerId& server) const {
     return client_.GrantedOn(server);
   }
+  GroupDispatchers::ReturnCounts CountReturns() const {
+    return dispatchers_.CountReturns();
+  }
   // Returns the number of malformed datagrams.
   std::uint64_t malformed() const { return malformed_; }
 
--- a/src/gateway/host_metrics.cc
+++ b/src/gateway/host_metrics.cc
@@ -78,6 +78,14 @@
   metrics_.Set("gentianlb_deadly_parts",
                "Parts of prompts that are sent to no server", {},
                static_cast<double>(suspects_->parts.CountDeadly(loop_->now())));
+  const GroupDispatchers::ReturnCounts returns = groups_.CountReturns();
+  for (const auto& [outcome, count] : {std::pair("reserved", returns.reserved),
+                                       {"kept", returns.kept},
+                                       {"expired", returns.expired}}) {
+    metrics_.Set("gentianlb_returns",
+                 "Reservations for retries of refused callers, by outcome",
+                 {{"outcome", outcome}}, static_cast<double>(count));
+  }
   SetLimitMetrics();
   SetPathMetrics();
   SetRolloutMetrics();
--- a/src/schedule/counters.h
+++ b/src/schedule/counters.h
@@ -38,6 +38,11 @@
   // Priority inversions: requests refused for lack of capacity or power while a
   // request of a lower tier was waiting. Expected to stay 0.
   std::uint64_t inversions = 0;
+  // Reservations for the retries of refused callers: made, used by a retry, and
+  // expired without one.
+  std::uint64_t returns_reserved = 0;
+  std::uint64_t returns_kept = 0;
+  std::uint64_t returns_expired = 0;
   double prefill_computed = 0;  // Tokens, predicted or reported.
   // Prompt tokens, indexed by WasteCause.
   std::array<double, kNumWasteCauses> prefill_wasted{};
--- a/src/schedule/grant.cc
+++ b/src/schedule/grant.cc
@@ -335,7 +335,9 @@
   Reserves reserves;
   const int rank = waiting.request.tier.rank;
   const absl::Time since = state.now - kTierActivityWindow;
+  // One that returns had such a deadline.
   const bool has_first_token_deadline =
+      waiting.returning ||
       waiting.request.first_token_due != absl::InfiniteFuture();
   for (const auto& [above, activity] : state.activity) {
     if (above >= rank) break;
--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -1,6 +1,7 @@
 #include "schedule/intake.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "schedule/work.h"
@@ -110,16 +111,48 @@
 bool MissesFirstTokenDeadline(const State& state,
                               const WaitingRequest& waiting) {
   if (waiting.request.first_token_due == absl::InfiniteFuture()) return false;
+  const double wait = EstimateWaitSeconds(state, waiting);
+  const bool exact = wait > 0 && !HasRoomToReturn(state, waiting);
   const AdmissionEstimate estimate{
-      .wait_seconds = EstimateWaitSeconds(state, waiting),
+      .wait_seconds = wait,
       .service_seconds = 0,
       .deadline_seconds =
           absl::ToDoubleSeconds(waiting.latest_start - state.now),
-      .limited = state.servers.AllLimited(waiting.pool)};
+      .limited = state.servers.AllLimited(waiting.pool),
+      .exact = exact};
   return DeadlineUnreachable(estimate) || BacklogTooLong(estimate) ||
          LaneBacklogTooLong(state, waiting);
 }
 
+// Refuses a request that is not in the queue for lack of capacity.
+void RefuseForCapacity(State& state, const WaitingRequest& waiting, Code code) {
+  std::optional<ReturnForecast> forecast;
+  const absl::Duration retry_after = LaneRetryAfter(state, waiting, &forecast);
+  RefuseRequest(state, waiting.request, code, retry_after, forecast);
+}
+
+// Refuses a waiting request for lack of capacity.
+void RefuseForCapacity(State& state, WaitIndex index, Code code) {
+  std::optional<ReturnForecast> forecast;
+  const absl::Duration retry_after =
+      LaneRetryAfter(state, state.queue.Get(index), &forecast);
+  RefuseWaiting(state, index, code, retry_after, forecast);
+}
+
+// Returns whether `request` returns after a refusal.
+ReturnKind ClaimReturn(State& state, const Request& request,
+                       WorkspaceIndex workspace, PoolIndex pool) {
+  if (!state.options.reserve_returns) return ReturnKind::kNew;
+  state.counters.returns_expired += state.return_times.DropExpired(state.now);
+  const ReturnKind kind =
+      state.return_times.Claim({.lane = {request.tier, pool},
+                                .workspace = workspace,
+                                .content = request.content},
+                               state.now);
+  if (kind == ReturnKind::kReserved) ++state.counters.returns_kept;
+  return kind;
+}
+
 // Refuses a request that can't finish in time. Returns whether it was refused.
 bool RefuseIfLate(State& state, const WaitingRequest& waiting) {
   const Request& request = waiting.request;
@@ -128,17 +161,19 @@
       .service_seconds = absl::ToDoubleSeconds(waiting.min_service_time),
       .deadline_seconds = absl::ToDoubleSeconds(request.deadline - state.now),
       .limited = state.servers.AllLimited(waiting.pool)};
-  if (!DeadlineUnreachable(estimate) && !BacklogTooLong(estimate) &&
-      !MissesFirstTokenDeadline(state, waiting)) {
-    return false;
-  }
+  // The forecast allowed for the backlog of a request with a reservation.
+  const bool late = waiting.returning
+                        ? DeadlineUnreachable(estimate)
+                        : DeadlineUnreachable(estimate) ||
+                              BacklogTooLong(estimate) ||
+                              MissesFirstTokenDeadline(state, waiting);
+  if (!late) return false;
   // Lack of power is reported only if no lower tier could give up some.
   const bool lower_waits = state.queue.LowestTier() > request.tier;
   const bool for_power =
       state.power_exhausted && !lower_waits && !DeadlineUnreachable(estimate);
   const Code code = for_power ? Code::kPowerShort : Code::kDeadlineUnreachable;
-  RefuseRequest(state, request, code,
-                LaneRetryAfter(state, {request.tier, waiting.pool}));
+  RefuseForCapacity(state, waiting, code);
   return true;
 }
 
@@ -188,16 +223,13 @@
   const bool sheds_same_tier =
       lowest == tier &&
       state.queue.Get(candidate).workspace != waiting.workspace;
-  const LaneKey lane{sheds_lower_tier ? lowest : tier, waiting.pool};
   if (sheds_lower_tier || sheds_same_tier) {
-    RefuseWaiting(
+    RefuseForCapacity(
         state, candidate,
-        sheds_lower_tier ? Code::kShedForHigherTier : Code::kQueueFull,
-        LaneRetryAfter(state, lane));
+        sheds_lower_tier ? Code::kShedForHigherTier : Code::kQueueFull);
     return false;
   }
-  RefuseRequest(state, waiting.request, Code::kQueueFull,
-                LaneRetryAfter(state, lane));
+  RefuseForCapacity(state, waiting, Code::kQueueFull);
   return true;
 }
 
@@ -216,9 +248,12 @@
 }  // namespace
 
 WaitingRequest MakeWaitingRequest(const State& state, const Request& request,
-                                  WorkspaceIndex workspace, PoolIndex pool) {
+                                  WorkspaceIndex workspace, PoolIndex pool,
+                                  bool returning) {
   WaitingRequest waiting;
   waiting.request = request;
+  waiting.returning = returning;
+  if (returning) waiting.request.first_token_due = absl::InfiniteFuture();
   waiting.marks = request.parts.empty() ? MakePrefixMarks(request.prefix)
                                         : MakePrefixMarks(request.parts);
   waiting.request.prefix = {};  // The marks suffice and are far smaller.
@@ -251,6 +286,8 @@
   waiting.urgent_at =
       last_usual_start -
       std::max(kMinUrgentLead, kUrgentLeadFraction * usual_service);
+  // It must not preempt: it is late already.
+  if (returning) waiting.urgent_at = waiting.latest_start;
   waiting.enqueued_at = state.now;
   waiting.order_time = OrderTime(waiting, usual_service);
   return waiting;
@@ -288,8 +325,20 @@
   const WorkspaceIndex workspace = state.limits.IndexOf(request.workspace);
   if (RefuseIfOverLimit(state, request, workspace, pool)) return;
 
-  WaitingRequest waiting = MakeWaitingRequest(state, request, workspace, pool);
+  const ReturnKind kind = ClaimReturn(state, request, workspace, pool);
+  const bool returning = kind != ReturnKind::kNew;
+  WaitingRequest waiting =
+      MakeWaitingRequest(state, request, workspace, pool, returning);
   RecordActivity(state, waiting);
+  if (!returning) {
+    const bool timed = request.first_token_due != absl::InfiniteFuture();
+    state.return_times.RecordArrival({request.tier, pool}, waiting.work, timed,
+                                     state.now);
+  }
+  if (kind == ReturnKind::kUnreserved && !HasRoomNow(state, waiting)) {
+    RefuseForCapacity(state, waiting, Code::kDeadlineUnreachable);
+    return;
+  }
   if (RefuseIfLate(state, waiting)) return;
   if (RefuseIfFull(state, waiting)) return;
   waiting.sequence = state.next_sequence++;
@@ -319,10 +368,9 @@
     const WaitIndex index = state.queue.NextToExpire();
     const WaitingRequest& waiting = state.queue.Get(index);
     const bool passed = waiting.request.deadline <= state.now;
-    const LaneKey lane{waiting.request.tier, waiting.pool};
-    RefuseWaiting(state, index,
-                  passed ? Code::kDeadlinePassed : Code::kDeadlineUnreachable,
-                  LaneRetryAfter(state, lane));
+    RefuseForCapacity(
+        state, index,
+        passed ? Code::kDeadlinePassed : Code::kDeadlineUnreachable);
   }
 }
 
--- a/src/schedule/intake.h
+++ b/src/schedule/intake.h
@@ -17,9 +17,11 @@
 void RetryOrRefuse(State& state, WaitingRequest waiting, ServerIndex failed);
 
 // Returns the request with its derived values; `pool` must be the pool of its
-// model.
+// model. The first token deadline of a `returning` request has passed, whatever
+// its entry host states.
 WaitingRequest MakeWaitingRequest(const State& state, const Request& request,
-                                  WorkspaceIndex workspace, PoolIndex pool);
+                                  WorkspaceIndex workspace, PoolIndex pool,
+                                  bool returning = false);
 
 // Refuses waiting requests that no server can finish in time any more.
 void RefuseExpired(State& state);
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -322,6 +322,18 @@
   bool operator==(const Grant&) const = default;
 };
 
+// The inputs and outcome of the decision when a refused caller should retry, in
+// units of work (see work.h).
+struct ReturnForecast {
+  bool reserved = false;    // Capacity is reserved for the retry.
+  double drain_rate = 0;    // Of the pool, per second.
+  double backlog = 0;       // Of the lane and of higher tiers.
+  double present_rate = 0;  // Arrivals per second in the lane and in higher
+  double usual_rate = 0;    // tiers, now and between bursts.
+  double room = 0;          // Capacity forecast to be left within the reach.
+  auto operator<=>(const ReturnForecast&) const = default;
+};
+
 // Final refusal of a request that was not run. The caller may retry after
 // `retry_after`.
 struct Refuse {
@@ -329,6 +341,8 @@
   EntryHostId host;
   Code code = Code::kInternal;
   absl::Duration retry_after;
+  // Set by a decision of ReturnTimes. Only logged, and not sent to other hosts.
+  std::optional<ReturnForecast> forecast = std::nullopt;
   bool operator==(const Refuse&) const = default;
 };
 
--- a/src/schedule/options.h
+++ b/src/schedule/options.h
@@ -40,6 +40,9 @@
   // Cost of sending a request to a server in another zone, added to the
   // server's predicted time within the bound of ZonePreference; zero: off.
   absl::Duration zone_crossing_cost;
+  // Whether capacity is reserved for the retries of refused requests that have
+  // a first token deadline.
+  bool reserve_returns = true;
   // Shared by all dispatchers of an entry host. Null: the dispatcher's own.
   std::shared_ptr<Suspects> suspects;
   bool operator==(const DispatcherOptions&) const = default;
--- a/src/schedule/order.cc
+++ b/src/schedule/order.cc
@@ -29,38 +29,58 @@
 
 WaitIndex WaitingQueue::Add(WaitingRequest waiting) {
   const LaneKey key{waiting.request.tier, waiting.pool};
-  const WorkspaceIndex workspace = waiting.workspace;
   const WaitIndex index = waiting_.Add(std::move(waiting));
   const WaitingRequest& added = waiting_[index];
   if (key.pool >= pool_sizes_.size()) pool_sizes_.resize(key.pool + 1);
   ++pool_sizes_[key.pool];
   Lane& lane = lanes_[key];
   ++lane.size;
-  Flow& flow = lane.flows[workspace];
+  if (added.returning) {
+    lane.returning.insert(ExpiryKey(added, index));
+    lane.returning_work += added.work;
+  } else {
+    AddToFlow(&lane, index);
+  }
+  expiry_.insert(ExpiryKey(added, index));
+  return index;
+}
+
+void WaitingQueue::AddToFlow(Lane* lane, WaitIndex index) {
+  const WaitingRequest& added = waiting_[index];
+  Flow& flow = lane->flows[added.workspace];
   if (flow.empty()) {
     flow.weight = added.weight;
-    Activate(&lane, workspace, &flow);
+    Activate(lane, added.workspace, &flow);
   }
   (added.is_long ? flow.long_requests : flow.short_requests)
       .insert(OrderKey(added, index));
-  AddWork(&lane, workspace, &flow, added.work);
-  expiry_.insert(ExpiryKey(added, index));
-  return index;
+  AddWork(lane, added.workspace, &flow, added.work);
 }
 
 WaitingRequest WaitingQueue::Remove(WaitIndex index) {
   const WaitingRequest& removed = waiting_[index];
   const LaneKey key{removed.request.tier, removed.pool};
   Lane& lane = lanes_[key];
-  Flow& flow = lane.flows[removed.workspace];
   --pool_sizes_[key.pool];
   --lane.size;
   expiry_.erase(ExpiryKey(removed, index));
+  if (removed.returning) {
+    lane.returning.erase(ExpiryKey(removed, index));
+    lane.returning_work =
+        lane.returning.empty() ? 0 : lane.returning_work - removed.work;
+  } else {
+    RemoveFromFlow(&lane, index);
+  }
+  return waiting_.Remove(index);
+}
+
+void WaitingQueue::RemoveFromFlow(Lane* lane, WaitIndex index) {
+  const WaitingRequest& removed = waiting_[index];
+  Flow& flow = lane->flows[removed.workspace];
   (removed.is_long ? flow.long_requests : flow.short_requests)
       .erase(OrderKey(removed, index));
-  AddWork(&lane, removed.workspace, &flow, -removed.work);
-  if (flow.empty()) Deactivate(&lane, removed.workspace, &flow);
-  return waiting_.Remove(index);
+  AddWork(lane, removed.workspace, &flow, -removed.work);
+  if (flow.empty()) Deactivate(lane, removed.workspace, &flow);
 }
 
 void WaitingQueue::Activate(Lane* lane, WorkspaceIndex workspace, Flow* flow) {
@@ -116,14 +136,14 @@
 std::vector<LaneKey> WaitingQueue::Lanes() const {
   std::vector<LaneKey> keys;
   for (const auto& [key, lane] : lanes_) {
-    if (!lane.by_tag.empty()) keys.push_back(key);
+    if (!lane.empty()) keys.push_back(key);
   }
   return keys;
 }
 
 bool WaitingQueue::LaneEmpty(const LaneKey& key) const {
   const auto lane = lanes_.find(key);
-  return lane == lanes_.end() || lane->second.by_tag.empty();
+  return lane == lanes_.end() || lane->second.empty();
 }
 
 void WaitingQueue::Heads(const LaneKey& key, std::size_t limit,
@@ -151,6 +171,10 @@
     }
     if (heads->size() >= lane.size) return;
   }
+  for (const Key& request : lane.returning) {
+    if (heads->size() >= limit) return;
+    heads->push_back(request.index);
+  }
 }
 
 void WaitingQueue::Charge(const WaitingRequest& waiting) {
@@ -173,7 +197,7 @@
 
 Tier WaitingQueue::LowestTier() const {
   for (auto lane = lanes_.rbegin(); lane != lanes_.rend(); ++lane) {
-    if (!lane->second.by_tag.empty()) return lane->first.tier;
+    if (!lane->second.empty()) return lane->first.tier;
   }
   return Tier{-1};
 }
@@ -183,11 +207,13 @@
   double max_work = -1;
   for (auto lane = lanes_.lower_bound({tier, 0});
        lane != lanes_.end() && lane->first.tier == tier; ++lane) {
-    if (lane->second.by_tag.empty() || lane->second.work <= max_work) continue;
-    max_work = lane->second.work;
+    if (lane->second.empty() || lane->second.total_work() <= max_work) continue;
+    max_work = lane->second.total_work();
     lane_key = &lane->first;
   }
   if (lane_key == nullptr) return kNoIndex;
+  const RequestSet& returning = lanes_.at(*lane_key).returning;
+  if (!returning.empty()) return returning.rbegin()->index;
   return LastInWorkspace(*lane_key,
                          lanes_.at(*lane_key).by_work.rbegin()->second);
 }
@@ -211,7 +237,7 @@
   double work = 0;
   for (const auto& [key, lane] : lanes_) {
     if (key.tier >= tier) break;
-    if (key.pool == pool) work += lane.work;
+    if (key.pool == pool) work += lane.total_work();
   }
   return work;
 }
@@ -223,7 +249,7 @@
 
 double WaitingQueue::LaneWork(const LaneKey& key) const {
   const auto lane = lanes_.find(key);
-  return lane == lanes_.end() ? 0 : lane->second.work;
+  return lane == lanes_.end() ? 0 : lane->second.total_work();
 }
 
 double WaitingQueue::WorkAhead(const LaneKey& key, WorkspaceIndex workspace,
--- a/src/schedule/order.h
+++ b/src/schedule/order.h
@@ -10,8 +10,11 @@
 // the request with the least slack goes first, whatever its size: short
 // requests with a near deadline pass long ones, and a long one is served as its
 // own slack runs out. Requests with a first token deadline go shortest first
-// instead; see OrderTime() in intake.cc. Each operation but RequestsInPool()
-// costs O(log n) in the number of waiting requests.
+// instead; see OrderTime() in intake.cc.
+//
+// Requests that return after a refusal are late already. They follow those of
+// their lane that can still be in time, and go by latest start. Each operation
+// but RequestsInPool() costs O(log n) in the number of waiting requests.
 
 #ifndef GENTIANLB_SCHEDULE_ORDER_H_
 #define GENTIANLB_SCHEDULE_ORDER_H_
@@ -55,6 +58,7 @@
   absl::Time urgent_at;             // From then on it may preempt.
   absl::Time enqueued_at;           // Time of arrival in the queue.
   std::uint64_t sequence = 0;       // Order of arrival.
+  bool returning = false;           // Late already; see return_times.h.
   int attempts = 0;                 // Grants that ended as not sent.
   ServerIndex avoid = kNoIndex;
 };
@@ -83,7 +87,8 @@
 
   // Appends up to `limit` requests of the lane in the order in which they
   // should be granted: of each workspace the first short and the first long
-  // request, then of each workspace the second ones, and so on.
+  // request, then of each workspace the second ones, and so on; at last those
+  // that return.
   void Heads(const LaneKey& key, std::size_t limit,
              std::vector<WaitIndex>* heads) const;
 
@@ -100,7 +105,8 @@
   Tier LowestTier() const;
 
   // Returns the request to shed in `tier`: in the lane with the most work, the
-  // last request of the workspace with the most work.
+  // last one that returns, or else the last request of the workspace with the
+  // most work.
   WaitIndex ShedCandidate(Tier tier) const;
 
   // Returns the workspace's last request in a lane, by order_time; kNoIndex if
@@ -158,7 +164,7 @@
 
   struct Lane {
     double virtual_time = 0;
-    double work = 0;
+    double work = 0;  // Without `returning`.
     double active_weight = 0;
     std::size_t size = 0;
     absl::node_hash_map<WorkspaceIndex, Flow> flows;
@@ -167,6 +173,10 @@
     absl::btree_set<std::pair<double, WorkspaceIndex>> by_work;
     // Flows without waiting requests, by tag.
     absl::btree_set<std::pair<double, WorkspaceIndex>> idle;
+    RequestSet returning;  // Of all workspaces, by latest start.
+    double returning_work = 0;
+    bool empty() const { return by_tag.empty() && returning.empty(); }
+    double total_work() const { return work + returning_work; }
   };
 
   static Key OrderKey(const WaitingRequest& waiting, WaitIndex index);
@@ -178,6 +188,9 @@
   static void AddWork(Lane* lane, WorkspaceIndex workspace, Flow* flow,
                       double work);
   static void EvictIdleFlows(Lane* lane);
+  // Adds `index` to the requests of its workspace, or removes it.
+  void AddToFlow(Lane* lane, WaitIndex index);
+  void RemoveFromFlow(Lane* lane, WaitIndex index);
 
   Slab<WaitingRequest> waiting_;
   std::map<LaneKey, Lane> lanes_;
--- a/src/schedule/order_test.cc
+++ b/src/schedule/order_test.cc
@@ -98,5 +98,25 @@
   BOOST_TEST(q.queue.WorkAhead(lane, 2, 1, start) == 1000);
 }
 
+// A late request must not take the stream of one of its tier in time, whatever
+// their deadlines, and is shed before it.
+BOOST_AUTO_TEST_CASE(ReturningRequestsFollowThoseInTime) {
+  Queue q;
+  WaitingRequest late;
+  late.workspace = 7;
+  late.work = 5;
+  late.returning = true;
+  late.latest_start = absl::FromUnixSeconds(1);
+  const WaitIndex returning = q.queue.Add(std::move(late));
+  BOOST_TEST(!q.queue.LaneEmpty({}));
+  q.Add(0, 1, 10, 100);
+  BOOST_TEST(q.queue.LaneWork({}) == 15);
+  BOOST_TEST(q.queue.ShedCandidate(Tier{0}) == returning);
+  BOOST_TEST(q.Next(0) == 1u);
+  BOOST_TEST(q.Next(0) == 7u);
+  BOOST_TEST(q.queue.LaneEmpty({}));
+  BOOST_TEST(q.queue.LaneWork({}) == 0);
+}
+
 }  // namespace
 }  // namespace gentianlb::schedule
--- a/src/schedule/refuse.cc
+++ b/src/schedule/refuse.cc
@@ -58,16 +58,20 @@
 }
 
 bool BacklogTooLong(const AdmissionEstimate& estimate) {
-  const double tolerance =
-      estimate.limited ? kLimitedTolerance : kWaitTolerance;
+  const double usual = estimate.exact ? 1 : kWaitTolerance;
+  const double tolerance = estimate.limited ? kLimitedTolerance : usual;
   return estimate.wait_seconds > 0 &&
          estimate.wait_seconds + estimate.service_seconds >
              estimate.deadline_seconds * tolerance;
 }
 
-absl::Duration RetryAfterJitter::RetryAfter(double seconds) {
+double RetryAfterJitter::Uniform() {
   // 53 random bits make a double in [0, 1).
-  const double uniform = static_cast<double>(random_() >> 11) * 0x1.0p-53;
+  return static_cast<double>(random_() >> 11) * 0x1.0p-53;
+}
+
+absl::Duration RetryAfterJitter::RetryAfter(double seconds) {
+  const double uniform = Uniform();
   const double base = std::clamp(seconds, min_seconds_, kMaxRetryAfterSeconds);
   const double spread = base * (1 + kRetryAfterSpread * uniform);
   return absl::Milliseconds(std::llround(spread * 1000));
--- a/src/schedule/refuse.h
+++ b/src/schedule/refuse.h
@@ -72,6 +72,9 @@
   double service_seconds = 0;  // On the fastest idle server.
   double deadline_seconds = 0;
   bool limited = false;  // All servers name request limits: the wait is known.
+  // The caller has no chance later either, so it is judged without the usual
+  // tolerance: a refusal after a wait in vain costs it most.
+  bool exact = false;
   auto operator<=>(const AdmissionEstimate&) const = default;
 };
 
@@ -93,6 +96,9 @@
   // Returns the retry time for a backlog of `seconds`.
   absl::Duration RetryAfter(double seconds);
 
+  // Returns a random number in [0, 1).
+  double Uniform();
+
  private:
   std::mt19937_64 random_;
   double min_seconds_;
--- a/src/schedule/state.cc
+++ b/src/schedule/state.cc
@@ -24,6 +24,35 @@
          state.servers.OwnShare(pool, state.now);
 }
 
+// Returns whether capacity is reserved for a retry of `refused`. A caller whose
+// first attempt had a reservation doesn't return again.
+bool ReservesReturns(const State& state, const WaitingRequest& refused) {
+  return state.options.reserve_returns && !refused.returning &&
+         refused.request.first_token_due != absl::InfiniteFuture() &&
+         refused.request.deadline > state.now;
+}
+
+ReturnNeed NeedOf(const WaitingRequest& waiting) {
+  return {.lane = {waiting.request.tier, waiting.pool},
+          .workspace = waiting.workspace,
+          .content = waiting.request.content,
+          .work = waiting.work,
+          .deadline = waiting.request.deadline};
+}
+
+LaneSupply SupplyOf(const State& state, const LaneKey& lane) {
+  // A server's limit may allow nothing for longer than the caller waits.
+  const absl::Duration allowed =
+      state.servers.TimeUntilLimitsAllow(lane.pool, state.now);
+  const absl::Duration wait = std::max(
+      state.options.min_retry_after,
+      allowed == absl::InfiniteDuration() ? absl::ZeroDuration() : allowed);
+  return {.drain_per_second = DrainPerSecond(state, lane.pool),
+          .backlog = state.queue.WorkInHigherTiers(lane.tier, lane.pool) +
+                     state.queue.LaneWork(lane),
+          .not_before = state.now + wait};
+}
+
 }  // namespace
 
 PoolIndex PoolFor(State& state, const Request& request) {
@@ -69,20 +98,22 @@
 }
 
 void RefuseWaiting(State& state, WaitIndex index, Code code,
-                   absl::Duration retry_after) {
+                   absl::Duration retry_after,
+                   const std::optional<ReturnForecast>& forecast) {
   // A head may have blocked lower tiers.
   state.changes.all |= state.queue.IsHead(index);
   const WaitingRequest waiting = RemoveWaiting(state, index);
-  RefuseRequest(state, waiting.request, code, retry_after);
+  RefuseRequest(state, waiting.request, code, retry_after, forecast);
 }
 
 void RefuseRequest(State& state, const Request& request, Code code,
-                   absl::Duration retry_after) {
+                   absl::Duration retry_after,
+                   const std::optional<ReturnForecast>& forecast) {
   const int rank = request.tier.rank;
   ++state.counters.refused[{rank, code}];
   const bool lower_waits = state.queue.LowestTier().rank > rank;
   if (IsCapacityRefusal(code) && lower_waits) ++state.counters.inversions;
-  Emit(state, Refuse{request.id, request.host, code, retry_after});
+  Emit(state, Refuse{request.id, request.host, code, retry_after, forecast});
 }
 
 bool MayEndServers(const State& state, const Request& request) {
@@ -153,6 +184,31 @@
       std::max(drained, absl::ToDoubleSeconds(allowed)));
 }
 
+absl::Duration LaneRetryAfter(State& state, const WaitingRequest& refused,
+                              std::optional<ReturnForecast>* forecast) {
+  const LaneKey lane{refused.request.tier, refused.pool};
+  if (!ReservesReturns(state, refused)) return LaneRetryAfter(state, lane);
+  const ReturnTime planned =
+      state.return_times.Plan(NeedOf(refused), SupplyOf(state, lane),
+                              state.retry_after_jitter.Uniform(), state.now);
+  if (planned.forecast.reserved) ++state.counters.returns_reserved;
+  *forecast = planned.forecast;
+  return planned.retry_after;
+}
+
+bool HasRoomToReturn(const State& state, const WaitingRequest& waiting) {
+  const LaneKey lane{waiting.request.tier, waiting.pool};
+  return !ReservesReturns(state, waiting) ||
+         state.return_times.HasRoomToReturn(NeedOf(waiting),
+                                            SupplyOf(state, lane), state.now);
+}
+
+bool HasRoomNow(const State& state, const WaitingRequest& waiting) {
+  LaneSupply supply = SupplyOf(state, {waiting.request.tier, waiting.pool});
+  supply.not_before = state.now;
+  return state.return_times.HasRoomNow(NeedOf(waiting), supply, state.now);
+}
+
 void ResetDrainRates(State& state) {
   for (PoolIndex pool = 0; pool < state.pool_drains.size(); ++pool) {
     state.pool_drains[pool] = DrainRate();
--- a/src/schedule/state.h
+++ b/src/schedule/state.h
@@ -6,6 +6,7 @@
 #define GENTIANLB_SCHEDULE_STATE_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -22,6 +23,7 @@
 #include "schedule/power_ledger.h"
 #include "schedule/prefix_cache_tracker.h"
 #include "schedule/refuse.h"
+#include "schedule/return_times.h"
 #include "schedule/running.h"
 #include "schedule/server_set.h"
 #include "schedule/signature.h"
@@ -81,6 +83,7 @@
   OutputEstimator estimator;
   RetryBudget retries{RetryOptions{}};
   RetryAfterJitter retry_after_jitter;
+  ReturnTimes return_times;
   std::vector<DrainRate> pool_drains;  // Indexed by pool.
   std::vector<double> pool_mean_work;  // Of a granted request, by pool.
   std::map<LaneKey, DrainRate> lane_drains;
@@ -114,11 +117,13 @@
 
 // Removes a waiting request from the queue and refuses it.
 void RefuseWaiting(State& state, WaitIndex index, Code code,
-                   absl::Duration retry_after);
+                   absl::Duration retry_after,
+                   const std::optional<ReturnForecast>& forecast = {});
 
 // Refuses a request that is not in the queue.
 void RefuseRequest(State& state, const Request& request, Code code,
-                   absl::Duration retry_after);
+                   absl::Duration retry_after,
+                   const std::optional<ReturnForecast>& forecast = {});
 
 // Returns whether `request` must not be sent now, because servers ended under
 // requests with the same content or with a part of its prompt.
@@ -152,6 +157,21 @@
 // until the lane's backlog has drained and a server's limit allows a request.
 absl::Duration LaneRetryAfter(State& state, const LaneKey& lane);
 
+// Like LaneRetryAfter(), for a request that is refused for lack of capacity: if
+// it has a first token deadline, capacity is reserved for its retry, and
+// `forecast` is set.
+absl::Duration LaneRetryAfter(State& state, const WaitingRequest& refused,
+                              std::optional<ReturnForecast>* forecast);
+
+// Returns whether the forecast has room for a retry of `waiting` within the
+// time for which its caller waits. True if nothing is reserved for such
+// requests.
+bool HasRoomToReturn(const State& state, const WaitingRequest& waiting);
+
+// Returns whether the forecast has room for `waiting`, which returns without a
+// reservation, before its deadline.
+bool HasRoomNow(const State& state, const WaitingRequest& waiting);
+
 // Reindexes `server` after a change that may have freed capacity there, and
 // marks its pools for the next round of grants.
 void OnCapacityFreed(State& state, ServerIndex server);
