Tests: limits that change while demand jumps

On the certificates deployment a workspace ran 9,385,966 tokens in 8 s where 9,245,228 are allowed, in a window in which its limit changed. The cause is not found; these tests hold on the code as it is.

--- a/src/gateway/limit_site_test.h
+++ b/src/gateway/limit_site_test.h
@@ -152,6 +152,8 @@
     const absl::Time end = fleet_.now + span;
     while (fleet_.now < end) {
       fleet_.Step();
+      ApplyDueLimits();
+      RecordArrivals();
       for (auto& [name, fake_host] : fake_hosts_) fake_host.Tick(fleet_.now);
       if (callers_retry) SendRetries();
       SendRequests(load * rate_ * absl::ToDoubleSeconds(FleetSite::kStep),
@@ -159,6 +161,18 @@
     }
   }
 
+  // Changes the limit. Each host learns of it at a random time within `spread`.
+  // The callers' demand does not change. A host that knows a later change
+  // ignores an earlier one, as it does with versions of the configuration.
+  void ChangeLimit(double rate, absl::Duration spread) {
+    ++limit_version_;
+    for (auto& [name, fake_host] : fake_hosts_) {
+      const absl::Duration delay = spread * (RandomBelow(1000) / 1000.0);
+      due_limits_.emplace(fleet_.now + delay,
+                          DueLimit{&fake_host, rate, limit_version_});
+    }
+  }
+
   void Partition(int sides) {
     for (auto& [name, host] : fleet_.hosts) host.side = RandomBelow(sides);
   }
@@ -228,6 +242,10 @@
   // Whether each restarted host knows another number of hosts at first.
   bool counts_differ = false;
 
+  // Interval at which admitted requests arrive at servers, all that wait at
+  // once. With zero they arrive when they are admitted.
+  absl::Duration arrival_interval;
+
   // Whether refused callers retry.
   bool callers_retry = false;
   // Returns the fraction of their retries that were admitted.
@@ -247,13 +265,46 @@
   }
 
   const Tally& tally() const { return tally_; }
+  void RestartTally() { tally_ = Tally(kWindow); }
   double refused() const { return refused_; }  // Tokens.
   // The longest advised wait of a refused caller.
   absl::Duration longest_wait() const { return longest_wait_; }
 
  private:
+  struct DueLimit {
+    FakeHost* host;
+    double rate;
+    int version;
+  };
+
   int RandomBelow(int below) { return static_cast<int>(random_() % below); }
 
+  void ApplyDueLimits() {
+    while (!due_limits_.empty() && due_limits_.begin()->first <= fleet_.now) {
+      const DueLimit due = due_limits_.begin()->second;
+      due_limits_.erase(due_limits_.begin());
+      int& in_force = limits_in_force_[due.host];
+      if (due.version < in_force) continue;
+      in_force = due.version;
+      due.host->quotas.Configure({MakeLimitedWorkspace(due.rate, due.rate)},
+                                 fleet_.now);
+    }
+  }
+
+  void RecordAdmitted(double tokens) {
+    if (arrival_interval > absl::ZeroDuration()) {
+      waiting_tokens_ += tokens;
+    } else {
+      tally_.Add(tokens, fleet_.now);
+    }
+  }
+
+  void RecordArrivals() {
+    if (waiting_tokens_ <= 0 || fleet_.now < next_arrival_) return;
+    tally_.Add(std::exchange(waiting_tokens_, 0), fleet_.now);
+    next_arrival_ = fleet_.now + arrival_interval;
+  }
+
   void SendRequests(double tokens, bool uneven) {
     pending_tokens_ += tokens;
     while (pending_tokens_ > 0) {
@@ -268,7 +319,7 @@
       ZoneUse& zone_use = zone_uses_[fleet_.hosts.at(name).entry.zone];
       zone_use.requested += size;
       if (!wait) zone_use.admitted += size;
-      if (!wait) tally_.Add(size, fleet_.now);
+      if (!wait) RecordAdmitted(size);
       if (wait) refused_ += size;
       if (wait) longest_wait_ = std::max(longest_wait_, wait->retry_after);
       if (wait) retries_.emplace(fleet_.now + wait->retry_after, size);
@@ -285,7 +336,7 @@
       const auto wait = fake_hosts_.at(name).Request(size, fleet_.now);
       ++retry_count_;
       if (wait) continue;
-      tally_.Add(size, fleet_.now);
+      RecordAdmitted(size);
       ++admitted_retries_;
     }
   }
@@ -295,6 +346,11 @@
   const double rate_;  // Of the limit, tokens per second.
   FleetSite fleet_;
   std::map<std::string, FakeHost> fake_hosts_;
+  std::multimap<absl::Time, DueLimit> due_limits_;
+  int limit_version_ = 0;
+  std::map<const FakeHost*, int> limits_in_force_;  // Versions.
+  double waiting_tokens_ = 0;  // Admitted, not yet at a server.
+  absl::Time next_arrival_ = absl::InfinitePast();
   double pending_tokens_ = 0;  // Not yet requested by callers.
   double refused_ = 0;
   std::map<std::string, ZoneUse> zone_uses_;
--- a/src/gateway/quota_test.cc
+++ b/src/gateway/quota_test.cc
@@ -125,6 +125,26 @@
   BOOST_TEST(served * kRequest > 0.7 * kShare * kRate * 10);
 }
 
+// Guards against a refill, or a debt that is forgiven, each time that the limit
+// changes: a workspace would get a burst on top of its limit.
+BOOST_AUTO_TEST_CASE(AChangedLimitBringsNoTokens) {
+  Workspace workspace;
+  workspace.id = WorkspaceId("w");
+  const absl::Time now = absl::UnixEpoch();
+  for (const double taken : {0.0, kRate}) {  // A positive level, and a debt.
+    Quotas quotas(kTolerance);
+    workspace.quota = {kRate, kRate, 1};
+    quotas.Configure({workspace}, now);
+    BOOST_TEST(!quotas.Take(name_hash, taken, /*reserve=*/0, now).has_value());
+    const double before = quotas.StateOf(name_hash)->level;
+    for (const double factor : {2.0, 0.5, 1.0}) {
+      workspace.quota = {factor * kRate, factor * kRate, 1};
+      quotas.Configure({workspace}, now);
+    }
+    BOOST_TEST(quotas.StateOf(name_hash)->level <= before + 1);
+  }
+}
+
 // Below the limit, the peers' estimated use must not cause a refusal.
 BOOST_AUTO_TEST_CASE(EstimatedUseRefusesNobodyBelowTheLimit) {
   Hosts hosts(/*load=*/0.5);
