--- a/src/gateway/group_share_test.cc
+++ b/src/gateway/group_share_test.cc
@@ -124,7 +124,8 @@
     }
     if (!host.IsGranted(call->id)) return false;
     if (call->ends == absl::InfiniteFuture()) {
-      const unsigned spread = random_() % (2 * kServiceSpreadMilliseconds);
+      constexpr unsigned kRange = 2 * kServiceSpreadMilliseconds;
+      const unsigned spread = random_() % kRange;
       call->ends =
           groups_.now + absl::Milliseconds(kServiceMilliseconds -
                                            kServiceSpreadMilliseconds + spread);
--- a/src/schedule/server_memory_test.cc
+++ b/src/schedule/server_memory_test.cc
@@ -90,7 +90,8 @@
   const std::int64_t used = own * std::int64_t{kSmallPrompt} +
                             peer_streams * std::int64_t{kLargePrompt};
   BOOST_TEST_MESSAGE("used " << used << " of " << kMemory);
-  BOOST_TEST(used <= kMemory + peer_streams * (kLargePrompt - kSmallPrompt));
+  constexpr std::int64_t kDifference = kLargePrompt - kSmallPrompt;
+  BOOST_TEST(used <= kMemory + peer_streams * kDifference);
 }
 
 // Guards against memory of peers' streams that is kept once they have ended.
