ReturnTimes: mend what clang-tidy reports

absl::Time has no three-way comparison under clang, and a structured binding can't be captured by a lambda there. No change of behaviour: schedule_return_times_test passes.

--- a/src/schedule/return_times.cc
+++ b/src/schedule/return_times.cc
@@ -167,8 +167,9 @@
   for (std::size_t i = first; i < reach.room.size() && left > 0; ++i) {
     const double taken = std::min(left, reach.room[i]);
     const SlotNumber slot = reach.first + static_cast<SlotNumber>(i);
-    if (taken > 0)
+    if (taken > 0) {
       reserved_[{slot, need.lane.pool}][need.lane.tier.rank] += taken;
+    }
     left -= taken;
   }
   Remember(need, {.slot = reach.first + static_cast<SlotNumber>(first),
@@ -238,8 +239,8 @@
   std::size_t expired = 0;
   while (!by_slot_.empty() &&
          now > SlotStart(by_slot_.begin()->first + 1) + kMaxLate) {
-    const auto [slot, key] = *by_slot_.begin();
-    const auto [begin, end] = records_.equal_range(key);
+    const SlotNumber slot = by_slot_.begin()->first;
+    const auto [begin, end] = records_.equal_range(by_slot_.begin()->second);
     const auto record = std::find_if(begin, end, [slot](const auto& entry) {
       return entry.second.slot == slot;
     });
--- a/src/schedule/return_times.h
+++ b/src/schedule/return_times.h
@@ -66,7 +66,7 @@
   ContentHash content = kNoContent;
   double work = 0;
   absl::Time deadline;
-  auto operator<=>(const ReturnNeed&) const = default;
+  bool operator==(const ReturnNeed&) const = default;
 };
 
 // What the dispatcher knows of the lane's pool.
@@ -74,13 +74,13 @@
   double drain_per_second = 0;  // Of the pool, in work.
   double backlog = 0;           // Work of the lane and of higher tiers.
   absl::Time not_before;        // Earliest time of a retry.
-  auto operator<=>(const LaneSupply&) const = default;
+  bool operator==(const LaneSupply&) const = default;
 };
 
 struct ReturnTime {
   absl::Duration retry_after;
   ReturnForecast forecast;
-  auto operator<=>(const ReturnTime&) const = default;
+  bool operator==(const ReturnTime&) const = default;
 };
 
 // What is known of an arriving request.
