--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -310,7 +310,7 @@
   double event_work = 0;      // Prompt tokens that fit into one event.
   absl::Duration age;         // Of the last measurement.
   absl::Duration held;        // How long it waited for a better server.
-  auto operator<=>(const PauseForecast&) const = default;
+  bool operator==(const PauseForecast&) const = default;
 };
 
 // `host` sends request `id` to `server` now.
