--- a/src/schedule/stream_pauses_test.cc
+++ b/src/schedule/stream_pauses_test.cc
@@ -181,8 +181,9 @@
 
   void RecordEvent(Call& call, absl::Time now, std::vector<Event>* reports) {
     if (call.events() == 1) call.first = now;
-    if (call.events() > 1)
+    if (call.events() > 1) {
       call.longest = std::max(call.longest, now - call.last);
+    }
     call.last = now;
     const EventPauses pauses = reports_pauses_ ? call.pauses() : EventPauses{};
     const RequestId& id = call.request.id;
