--- a/src/gateway/forwarder_streams_test.cc
+++ b/src/gateway/forwarder_streams_test.cc
@@ -222,7 +222,7 @@
 }
 
 // Guards against the same where the server leaves its answer open, and against
-// a caller who waits for that.
+// a host that keeps the caller waiting for its end.
 BOOST_AUTO_TEST_CASE(AnUnidentifiedAnswerThatStaysOpenIsLeft) {
   BOOST_TEST(ServersUntilRefused([](FakeSite& site) {
                const auto call = site.calls.back();
--- a/src/schedule/return_times_test.cc
+++ b/src/schedule/return_times_test.cc
@@ -48,7 +48,7 @@
 
   std::vector<TierResult> Play(const Load& load) {
     constexpr double kUsual = 0.6;
-    constexpr double kPerSecond = 112;  // At load 1, as measured.
+    constexpr double kPerSecond = 112;  // Saturates the fake servers.
     const absl::Duration period = absl::Seconds(20);
     const absl::Time start = site_.now;
     std::vector<double> credit(kTiers, 0.0);
