Hosts read and report the cooldown that a server asks for, and its leaving

For the incident of ignored Retry-After: a host logged that a server had refused a request, not what the server asked for, and nothing said that a later request falls into that time. No decision changes.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -31,6 +31,7 @@
 #include "gateway/quota.h"
 #include "gateway/rollouts.h"
 #include "gateway/route_index.h"
+#include "gateway/server_cooldowns.h"
 #include "gateway/server_paths.h"
 #include "gateway/service_queue.h"
 #include "gateway/stream_versions.h"
@@ -113,6 +114,8 @@
   std::int64_t version() const;
   std::size_t open_requests() const { return exchanges_.size(); }
   Quotas& quotas() { return quotas_; }
+  // The cooldowns that servers have asked of this host.
+  ServerCooldowns& cooldowns() { return cooldowns_; }
 
  private:
   // Returns the reason to refuse a request before it is queued, if any.
@@ -170,6 +173,9 @@
   bool SendOnOtherPath(Exchange& exchange);
   void Send(Exchange& exchange, const ServerEntry& server);
   http::ReadAction OnHead(Exchange& exchange, ResponseHead head);
+  // Records what the server says of further requests, unless it has restarted
+  // since it got this one.
+  void RecordServerWishes(const Exchange& exchange, const ResponseHead& head);
   // Logs a limit that differs from what this host's dispatcher knows.
   void LogLimitChange(const Exchange& exchange, const ResponseHead& head);
   // Handles a head that must not be forwarded.
@@ -239,6 +245,7 @@
   absl::flat_hash_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
   absl::flat_hash_map<RequestId, ExchangeId> exchange_by_dispatch_id_;
   absl::flat_hash_map<ServerId, int> running_;
+  ServerCooldowns cooldowns_;
   absl::flat_hash_map<ServerId, ServerUse> notified_peer_uses_;
   GroupLink* groups_ = nullptr;
   Rollouts* rollouts_ = nullptr;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -110,6 +110,7 @@
                       exchange.attempt.sent_at, clock_());
   }
   LogLimitChange(exchange, head);
+  RecordServerWishes(exchange, head);
   const std::optional<ServerLoad> load = head.load;
   exchange.attempt.has_head = true;
   exchange.attempt.head = std::move(head);
@@ -148,6 +149,32 @@
   return http::ReadAction::kContinue;
 }
 
+void Forwarder::RecordServerWishes(const Exchange& exchange,
+                                   const ResponseHead& head) {
+  const ServerEntry& server = *exchange.attempt.server;
+  const ServerEntry* registered = directory_->Find(server.id);
+  if (registered != nullptr && IsRestart(server, *registered)) return;
+  const absl::Time now = clock_();
+  if (head.leaving) {
+    LOG(INFO) << "event=server-leaving server=" << server.id
+              << " request=" << exchange.request->id
+              << " status=" << head.status
+              << " registered=" << (registered != nullptr)
+              << " draining=" << (registered != nullptr && registered->draining)
+              << " peer=" << exchange.attempt.path.peer_name();
+  }
+  if (!head.cooldown) return;
+  metrics_->CountCooldown();
+  const bool extends = cooldowns_.OnAsked(server, *head.cooldown, now);
+  LOG(INFO) << "event=cooldown-asked server=" << server.id
+            << " request=" << exchange.request->id
+            << " for_ms=" << Milliseconds(*head.cooldown)
+            << " left_ms=" << Milliseconds(cooldowns_.Left(server.id, now))
+            << " extends=" << extends
+            << " sent_ms_ago=" << Milliseconds(now - exchange.attempt.sent_at)
+            << " peer=" << exchange.attempt.path.peer_name();
+}
+
 void Forwarder::LogLimitChange(const Exchange& exchange,
                                const ResponseHead& head) {
   if (!head.request_limit) return;
--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -86,6 +86,13 @@
             << " software=" << server.version
             << " after_event=" << exchange.splitter.last_event()
             << " takes_up=" << exchange.request->first_attempt;
+  const absl::Duration cooldown = cooldowns_.Left(server.id, now);
+  if (cooldown > absl::ZeroDuration()) {
+    metrics_->CountSentInCooldown();
+    LOG(WARNING) << "event=sent-in-cooldown request=" << exchange.request->id
+                 << " server=" << server.id
+                 << " left_ms=" << Milliseconds(cooldown);
+  }
   ServerCall call;
   call.request = exchange.request;
   call.server = server;
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -72,6 +72,14 @@
   bool operator==(const ServerEntry&) const = default;
 };
 
+// Returns whether a server has started anew between two registrations. If one
+// of them doesn't state when it started, it is taken for the same: to forget
+// what a server that runs on has asked for would send it more than it takes.
+inline bool IsRestart(const ServerEntry& before, const ServerEntry& now) {
+  const bool stated = before.started != 0 && now.started != 0;
+  return stated && before.started != now.started;
+}
+
 // How a request gets to a server.
 struct ServerPath {
   EntryHostId peer;          // Tunnels the connection; empty: a direct path.
@@ -122,6 +130,10 @@
   // Requests a second that the server takes from all hosts together;
   // schedule::kNoRequestLimit if it names no limit. Nullopt: not known.
   std::optional<double> request_limit;
+  // For so long the server, which has refused the request, wants no other from
+  // this host. Nullopt: it doesn't say so.
+  std::optional<absl::Duration> cooldown;
+  bool leaving = false;  // The server says that it is about to leave.
   bool operator==(const ResponseHead&) const = default;
 };
 
--- a/src/gateway/service_queue.cc
+++ b/src/gateway/service_queue.cc
@@ -16,15 +16,6 @@
 // limit.
 constexpr double kLimitShareOfAll = 0.1;
 
-// Returns whether a server has started anew between two registrations. If one
-// of them doesn't state when it started, it is taken for the same: to forget
-// the request limit of a server that runs on would let more through than it
-// takes.
-bool IsRestart(const ServerEntry& before, const ServerEntry& now) {
-  const bool stated = before.started != 0 && now.started != 0;
-  return stated && before.started != now.started;
-}
-
 // Returns null if `servers`, in the order of their ids, lack `id`.
 const ServerEntry* Find(const std::vector<ServerEntry>& servers,
                         const ServerId& id) {
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -40,6 +40,11 @@
       sent_(AddCounter("gentianlb_requests_sent_total",
                        "Attempts sent to servers, by whether the server is in "
                        "another zone")),
+      cooldowns_(AddCounter("gentianlb_cooldowns_asked_total",
+                            "Responses that ask this host for a cooldown")),
+      sent_in_cooldown_(
+          AddCounter("gentianlb_requests_sent_in_cooldown_total",
+                     "Attempts sent to servers during their cooldown")),
       cancelled_(AddCounter("gentianlb_requests_cancelled_total",
                             "Running requests that were stopped")),
       first_token_(prometheus::BuildHistogram()
@@ -84,6 +89,10 @@
   sent_.Add(labels).Increment();
 }
 
+void Metrics::CountCooldown() { cooldowns_.Add({}).Increment(); }
+
+void Metrics::CountSentInCooldown() { sent_in_cooldown_.Add({}).Increment(); }
+
 void Metrics::CountCancelled(Code code) {
   cancelled_.Add({{"code", CodeLabel(code)}}).Increment();
 }
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -35,6 +35,10 @@
   void CountResumed();
   // Counts an attempt; `other_zone`: the server is not in the host's zone.
   void CountSent(Tier tier, bool other_zone);
+  // Counts a response that asks this host for a cooldown of its server.
+  void CountCooldown();
+  // Counts an attempt that is sent to a server during its cooldown.
+  void CountSentInCooldown();
   void CountCancelled(Code code);
   void ObserveFirstToken(Tier tier, absl::Duration since_arrival);
 
@@ -58,6 +62,8 @@
   prometheus::Family<prometheus::Counter>& malformed_;
   prometheus::Family<prometheus::Counter>& resumed_;
   prometheus::Family<prometheus::Counter>& sent_;
+  prometheus::Family<prometheus::Counter>& cooldowns_;
+  prometheus::Family<prometheus::Counter>& sent_in_cooldown_;
   prometheus::Family<prometheus::Counter>& cancelled_;
   prometheus::Family<prometheus::Histogram>& first_token_;
 };
--- a/src/schedule/messages.h
+++ b/src/schedule/messages.h
@@ -204,6 +204,13 @@
   kUnderWay,  // More had, so the server had not ended as it began to write.
 };
 
+// For so long `server` wants no request from a host.
+struct ServerCooldown {
+  ServerId server;
+  absl::Duration left;
+  bool operator==(const ServerCooldown&) const = default;
+};
+
 struct RequestFinished {
   RequestId id;
   RequestOutcome kind = RequestOutcome::kComplete;
