Tests: servers in their cooldown get requests, and none afterwards (known red)

Servers that refused all for 5 s get nothing in the 3 s that begin 2.5 s later, a third of the others' share is wanted.

--- /dev/null
+++ b/tests/process/cooldown_test.cc
@@ -0,0 +1,82 @@
+// Gateways before servers that refuse requests and ask for a cooldown.
+
+#include <boost/test/unit_test.hpp>
+
+#include "process/cooldown_site_test.h"
+
+namespace gentianlb::process {
+namespace {
+
+using Faults = standins::PlatformServer::Faults;
+
+constexpr absl::Duration kEvery = absl::Milliseconds(7);
+
+// Of streams, which take longer.
+constexpr absl::Duration kEveryStream = absl::Milliseconds(15);
+
+const Faults kRefuseAll = {.sheds = true, .retry_after = "1.5"};
+const Faults kRefuseHalf = {
+    .sheds = true, .sheds_one_in = 2, .retry_after = "1.5"};
+
+// Guards against requests to a server that has asked this host for a cooldown.
+BOOST_AUTO_TEST_CASE(AHostSendsNothingToServersInTheirCooldown,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  CooldownSite site(kCallConfiguration, "plain");
+  site.SetFaults(0, CooldownSite::kServers, kRefuseHalf);
+  site.Send(absl::Seconds(6), kEvery);
+  site.WaitForAnswers();
+  const auto [asked, broken] = site.CountCooldowns();
+  BOOST_TEST(asked >= 32);
+  BOOST_TEST(broken == 0);
+}
+
+// The same for streams.
+BOOST_AUTO_TEST_CASE(AHostSendsNoStreamsToServersInTheirCooldown,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  CooldownSite site(kStreamAndCallConfiguration, "llm");
+  site.SetFaults(0, CooldownSite::kServers, kRefuseHalf);
+  site.Send(absl::Seconds(6), kEveryStream);
+  site.WaitForAnswers();
+  const auto [asked, broken] = site.CountCooldowns();
+  BOOST_TEST(asked >= 32);
+  BOOST_TEST(broken == 0);
+}
+
+// Guards against a cooldown that ends with the dispatcher that knew of it.
+BOOST_AUTO_TEST_CASE(ACooldownOutlivesTheDispatcher,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  CooldownSite site(kCallConfiguration, "plain");
+  site.SetFaults(0, CooldownSite::kServers, kRefuseHalf);
+  for (std::size_t host = 0; host < CooldownSite::kHosts; ++host) {
+    site.Send(absl::Seconds(1.5), kEvery);
+    site.Restart(host);
+  }
+  site.Send(absl::Seconds(1.5), kEvery);
+  site.WaitForAnswers();
+  BOOST_TEST(site.CountCooldowns().second == 0);
+}
+
+// Guards against servers that are avoided for longer than they asked for, or
+// by hosts that they refused nothing.
+BOOST_AUTO_TEST_CASE(AfterTheirCooldownServersGetTheirShareAgain,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  CooldownSite site(kCallConfiguration, "plain");
+  site.SetFaults(0, 2, kRefuseAll);
+  site.Send(absl::Seconds(5), kEvery);
+  site.SetFaults(0, 2, Faults());
+  // Until the last cooldown has ended.
+  site.Send(absl::Seconds(2.5), kEvery);
+  const absl::Time from = absl::Now();
+  site.Send(absl::Seconds(3), kEvery);
+  site.WaitForAnswers();
+  int of_others = 0;
+  for (int i = 2; i < CooldownSite::kServers; ++i) {
+    of_others += site.ArrivalsSince(i, from);
+  }
+  const int third = of_others / (CooldownSite::kServers - 2) / 3;
+  BOOST_TEST(site.ArrivalsSince(0, from) >= third);
+  BOOST_TEST(site.ArrivalsSince(1, from) >= third);
+}
+
+}  // namespace
+}  // namespace gentianlb::process
--- a/tests/standins/platform_server.cc
+++ b/tests/standins/platform_server.cc
@@ -77,6 +77,12 @@
 }
 
 std::vector<absl::Time> PlatformServer::Arrivals() const {
+  std::vector<absl::Time> times;
+  for (const Arrival& arrival : History()) times.push_back(arrival.at);
+  return times;
+}
+
+std::vector<PlatformServer::Arrival> PlatformServer::History() const {
   absl::MutexLock lock(&mutex_);
   return arrivals_;
 }
@@ -104,17 +110,21 @@
   }
   Faults faults;
   bool ended = false;
+  bool sheds = false;
   {
     absl::MutexLock lock(&mutex_);
     faults = faults_;
-    arrivals_.push_back(absl::Now());
+    const auto number = static_cast<int>(arrivals_.size());
+    sheds = faults.sheds && number % faults.sheds_one_in == 0;
+    arrivals_.push_back({absl::Now(), request_id, sheds,
+                         sheds ? faults.retry_after : std::string()});
     const bool deadly = !faults.ends_under.empty() &&
                         absl::StrContains(request.body, faults.ends_under);
     ended = ended_ || deadly;
     closing_ |= deadly;
     if (!ended_) {
       last_ = request;
-      if (!faults.sheds) ++runs_[request_id];
+      if (!sheds) ++runs_[request_id];
     }
     ended_ = ended;
     const bool deadly_part =
@@ -126,8 +136,12 @@
   if (!faults.request_limit.empty()) {
     headers.push_back({"Server-Limit", faults.request_limit});
   }
-  if (faults.sheds) {
+  if (faults.leaving) headers.push_back({"Server-Leaving", "1"});
+  if (sheds) {
     headers.push_back({"Not-Executed", "1"});
+    if (!faults.retry_after.empty()) {
+      headers.push_back({"Retry-After", faults.retry_after});
+    }
     return answer->Respond(503, std::move(headers), "");
   }
   if (faults.loses_answers) return answer->Abort();
--- a/tests/standins/platform_server.h
+++ b/tests/standins/platform_server.h
@@ -21,7 +21,10 @@
  public:
   struct Faults {
     int cut_after_events = -1;   // Streams break off there; -1: never.
-    bool sheds = false;          // Says of everything that it has not run it.
+    bool sheds = false;          // Refuses requests and doesn't run them.
+    int sheds_one_in = 1;        // Of so many requests, while it does.
+    std::string retry_after;     // Named in its refusals; empty: none.
+    bool leaving = false;        // Says so in all answers.
     bool loses_answers = false;  // Runs it, and breaks the connection.
     // Ends while it runs a request whose body contains this; empty: none.
     std::string ends_under;
@@ -32,6 +35,14 @@
     std::string request_limit;
   };
 
+  // A request that was meant for this server.
+  struct Arrival {
+    absl::Time at;
+    std::string request;  // Its id.
+    bool shed = false;
+    std::string retry_after;  // That its refusal named.
+  };
+
   // Listens on a port that the kernel picks. The events of its streams hold
   // `version`, that of its software, if it states one.
   explicit PlatformServer(std::string id, int events = 5,
@@ -50,6 +61,8 @@
   bool HasEnded() const;
   // When requests arrived that were meant for this server, in order.
   std::vector<absl::Time> Arrivals() const;
+  // The same, with what became of them.
+  std::vector<Arrival> History() const;
   // How often each request has run here, by its id.
   std::map<std::string, int> Runs() const;
   // When it began to write on a prompt with the part under which it ends.
@@ -78,7 +91,7 @@
   mutable absl::Mutex mutex_;
   Faults faults_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
-  std::vector<absl::Time> arrivals_ ABSL_GUARDED_BY(mutex_);
+  std::vector<Arrival> arrivals_ ABSL_GUARDED_BY(mutex_);
   std::vector<absl::Time> deadly_arrivals_ ABSL_GUARDED_BY(mutex_);
   http::Request last_ ABSL_GUARDED_BY(mutex_);
   bool ended_ ABSL_GUARDED_BY(mutex_) = false;    // Under a request.
