--- a/tests/process/cooldown_site_test.h
+++ b/tests/process/cooldown_site_test.h
@@ -108,6 +108,8 @@
                       [from](absl::Time at) { return at >= from; }));
   }
 
+  // Returns the number of requests sent so far.
+  int sent() const { return static_cast<int>(sent_.size()); }
   std::size_t HostOf(const std::string& request) const {
     return sent_.at(request).first;
   }
--- /dev/null
+++ b/tests/process/leaving_test.cc
@@ -0,0 +1,90 @@
+// Gateways before servers that say in their answers that they leave, while the
+// table service doesn't.
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "process/cooldown_site_test.h"
+
+namespace gentianlb::process {
+namespace {
+
+using Faults = standins::PlatformServer::Faults;
+
+// A server that leaves gets no request that is sent later.
+constexpr absl::Duration kDrainTime = absl::Seconds(2);
+
+constexpr absl::Duration kEvery = absl::Milliseconds(7);
+
+// Of streams, which take longer.
+constexpr absl::Duration kEveryStream = absl::Milliseconds(15);
+
+// Returns the requests that reached `server` though they were sent later than
+// the drain time after its host had got an answer of the leaving server.
+int CountLate(const CooldownSite& site, int server, absl::Time leaving) {
+  std::map<std::size_t, absl::Time> informed;  // By host.
+  int late = 0;
+  const auto& stand_in = *site.servers_[static_cast<std::size_t>(server)];
+  for (const auto& arrival : stand_in.History()) {
+    if (arrival.at < leaving) continue;
+    const std::size_t host = site.HostOf(arrival.request);
+    const auto [first, is_first] = informed.try_emplace(host, arrival.at);
+    late += site.SentAt(arrival.request) > first->second + kDrainTime;
+  }
+  return late;
+}
+
+void CheckTwoLeave(CooldownSite& site, const Faults& usual,
+                   absl::Duration every) {
+  site.SetFaults(0, CooldownSite::kServers, usual);
+  site.Send(absl::Seconds(1), every);
+  Faults leaving = usual;
+  leaving.leaving = true;
+  const absl::Time from = absl::Now();
+  site.SetFaults(0, 2, leaving);
+  site.Send(absl::Seconds(6), every);
+  site.WaitForAnswers();
+  site.Report();
+  site.ReportArrivals(from);
+  BOOST_TEST(CountLate(site, 0, from) == 0);
+  BOOST_TEST(CountLate(site, 1, from) == 0);
+  BOOST_TEST(site.served_ == site.sent());
+}
+
+// Guards against requests to a server that has said to this host that it
+// leaves.
+BOOST_AUTO_TEST_CASE(AHostSendsNothingToServersThatSayTheyLeave,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  CooldownSite site(kCallConfiguration, "plain");
+  CheckTwoLeave(site, Faults(), kEvery);
+}
+
+// The same for streams, without the table service.
+BOOST_AUTO_TEST_CASE(AHostSendsNoStreamsToServersThatSayTheyLeave,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  CooldownSite site(kStreamAndCallConfiguration, "llm");
+  site.table_.SetDown(true);
+  CheckTwoLeave(site, {.event_gap = absl::Milliseconds(20)}, kEveryStream);
+}
+
+// Guards against callers that are refused while all servers of a service leave
+// but still serve.
+BOOST_AUTO_TEST_CASE(ServersThatAllLeaveServeUntilTheDrainTimeEnds,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  CooldownSite site(kCallConfiguration, "plain");
+  site.Send(absl::Seconds(1), kEvery);
+  const absl::Time from = absl::Now();
+  site.SetFaults(0, CooldownSite::kServers, {.leaving = true});
+  site.Send(absl::Seconds(1.8), kEvery);
+  site.WaitForAnswers();
+  BOOST_TEST(site.served_ == site.sent());
+  site.Send(absl::Seconds(3), kEvery);
+  site.WaitForAnswers();
+  site.Report();
+  for (int i = 0; i < CooldownSite::kServers; ++i) {
+    BOOST_TEST(CountLate(site, i, from) == 0);
+  }
+}
+
+}  // namespace
+}  // namespace gentianlb::process
