Peers' tunnels keep the cooldowns of the host that opens them

A request through a tunnel reaches its server from the peer that opens the tunnel, so it breaks the peer's cooldown, and an answer through it asks the peer for one that the peer, which relays bytes, never saw.

A host opens no tunnel to a server in its own cooldown. The host that gets an answer through a peer keeps the cooldown itself too, so that a tunnel is no way around it, and reports it to the peer in two datagrams, as one may be lost. A tunnel carries one request, so no open one outlives the check. Leaving servers were excluded already, as draining ones.

gateway_tunnel_test: three cases against a real tunnel; gateway_group_link_test: three on lost messages about cooldowns and leaving servers.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -85,6 +85,14 @@
     on_server_leaving_ = std::move(callback);
   }
 
+  // Sets the callback for a cooldown that a server asks of the peer through
+  // whose tunnel the response came.
+  void OnTunnelledCooldown(
+      std::function<void(const TunnelledCooldown&, const EntryHostId& peer)>
+          callback) {
+    on_tunnelled_cooldown_ = std::move(callback);
+  }
+
   // From now on the dispatchers of groups order the requests of services for
   // which they are available. Null: only this host's dispatchers do.
   void SetGroupLink(GroupLink* groups) { groups_ = groups; }
@@ -261,6 +269,8 @@
   std::function<void(const ServerId&)> on_wrong_server_;
   std::function<void(const LeavingServer&, const ServerPath&)>
       on_server_leaving_;
+  std::function<void(const TunnelledCooldown&, const EntryHostId& peer)>
+      on_tunnelled_cooldown_;
 
   std::shared_ptr<const RouteIndex> index_;
   Quotas quotas_;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -171,6 +171,10 @@
             << " extends=" << extends
             << " sent_ms_ago=" << Milliseconds(now - exchange.attempt.sent_at)
             << " peer=" << exchange.attempt.path.peer_name();
+  if (exchange.attempt.path.direct() || !on_tunnelled_cooldown_) return;
+  // To the server, the request was the peer's.
+  on_tunnelled_cooldown_({server.id, server.started, *head.cooldown},
+                         exchange.attempt.path.peer);
 }
 
 void Forwarder::RecordLeaving(const Exchange& exchange) {
--- a/src/gateway/group_link.cc
+++ b/src/gateway/group_link.cc
@@ -23,6 +23,9 @@
 // Losses of each kind in one answer, which must fit into a datagram.
 constexpr std::size_t kMaxLossesSent = 500;
 
+// Well within the time in which a host learns of a cooldown.
+constexpr absl::Duration kCooldownRepeat = absl::Milliseconds(100);
+
 }  // namespace
 
 GroupLink::GroupLink(EntryHostId self, const ServiceQueueOptions& queue_options,
@@ -157,6 +160,9 @@
   for (const LeavingServer& server : message.leaving) {
     hooks_.on_leaving(server);
   }
+  for (const TunnelledCooldown& cooldown : message.cooldowns) {
+    hooks_.on_cooldown(cooldown);
+  }
   if (message.memory == MemoryTransfer::kQuery) SendMemory(message.from);
   if (message.memory != MemoryTransfer::kAnswer) return;
   queries_.OnAnswer();
@@ -222,6 +228,20 @@
   }
 }
 
+void GroupLink::SendCooldown(const TunnelledCooldown& cooldown,
+                             const EntryHostId& peer) {
+  Outgoing(peer).cooldowns.push_back(cooldown);
+  TunnelledCooldown again = cooldown;
+  again.left -= kCooldownRepeat;
+  if (again.left <= absl::ZeroDuration()) return;
+  timers_->At(
+      clock_() + kCooldownRepeat,
+      [this, again, peer, alive = std::weak_ptr<int>(alive_)](absl::Time) {
+        if (alive.expired()) return;
+        Outgoing(peer).cooldowns.push_back(again);
+      });
+}
+
 void GroupLink::SendSuspect(const schedule::SuspectChange& change) {
   LOG(INFO) << "event=suspect content="
             << absl::StrCat(absl::Hex(change.content))
--- a/src/gateway/group_link.h
+++ b/src/gateway/group_link.h
@@ -30,6 +30,9 @@
   std::function<void(std::function<void()> closure)> defer;
   // Records that a peer has got a response of a leaving server.
   std::function<void(const LeavingServer& server)> on_leaving;
+  // Records a cooldown that a server has asked of this host in a response that
+  // a peer got through its tunnel.
+  std::function<void(const TunnelledCooldown& cooldown)> on_cooldown;
   // Returns the leaving servers that this host knows of.
   std::function<std::vector<LeavingServer>()> leaving_servers;
 };
@@ -61,6 +64,9 @@
   // Sends what this host has learnt of a server that leaves to all hosts that
   // may dispatch, and to the peer that tunnelled the response, if any.
   void SendLeaving(const LeavingServer& server, const EntryHostId& peer);
+  // Sends a cooldown to the peer that tunnelled the response, twice, since a
+  // datagram may be lost.
+  void SendCooldown(const TunnelledCooldown& cooldown, const EntryHostId& peer);
 
   int GrantedOn(const ServerId& server) const {
     return client_.GrantedOn(server);
--- a/src/gateway/group_link_test.cc
+++ b/src/gateway/group_link_test.cc
@@ -50,6 +50,57 @@
   BOOST_TEST(!site.hosts.at("h1").outcomes.contains(batch));
 }
 
+// Guards against a dispatcher that grants a leaving server again and again,
+// since it has missed the message that says so.
+BOOST_AUTO_TEST_CASE(ADispatcherLearnsOfALeavingServerFromAWithheldRequest) {
+  GroupSite site(4, 2, 2);
+  const std::string dispatcher = site.Dispatcher();
+  const std::string origin = dispatcher == "h0" ? "h1" : "h0";
+  const RequestId id = site.Submit(origin);
+  site.Advance(absl::Milliseconds(20));
+  Host& host = site.hosts.at(origin);
+  const std::string granted = host.outcomes.at(id);
+  const LeavingServer leaving{ServerId(granted), 1, absl::ZeroDuration()};
+  host.leaving = {leaving};
+  schedule::RequestFinished finished{id, schedule::RequestOutcome::kWithheld};
+  finished.cooldowns = {{ServerId(granted), absl::Seconds(1)}};
+  host.link->OnEvent(site.service.id, finished);
+  site.Advance(absl::Milliseconds(20));
+  BOOST_TEST((site.hosts.at(dispatcher).leaving ==
+              std::vector<LeavingServer>{leaving}));
+  BOOST_TEST(host.IsGranted(id));
+  BOOST_TEST(host.outcomes.at(id) != granted);
+}
+
+// Guards against hosts that dispatch without knowing that a server leaves.
+BOOST_AUTO_TEST_CASE(AllHostsThatMayDispatchLearnOfALeavingServer) {
+  GroupSite site(4, 2, 2);
+  const LeavingServer leaving{ServerId("s0"), 1, absl::Milliseconds(70)};
+  site.hosts.at("h0").link->SendLeaving(leaving, EntryHostId("h3"));
+  site.Advance(absl::Milliseconds(20));
+  for (const char* name : {"h1", "h2", "h3"}) {
+    // Peers that start together also exchange what they remember.
+    BOOST_REQUIRE(!site.hosts.at(name).leaving.empty());
+    BOOST_TEST((site.hosts.at(name).leaving.front() == leaving));
+  }
+}
+
+// Guards against a peer that goes on sending to a server which has refused what
+// the peer tunnelled, since the message that says so was lost.
+BOOST_AUTO_TEST_CASE(APeerLearnsOfACooldownThoughADatagramIsLost) {
+  GroupSite site(4, 2, 2);
+  site.broken_links.insert({"h0", "h1"});
+  site.hosts.at("h0").link->SendCooldown({ServerId("s0"), 1, absl::Seconds(3)},
+                                         EntryHostId("h1"));
+  site.Advance(absl::Milliseconds(50));
+  BOOST_TEST(site.hosts.at("h1").cooldowns.empty());
+  site.broken_links.clear();
+  site.Advance(absl::Milliseconds(100));
+  BOOST_REQUIRE(site.hosts.at("h1").cooldowns.size() == 1u);
+  BOOST_TEST(
+      (site.hosts.at("h1").cooldowns.front().left == absl::Milliseconds(2900)));
+}
+
 // The host of the dispatcher freezes. Callers of the other hosts must not wait
 // for it: their own hosts decide requests already submitted to it within some
 // milliseconds, and later requests go to another dispatcher at once.
--- a/src/gateway/group_messages.cc
+++ b/src/gateway/group_messages.cc
@@ -47,6 +47,12 @@
       writer_(server.started);
       PutSpan(server.age);
     });
+    WriteList(writer_, message.cooldowns,
+              [&](const TunnelledCooldown& cooldown) {
+                WriteText(writer_, cooldown.server.str());
+                writer_(cooldown.started);
+                PutSpan(cooldown.left);
+              });
     WriteList(writer_, message.events, [&](const AddressedEvent& item) {
       writer_(item.group.service, item.group.group,
               static_cast<std::uint8_t>(item.event.index()));
@@ -180,6 +186,11 @@
       reader_(server.started);
       GetSpan(&server.age);
     });
+    ReadList(reader_, &message->cooldowns, [&](TunnelledCooldown& cooldown) {
+      GetId(&cooldown.server);
+      reader_(cooldown.started);
+      GetSpan(&cooldown.left);
+    });
     ReadList(reader_, &message->events, [&](AddressedEvent& item) {
       std::uint8_t kind = 0;
       reader_(item.group.service, item.group.group, kind);
--- a/src/gateway/group_messages.h
+++ b/src/gateway/group_messages.h
@@ -84,6 +84,7 @@
   std::vector<schedule::SuspectChange> suspects;
   std::vector<schedule::PartChange> parts;
   std::vector<LeavingServer> leaving;
+  std::vector<TunnelledCooldown> cooldowns;
   std::vector<AddressedEvent> events;
   std::vector<GroupAnswer> answers;
   std::vector<GroupCapacity> capacities;
--- a/src/gateway/group_site_test.h
+++ b/src/gateway/group_site_test.h
@@ -47,7 +47,8 @@
     std::map<RequestId, Code> refusals;
     std::set<RequestId> local;  // Reclaimed or never submitted.
     std::map<RequestId, int> decisions;
-    std::vector<LeavingServer> leaving;  // That it knows of.
+    std::vector<LeavingServer> leaving;        // That it knows of.
+    std::vector<TunnelledCooldown> cooldowns;  // That peers have reported.
     std::vector<std::function<void()>> deferred;
     // Returns whether a dispatcher has granted the request a server.
     bool IsGranted(const RequestId& request) const {
@@ -91,6 +92,9 @@
     hooks.on_leaving = [self](const LeavingServer& server) {
       self->leaving.push_back(server);
     };
+    hooks.on_cooldown = [self](const TunnelledCooldown& cooldown) {
+      self->cooldowns.push_back(cooldown);
+    };
     hooks.leaving_servers = [self] { return self->leaving; };
     hooks.defer = [self](std::function<void()> closure) {
       self->deferred.push_back(std::move(closure));
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -104,6 +104,10 @@
                },
            .on_leaving =
                [this](const LeavingServer& server) { OnServerLeaving(server); },
+           .on_cooldown =
+               [this](const TunnelledCooldown& cooldown) {
+                 OnTunnelledCooldown(cooldown);
+               },
            .leaving_servers =
                [this, loop] {
                  return directory_.LeavingServers(loop->now());
@@ -175,6 +179,11 @@
         self->OnServerLeaving(server);
         self->groups_.SendLeaving(server, path.peer);
       });
+  host->forwarder_.OnTunnelledCooldown(
+      [self = host.get()](const TunnelledCooldown& cooldown,
+                          const EntryHostId& peer) {
+        self->groups_.SendCooldown(cooldown, peer);
+      });
   host->timers_.push_back(
       loop->timers().Every(loop->now() + kLogFlushInterval, kLogFlushInterval,
                            [log](absl::Time) { log->Flush(); }));
@@ -349,6 +358,16 @@
   if (initialized()) startup_queue_.Release();
 }
 
+void Host::OnTunnelledCooldown(const TunnelledCooldown& cooldown) {
+  const ServerEntry* const server = directory_.Find(cooldown.server);
+  if (server == nullptr || IsRestart(cooldown.started, server->started)) return;
+  const bool extends =
+      forwarder_.cooldowns().OnAsked(*server, cooldown.left, loop_->now());
+  LOG(INFO) << "event=cooldown-asked server=" << cooldown.server
+            << " request=- for_ms=" << absl::ToInt64Milliseconds(cooldown.left)
+            << " extends=" << extends << " tunnelled=1";
+}
+
 void Host::Drain() {
   if (draining_) return;
   draining_ = true;
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -123,6 +123,8 @@
   void OnServersChanged();
   // Records that a server has said to this host or to a peer that it leaves.
   void OnServerLeaving(const LeavingServer& server);
+  // Records a cooldown that a server has asked of this host through a peer.
+  void OnTunnelledCooldown(const TunnelledCooldown& cooldown);
   // Passes what is known of the table service's last outage to the directory,
   // and applies the removals that are due.
   void UpdateTableRecovery(absl::Time now);
--- a/src/gateway/host_fleet.cc
+++ b/src/gateway/host_fleet.cc
@@ -41,7 +41,8 @@
   // Peers know the address of this host's datagrams; tunnels have the same.
   settings::Endpoint address = settings_.peers;
   address.port = peers_->port();
-  auto monitor = PathMonitor::Start(address, loop_, &directory_, &paths_);
+  auto monitor = PathMonitor::Start(address, loop_, &directory_,
+                                    &forwarder_.cooldowns(), &paths_);
   if (!monitor.ok()) return monitor.error();
   path_monitor_ = std::move(monitor.value());
   return std::nullopt;
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -91,6 +91,15 @@
   bool operator==(const LeavingServer&) const = default;
 };
 
+// A cooldown that a server has asked of a host through whose tunnel the
+// response went to a peer.
+struct TunnelledCooldown {
+  ServerId server;
+  std::int64_t started = 0;  // As in ServerEntry.
+  absl::Duration left;
+  bool operator==(const TunnelledCooldown&) const = default;
+};
+
 // How a request gets to a server.
 struct ServerPath {
   EntryHostId peer;          // Tunnels the connection; empty: a direct path.
--- a/src/gateway/path_monitor.cc
+++ b/src/gateway/path_monitor.cc
@@ -13,15 +13,20 @@
 }  // namespace
 
 PathMonitor::PathMonitor(loop::EventLoop* loop, const Directory* directory,
-                         ServerPaths* paths)
-    : loop_(loop), directory_(directory), paths_(paths) {}
+                         const ServerCooldowns* cooldowns, ServerPaths* paths)
+    : loop_(loop),
+      directory_(directory),
+      cooldowns_(cooldowns),
+      paths_(paths) {}
 
 PathMonitor::~PathMonitor() { loop_->timers().Cancel(probe_timer_); }
 
 Outcome<std::unique_ptr<PathMonitor>> PathMonitor::Start(
     const settings::Endpoint& address, loop::EventLoop* loop,
-    const Directory* directory, ServerPaths* paths) {
-  std::unique_ptr<PathMonitor> monitor(new PathMonitor(loop, directory, paths));
+    const Directory* directory, const ServerCooldowns* cooldowns,
+    ServerPaths* paths) {
+  std::unique_ptr<PathMonitor> monitor(
+      new PathMonitor(loop, directory, cooldowns, paths));
   PathMonitor* self = monitor.get();
   auto tunnels = tunnel::TunnelServer::Start(
       loop, address,
@@ -43,7 +48,9 @@
 
 bool PathMonitor::MayTunnel(const settings::Endpoint& address) const {
   const ServerEntry* server = directory_->FindByAddress(address);
-  return server != nullptr && paths_->IsDirectOpen(server->id);
+  if (server == nullptr || !paths_->IsDirectOpen(server->id)) return false;
+  // The request would reach the server from this host.
+  return cooldowns_->Left(server->id, loop_->now()) <= absl::ZeroDuration();
 }
 
 void PathMonitor::RecordConnect(const settings::Endpoint& address,
--- a/src/gateway/path_monitor.h
+++ b/src/gateway/path_monitor.h
@@ -9,6 +9,7 @@
 
 #include "base/result.h"
 #include "gateway/directory.h"
+#include "gateway/server_cooldowns.h"
 #include "gateway/server_paths.h"
 #include "loop/event_loop.h"
 #include "settings/units.h"
@@ -24,7 +25,8 @@
   // monitor.
   static Outcome<std::unique_ptr<PathMonitor>> Start(
       const settings::Endpoint& address, loop::EventLoop* loop,
-      const Directory* directory, ServerPaths* paths);
+      const Directory* directory, const ServerCooldowns* cooldowns,
+      ServerPaths* paths);
   ~PathMonitor();
   PathMonitor(const PathMonitor&) = delete;
   PathMonitor& operator=(const PathMonitor&) = delete;
@@ -36,7 +38,7 @@
 
  private:
   PathMonitor(loop::EventLoop* loop, const Directory* directory,
-              ServerPaths* paths);
+              const ServerCooldowns* cooldowns, ServerPaths* paths);
 
   bool MayTunnel(const settings::Endpoint& address) const;
   void RecordConnect(const settings::Endpoint& address, bool connected);
@@ -46,6 +48,7 @@
 
   loop::EventLoop* const loop_;
   const Directory* const directory_;
+  const ServerCooldowns* const cooldowns_;
   ServerPaths* const paths_;
   std::unique_ptr<tunnel::TunnelServer> tunnels_;
   std::map<ServerId, std::unique_ptr<tunnel::Connector>> probes_;
--- a/src/gateway/tunnel_test.cc
+++ b/src/gateway/tunnel_test.cc
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "gateway/path_monitor.h"
 #include "http/loop_client.h"
 #include "http/raw_server_test.h"
 #include "loop/loop_runner_test.h"
@@ -26,12 +27,13 @@
         tunnel::TunnelServer::Start(&loop, {"127.0.0.1", 0}, std::move(hooks));
     BOOST_REQUIRE(started.ok());
     tunnels = std::move(started.value());
+    tunnel_port = tunnels->port();
   }
 
   http::TransferId Send(const std::string& request_body = "") {
     http::ClientRequest request;
     request.url = server.url();
-    request.tunnel = "127.0.0.1:" + std::to_string(tunnels->port());
+    request.tunnel = "127.0.0.1:" + std::to_string(tunnel_port);
     request.method = "POST";
     request.headers = {{"Secret", "for the server alone"}};
     request.body = request_body;
@@ -56,6 +58,7 @@
   http::LoopClient client{&loop, 4};
   http::RawServer server;
   std::unique_ptr<tunnel::TunnelServer> tunnels;
+  int tunnel_port = 0;
   bool allowed = true;
   std::optional<bool> connected;
   int status = 0;
@@ -166,5 +169,52 @@
   BOOST_TEST((*end == TransferEnd::kComplete));
 }
 
+// A host's tunnels to the server of the fixture above.
+struct MonitoredFixture : Fixture {
+  MonitoredFixture() {
+    entry.id = ServerId("s");
+    const std::string address = server.address();
+    entry.address = {"127.0.0.1",
+                     std::stoi(address.substr(address.rfind(':') + 1))};
+    directory.Update("s", entry, loop.now());
+    auto started = PathMonitor::Start({"127.0.0.1", 0}, &loop, &directory,
+                                      &cooldowns, &paths);
+    BOOST_REQUIRE(started.ok());
+    monitor = std::move(started.value());
+    tunnel_port = monitor->tunnels().port();
+  }
+
+  ServerEntry entry;
+  Directory directory;
+  ServerCooldowns cooldowns;
+  ServerPaths paths{EntryHostId("h"), ZoneId("z")};
+  std::unique_ptr<PathMonitor> monitor;
+};
+
+// Guards against requests that reach a server through a host of which the
+// server has asked a cooldown.
+BOOST_FIXTURE_TEST_CASE(APeerTunnelsNothingToAServerInItsCooldown,
+                        MonitoredFixture) {
+  cooldowns.OnAsked(entry, absl::Seconds(3), loop.now());
+  Send();
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kNotSent));
+}
+
+// Guards against requests that reach a leaving server through another host.
+BOOST_FIXTURE_TEST_CASE(APeerTunnelsNothingToALeavingServer, MonitoredFixture) {
+  directory.MarkLeaving({entry.id, 0, absl::ZeroDuration()}, loop.now());
+  Send();
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kNotSent));
+}
+
+BOOST_FIXTURE_TEST_CASE(APeerTunnelsToAnyOtherServer, MonitoredFixture) {
+  Send();
+  Answer("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer");
+  WaitForEnd();
+  BOOST_TEST(body == "answer");
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
