--- a/src/explain/losses.cc
+++ b/src/explain/losses.cc
@@ -36,6 +36,7 @@
     case Code::kNoServer:
     case Code::kServerUnreachable:
     case Code::kQueueFull:
+    case Code::kServersCoolingDown:
       return Ending::kNoServer;
     default:
       return line.Number("after_ms") <= kAtOnceMs ? Ending::kNoRoom
--- a/src/explain/losses.h
+++ b/src/explain/losses.h
@@ -27,7 +27,7 @@
   kOverLimit,     // Its workspace's limit.
   kNoRoom,        // The dispatcher, at once.
   kNoRoomLate,    // The dispatcher, after it had waited.
-  kNoServer,      // None usable, none reached, or all full.
+  kNoServer,      // None usable, none reached, all full or in their cooldown.
   kUnknown,       // No such route or key, or no configuration yet.
   kServerFailed,  // It broke off, or failed.
   kDeadline,      // The time was up while a server had it.
