--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -306,8 +306,9 @@
       paths_->OnUnreachable(attempt.server->id, attempt.path, clock_());
       if (SendOnOtherPath(exchange)) return;
     }
-    if (IsWithheld(attempt.server->id))
+    if (IsWithheld(attempt.server->id)) {
       return Withhold(exchange, attempt.server->id);
+    }
     return NotifyDispatcher(exchange.pool, schedule::RequestFinished{
                                                attempt.dispatch_id,
                                                RequestOutcome::kNotSent, 0, 0});
