Many withheld requests fit into one datagram

A dispatcher that has just started may grant a hundred requests at once to a host that has cooldowns of all servers. Each report listed all of them, so the datagram was too long and was never sent: requests waited until their hosts decided them, and the dispatcher learnt nothing. Only the first report of a datagram lists the others.

--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -52,8 +52,13 @@
   metrics_->CountWithheld();
   schedule::RequestFinished finished{exchange.attempt.dispatch_id,
                                      schedule::RequestOutcome::kWithheld};
-  finished.cooldowns = cooldowns_.Active(now);
-  if (leaving) finished.cooldowns.push_back({server, kLeavingExclusion});
+  // The granted server comes first; others follow that the dispatcher may not
+  // know of either.
+  finished.cooldowns = {
+      {server, leaving ? kLeavingExclusion : cooldowns_.Left(server, now)}};
+  for (schedule::ServerCooldown& other : cooldowns_.Active(now)) {
+    if (other.server != server) finished.cooldowns.push_back(std::move(other));
+  }
   NotifyDispatcher(exchange.pool, finished);
 }
 
--- a/src/gateway/group_link.cc
+++ b/src/gateway/group_link.cc
@@ -26,6 +26,13 @@
 // Well within the time in which a host learns of a cooldown.
 constexpr absl::Duration kCooldownRepeat = absl::Milliseconds(100);
 
+// Returns whether the event reports a request that its host doesn't send.
+bool IsWithheld(const GroupEvent& event) {
+  const auto* finished = std::get_if<schedule::RequestFinished>(&event);
+  return finished != nullptr &&
+         finished->kind == schedule::RequestOutcome::kWithheld;
+}
+
 }  // namespace
 
 GroupLink::GroupLink(EntryHostId self, const ServiceQueueOptions& queue_options,
@@ -207,11 +214,17 @@
 
 void GroupLink::SendEvent(const EntryHostId& host, AddressedEvent item) {
   GroupMessage& message = Outgoing(host);
-  const auto* finished = std::get_if<schedule::RequestFinished>(&item.event);
-  const bool withheld = finished != nullptr &&
-                        finished->kind == schedule::RequestOutcome::kWithheld;
-  // The dispatcher may have granted a server that it doesn't know to leave.
-  if (withheld) message.leaving = hooks_.leaving_servers();
+  auto* finished = std::get_if<schedule::RequestFinished>(&item.event);
+  if (IsWithheld(item.event)) {
+    // The dispatcher may have granted a server that it doesn't know to leave.
+    message.leaving = hooks_.leaving_servers();
+    // It may have granted many at once. One list of the other cooldowns is
+    // enough, and a list for each could exceed a datagram.
+    const bool listed = std::any_of(
+        message.events.begin(), message.events.end(),
+        [](const AddressedEvent& sent) { return IsWithheld(sent.event); });
+    if (listed) finished->cooldowns.resize(1);
+  }
   message.events.push_back(std::move(item));
 }
 
--- a/src/gateway/group_link_test.cc
+++ b/src/gateway/group_link_test.cc
@@ -72,6 +72,34 @@
   BOOST_TEST(host.outcomes.at(id) != granted);
 }
 
+// A new dispatcher grants many servers at once to a host that has cooldowns of
+// all of them. Guards against reports that are lost, as they fill more than a
+// datagram.
+BOOST_AUTO_TEST_CASE(ManyWithheldRequestsFitIntoADatagram) {
+  constexpr int kServers = 100;
+  constexpr std::size_t kMaxBytes = 60000;
+  GroupSite site(2, kServers, 8);
+  const std::string dispatcher = site.Dispatcher();
+  const std::string origin = dispatcher == "h0" ? "h1" : "h0";
+  std::vector<RequestId> ids;
+  for (int i = 0; i < kServers; ++i) ids.push_back(site.Submit(origin));
+  site.Advance(absl::Milliseconds(20));
+  site.largest_datagram = 0;
+  Host& host = site.hosts.at(origin);
+  for (const RequestId& id : ids) {
+    BOOST_REQUIRE(host.IsGranted(id));
+    schedule::RequestFinished finished{id, schedule::RequestOutcome::kWithheld};
+    finished.cooldowns = {{ServerId(host.outcomes.at(id)), absl::Seconds(1)}};
+    for (const ServerEntry& server : site.entries) {
+      finished.cooldowns.push_back({server.id, absl::Seconds(1)});
+    }
+    host.link->OnEvent(site.service.id, finished);
+  }
+  site.Advance(absl::Milliseconds(20));
+  BOOST_TEST(site.largest_datagram > 0u);
+  BOOST_TEST(site.largest_datagram < kMaxBytes);
+}
+
 // Guards against hosts that dispatch without knowing that a server leaves.
 BOOST_AUTO_TEST_CASE(AllHostsThatMayDispatchLearnOfALeavingServer) {
   GroupSite site(4, 2, 2);
--- a/src/gateway/group_site_test.h
+++ b/src/gateway/group_site_test.h
@@ -4,6 +4,7 @@
 #ifndef GENTIANLB_GATEWAY_GROUP_SITE_TEST_H_
 #define GENTIANLB_GATEWAY_GROUP_SITE_TEST_H_
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
@@ -84,6 +85,7 @@
     };
     hooks.send = [this, name](const EntryHostId& to, std::string_view bytes) {
       ++sent;
+      largest_datagram = std::max(largest_datagram, bytes.size());
       if (hosts.at(name).frozen || IsLost(name, to.str())) return;
       wire_.push_back({now + absl::Milliseconds(1 + random() % max_delay_ms),
                        to.str(), std::string(bytes)});
@@ -199,7 +201,8 @@
   };
   std::string workspace = "w";  // Of the requests that follow.
   int submitted = 0;
-  int sent = 0;  // Number of datagrams.
+  int sent = 0;                      // Number of datagrams.
+  std::size_t largest_datagram = 0;  // Bytes.
 
  private:
   struct Datagram {
