--- a/src/gateway/group_link_test.cc
+++ b/src/gateway/group_link_test.cc
@@ -81,8 +81,8 @@
   GroupSite site(2, kServers, 8);
   const std::string dispatcher = site.Dispatcher();
   const std::string origin = dispatcher == "h0" ? "h1" : "h0";
-  std::vector<RequestId> ids;
-  for (int i = 0; i < kServers; ++i) ids.push_back(site.Submit(origin));
+  std::vector<RequestId> ids(kServers);
+  for (RequestId& id : ids) id = site.Submit(origin);
   site.Advance(absl::Milliseconds(20));
   site.largest_datagram = 0;
   Host& host = site.hosts.at(origin);
