--- a/tests/process/cooldown_test.cc
+++ b/tests/process/cooldown_test.cc
@@ -14,14 +14,14 @@
 // Of streams, which take longer.
 constexpr absl::Duration kEveryStream = absl::Milliseconds(15);
 
-const Faults kRefuseAll = {.sheds = true, .retry_after = "1.5"};
-const Faults kRefuseHalf = {
+const Faults refuse_all = {.sheds = true, .retry_after = "1.5"};
+const Faults refuse_half = {
     .sheds = true, .sheds_one_in = 2, .retry_after = "1.5"};
 
 // Guards against requests to a server that has asked this host for a cooldown.
 BOOST_AUTO_TEST_CASE(AHostSendsNothingToServersInTheirCooldown) {
   CooldownSite site(kCallConfiguration, "plain");
-  site.SetFaults(0, CooldownSite::kServers, kRefuseHalf);
+  site.SetFaults(0, CooldownSite::kServers, refuse_half);
   site.Send(absl::Seconds(6), kEvery);
   site.WaitForAnswers();
   site.Report();
@@ -33,7 +33,7 @@
 // The same for streams.
 BOOST_AUTO_TEST_CASE(AHostSendsNoStreamsToServersInTheirCooldown) {
   CooldownSite site(kStreamAndCallConfiguration, "llm");
-  site.SetFaults(0, CooldownSite::kServers, kRefuseHalf);
+  site.SetFaults(0, CooldownSite::kServers, refuse_half);
   site.Send(absl::Seconds(6), kEveryStream);
   site.WaitForAnswers();
   site.Report();
@@ -45,7 +45,7 @@
 // Guards against a cooldown that ends with the dispatcher that knew of it.
 BOOST_AUTO_TEST_CASE(ACooldownOutlivesTheDispatcher) {
   CooldownSite site(kCallConfiguration, "plain");
-  site.SetFaults(0, CooldownSite::kServers, kRefuseHalf);
+  site.SetFaults(0, CooldownSite::kServers, refuse_half);
   for (std::size_t host = 0; host < CooldownSite::kHosts; ++host) {
     site.Send(absl::Seconds(1.5), kEvery);
     site.Restart(host);
@@ -60,14 +60,14 @@
 // by hosts that they refused nothing.
 BOOST_AUTO_TEST_CASE(AfterTheirCooldownServersGetTheirShareAgain) {
   // Streams that run for a while, since idle servers are all alike.
-  const Faults kSlow = {.event_gap = absl::Milliseconds(40)};
+  const Faults slow = {.event_gap = absl::Milliseconds(40)};
   CooldownSite site(kStreamAndCallConfiguration, "llm");
-  site.SetFaults(0, CooldownSite::kServers, kSlow);
+  site.SetFaults(0, CooldownSite::kServers, slow);
   site.Send(absl::Seconds(2), kEveryStream);  // Until all have answered once.
   site.ReportArrivals(absl::InfinitePast());
-  site.SetFaults(0, 2, kRefuseAll);
+  site.SetFaults(0, 2, refuse_all);
   site.Send(absl::Seconds(5), kEveryStream);
-  site.SetFaults(0, 2, kSlow);
+  site.SetFaults(0, 2, slow);
   // Until the last cooldown has ended, and a second longer.
   site.Send(absl::Seconds(2.5), kEveryStream);
   const absl::Time from = absl::Now();
