A retry is returned to the budget only when its request is refused

The budget got a retry back although the retry was made: a refusal for cooldowns returned it before the request moved to the servers of another version, where it was sent. Found by reading; only deployments with roll-outs and cooldowns are concerned, and no test or play has shown it. The refund now stands with the refusal itself. gateway_forwarder_cooldown_test passes as before.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -377,7 +377,6 @@
   if (refusal.code == Code::kNoServer && !exchange->stream_version.empty()) {
     return RefuseStream(*exchange);
   }
-  if (refusal.code == Code::kServersCoolingDown) RefundRetry(*exchange);
   // A few new servers may be full while the old ones have room.
   const bool any_version = exchange->stream_version.empty();
   if (any_version && rollouts_ != nullptr &&
@@ -386,6 +385,7 @@
         exchange->service->id, exchange->pool, exchange->request->id);
     if (other != exchange->pool) return MoveToOldServers(*exchange);
   }
+  if (refusal.code == Code::kServersCoolingDown) RefundRetry(*exchange);
   Refuse(*exchange, {refusal.code, "by the dispatcher"}, refusal.retry_after);
 }
 
