--- a/src/schedule/intake.cc
+++ b/src/schedule/intake.cc
@@ -238,10 +238,8 @@
   if (state.lost_paths.CountOf(host) == 0) return false;
   const std::vector<ServerIndex>& servers = state.servers.pool(pool).servers;
   return std::all_of(servers.begin(), servers.end(), [&](ServerIndex index) {
-    const ServerHealth health = state.servers.at(index).health;
-    const bool usable =
-        health == ServerHealth::kAlive || health == ServerHealth::kSuspect;
-    return !usable || state.lost_paths.IsLost(host, index, state.now);
+    return !state.servers.at(index).usable() ||
+           state.lost_paths.IsLost(host, index, state.now);
   });
 }
 
--- a/src/schedule/server.h
+++ b/src/schedule/server.h
@@ -105,6 +105,13 @@
   // Returns when some host last received a part of a response.
   absl::Time last_reached() const { return last_reached_; }
 
+  // Returns whether the server may take work, now or after a suspicion is
+  // cleared.
+  bool usable() const {
+    return configured &&
+           (health == ServerHealth::kAlive || health == ServerHealth::kSuspect);
+  }
+
   int running() const { return running_; }
   // Returns the number of streams of peer dispatchers, 0 if not known.
   int PeerStreams(absl::Time now) const;
--- a/src/schedule/server_set.cc
+++ b/src/schedule/server_set.cc
@@ -35,12 +35,6 @@
   return ModelId(absl::StrCat(model.str(), "@", version));
 }
 
-// Returns whether `server` may take work, now or after a suspicion is cleared.
-bool Usable(const Server& server) {
-  return server.configured && (server.health == ServerHealth::kAlive ||
-                               server.health == ServerHealth::kSuspect);
-}
-
 }  // namespace
 
 std::vector<ServerIndex> ServerSet::Configure(
@@ -140,7 +134,7 @@
     pool.capacity = 0;
     for (const ServerIndex index : pool.servers) {
       const Server& server = servers_[index];
-      if (!Usable(server)) continue;
+      if (!server.usable()) continue;
       ++pool.usable;
       pool.best_prefill_speed = std::max(pool.best_prefill_speed,
                                          server.spec.prefill_tokens_per_second);
@@ -252,7 +246,7 @@
   double capacity = 0;
   for (const ServerIndex index : pools_[pool].servers) {
     const Server& server = servers_[index];
-    if (!Usable(server)) continue;
+    if (!server.usable()) continue;
     capacity += std::min(ServerCapacity(server.spec),
                          server.limit.rate() * std::max(1.0, mean_work));
   }
@@ -265,7 +259,7 @@
   absl::Time next = absl::InfiniteFuture();
   for (const ServerIndex index : pools_[pool].servers) {
     const Server& server = servers_[index];
-    if (!Usable(server)) continue;
+    if (!server.usable()) continue;
     next = std::min(next, server.limit.NextGrant(now));
   }
   return next - now;
@@ -275,7 +269,7 @@
   if (limited_ == 0) return false;
   const std::vector<ServerIndex>& servers = pools_[pool].servers;
   return std::all_of(servers.begin(), servers.end(), [this](ServerIndex i) {
-    return !Usable(servers_[i]) || servers_[i].limit.limited();
+    return !servers_[i].usable() || servers_[i].limit.limited();
   });
 }
 
--- a/src/schedule/state.cc
+++ b/src/schedule/state.cc
@@ -218,9 +218,7 @@
   if (state.cooldowns.CountOf(host) == 0) return std::nullopt;
   std::optional<absl::Time> first;
   for (const ServerIndex index : state.servers.pool(pool).servers) {
-    const ServerHealth health = state.servers.at(index).health;
-    const bool usable =
-        health == ServerHealth::kAlive || health == ServerHealth::kSuspect;
+    const bool usable = state.servers.at(index).usable();
     if (!usable || state.lost_paths.IsLost(host, index, state.now)) continue;
     const absl::Time end =
         state.cooldowns.ExcludedUntil(host, index, state.now);
