The directory says which servers have left; cooldowns look up restarts there

IsLeaving() meant two things: that a server has said so (directory) and that it gets nothing more (forwarder). The directory answers both now, as IsMarkedLeaving() and HasLeft(). Each change of servers copied all entries to find restarts, also without a cooldown; the few cooldowns are looked up instead. No decision changes: gateway_directory_test, gateway_server_cooldowns_test and gateway_forwarder_cooldown_test pass.

--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -88,10 +88,16 @@
   return ApplyLeaves(now);
 }
 
-bool Directory::IsLeaving(const ServerId& server) const {
+bool Directory::IsMarkedLeaving(const ServerId& server) const {
   return leaves_.contains(server);
 }
 
+bool Directory::HasLeft(const ServerId& server) const {
+  if (!IsMarkedLeaving(server)) return false;
+  const ServerEntry* const registered = Find(server);
+  return registered == nullptr || registered->draining;
+}
+
 std::vector<LeavingServer> Directory::LeavingServers(absl::Time now) const {
   std::vector<LeavingServer> leaving;
   for (const auto& [server, leave] : leaves_) {
@@ -121,7 +127,7 @@
   absl::flat_hash_set<ServiceId> services;
   for (const auto& [key, registration] : entries_) {
     const ServerEntry& server = registration.stated;
-    const bool leaves = server.draining || IsLeaving(server.id);
+    const bool leaves = server.draining || IsMarkedLeaving(server.id);
     if (!leaves) services.insert(server.service);
   }
   return services;
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -11,7 +11,7 @@
 // registration does, or though that never does. It counts as draining from then
 // on, for this start of it. Where all servers of a service leave so, those that
 // are registered as usable serve on until the drain time has passed; otherwise
-// callers would be refused whom they could still serve.
+// callers would be refused although servers can still serve them.
 
 #ifndef GENTIANLB_GATEWAY_DIRECTORY_H_
 #define GENTIANLB_GATEWAY_DIRECTORY_H_
@@ -57,7 +57,9 @@
   // since. Returns true if the registrations have changed.
   bool MarkLeaving(const LeavingServer& server, absl::Time now);
   // Returns whether the server has said so, whatever its registration says.
-  bool IsLeaving(const ServerId& server) const;
+  bool IsMarkedLeaving(const ServerId& server) const;
+  // Returns whether it has, and gets no new requests any more.
+  bool HasLeft(const ServerId& server) const;
   // Returns the registered servers that have said so.
   std::vector<LeavingServer> LeavingServers(absl::Time now) const;
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -76,7 +76,7 @@
 }
 
 void Forwarder::OnServersChanged() {
-  cooldowns_.SetServers(directory_->AllServers());
+  cooldowns_.ForgetRestarted(*directory_);
   if (index_ == nullptr) return;
   for (const Service& service : index_->configuration().services) {
     for (const ServerPool& pool : PoolsOf(service.id)) SetPool(service, pool);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -184,8 +184,6 @@
   // Returns whether this host must not send to a server that was granted, since
   // the server has asked for a cooldown or said that it leaves.
   bool IsWithheld(const ServerId& server) const;
-  // Returns whether the server has said so and must get no requests any more.
-  bool IsLeaving(const ServerId& server) const;
   // Has the dispatcher choose another server.
   void Withhold(Exchange& exchange, const ServerId& server);
   // Sends the request on the best path. Returns false if there is none.
--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -31,20 +31,14 @@
   return exchange.Fits(*entry) ? entry : nullptr;
 }
 
-bool Forwarder::IsLeaving(const ServerId& server) const {
-  if (!directory_->IsLeaving(server)) return false;
-  const ServerEntry* const registered = directory_->Find(server);
-  return registered == nullptr || registered->draining;
-}
-
 bool Forwarder::IsWithheld(const ServerId& server) const {
   return cooldowns_.Left(server, clock_()) > absl::ZeroDuration() ||
-         IsLeaving(server);
+         directory_->HasLeft(server);
 }
 
 void Forwarder::Withhold(Exchange& exchange, const ServerId& server) {
   const absl::Time now = clock_();
-  const bool leaving = IsLeaving(server);
+  const bool leaving = directory_->HasLeft(server);
   LOG(INFO) << "event=send-withheld request=" << exchange.request->id
             << " server=" << server
             << " cause=" << (leaving ? "leaving" : "cooldown")
--- a/src/gateway/server_cooldowns.cc
+++ b/src/gateway/server_cooldowns.cc
@@ -19,13 +19,11 @@
   return changed;
 }
 
-void ServerCooldowns::SetServers(const std::vector<ServerEntry>& servers) {
-  if (cooldowns_.empty()) return;
-  for (const ServerEntry& server : servers) {
-    const auto found = cooldowns_.find(server.id);
-    if (found == cooldowns_.end()) continue;
-    if (IsRestart(found->second.server, server)) cooldowns_.erase(found);
-  }
+void ServerCooldowns::ForgetRestarted(const Directory& directory) {
+  absl::erase_if(cooldowns_, [&directory](const auto& item) {
+    const ServerEntry* const registered = directory.Find(item.first);
+    return registered != nullptr && IsRestart(item.second.server, *registered);
+  });
 }
 
 absl::Duration ServerCooldowns::Left(const ServerId& server,
--- a/src/gateway/server_cooldowns.h
+++ b/src/gateway/server_cooldowns.h
@@ -13,6 +13,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "gateway/directory.h"
 #include "gateway/messages.h"
 
 namespace gentianlb::gateway {
@@ -26,7 +27,7 @@
   // Forgets the cooldowns of servers that have restarted since. Those of
   // servers that are not registered stay until their end: a registration may
   // lapse and come back while the server runs on.
-  void SetServers(const std::vector<ServerEntry>& servers);
+  void ForgetRestarted(const Directory& directory);
 
   // Returns the time left of the server's cooldown; zero if there is none.
   absl::Duration Left(const ServerId& server, absl::Time now) const;
--- a/src/gateway/server_cooldowns_test.cc
+++ b/src/gateway/server_cooldowns_test.cc
@@ -41,9 +41,12 @@
 BOOST_AUTO_TEST_CASE(ARestartEndsACooldown) {
   ServerCooldowns cooldowns;
   cooldowns.OnAsked(MakeServer("a", 1), absl::Seconds(3), start);
-  cooldowns.SetServers({MakeServer("a", 1)});
+  Directory directory;
+  directory.Update("a", MakeServer("a", 1), start);
+  cooldowns.ForgetRestarted(directory);
   BOOST_TEST((cooldowns.Left(ServerId("a"), start) == absl::Seconds(3)));
-  cooldowns.SetServers({MakeServer("a", 2)});
+  directory.Update("a", MakeServer("a", 2), start);
+  cooldowns.ForgetRestarted(directory);
   BOOST_TEST((cooldowns.Left(ServerId("a"), start) == absl::ZeroDuration()));
 }
 
@@ -51,8 +54,10 @@
 BOOST_AUTO_TEST_CASE(ALapsedRegistrationEndsNoCooldown) {
   ServerCooldowns cooldowns;
   cooldowns.OnAsked(MakeServer("a"), absl::Seconds(3), start);
-  cooldowns.SetServers({});
-  cooldowns.SetServers({MakeServer("a")});
+  Directory directory;
+  cooldowns.ForgetRestarted(directory);
+  directory.Update("a", MakeServer("a"), start);
+  cooldowns.ForgetRestarted(directory);
   BOOST_TEST((cooldowns.Left(ServerId("a"), start) == absl::Seconds(3)));
 }
 
