Review: servers of the cases keep to the clock

Cause: events that are written after pauses drift on a slow machine, and with them the moment at which the streams of review/4 and review/5 end.

--- a/review/4/case.cc
+++ b/review/4/case.cc
@@ -63,9 +63,10 @@
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " +
         id + "\r\nServer-Stamp: stamp." + id +
         "\r\nServer-Load: 1,0,18\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::int64_t begun_ms = NowMs();
     for (int i = last + 1; i <= kEvents; ++i) {
       if (socket.IsClosedByPeer() || !socket.Send(Chunk(Event(i)))) return;
-      SleepMs(kEventIntervalMs);
+      SleepUntilMs(begun_ms + (i - last) * kEventIntervalMs);
     }
     if (!socket.Send("0\r\n\r\n")) return;
   }
--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -80,17 +80,17 @@
   Request request;
   while (ReadRequest(socket, &request)) {
     const std::string id = request.Header("Request-Id");
-    std::string size;
     socket.Send(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: " +
         id + "\r\nServer-Stamp: stamp." + id +
         "\r\nServer-Load: 1,0,18\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::int64_t begun_ms = NowMs();
     for (int i = 1; i <= kEvents; ++i) {
       const std::string event = "id: " + std::to_string(i) + "\ndata: w\n\n";
       char length[16];
       snprintf(length, sizeof length, "%zx\r\n", event.size());
       if (!socket.Send(length + event + "\r\n")) return;
-      SleepMs(kEventIntervalMs);
+      SleepUntilMs(begun_ms + i * kEventIntervalMs);
     }
     if (!socket.Send("0\r\n\r\n")) return;
   }
--- a/review/common/harness.cc
+++ b/review/common/harness.cc
@@ -190,6 +190,10 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
 }
 
+void SleepUntilMs(std::int64_t time_ms) {
+  SleepMs(std::max<std::int64_t>(0, time_ms - NowMs()));
+}
+
 bool Trouble() {
   const char* value = std::getenv("TROUBLE");
   return value == nullptr || std::string(value) != "0";
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -30,6 +30,7 @@
 // Milliseconds since the start of the case.
 std::int64_t NowMs();
 void SleepMs(std::int64_t milliseconds);
+void SleepUntilMs(std::int64_t time_ms);
 // Returns false if TROUBLE=0: the same without the disruption.
 bool Trouble();
 // Ends the case as one that couldn't run.
