--- a/review/build.sh
+++ b/review/build.sh
@@ -8,6 +8,6 @@
 read -r -a json <<<"$(pkg-config --cflags --libs jsoncpp)"
 for source in review/[1-5]/case.cc; do
   number=$(basename "$(dirname "$source")")
-  g++ "${flags[@]}" -I review/common "$source" review/common/harness.cc \
+  g++ "${flags[@]}" -I review/common "$source" review/common/*.cc \
     -o "target/review/case-$number" "${json[@]}"
 done
