Log what a server's answer was told by, and how it ended

The lines answered, shed, foreign-answer and sending-failed say so now, and three counters follow them (gentianlb_answers_foreign_total, gentianlb_refusals_unnamed_total, gentianlb_answers_by_framing_total). No decision changes.

--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -138,8 +138,10 @@
                << " server=" << attempt.server->id << " status=" << head.status
                << " signed=" << head.signed_
                << " names_other_request=" << head.names_other_request
+               << " kept_connection=" << head.kept_connection
                << " waits_for_end=" << may_end;
   attempt.foreign_answer = true;
+  metrics_->CountForeignAnswer(head.names_other_request);
   if (!may_end) return http::ReadAction::kStop;
   attempt.unidentified.emplace(/*last_event=*/0);
   attempt.head.ends_with_connection = head.ends_with_connection;
@@ -406,8 +408,13 @@
   LOG(INFO) << "event=shed request=" << exchange.request->id
             << " server=" << server
             << " status=" << exchange.attempt.head.status
-            << " wrong_server=" << wrong;
+            << " wrong_server=" << wrong
+            << " names_request=" << exchange.attempt.head.names_request
+            << " kept_connection=" << exchange.attempt.head.kept_connection;
   ++exchange.shed_attempts;
+  if (!exchange.attempt.head.names_request) {
+    metrics_->CountUnnamedRefusal(exchange.attempt.head.kept_connection);
+  }
   const ExchangeId id = exchange.id;
   FinishAttempt(exchange, RequestOutcome::kShed);
   if (wrong && on_wrong_server_) on_wrong_server_(server);
@@ -427,6 +434,9 @@
                << " partial_bytes=" << exchange.splitter.partial().size()
                << " ends_with_connection="
                << exchange.attempt.head.ends_with_connection
+               << " head_whole=" << exchange.attempt.head.whole
+               << " body_bytes=" << exchange.body.size()
+               << " peer=" << exchange.attempt.path.peer_name()
                << " begun=" << exchange.attempt.has_begun
                << " head=" << exchange.attempt.has_head;
   exchange.may_have_run = true;
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -24,6 +24,16 @@
   return info.http_status == 504 ? 504 : 502;
 }
 
+// Returns what marks the end of a response's body.
+std::string_view FramingOf(const ResponseHead& head) {
+  if (head.ends_with_connection) return "connection";
+  return head.content_length.empty() ? "chunks" : "length";
+}
+
+std::string_view OrDash(const std::string& text) {
+  return text.empty() ? "-" : std::string_view(text);
+}
+
 // Returns the inputs that decided a refusal by a limit, as fields of its line.
 std::string LimitInputs(const LimitRefusal& refusal,
                         const PeerKnowledge& peers) {
@@ -66,6 +76,8 @@
   const absl::Time now = clock_();
   const ResponseHead& head = exchange.attempt.head;
   const bool stream = exchange.is_stream() && IsSuccess(head.status);
+  const std::size_t body_bytes = exchange.body.size();
+  metrics_->CountFraming(FramingOf(head));
   if (exchange.responding) {
     exchange.responder->Write(exchange.splitter.partial());
     exchange.responder->Finish();
@@ -95,7 +107,11 @@
             << " total_ms=" << Milliseconds(now - exchange.arrival)
             << " events=" << exchange.splitter.event_count()
             << " partial_bytes=" << exchange.splitter.partial().size()
-            << " ends_with_connection=" << head.ends_with_connection
+            << " body_bytes=" << body_bytes << " framing=" << FramingOf(head)
+            << " stated_bytes=" << OrDash(head.content_length)
+            << " head_whole=" << head.whole
+            << " kept_connection=" << head.kept_connection
+            << " peer=" << exchange.attempt.path.peer_name()
             << " longest_pause_ms=" << Milliseconds(longest_pause)
             << " max_pause_ms=" << MillisecondsOrDash(max_pause)
             << " in_time=" << in_time;
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -142,12 +142,17 @@
   bool matches_request = true;        // False: it must not be forwarded.
   // It states the id of another request: a late response to that one.
   bool names_other_request = false;
+  bool names_request = false;  // It states the id of its request.
+  // Other responses have come on its connection before.
+  bool kept_connection = false;
+  bool whole = true;     // False: the connection ended inside the head.
   bool signed_ = false;  // Made by a server of the platform.
   bool not_run = false;  // The server has not run the request and never will.
   bool wrong_server = false;  // The address belongs to another server now.
   bool closing = false;       // The server is about to leave.
   // The body has neither a length nor chunks and ends with the connection.
   bool ends_with_connection = false;
+  std::string content_length;  // As stated; empty: none is.
   std::optional<ServerLoad> load;
   // Requests a second that the server takes from all hosts together;
   // schedule::kNoRequestLimit if it names no limit. Nullopt: not known.
--- a/src/gateway/tunnel_test.cc
+++ b/src/gateway/tunnel_test.cc
@@ -39,8 +39,8 @@
     request.body = request_body;
     request.send_policy = http::SendPolicy::kNoResend;
     http::TransferSink sink;
-    sink.on_head = [this](int got, std::vector<http::Header>) {
-      status = got;
+    sink.on_head = [this](const http::ReceivedHead& head) {
+      status = head.status;
       return http::ReadAction::kContinue;
     };
     sink.on_data = [this](std::string_view data) { body += data; };
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -126,9 +126,9 @@
 TransferSink CollectReply(std::function<void(Reply)> done) {
   auto reply = std::make_shared<Reply>();
   TransferSink sink;
-  sink.on_head = [reply](int status, std::vector<Header> headers) {
-    reply->status = status;
-    reply->headers = std::move(headers);
+  sink.on_head = [reply](ReceivedHead head) {
+    reply->status = head.status;
+    reply->headers = std::move(head.headers);
     return ReadAction::kContinue;
   };
   sink.on_data = [reply](std::string_view bytes) { reply->body += bytes; };
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -68,10 +68,20 @@
   std::string ca_file;  // For https: verifies the server's certificate.
 };
 
+// The head of a response.
+struct ReceivedHead {
+  int status = 0;
+  std::vector<Header> headers;
+  // The connection has carried other responses before.
+  bool kept_connection = false;
+  // False: the connection ended before the empty line after the head.
+  bool whole = true;
+};
+
 // Callbacks for a response, called in this order from the client's thread. They
 // must not block.
 struct TransferSink {
-  std::function<ReadAction(int status, std::vector<Header> headers)> on_head;
+  std::function<ReadAction(ReceivedHead head)> on_head;
   std::function<void(std::string_view bytes)> on_data;
   std::function<void(TransferEnd end, std::string detail)> on_end;
   // The first line of the head arrived. Comes before the others.
--- a/src/http/loop_client_test.cc
+++ b/src/http/loop_client_test.cc
@@ -19,8 +19,7 @@
   void Send(std::function<bool()> may_send = nullptr) {
     client.Start(
         {.url = server.url(), .may_send = std::move(may_send)},
-        {.on_head = [](int,
-                       std::vector<Header>) { return ReadAction::kContinue; },
+        {.on_head = [](const ReceivedHead&) { return ReadAction::kContinue; },
          .on_data = [this](std::string_view data) { body += data; },
          .on_end = [this](TransferEnd got, const std::string&) { end = got; },
          .on_first_byte = [this] { ++begun; }});
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -143,7 +143,11 @@
   if (!std::exchange(has_begun_, true) && sink_.on_first_byte) {
     sink_.on_first_byte();
   }
-  if (line.starts_with("HTTP/")) headers_.clear();
+  if (line.starts_with("HTTP/")) {
+    headers_.clear();
+    head_whole_ = false;
+  }
+  if (line == "\r\n" || line == "\n") head_whole_ = true;
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return;
   std::string_view value = line.substr(colon + 1);
@@ -184,8 +188,9 @@
   return is_resend && !allowed ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
-int Transfer::OnSocket(void* /*closure*/, curl_socket_t socket,
+int Transfer::OnSocket(void* closure, curl_socket_t socket,
                        curlsocktype /*purpose*/) {
+  static_cast<Transfer*>(closure)->made_connection_ = true;
   loop::SetLivenessOptions(socket);
   return CURL_SOCKOPT_OK;
 }
@@ -197,7 +202,8 @@
   curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
   if (!sink_.on_head) return;
   stopped_by_sink_ =
-      sink_.on_head(static_cast<int>(status), headers_) == ReadAction::kStop;
+      sink_.on_head({static_cast<int>(status), headers_, !made_connection_,
+                     head_whole_}) == ReadAction::kStop;
 }
 
 TransferEnd Transfer::Finish(CURLcode code) {
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -66,7 +66,9 @@
   CURL* handle_ = nullptr;
   curl_slist* header_list_ = nullptr;
   std::vector<Header> headers_;
-  bool has_begun_ = false;  // A line of the response's head has arrived.
+  bool has_begun_ = false;   // A line of the response's head has arrived.
+  bool head_whole_ = false;  // Its empty line has arrived.
+  bool made_connection_ = false;
   bool head_delivered_ = false;
   bool stopped_by_sink_ = false;
   bool withdrawn_ = false;
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -44,6 +44,15 @@
                             "Responses that ask this host for a cooldown")),
       withheld_(AddCounter("gentianlb_requests_withheld_total",
                            "Granted requests that this host didn't send")),
+      foreign_answers_(
+          AddCounter("gentianlb_answers_foreign_total",
+                     "Responses of servers that weren't for the request sent")),
+      unnamed_refusals_(
+          AddCounter("gentianlb_refusals_unnamed_total",
+                     "Refusals of servers that name no request, by whether "
+                     "their connection was used before")),
+      framings_(AddCounter("gentianlb_answers_by_framing_total",
+                           "Whole answers, by what marks the body's end")),
       cancelled_(AddCounter("gentianlb_requests_cancelled_total",
                             "Running requests that were stopped")),
       first_token_(prometheus::BuildHistogram()
@@ -92,6 +101,20 @@
 
 void Metrics::CountWithheld() { withheld_.Add({}).Increment(); }
 
+void Metrics::CountForeignAnswer(bool names_other_request) {
+  foreign_answers_.Add({{"names_other", names_other_request ? "yes" : "no"}})
+      .Increment();
+}
+
+void Metrics::CountUnnamedRefusal(bool kept_connection) {
+  unnamed_refusals_.Add({{"kept_connection", kept_connection ? "yes" : "no"}})
+      .Increment();
+}
+
+void Metrics::CountFraming(std::string_view framing) {
+  framings_.Add({{"framing", std::string(framing)}}).Increment();
+}
+
 void Metrics::CountCancelled(Code code) {
   cancelled_.Add({{"code", CodeLabel(code)}}).Increment();
 }
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -11,6 +11,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "absl/time/time.h"
 #include "base/ids.h"
@@ -39,6 +40,12 @@
   void CountCooldown();
   // Counts a granted request that this host doesn't send to its server.
   void CountWithheld();
+  // Counts a response that isn't for the request that was sent.
+  void CountForeignAnswer(bool names_other_request);
+  // Counts a server's refusal that names no request.
+  void CountUnnamedRefusal(bool kept_connection);
+  // Counts a relayed response by what marks the end of its body.
+  void CountFraming(std::string_view framing);
   void CountCancelled(Code code);
   void ObserveFirstToken(Tier tier, absl::Duration since_arrival);
 
@@ -64,6 +71,9 @@
   prometheus::Family<prometheus::Counter>& sent_;
   prometheus::Family<prometheus::Counter>& cooldowns_;
   prometheus::Family<prometheus::Counter>& withheld_;
+  prometheus::Family<prometheus::Counter>& foreign_answers_;
+  prometheus::Family<prometheus::Counter>& unnamed_refusals_;
+  prometheus::Family<prometheus::Counter>& framings_;
   prometheus::Family<prometheus::Counter>& cancelled_;
   prometheus::Family<prometheus::Histogram>& first_token_;
 };
--- a/tests/process/callers.cc
+++ b/tests/process/callers.cc
@@ -73,11 +73,10 @@
 Call::Call(http::Client& client, http::ClientRequest request)
     : client_(client), state_(std::make_shared<State>()) {
   http::TransferSink sink;
-  sink.on_head = [state = state_](int status,
-                                  std::vector<http::Header> headers) {
+  sink.on_head = [state = state_](http::ReceivedHead head) {
     absl::MutexLock lock(&state->mutex);
-    state->answer.status = status;
-    state->answer.headers = std::move(headers);
+    state->answer.status = head.status;
+    state->answer.headers = std::move(head.headers);
     return http::ReadAction::kContinue;
   };
   sink.on_data = [state = state_](std::string_view bytes) {
