A head that was cut ends its transfer as broken

The head is now delivered where its empty line arrives, in libcurl's header callback, and only for a final status. A transfer that ends without that is broken, as is a body without a head (status 101). A sink that takes no body ends the transfer by a short return of the header callback, upon which libcurl closes the connection. ReceivedHead::whole can no longer be false and goes, and with it the log field head_whole. The detail of such an end names the cause.

--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -434,7 +434,6 @@
                << " partial_bytes=" << exchange.splitter.partial().size()
                << " ends_with_connection="
                << exchange.attempt.head.ends_with_connection
-               << " head_whole=" << exchange.attempt.head.whole
                << " body_bytes=" << exchange.body.size()
                << " peer=" << exchange.attempt.path.peer_name()
                << " begun=" << exchange.attempt.has_begun
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -109,7 +109,6 @@
             << " partial_bytes=" << exchange.splitter.partial().size()
             << " body_bytes=" << body_bytes << " framing=" << FramingOf(head)
             << " stated_bytes=" << OrDash(head.content_length)
-            << " head_whole=" << head.whole
             << " kept_connection=" << head.kept_connection
             << " peer=" << exchange.attempt.path.peer_name()
             << " longest_pause_ms=" << Milliseconds(longest_pause)
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -145,7 +145,6 @@
   bool names_request = false;  // It states the id of its request.
   // Other responses have come on its connection before.
   bool kept_connection = false;
-  bool whole = true;     // False: the connection ended inside the head.
   bool signed_ = false;  // Made by a server of the platform.
   bool not_run = false;  // The server has not run the request and never will.
   bool wrong_server = false;  // The address belongs to another server now.
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -82,7 +82,7 @@
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
       const CURLcode code = message->data.result;
       const TransferEnd end = transfer->Finish(code);
-      EndTransfer(transfer->id, end, curl_easy_strerror(code));
+      EndTransfer(transfer->id, end, transfer->DetailOf(code));
     }
   }
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -37,8 +37,8 @@
   kFreshConnection,  // On a new connection that is closed afterwards.
 };
 
-// Whether to read the body of a response after its head, or to end the
-// transfer.
+// Whether to read the body of a response after its head, or to end the transfer
+// as kBroken and close its connection.
 enum class ReadAction { kContinue, kStop };
 
 struct ClientRequest {
@@ -74,8 +74,6 @@
   std::vector<Header> headers;
   // The connection has carried other responses before.
   bool kept_connection = false;
-  // False: the connection ended before the empty line after the head.
-  bool whole = true;
 };
 
 // Callbacks for a response, called in this order from the client's thread. They
--- a/src/http/loop_client.cc
+++ b/src/http/loop_client.cc
@@ -174,10 +174,11 @@
   connections_made_ += static_cast<std::uint64_t>(new_connections);
   const TransferEnd end = transfer->Finish(code);
   curl_multi_remove_handle(multi_, transfer->handle());
+  std::string detail = transfer->DetailOf(code);
   std::function<void(TransferEnd, std::string)> on_end =
       std::move(transfer->sink().on_end);
   Recycle(std::move(transfer));
-  if (on_end) on_end(end, curl_easy_strerror(code));
+  if (on_end) on_end(end, std::move(detail));
 }
 
 }  // namespace gentianlb::http
--- a/src/http/loop_client_test.cc
+++ b/src/http/loop_client_test.cc
@@ -70,7 +70,7 @@
 }
 
 // Guards against a server that ends as it begins to write and that is taken for
-// one that had not begun: the head isn't delivered without a body.
+// one that had not begun.
 BOOST_FIXTURE_TEST_CASE(AHeadWithoutABodyIsABegunAnswer, Fixture) {
   Send();
   Answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- /dev/null
+++ b/src/http/response_end_test.cc
@@ -0,0 +1,130 @@
+// Tests what ends a response against a server that writes raw bytes: a response
+// is complete only where its server has marked its end.
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "http/loop_client.h"
+#include "http/raw_server_test.h"
+#include "loop/loop_runner_test.h"
+
+namespace gentianlb::http {
+namespace {
+
+struct Fixture : loop::LoopRunner {
+  void Send(const std::string& method = "GET") {
+    client.Start({.method = method,
+                  .url = server.url(),
+                  .send_policy = SendPolicy::kNoResend},
+                 {.on_head =
+                      [this](const ReceivedHead& head) {
+                        statuses.push_back(head.status);
+                        headers = head.headers;
+                        return at_head;
+                      },
+                  .on_data = [this](std::string_view data) { body += data; },
+                  .on_end =
+                      [this](TransferEnd got, const std::string& got_detail) {
+                        end = got;
+                        detail = got_detail;
+                      }});
+    RunUntil([this] { return server.HasRequest(); });
+  }
+  // The server writes `bytes` and closes its connection in good order.
+  void AnswerAndClose(const std::string& bytes) {
+    server.Write(bytes);
+    server.Close();
+    RunUntil([this] { return end.has_value(); });
+  }
+  void Answer(const std::string& bytes) {
+    server.Write(bytes);
+    RunUntil([this] { return end.has_value(); });
+  }
+
+  LoopClient client{&loop, 4};
+  RawServer server;
+  ReadAction at_head = ReadAction::kContinue;
+  std::vector<int> statuses;
+  std::vector<Header> headers;
+  std::string body;
+  std::optional<TransferEnd> end;
+  std::string detail;
+};
+
+// A server ends within its head, and its system closes the connection in good
+// order. Guards against a head that is taken for a response without a body.
+BOOST_FIXTURE_TEST_CASE(AHeadThatIsCutIsBroken, Fixture) {
+  Send();
+  AnswerAndClose("HTTP/1.1 200 OK\r\nRequest-Id: a\r\nServer-Stamp: x\r\n");
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(statuses.empty());
+}
+
+// Guards against the same where the cut is within a line.
+BOOST_FIXTURE_TEST_CASE(ALineOfTheHeadThatIsCutIsBroken, Fixture) {
+  Send();
+  AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Le");
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(statuses.empty());
+}
+
+// Guards against an interim head that is taken for the response.
+BOOST_FIXTURE_TEST_CASE(AnInterimHeadAloneIsBroken, Fixture) {
+  Send();
+  AnswerAndClose("HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(statuses.empty());
+}
+
+// Guards against headers of an interim head in the response's.
+BOOST_FIXTURE_TEST_CASE(AnInterimHeadIsNoPartOfTheResponse, Fixture) {
+  Send();
+  Answer(
+      "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(statuses == std::vector<int>{200},
+             boost::test_tools::per_element());
+  BOOST_TEST(headers.size() == 1u);
+  BOOST_TEST(body == "body");
+}
+
+BOOST_FIXTURE_TEST_CASE(AResponseWithoutABodyIsComplete, Fixture) {
+  Send();
+  Answer("HTTP/1.1 204 No Content\r\nRequest-Id: a\r\n\r\n");
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(statuses == std::vector<int>{204},
+             boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEmptyBodyThatEndsWithItsConnectionIsComplete,
+                        Fixture) {
+  Send();
+  AnswerAndClose("HTTP/1.1 200 OK\r\nRequest-Id: a\r\n\r\n");
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(statuses == std::vector<int>{200},
+             boost::test_tools::per_element());
+}
+
+BOOST_FIXTURE_TEST_CASE(AResponseToHeadIsComplete, Fixture) {
+  Send("HEAD");
+  Answer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(statuses == std::vector<int>{200},
+             boost::test_tools::per_element());
+}
+
+// Guards against a refused head whose connection is used again, though its body
+// is still to come.
+BOOST_FIXTURE_TEST_CASE(ARefusedHeadClosesItsConnection, Fixture) {
+  at_head = ReadAction::kStop;
+  Send();
+  Answer("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  RunUntil([this] { return server.IsClosedByCaller(); });
+}
+
+}  // namespace
+}  // namespace gentianlb::http
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -14,6 +14,13 @@
 constexpr long kReceiveBufferBytes = 4096;    // NOLINT: libcurl's own type
 constexpr long kSendBufferBytes = 16 * 1024;  // NOLINT: libcurl's minimum
 
+// A smaller status is of a head that another one follows.
+constexpr int kMinFinalStatus = 200;
+
+// Returned by a callback, it has libcurl end the transfer and close its
+// connection.
+constexpr std::size_t kEndTransfer = 0;
+
 long Milliseconds(absl::Duration duration) {  // NOLINT: libcurl's own type
   return static_cast<long>(                   // NOLINT
       std::max<std::int64_t>(1, absl::ToInt64Milliseconds(duration)));
@@ -134,36 +141,50 @@
 
 std::size_t Transfer::OnHeader(char* data, std::size_t size, std::size_t count,
                                void* closure) {
-  static_cast<Transfer*>(closure)->ParseHeaderLine({data, size * count});
-  return size * count;
+  auto& transfer = *static_cast<Transfer*>(closure);
+  const bool goes_on = transfer.ParseHeaderLine({data, size * count});
+  return goes_on ? size * count : kEndTransfer;
 }
 
-void Transfer::ParseHeaderLine(std::string_view line) {
+bool Transfer::ParseHeaderLine(std::string_view line) {
   last_byte_time_ = absl::Now();
   if (!std::exchange(has_begun_, true) && sink_.on_first_byte) {
     sink_.on_first_byte();
   }
-  if (line.starts_with("HTTP/")) {
-    headers_.clear();
-    head_whole_ = false;
+  if (line.starts_with("HTTP/")) headers_.clear();
+  if (line == "\r\n" || line == "\n") {
+    const int status = Status();
+    return status < kMinFinalStatus || DeliverHead(status);
   }
-  if (line == "\r\n" || line == "\n") head_whole_ = true;
   const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos) return;
+  if (colon == std::string_view::npos) return true;
   std::string_view value = line.substr(colon + 1);
   while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
   while (!value.empty() && (value.back() == '\r' || value.back() == '\n')) {
     value.remove_suffix(1);
   }
   headers_.push_back({std::string(line.substr(0, colon)), std::string(value)});
+  return true;
+}
+
+int Transfer::Status() const {
+  long status = 0;  // NOLINT: libcurl's own type
+  curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+  return static_cast<int>(status);
+}
+
+bool Transfer::DeliverHead(int status) {
+  if (std::exchange(head_delivered_, true) || !sink_.on_head) return true;
+  return sink_.on_head({status, std::move(headers_), !made_connection_}) ==
+         ReadAction::kContinue;
 }
 
 std::size_t Transfer::OnData(char* data, std::size_t size, std::size_t count,
                              void* closure) {
   auto& transfer = *static_cast<Transfer*>(closure);
   transfer.last_byte_time_ = absl::Now();
-  transfer.DeliverHead();
-  if (transfer.stopped_by_sink_) return 0;  // libcurl ends the transfer.
+  // A body without a head is no response.
+  if (!transfer.head_delivered_) return kEndTransfer;
   if (transfer.sink_.on_data) {
     transfer.sink_.on_data(std::string_view(data, size * count));
   }
@@ -195,27 +216,11 @@
   return CURL_SOCKOPT_OK;
 }
 
-void Transfer::DeliverHead() {
-  if (head_delivered_) return;
-  head_delivered_ = true;
-  long status = 0;  // NOLINT: libcurl's own type
-  curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
-  if (!sink_.on_head) return;
-  stopped_by_sink_ =
-      sink_.on_head({static_cast<int>(status), headers_, !made_connection_,
-                     head_whole_}) == ReadAction::kStop;
-}
-
-TransferEnd Transfer::Finish(CURLcode code) {
-  TransferEnd end = Classify(code);
-  if (end != TransferEnd::kComplete) return end;
-  DeliverHead();
-  return stopped_by_sink_ ? TransferEnd::kBroken : end;
-}
-
-// Returns kNotSent only if certainly no byte of the request was sent.
-TransferEnd Transfer::Classify(CURLcode code) const {
-  if (code == CURLE_OK) return TransferEnd::kComplete;
+// Returns kNotSent only if certainly no byte of the request was sent. To
+// libcurl, a connection that is closed in good order within the head ends a
+// response without a body.
+TransferEnd Transfer::Finish(CURLcode code) const {
+  if (code == CURLE_OK && head_delivered_) return TransferEnd::kComplete;
   if (send_attempts_ == 0) {
     return withdrawn_ ? TransferEnd::kWithdrawn : TransferEnd::kNotSent;
   }
@@ -223,4 +228,11 @@
   return TransferEnd::kBroken;
 }
 
+std::string Transfer::DetailOf(CURLcode code) const {
+  if (code == CURLE_OK && !head_delivered_) {
+    return "the connection ended within the head";
+  }
+  return curl_easy_strerror(code);
+}
+
 }  // namespace gentianlb::http
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -28,9 +28,11 @@
   // Sets all options of the handle.
   void Prepare();
 
-  // Must be called once libcurl has finished with `code`. Delivers the head of
-  // a response without a body and returns how the transfer ended.
-  TransferEnd Finish(CURLcode code);
+  // Must be called once libcurl has finished with `code`. Returns how the
+  // transfer ended.
+  TransferEnd Finish(CURLcode code) const;
+  // Returns the reason for that end, for log lines.
+  std::string DetailOf(CURLcode code) const;
 
   // Returns the handle for reuse. The transfer must not be used afterwards.
   CURL* ReleaseHandle();
@@ -48,9 +50,10 @@
  private:
   void PrepareBody();
   void PrepareConnection();
-  void DeliverHead();
-  void ParseHeaderLine(std::string_view line);
-  TransferEnd Classify(CURLcode code) const;
+  // Return false if the transfer must end.
+  bool ParseHeaderLine(std::string_view line);
+  bool DeliverHead(int status);
+  int Status() const;
 
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
                               void* closure);
@@ -66,11 +69,9 @@
   CURL* handle_ = nullptr;
   curl_slist* header_list_ = nullptr;
   std::vector<Header> headers_;
-  bool has_begun_ = false;   // A line of the response's head has arrived.
-  bool head_whole_ = false;  // Its empty line has arrived.
+  bool has_begun_ = false;  // A line of the response's head has arrived.
   bool made_connection_ = false;
-  bool head_delivered_ = false;
-  bool stopped_by_sink_ = false;
+  bool head_delivered_ = false;  // The empty line after it has arrived.
   bool withdrawn_ = false;
   int send_attempts_ = 0;
   absl::Time last_byte_time_;
