A cancelled transfer delivers nothing more

Forwarder::BreakOffAnswer() runs inside libcurl's write callback. LoopClient::Cancel() then only deferred the removal of the transfer, so that libcurl delivered the rest of that read. The forwarder told sendings apart by the number of attempts, which changes only with the next send, so that OnBytes() appended to the buffer of the next attempt while that waited for a server. After a sending that sent nothing, the next one even had the same number.

A transfer that is cancelled now says so to libcurl itself: its callbacks return short, and its request isn't sent. No callback of its sink runs after Cancel(), and libcurl closes the connection, also where the whole response had come. The client with a thread of its own did the same to a sink that cancels from its own callback; there only the end (kCancelled) is reported now. In the forwarder each sending has a number of its own, which the attempt forgets as soon as its transfer has ended.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -24,6 +24,9 @@
 // Identifies an exchange on this host.
 using ExchangeId = std::uint64_t;
 
+// Identifies one sending of a request on this host.
+using SendId = std::uint64_t;
+
 // One attempt to have a server run the request.
 struct Attempt {
   RequestId dispatch_id;  // The dispatcher's id; empty if not dispatched.
@@ -31,6 +34,7 @@
   ServerPath path;
   int failed_paths = 0;  // Paths to the server on which nothing could be sent.
   absl::Time sent_at;
+  SendId send = 0;  // 0 unless its response is awaited.
   http::TransferId transfer = 0;  // 0 unless the transfer is in progress.
   ResponseHead head;
   bool has_begun = false;  // A byte of the response has arrived.
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -274,6 +274,7 @@
   Quotas quotas_;
   std::map<ServiceId, ServiceQueue> queues_;  // By pool.
   ExchangeId next_id_ = 1;
+  SendId next_send_ = 1;
   std::uint64_t next_dispatch_id_;
   absl::flat_hash_map<ExchangeId, std::unique_ptr<Exchange>> exchanges_;
   absl::flat_hash_map<RequestId, ExchangeId> exchange_by_dispatch_id_;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -96,6 +96,7 @@
 void Forwarder::FinishTransfer(Exchange& exchange) {
   timers_->Cancel(exchange.attempt.unidentified_timer);
   exchange.attempt.unidentified_timer = 0;
+  exchange.attempt.send = 0;
   if (exchange.attempt.transfer == 0) return;
   exchange.attempt.transfer = 0;
   const auto found = running_.find(exchange.attempt.server->id);
--- a/src/gateway/forwarder_endless_test.cc
+++ b/src/gateway/forwarder_endless_test.cc
@@ -66,6 +66,30 @@
   BOOST_TEST(forwarder->open_requests() == 0u);
 }
 
+// Guards against bytes of an answer that was broken off in that of the server
+// that is asked next.
+BOOST_FIXTURE_TEST_CASE(ABrokenOffBodyIsNoPartOfTheNextAnswer, Fixture) {
+  const auto caller = SendRequest("/read/1");
+  const auto first = calls.back();
+  // They keep the servers busy, and the last waits for the first's.
+  for (int i = 2; i <= 5; ++i) SendRequest("/pay/" + std::to_string(i));
+  BOOST_REQUIRE(calls.size() == 4u);
+  const auto second = calls.back();
+  first->SendHead(200);
+  SendWithoutEnd(*first, no_event);
+  BOOST_TEST(first->cancelled);
+  BOOST_REQUIRE(calls.size() == 5u);
+  BOOST_TEST(last().call.request->path == "/pay/5");
+  first->SendData("of the first server");
+  first->Finish(http::TransferEnd::kCancelled);
+  second->SendResponse(200, "paid");
+  BOOST_REQUIRE(calls.size() == 6u);
+  first->SendData("of the first server");
+  last().SendResponse(200, "whole");
+  BOOST_TEST(caller->body == "whole");
+  BOOST_TEST(caller->complete);
+}
+
 // Guards against events that pile up for a caller that doesn't read them.
 BOOST_FIXTURE_TEST_CASE(EventsDontPileUpForACallerThatDoesNotRead, Fixture) {
   const auto caller = SendRequest("/stream/1");
--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -125,12 +125,12 @@
   call.last_event = exchange.splitter.last_event();
   call.may_send = [this, id = server.id] { return !IsWithheld(id); };
   const ExchangeId id = exchange.id;
-  const int attempt_number = exchange.attempts;
-  // Ignores callbacks of an earlier attempt.
-  auto current = [this, id, attempt_number]() -> Exchange* {
+  const SendId send = next_send_++;
+  exchange.attempt.send = send;
+  // Ignores callbacks of a sending that has ended.
+  auto current = [this, id, send]() -> Exchange* {
     Exchange* found = Find(id);
-    return found != nullptr && found->attempts == attempt_number ? found
-                                                                 : nullptr;
+    return found != nullptr && found->attempt.send == send ? found : nullptr;
   };
   CallSink sink;
   sink.on_first_byte = [current] {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -16,6 +16,9 @@
 // Maximum sleep of the thread. New transfers and cancellations wake it at once.
 constexpr int kMaxPollMilliseconds = 1000;
 
+// The client whose sinks this thread calls.
+thread_local const void* client_of_thread = nullptr;
+
 }  // namespace
 
 struct Client::Impl {
@@ -35,6 +38,7 @@
   ~Impl() { curl_multi_cleanup(multi); }
 
   void Run() {
+    client_of_thread = this;
     while (true) {
       std::vector<Command> pending;
       {
@@ -171,7 +175,13 @@
   return id;
 }
 
-void Client::Cancel(TransferId id) { impl_->Push({id, nullptr}); }
+void Client::Cancel(TransferId id) {
+  if (client_of_thread == impl_.get()) {
+    const auto found = impl_->transfers.find(id);
+    if (found != impl_->transfers.end()) found->second->Cancel();
+  }
+  impl_->Push({id, nullptr});
+}
 
 TransferId Client::Fetch(ClientRequest request,
                          std::function<void(Reply)> done) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -113,6 +113,9 @@
 
   // Thread-safe.
   TransferId Start(ClientRequest request, TransferSink sink);
+  // Ends a transfer as kCancelled, unless it ends before, and closes its
+  // connection. Thread-safe. Called from a sink, the transfer delivers nothing
+  // more but its end.
   void Cancel(TransferId id);
 
   // Buffers the response and calls `done` from the client's thread.
--- a/src/http/loop_client.cc
+++ b/src/http/loop_client.cc
@@ -84,6 +84,7 @@
   if (found == transfers_.end()) return;
   std::shared_ptr<Transfer> transfer = std::move(found->second);
   transfers_.erase(found);
+  transfer->Cancel();
   RunOutsideCallbacks([this, transfer] {
     curl_multi_remove_handle(multi_, transfer->handle());
     Recycle(transfer);
--- a/src/http/loop_client.h
+++ b/src/http/loop_client.h
@@ -32,7 +32,8 @@
   TransferId Start(ClientRequest request, TransferSink sink);
 
   // Ends a transfer without calling its sink and closes its connection, so that
-  // the server stops. Does nothing if the transfer has ended.
+  // the server stops. Does nothing if the transfer has ended. May be called
+  // from a sink; no sink of the transfer is called after that.
   void Cancel(TransferId id);
 
   std::size_t running() const { return transfers_.size(); }
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -142,14 +142,16 @@
 std::size_t Transfer::OnHeader(char* data, std::size_t size, std::size_t count,
                                void* closure) {
   auto& transfer = *static_cast<Transfer*>(closure);
-  const bool goes_on = transfer.ParseHeaderLine({data, size * count});
-  return goes_on ? size * count : kEndTransfer;
+  const bool goes_on =
+      !transfer.cancelled_ && transfer.ParseHeaderLine({data, size * count});
+  return goes_on && !transfer.cancelled_ ? size * count : kEndTransfer;
 }
 
 bool Transfer::ParseHeaderLine(std::string_view line) {
   last_byte_time_ = absl::Now();
   if (!std::exchange(has_begun_, true) && sink_.on_first_byte) {
     sink_.on_first_byte();
+    if (cancelled_) return false;
   }
   if (line.starts_with("HTTP/")) headers_.clear();
   if (line == "\r\n" || line == "\n") {
@@ -184,11 +186,11 @@
   auto& transfer = *static_cast<Transfer*>(closure);
   transfer.last_byte_time_ = absl::Now();
   // A body without a head is no response.
-  if (!transfer.head_delivered_) return kEndTransfer;
+  if (transfer.cancelled_ || !transfer.head_delivered_) return kEndTransfer;
   if (transfer.sink_.on_data) {
     transfer.sink_.on_data(std::string_view(data, size * count));
   }
-  return size * count;
+  return transfer.cancelled_ ? kEndTransfer : size * count;
 }
 
 // Aborts an attempt that must not be sent any more, and a second attempt unless
@@ -200,6 +202,7 @@
                            char* /*local_ip*/, int /*primary_port*/,
                            int /*local_port*/) {
   auto& transfer = *static_cast<Transfer*>(closure);
+  if (transfer.cancelled_) return CURL_PREREQFUNC_ABORT;
   const auto& may_send = transfer.request_.may_send;
   transfer.withdrawn_ = may_send && !may_send();
   if (transfer.withdrawn_) return CURL_PREREQFUNC_ABORT;
@@ -220,6 +223,7 @@
 // libcurl, a connection that is closed in good order within the head ends a
 // response without a body.
 TransferEnd Transfer::Finish(CURLcode code) const {
+  if (cancelled_) return TransferEnd::kCancelled;
   if (code == CURLE_OK && head_delivered_) return TransferEnd::kComplete;
   if (send_attempts_ == 0) {
     return withdrawn_ ? TransferEnd::kWithdrawn : TransferEnd::kNotSent;
@@ -229,6 +233,7 @@
 }
 
 std::string Transfer::DetailOf(CURLcode code) const {
+  if (cancelled_) return "cancelled";
   if (code == CURLE_OK && !head_delivered_) {
     return "the connection ended within the head";
   }
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -34,6 +34,11 @@
   // Returns the reason for that end, for log lines.
   std::string DetailOf(CURLcode code) const;
 
+  // From now on only the end is reported, and only by the caller of this.
+  // libcurl sends nothing more and ends the transfer at the next byte. May be
+  // called from a callback of the sink.
+  void Cancel() { cancelled_ = true; }
+
   // Returns the handle for reuse. The transfer must not be used afterwards.
   CURL* ReleaseHandle();
 
@@ -73,6 +78,7 @@
   bool made_connection_ = false;
   bool head_delivered_ = false;  // The empty line after it has arrived.
   bool withdrawn_ = false;
+  bool cancelled_ = false;
   int send_attempts_ = 0;
   absl::Time last_byte_time_;
 };
