Bytes that wait at a kept connection are no response to the next request

A server may write more than one response to a request. libcurl 7.88 closes the connection only where it reads more than a length that it knows. Behind a chunked body, and behind a response without a body, it drops what it has read and keeps the connection; what it has not read (its buffer has 4096 bytes, and a late response comes later) waits there, and libcurl takes a readable connection for a usable one. Measured with raw servers and the settings of this client: the next request on that connection ended as broken where the rest didn't begin with a head ("Unsupported protocol"), and got the other response where it did, as complete; so did every later request on it. Bytes that were read and dropped whole cost nothing.

Before a request is sent on a kept connection, the client now looks whether bytes wait there (a peek of one byte; libcurl tells the ports and not the socket then, so the client keeps the ports of the sockets that it has made). If so, the connection is closed with a log line and the request goes on a new one; nothing of it was sent. Connections over TLS are excepted, where messages of TLS itself may wait. What arrives only after the send must be told apart by its head.

A chunk decoder of our own (CURLOPT_HTTP_TRANSFER_DECODING off passes on whole reads) would also see leftovers of a read, but not those that come later.

Evidence: http_response_end_test without the change: AWaitingResponseIsNotTheNextOne, TheRestOfMoreBytesIsNotTheNextResponse and TheRestBehindAnEmptyBodyIsNotTheNextResponse fail; with it they pass.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -32,6 +32,7 @@
   std::vector<Command> commands ABSL_GUARDED_BY(mutex);
   bool stopping ABSL_GUARDED_BY(mutex) = false;
   TransferId next_id ABSL_GUARDED_BY(mutex) = 1;
+  ConnectionSockets sockets;
   absl::flat_hash_map<TransferId, std::unique_ptr<Transfer>> transfers;
   std::thread thread;
 
@@ -85,6 +86,11 @@
       Transfer* transfer = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
       const CURLcode code = message->data.result;
+      if (transfer->PrepareNewConnection()) {
+        curl_multi_remove_handle(multi, transfer->handle());
+        curl_multi_add_handle(multi, transfer->handle());
+        continue;
+      }
       const TransferEnd end = transfer->Finish(code);
       EndTransfer(transfer->id, end, transfer->DetailOf(code));
     }
@@ -171,7 +177,7 @@
   }
   impl_->Push(
       {id, std::make_unique<Transfer>(id, std::move(request), std::move(sink),
-                                      curl_easy_init())});
+                                      curl_easy_init(), &impl_->sockets)});
   return id;
 }
 
--- a/src/http/loop_client.cc
+++ b/src/http/loop_client.cc
@@ -57,8 +57,8 @@
 
 TransferId LoopClient::Start(ClientRequest request, TransferSink sink) {
   const TransferId id = next_id_++;
-  auto transfer = std::make_shared<Transfer>(id, std::move(request),
-                                             std::move(sink), NewHandle());
+  auto transfer = std::make_shared<Transfer>(
+      id, std::move(request), std::move(sink), NewHandle(), &sockets_);
   transfer->Prepare();
   transfers_.emplace(id, std::move(transfer));
   RunOutsideCallbacks([this, id] {
@@ -167,6 +167,11 @@
 void LoopClient::EndTransfer(TransferId id, CURLcode code) {
   const auto found = transfers_.find(id);
   if (found == transfers_.end()) return;
+  if (found->second->PrepareNewConnection()) {
+    curl_multi_remove_handle(multi_, found->second->handle());
+    curl_multi_add_handle(multi_, found->second->handle());
+    return;
+  }
   std::shared_ptr<Transfer> transfer = std::move(found->second);
   transfers_.erase(found);
   long new_connections = 0;  // NOLINT: libcurl's own type
--- a/src/http/loop_client.h
+++ b/src/http/loop_client.h
@@ -58,6 +58,7 @@
   TransferId next_id_ = 1;
   TimerId timer_ = 0;
   bool in_callback_ = false;  // True while libcurl calls back.
+  ConnectionSockets sockets_;
   absl::flat_hash_map<TransferId, std::shared_ptr<Transfer>> transfers_;
   std::vector<CURL*> spare_handles_;
   std::uint64_t connections_made_ = 0;
--- a/src/http/response_end_test.cc
+++ b/src/http/response_end_test.cc
@@ -126,5 +126,78 @@
   RunUntil([this] { return server.IsClosedByCaller(); });
 }
 
+constexpr char kChunks[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5\r\nfirst\r\n0\r\n\r\n";
+constexpr char kSecond[] = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond";
+
+std::string Foreign(std::size_t length) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(length) +
+         "\r\n\r\n" + std::string(length, 'f');
+}
+
+struct KeptConnection : Fixture {
+  // The server writes more than the response, and the next request is sent once
+  // that waits at the connection.
+  void AnswerWithMore(const std::string& response, const std::string& more) {
+    Send();
+    Answer(response);
+    BOOST_TEST((*end == TransferEnd::kComplete));
+    server.Write(more);
+    SendNext();
+  }
+  void SendNext() {
+    end.reset();
+    body.clear();
+    server.request.clear();
+    RunFor(absl::Milliseconds(20));
+    client.Start(
+        {.url = server.url(), .send_policy = SendPolicy::kNoResend},
+        {.on_data = [this](std::string_view data) { body += data; },
+         .on_end = [this](TransferEnd got, const std::string&) { end = got; }});
+  }
+  // The request came on a new connection and gets its own response.
+  void CheckNewConnection() {
+    RunUntil([this] { return end.has_value() || server.IsClosedByCaller(); });
+    BOOST_REQUIRE(!end.has_value());
+    server.Close();
+    RunUntil([this] { return server.HasRequest(); });
+    Answer(kSecond);
+    BOOST_TEST((*end == TransferEnd::kComplete));
+    BOOST_TEST(body == "second");
+  }
+};
+
+// A server writes a second response to one request. Guards against one that
+// waits at a kept connection and is taken for the next request's.
+BOOST_FIXTURE_TEST_CASE(AWaitingResponseIsNotTheNextOne, KeptConnection) {
+  AnswerWithMore(kChunks, Foreign(20));
+  CheckNewConnection();
+}
+
+// A part of the bytes came with the response and was dropped. Guards against a
+// next response that begins with the rest of them.
+BOOST_FIXTURE_TEST_CASE(TheRestOfMoreBytesIsNotTheNextResponse,
+                        KeptConnection) {
+  AnswerWithMore(kChunks + Foreign(6000), "");
+  CheckNewConnection();
+}
+
+// The same behind a response without a body.
+BOOST_FIXTURE_TEST_CASE(TheRestBehindAnEmptyBodyIsNotTheNextResponse,
+                        KeptConnection) {
+  AnswerWithMore(Foreign(0) + Foreign(6000), "");
+  CheckNewConnection();
+}
+
+BOOST_FIXTURE_TEST_CASE(ACalmConnectionIsUsedAgain, KeptConnection) {
+  AnswerWithMore(kChunks, "");
+  RunUntil([this] { return server.HasRequest(); });
+  Answer(kSecond);
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(body == "second");
+  BOOST_TEST(client.connections_made() == 1u);
+}
+
 }  // namespace
 }  // namespace gentianlb::http
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -1,5 +1,7 @@
 #include "http/transfer.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -14,6 +16,9 @@
 constexpr long kReceiveBufferBytes = 4096;    // NOLINT: libcurl's own type
 constexpr long kSendBufferBytes = 16 * 1024;  // NOLINT: libcurl's minimum
 
+// Over TLS, what waits may be a message of TLS itself.
+constexpr std::string_view kPlainScheme = "http://";
+
 // A smaller status is of a head that another one follows.
 constexpr int kMinFinalStatus = 200;
 
@@ -38,11 +43,12 @@
 void InitializeCurl(CurlUse use) { static const CurlGlobal global(use); }
 
 Transfer::Transfer(TransferId transfer_id, ClientRequest request,
-                   TransferSink sink, CURL* handle)
+                   TransferSink sink, CURL* handle, ConnectionSockets* sockets)
     : id(transfer_id),
       request_(std::move(request)),
       sink_(std::move(sink)),
       handle_(handle),
+      sockets_(sockets),
       last_byte_time_(absl::Now()) {}
 
 Transfer::~Transfer() {
@@ -176,8 +182,10 @@
 }
 
 bool Transfer::DeliverHead(int status) {
-  if (std::exchange(head_delivered_, true) || !sink_.on_head) return true;
-  return sink_.on_head({status, std::move(headers_), !made_connection_}) ==
+  if (head_delivered_) return true;
+  head_delivered_ = true;
+  if (!sink_.on_head) return true;
+  return sink_.on_head({status, std::move(headers_), made_socket_ < 0}) ==
          ReadAction::kContinue;
 }
 
@@ -199,22 +207,37 @@
 // received it, and the request, such as an order, would run twice unnoticed.
 // The caller of Start() decides whether to retry.
 int Transfer::OnBeforeSend(void* closure, char* /*primary_ip*/,
-                           char* /*local_ip*/, int /*primary_port*/,
-                           int /*local_port*/) {
-  auto& transfer = *static_cast<Transfer*>(closure);
-  if (transfer.cancelled_) return CURL_PREREQFUNC_ABORT;
-  const auto& may_send = transfer.request_.may_send;
-  transfer.withdrawn_ = may_send && !may_send();
-  if (transfer.withdrawn_) return CURL_PREREQFUNC_ABORT;
-  const bool is_resend = transfer.send_attempts_++ > 0;
-  const bool allowed =
-      transfer.request_.send_policy == SendPolicy::kAllowResend;
-  return is_resend && !allowed ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+                           char* /*local_ip*/, int primary_port,
+                           int local_port) {
+  const bool sends =
+      static_cast<Transfer*>(closure)->MaySend({local_port, primary_port});
+  return sends ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+bool Transfer::MaySend(PortPair ports) {
+  if (cancelled_) return false;
+  withdrawn_ = request_.may_send && !request_.may_send();
+  if (withdrawn_) return false;
+  if (made_socket_ >= 0) {
+    sockets_->OnMade(made_socket_, ports);
+  } else if (request_.url.starts_with(kPlainScheme)) {
+    found_bytes_ = sockets_->HasUnreadBytes(ports);
+    if (found_bytes_) return false;
+  }
+  const bool is_resend = send_attempts_++ > 0;
+  return !is_resend || request_.send_policy == SendPolicy::kAllowResend;
+}
+
+bool Transfer::PrepareNewConnection() {
+  if (cancelled_ || !std::exchange(found_bytes_, false)) return false;
+  LOG(WARNING) << "event=bytes-before-request url=" << request_.url;
+  curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
+  return true;
 }
 
 int Transfer::OnSocket(void* closure, curl_socket_t socket,
                        curlsocktype /*purpose*/) {
-  static_cast<Transfer*>(closure)->made_connection_ = true;
+  static_cast<Transfer*>(closure)->made_socket_ = socket;
   loop::SetLivenessOptions(socket);
   return CURL_SOCKOPT_OK;
 }
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -11,6 +11,7 @@
 
 #include "absl/time/time.h"
 #include "http/client.h"
+#include "http/connection_sockets.h"
 
 namespace gentianlb::http {
 
@@ -18,9 +19,10 @@
 class Transfer {
  public:
   // Takes ownership of `handle`, which comes from curl_easy_init() or
-  // ReleaseHandle().
+  // ReleaseHandle(). `sockets` are those of the client's connections and must
+  // outlive the transfer.
   Transfer(TransferId transfer_id, ClientRequest request, TransferSink sink,
-           CURL* handle);
+           CURL* handle, ConnectionSockets* sockets);
   ~Transfer();
   Transfer(const Transfer&) = delete;
   Transfer& operator=(const Transfer&) = delete;
@@ -28,6 +30,10 @@
   // Sets all options of the handle.
   void Prepare();
 
+  // Must be called first once libcurl has finished. Returns true, with a log
+  // line, if nothing was sent, since bytes waited at the kept connection. The
+  // handle is then ready to be run again and will make a new connection.
+  bool PrepareNewConnection();
   // Must be called once libcurl has finished with `code`. Returns how the
   // transfer ended.
   TransferEnd Finish(CURLcode code) const;
@@ -59,6 +65,8 @@
   bool ParseHeaderLine(std::string_view line);
   bool DeliverHead(int status);
   int Status() const;
+  // Returns whether libcurl may send the request on a connection.
+  bool MaySend(PortPair ports);
 
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
                               void* closure);
@@ -72,11 +80,13 @@
   ClientRequest request_;
   TransferSink sink_;
   CURL* handle_ = nullptr;
+  ConnectionSockets* const sockets_;
   curl_slist* header_list_ = nullptr;
   std::vector<Header> headers_;
-  bool has_begun_ = false;  // A line of the response's head has arrived.
-  bool made_connection_ = false;
-  bool head_delivered_ = false;  // The empty line after it has arrived.
+  bool has_begun_ = false;    // A line of the response's head has arrived.
+  int made_socket_ = -1;      // Of the connection that was made for it, if any.
+  bool found_bytes_ = false;  // At a kept connection, before the request.
+  bool head_delivered_ = false;       // The empty line after it has arrived.
   bool withdrawn_ = false;
   bool cancelled_ = false;
   int send_attempts_ = 0;
