A response with two ends is broken

The check of requests has a counterpart for responses now, which runs where the head is complete. Such a transfer ends as broken, its connection is closed, and its detail names the cause. Equal lengths are one. Blanks around a value, tabs too, are no part of it.

--- a/src/http/framing.cc
+++ b/src/http/framing.cc
@@ -1,6 +1,7 @@
 #include "http/framing.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "absl/strings/ascii.h"
 
@@ -51,4 +52,39 @@
   return {};
 }
 
+std::string_view TrimBlanks(std::string_view text) {
+  while (!text.empty() && absl::ascii_isspace(text.front())) {
+    text.remove_prefix(1);
+  }
+  while (!text.empty() && absl::ascii_isspace(text.back())) {
+    text.remove_suffix(1);
+  }
+  return text;
+}
+
+std::string_view ResponseFramingProblem(const std::vector<Header>& headers) {
+  std::optional<std::string_view> length;
+  bool has_encoding = false;
+  for (const Header& header : headers) {
+    // Readers disagree on a name with blanks around it.
+    const std::string_view name = TrimBlanks(header.name);
+    const bool is_length = SameName(name, "content-length");
+    const bool is_encoding = SameName(name, "transfer-encoding");
+    if (!is_length && !is_encoding) continue;
+    if (name != header.name) return "a blank stands beside a header name";
+    if (is_encoding) {
+      if (has_encoding || !SameName(header.value, "chunked")) {
+        return "the only transfer encoding taken is chunked";
+      }
+      has_encoding = true;
+      continue;
+    }
+    if (!IsNumber(header.value)) return "the length is not a number";
+    if (length && *length != header.value) return "there are two lengths";
+    length = header.value;
+  }
+  if (length && has_encoding) return "there are both a length and chunks";
+  return {};
+}
+
 }  // namespace gentianlb::http
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -1,7 +1,8 @@
 // Detects request smuggling. If two readers of a message disagree on where it
 // ends, a caller can hide a second request in the body of the first, and that
 // request runs with permissions checked for another route or not at all.
-// Messages with ambiguous headers are refused.
+// Messages with ambiguous headers are refused. Where two readers of a response
+// disagree, one takes a part of it for the whole.
 
 #ifndef GENTIANLB_HTTP_FRAMING_H_
 #define GENTIANLB_HTTP_FRAMING_H_
@@ -17,6 +18,13 @@
 // string.
 std::string_view FramingProblem(const std::vector<Header>& headers);
 
+// Returns `text` without the blanks and line ends around it.
+std::string_view TrimBlanks(std::string_view text);
+
+// Returns why it isn't certain where a response with `headers` ends, or an
+// empty string. Equal lengths are one.
+std::string_view ResponseFramingProblem(const std::vector<Header>& headers);
+
 }  // namespace gentianlb::http
 
 #endif  // GENTIANLB_HTTP_FRAMING_H_
--- a/src/http/framing_test.cc
+++ b/src/http/framing_test.cc
@@ -33,6 +33,33 @@
   BOOST_TEST(!FramingProblem({{"", "x"}}).empty());
 }
 
+// A caller gets a part of a response as the whole, where its server and this
+// host disagree on its end.
+BOOST_AUTO_TEST_CASE(AResponseWithoutACertainEndIsRefused) {
+  const auto problem = [](const std::vector<Header>& headers) {
+    return !ResponseFramingProblem(headers).empty();
+  };
+  BOOST_TEST(problem({{"Content-Length", "4"}, {"content-length", "9"}}));
+  BOOST_TEST(
+      problem({{"Content-Length", "4"}, {"Transfer-Encoding", "chunked"}}));
+  BOOST_TEST(problem({{"Content-Length", "4, 4"}}));
+  BOOST_TEST(problem({{"Content-Length", "-4"}}));
+  BOOST_TEST(problem({{"Content-Length", ""}}));
+  BOOST_TEST(problem({{"Content-Length ", "4"}}));
+  BOOST_TEST(problem({{"Transfer-Encoding", "gzip, chunked"}}));
+  BOOST_TEST(problem(
+      {{"Transfer-Encoding", "chunked"}, {"Transfer-Encoding", "chunked"}}));
+}
+
+BOOST_AUTO_TEST_CASE(AResponseWithACertainEndPasses) {
+  BOOST_TEST(ResponseFramingProblem({}).empty());
+  BOOST_TEST(
+      ResponseFramingProblem({{"Content-Length", "4"}, {"Content-Length", "4"}})
+          .empty());
+  BOOST_TEST(
+      ResponseFramingProblem({{"Transfer-Encoding", "Chunked"}}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(DuplicateHostIsRefused) {
   BOOST_TEST(!FramingProblem({{"Host", "a"}, {"Host", "b"}}).empty());
 }
--- a/src/http/response_end_test.cc
+++ b/src/http/response_end_test.cc
@@ -126,6 +126,35 @@
   RunUntil([this] { return server.IsClosedByCaller(); });
 }
 
+// A server states two ends of its response. Guards against a part of a body
+// that is taken for the whole.
+BOOST_FIXTURE_TEST_CASE(TwoLengthsAreBroken, Fixture) {
+  Send();
+  Answer(
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 8\r\n\r\n"
+      "abcdefgh");
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(detail == "there are two lengths");
+  BOOST_TEST(statuses.empty());
+  RunUntil([this] { return server.IsClosedByCaller(); });
+}
+
+BOOST_FIXTURE_TEST_CASE(ALengthAndChunksAreBroken, Fixture) {
+  Send();
+  Answer(
+      "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(statuses.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(BlanksAroundALengthAreNoPartOfIt, Fixture) {
+  Send();
+  Answer("HTTP/1.1 200 OK\r\nContent-Length: \t4 \r\n\r\nbody");
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(FindHeader(headers, "Content-Length") == "4");
+}
+
 constexpr char kChunks[] =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     "5\r\nfirst\r\n0\r\n\r\n";
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "absl/time/clock.h"
+#include "http/framing.h"
 #include "loop/tcp_socket.h"
 
 namespace gentianlb::http {
@@ -166,11 +167,7 @@
   }
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return true;
-  std::string_view value = line.substr(colon + 1);
-  while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
-  while (!value.empty() && (value.back() == '\r' || value.back() == '\n')) {
-    value.remove_suffix(1);
-  }
+  const std::string_view value = TrimBlanks(line.substr(colon + 1));
   headers_.push_back({std::string(line.substr(0, colon)), std::string(value)});
   return true;
 }
@@ -183,6 +180,8 @@
 
 bool Transfer::DeliverHead(int status) {
   if (head_delivered_) return true;
+  framing_problem_ = ResponseFramingProblem(headers_);
+  if (!framing_problem_.empty()) return false;
   head_delivered_ = true;
   if (!sink_.on_head) return true;
   return sink_.on_head({status, std::move(headers_), made_socket_ < 0}) ==
@@ -257,6 +256,7 @@
 
 std::string Transfer::DetailOf(CURLcode code) const {
   if (cancelled_) return "cancelled";
+  if (!framing_problem_.empty()) return std::string(framing_problem_);
   if (code == CURLE_OK && !head_delivered_) {
     return "the connection ended within the head";
   }
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -87,6 +87,7 @@
   int made_socket_ = -1;      // Of the connection that was made for it, if any.
   bool found_bytes_ = false;  // At a kept connection, before the request.
   bool head_delivered_ = false;       // The empty line after it has arrived.
+  std::string_view framing_problem_;  // Of its head.
   bool withdrawn_ = false;
   bool cancelled_ = false;
   int send_attempts_ = 0;
