--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -96,6 +96,7 @@
 void Forwarder::FinishTransfer(Exchange& exchange) {
   timers_->Cancel(exchange.attempt.unidentified_timer);
   exchange.attempt.unidentified_timer = 0;
+  exchange.attempt.send = 0;
   if (exchange.attempt.transfer == 0) return;
   exchange.attempt.transfer = 0;
   const auto found = running_.find(exchange.attempt.server->id);
@@ -434,7 +435,6 @@
                << " partial_bytes=" << exchange.splitter.partial().size()
                << " ends_with_connection="
                << exchange.attempt.head.ends_with_connection
-               << " head_whole=" << exchange.attempt.head.whole
                << " body_bytes=" << exchange.body.size()
                << " peer=" << exchange.attempt.path.peer_name()
                << " begun=" << exchange.attempt.has_begun
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -16,6 +16,9 @@
 // Maximum sleep of the thread. New transfers and cancellations wake it at once.
 constexpr int kMaxPollMilliseconds = 1000;
 
+// The client whose sinks this thread calls.
+thread_local const void* client_of_thread = nullptr;
+
 }  // namespace
 
 struct Client::Impl {
@@ -29,12 +32,14 @@
   std::vector<Command> commands ABSL_GUARDED_BY(mutex);
   bool stopping ABSL_GUARDED_BY(mutex) = false;
   TransferId next_id ABSL_GUARDED_BY(mutex) = 1;
+  ConnectionSockets sockets;
   absl::flat_hash_map<TransferId, std::unique_ptr<Transfer>> transfers;
   std::thread thread;
 
   ~Impl() { curl_multi_cleanup(multi); }
 
   void Run() {
+    client_of_thread = this;
     while (true) {
       std::vector<Command> pending;
       {
@@ -81,8 +86,13 @@
       Transfer* transfer = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
       const CURLcode code = message->data.result;
+      if (transfer->PrepareNewConnection()) {
+        curl_multi_remove_handle(multi, transfer->handle());
+        curl_multi_add_handle(multi, transfer->handle());
+        continue;
+      }
       const TransferEnd end = transfer->Finish(code);
-      EndTransfer(transfer->id, end, curl_easy_strerror(code));
+      EndTransfer(transfer->id, end, transfer->DetailOf(code));
     }
   }
 
@@ -167,11 +177,17 @@
   }
   impl_->Push(
       {id, std::make_unique<Transfer>(id, std::move(request), std::move(sink),
-                                      curl_easy_init())});
+                                      curl_easy_init(), &impl_->sockets)});
   return id;
 }
 
-void Client::Cancel(TransferId id) { impl_->Push({id, nullptr}); }
+void Client::Cancel(TransferId id) {
+  if (client_of_thread == impl_.get()) {
+    const auto found = impl_->transfers.find(id);
+    if (found != impl_->transfers.end()) found->second->Cancel();
+  }
+  impl_->Push({id, nullptr});
+}
 
 TransferId Client::Fetch(ClientRequest request,
                          std::function<void(Reply)> done) {
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -37,8 +37,8 @@
   kFreshConnection,  // On a new connection that is closed afterwards.
 };
 
-// Whether to read the body of a response after its head, or to end the
-// transfer.
+// Whether to read the body of a response after its head, or to end the transfer
+// as kBroken and close its connection.
 enum class ReadAction { kContinue, kStop };
 
 struct ClientRequest {
@@ -74,8 +74,6 @@
   std::vector<Header> headers;
   // The connection has carried other responses before.
   bool kept_connection = false;
-  // False: the connection ended before the empty line after the head.
-  bool whole = true;
 };
 
 // Callbacks for a response, called in this order from the client's thread. They
@@ -115,6 +113,9 @@
 
   // Thread-safe.
   TransferId Start(ClientRequest request, TransferSink sink);
+  // Ends a transfer as kCancelled, unless it ends before, and closes its
+  // connection. Thread-safe. Called from a sink, the transfer delivers nothing
+  // more but its end.
   void Cancel(TransferId id);
 
   // Buffers the response and calls `done` from the client's thread.
