A receiver of a head can have its connection closed, and a stop closes it

Callers saw calls that may run once run at two servers: answers on a kept connection were taken for those of a later request.

Cause: the receiver of a head could only go on, which keeps the connection, or stop. Where an answer had no body, its head was delivered when libcurl had already kept the connection, so that a stop ended the transfer as broken and left the connection in use: after another request's answer of that kind, each later answer on it belonged to the request before.

The head is delivered at the empty line after it, inside libcurl's callback, so that a stop ends the transfer there. The new kContinueThenClose reads the body and forbids libcurl to reuse the connection, which it checks when the transfer ends.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -37,9 +37,12 @@
   kFreshConnection,  // On a new connection that is closed afterwards.
 };
 
-// Whether to read the body of a response after its head, or to end the
-// transfer.
-enum class ReadAction { kContinue, kStop };
+// What to do after the head of a response.
+enum class ReadAction {
+  kContinue,           // Read the body and keep the connection.
+  kContinueThenClose,  // Read the body, then close the connection.
+  kStop,               // End the transfer and close the connection.
+};
 
 struct ClientRequest {
   std::string method = "GET";
--- a/src/http/loop_client_test.cc
+++ b/src/http/loop_client_test.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "http/raw_server_test.h"
@@ -19,7 +20,7 @@
   void Send(std::function<bool()> may_send = nullptr) {
     client.Start(
         {.url = server.url(), .may_send = std::move(may_send)},
-        {.on_head = [](const ReceivedHead&) { return ReadAction::kContinue; },
+        {.on_head = [this](const ReceivedHead&) { return action; },
          .on_data = [this](std::string_view data) { body += data; },
          .on_end = [this](TransferEnd got, const std::string&) { end = got; },
          .on_first_byte = [this] { ++begun; }});
@@ -32,6 +33,7 @@
 
   LoopClient client{&loop, 4};
   RawServer server;
+  ReadAction action = ReadAction::kContinue;
   std::string body;
   int begun = 0;
   std::optional<TransferEnd> end;
@@ -114,5 +116,66 @@
   BOOST_TEST((*end == TransferEnd::kComplete));
 }
 
+constexpr std::string_view kFramedAnswers[] = {
+    "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull",
+    "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 204 None\r\n\r\n",
+    "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "4\r\nfull\r\n0\r\n\r\n",
+    "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"};
+
+// Returns whether the connection is closed after an answer.
+bool ClosesAfter(std::string_view answer, ReadAction action) {
+  Fixture fixture;
+  fixture.action = action;
+  fixture.Send();
+  fixture.Answer(std::string(answer));
+  fixture.RunUntil([&] { return fixture.end.has_value(); });
+  fixture.RunLoop();
+  const bool stopped = action == ReadAction::kStop;
+  BOOST_TEST((*fixture.end == TransferEnd::kBroken) == stopped);
+  if (stopped) BOOST_TEST(fixture.body.empty());
+  return fixture.server.IsClosedByCaller();
+}
+
+BOOST_AUTO_TEST_CASE(AConnectionIsKeptAfterAFramedAnswer) {
+  for (const std::string_view answer : kFramedAnswers) {
+    BOOST_TEST(!ClosesAfter(answer, ReadAction::kContinue), answer);
+  }
+}
+
+// Guards against a second answer on a connection that must carry no other.
+BOOST_AUTO_TEST_CASE(AConnectionIsClosedAfterAnAnswerIfTheReceiverSaysSo) {
+  for (const std::string_view answer : kFramedAnswers) {
+    BOOST_TEST(ClosesAfter(answer, ReadAction::kContinueThenClose), answer);
+  }
+}
+
+// Guards against a connection that is kept after another request's answer.
+BOOST_AUTO_TEST_CASE(AConnectionIsClosedIfTheReceiverStops) {
+  for (const std::string_view answer : kFramedAnswers) {
+    BOOST_TEST(ClosesAfter(answer, ReadAction::kStop), answer);
+  }
+}
+
+// Guards against a transfer whose closing passes to the next one on its handle.
+BOOST_FIXTURE_TEST_CASE(AReusedHandleKeepsItsConnection, Fixture) {
+  action = ReadAction::kContinueThenClose;
+  Send();
+  Answer(std::string(kFramedAnswers[0]));
+  RunUntil([this] { return server.IsClosedByCaller(); });
+  server.Close();
+  server.request.clear();
+  action = ReadAction::kContinue;
+  for (int i = 0; i < 2; ++i) {
+    end.reset();
+    Send();
+    Answer(std::string(kFramedAnswers[0]));
+    RunUntil([this] { return end.has_value(); });
+    server.request.clear();
+  }
+  BOOST_TEST(client.connections_made() == 2u);
+}
+
 }  // namespace
 }  // namespace gentianlb::http
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -14,6 +14,8 @@
 constexpr long kReceiveBufferBytes = 4096;    // NOLINT: libcurl's own type
 constexpr long kSendBufferBytes = 16 * 1024;  // NOLINT: libcurl's minimum
 
+constexpr int kFirstFinalStatus = 200;
+
 long Milliseconds(absl::Duration duration) {  // NOLINT: libcurl's own type
   return static_cast<long>(                   // NOLINT
       std::max<std::int64_t>(1, absl::ToInt64Milliseconds(duration)));
@@ -134,7 +136,9 @@
 
 std::size_t Transfer::OnHeader(char* data, std::size_t size, std::size_t count,
                                void* closure) {
-  static_cast<Transfer*>(closure)->ParseHeaderLine({data, size * count});
+  auto& transfer = *static_cast<Transfer*>(closure);
+  transfer.ParseHeaderLine({data, size * count});
+  if (transfer.stopped_by_sink_) return 0;  // libcurl ends the transfer.
   return size * count;
 }
 
@@ -147,7 +151,11 @@
     headers_.clear();
     head_whole_ = false;
   }
-  if (line == "\r\n" || line == "\n") head_whole_ = true;
+  if (line == "\r\n" || line == "\n") {
+    head_whole_ = true;
+    if (Status() >= kFirstFinalStatus) DeliverHead();
+    return;
+  }
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return;
   std::string_view value = line.substr(colon + 1);
@@ -198,12 +206,20 @@
 void Transfer::DeliverHead() {
   if (head_delivered_) return;
   head_delivered_ = true;
+  if (!sink_.on_head) return;
+  const ReadAction action =
+      sink_.on_head({Status(), headers_, !made_connection_, head_whole_});
+  stopped_by_sink_ = action == ReadAction::kStop;
+  // libcurl reads it when the transfer ends.
+  if (action == ReadAction::kContinueThenClose) {
+    curl_easy_setopt(handle_, CURLOPT_FORBID_REUSE, 1L);
+  }
+}
+
+int Transfer::Status() const {
   long status = 0;  // NOLINT: libcurl's own type
   curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
-  if (!sink_.on_head) return;
-  stopped_by_sink_ =
-      sink_.on_head({static_cast<int>(status), headers_, !made_connection_,
-                     head_whole_}) == ReadAction::kStop;
+  return static_cast<int>(status);
 }
 
 TransferEnd Transfer::Finish(CURLcode code) {
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -28,8 +28,8 @@
   // Sets all options of the handle.
   void Prepare();
 
-  // Must be called once libcurl has finished with `code`. Delivers the head of
-  // a response without a body and returns how the transfer ended.
+  // Must be called once libcurl has finished with `code`. Returns how the
+  // transfer ended.
   TransferEnd Finish(CURLcode code);
 
   // Returns the handle for reuse. The transfer must not be used afterwards.
@@ -49,6 +49,7 @@
   void PrepareBody();
   void PrepareConnection();
   void DeliverHead();
+  int Status() const;
   void ParseHeaderLine(std::string_view line);
   TransferEnd Classify(CURLcode code) const;
 
