--- a/src/http/raw_server_test.h
+++ b/src/http/raw_server_test.h
@@ -42,6 +42,8 @@
     return "http://127.0.0.1:" + std::to_string(port_) + "/";
   }
 
+  std::uint16_t port() const { return port_; }
+
   std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
 
   // Returns whether a connection waits or was accepted.
