A request comes back to a server on a new connection

Cause: an id names the caller's attempt, not the send. Where a server refuses a request and gets it again, granted by the dispatcher, over the same connection, a late copy of the first refusal bears the right id and passes for the answer to the second send, which the server runs.

The exchange keeps the servers of its earlier attempts; a request that comes back to one of them goes on a new connection that is closed after the answer. The line "sent" says so.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,7 @@
 #ifndef GENTIANLB_GATEWAY_EXCHANGE_H_
 #define GENTIANLB_GATEWAY_EXCHANGE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -68,10 +69,11 @@
   std::optional<LimitRefusal> over_limit;
 
   Attempt attempt;
-  int attempts = 0;           // Attempts sent to a server.
-  int shed_attempts = 0;      // Attempts that the server did not run.
-  bool retry_taken = false;   // From the budget, for an attempt not yet sent.
-  bool may_have_run = false;  // An earlier attempt may have run.
+  int attempts = 0;             // Attempts sent to a server.
+  int shed_attempts = 0;        // Attempts that the server did not run.
+  std::vector<ServerId> asked;  // Servers of the earlier attempts.
+  bool retry_taken = false;     // From the budget, for an attempt not yet sent.
+  bool may_have_run = false;    // An earlier attempt may have run.
 
   std::string body;  // Of a plain response, until it is complete.
   EventSplitter splitter{0};
@@ -97,6 +99,12 @@
                                                  : request->id);
   }
 
+  // Returns whether an earlier attempt was sent to `server`. A late copy of its
+  // answer would name this request.
+  bool WasSentTo(const ServerId& server) const {
+    return std::find(asked.begin(), asked.end(), server) != asked.end();
+  }
+
   // Returns whether its stream may go on at `server`.
   bool Fits(const ServerEntry& server) const {
     return stream_version.empty() || stream_version == server.version;
--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -102,6 +102,7 @@
   exchange.attempt.server = server;
   exchange.attempt.sent_at = now;
   exchange.attempt.events_before = exchange.splitter.event_count();
+  const bool new_connection = exchange.WasSentTo(server.id);
   LOG(INFO) << "event=sent request=" << exchange.request->id
             << " server=" << server.id
             << " address=" << settings::Format(server.address)
@@ -115,6 +116,7 @@
             << " version=" << exchange.index->configuration().version
             << " software=" << server.version
             << " after_event=" << exchange.splitter.last_event()
+            << " new_connection=" << new_connection
             << " takes_up=" << exchange.request->first_attempt;
   ServerCall call;
   call.request = exchange.request;
@@ -123,6 +125,7 @@
   if (exchange.workspace != nullptr) call.workspace = exchange.workspace->id;
   call.time_left = exchange.deadline - now;
   call.last_event = exchange.splitter.last_event();
+  call.new_connection = new_connection;
   call.may_send = [this, id = server.id] { return !IsWithheld(id); };
   const ExchangeId id = exchange.id;
   const int attempt_number = exchange.attempts;
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -121,6 +121,8 @@
   WorkspaceId workspace;
   absl::Duration time_left;
   std::int64_t last_event = 0;  // As in CallerRequest, for this attempt.
+  // Sent on a connection that carries no other request.
+  bool new_connection = false;
   // Asked once the connection is made, just before the request is sent.
   std::function<bool()> may_send;
 };
