A server that gives another request's answer gets new connections for a while

Callers saw 502 for calls that may run once: each answer that a faulty server wrote twice cost the next call on its connection.

Cause: the copy names another request, so the next call's outcome is unknown, and the host went on sending over kept connections, where more copies wait.

A line and a counter say when it begins.

--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -21,6 +21,7 @@
 #include "absl/time/time.h"
 #include "base/timer_service.h"
 #include "gateway/configuration.h"
+#include "gateway/connection_reuse.h"
 #include "gateway/demand.h"
 #include "gateway/directory.h"
 #include "gateway/drain_plan.h"
@@ -203,6 +204,8 @@
   void LogLimitChange(const Exchange& exchange, const ResponseHead& head);
   // Handles a head that must not be forwarded.
   http::ReadAction OnForeignHead(Exchange& exchange, const ResponseHead& head);
+  // Has the server's connections carry one request each for a while.
+  void PauseConnectionReuse(const Exchange& exchange, bool kept_connection);
   void OnBytes(Exchange& exchange, std::string_view bytes);
   // Handles the body after such a head.
   void OnUnidentifiedBytes(Exchange& exchange, std::string_view bytes);
@@ -279,6 +282,7 @@
   absl::flat_hash_map<RequestId, ExchangeId> exchange_by_dispatch_id_;
   absl::flat_hash_map<ServerId, int> running_;
   ServerCooldowns cooldowns_;
+  ConnectionReuse connection_reuse_;
   absl::flat_hash_map<ServerId, ServerUse> notified_peer_uses_;
   GroupLink* groups_ = nullptr;
   Rollouts* rollouts_ = nullptr;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -142,6 +142,9 @@
                << " waits_for_end=" << may_end;
   attempt.foreign_answer = true;
   metrics_->CountForeignAnswer(head.names_other_request);
+  if (head.names_other_request) {
+    PauseConnectionReuse(exchange, head.kept_connection);
+  }
   if (!may_end) return http::ReadAction::kStop;
   attempt.unidentified.emplace(/*last_event=*/0);
   attempt.head.ends_with_connection = head.ends_with_connection;
@@ -153,6 +156,20 @@
   return http::ReadAction::kContinue;
 }
 
+void Forwarder::PauseConnectionReuse(const Exchange& exchange,
+                                     bool kept_connection) {
+  const ServerEntry& server = *exchange.attempt.server;
+  if (!connection_reuse_.OnOtherAnswer(server, clock_())) return;
+  LOG(WARNING) << "event=connection-reuse-paused server=" << server.id
+               << " started=" << server.started
+               << " request=" << exchange.request->id
+               << " kept_connection=" << kept_connection
+               << " for_ms=" << Milliseconds(ConnectionReuse::kPause)
+               << " servers_remembered=" << connection_reuse_.size()
+               << " peer=" << exchange.attempt.path.peer_name();
+  metrics_->CountReusePause();
+}
+
 bool Forwarder::HasServerRestarted(const Exchange& exchange) const {
   const ServerEntry& server = *exchange.attempt.server;
   const ServerEntry* const registered = directory_->Find(server.id);
--- a/src/gateway/forwarder_identity_test.cc
+++ b/src/gateway/forwarder_identity_test.cc
@@ -39,5 +39,46 @@
   BOOST_TEST(!site.last().call.new_connection);
 }
 
+// Returns whether the next call that the only server gets has a new connection.
+// The dispatcher may close a server that failed for some seconds.
+bool NextIsOnNewConnection(FakeSite& site) {
+  const std::size_t before = site.calls.size();
+  for (int tries = 0; tries < 20; ++tries) {
+    site.SendRequest("/pay/1");
+    if (site.calls.size() > before) break;
+    site.AdvanceTime(absl::Seconds(1));
+  }
+  BOOST_REQUIRE(site.calls.size() > before);
+  const bool new_connection = site.last().call.new_connection;
+  site.last().SendResponse(200, "paid");
+  return new_connection;
+}
+
+// Guards against a server whose doubled answers cost one call after another.
+BOOST_AUTO_TEST_CASE(AServerThatGaveAnotherAnswerGetsNewConnectionsForAWhile) {
+  FakeSite site;
+  site.AddServer("plain-a", "plain", 2);
+  site.forwarder->SetConfiguration(FakeSite::MakeConfiguration(1));
+  BOOST_TEST(!NextIsOnNewConnection(site));
+  const auto caller = site.SendRequest("/pay/1");
+  site.last().SendUnidentifiedHead(/*names_other_request=*/true);
+  BOOST_TEST(caller->status == 502);
+  BOOST_TEST(NextIsOnNewConnection(site));
+  BOOST_TEST(NextIsOnNewConnection(site));
+  site.AdvanceTime(ConnectionReuse::kPause);
+  BOOST_TEST(!NextIsOnNewConnection(site));
+}
+
+// An answer that names no request says nothing of later ones: its connection is
+// closed.
+BOOST_AUTO_TEST_CASE(AnAnswerWithoutAnIdPausesNoReuse) {
+  FakeSite site;
+  site.AddServer("plain-a", "plain", 2);
+  site.forwarder->SetConfiguration(FakeSite::MakeConfiguration(1));
+  site.SendRequest("/pay/1");
+  site.last().SendUnidentifiedHead(/*names_other_request=*/false);
+  BOOST_TEST(!NextIsOnNewConnection(site));
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -47,6 +47,9 @@
       foreign_answers_(
           AddCounter("gentianlb_answers_foreign_total",
                      "Responses of servers that weren't for the request sent")),
+      reuse_pauses_(AddCounter("gentianlb_connection_reuse_pauses_total",
+                               "Times that a server's connections began to "
+                               "carry one request each")),
       unnamed_refusals_(
           AddCounter("gentianlb_refusals_unnamed_total",
                      "Refusals of servers that name no request, by whether "
@@ -106,6 +109,8 @@
       .Increment();
 }
 
+void Metrics::CountReusePause() { reuse_pauses_.Add({}).Increment(); }
+
 void Metrics::CountUnnamedRefusal(bool kept_connection) {
   unnamed_refusals_.Add({{"kept_connection", kept_connection ? "yes" : "no"}})
       .Increment();
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -42,6 +42,8 @@
   void CountWithheld();
   // Counts a response that isn't for the request that was sent.
   void CountForeignAnswer(bool names_other_request);
+  // Counts a server whose connections carry one request each from now on.
+  void CountReusePause();
   // Counts a server's refusal that names no request.
   void CountUnnamedRefusal(bool kept_connection);
   // Counts a relayed response by what marks the end of its body.
@@ -72,6 +74,7 @@
   prometheus::Family<prometheus::Counter>& cooldowns_;
   prometheus::Family<prometheus::Counter>& withheld_;
   prometheus::Family<prometheus::Counter>& foreign_answers_;
+  prometheus::Family<prometheus::Counter>& reuse_pauses_;
   prometheus::Family<prometheus::Counter>& unnamed_refusals_;
   prometheus::Family<prometheus::Counter>& framings_;
   prometheus::Family<prometheus::Counter>& cancelled_;
