--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -184,8 +184,13 @@
   if (!framing_problem_.empty()) return false;
   head_delivered_ = true;
   if (!sink_.on_head) return true;
-  return sink_.on_head({status, std::move(headers_), made_socket_ < 0}) ==
-         ReadAction::kContinue;
+  const ReadAction action =
+      sink_.on_head({status, std::move(headers_), made_socket_ < 0});
+  // libcurl reads it when the transfer ends.
+  if (action == ReadAction::kContinueThenClose) {
+    curl_easy_setopt(handle_, CURLOPT_FORBID_REUSE, 1L);
+  }
+  return action != ReadAction::kStop;
 }
 
 std::size_t Transfer::OnData(char* data, std::size_t size, std::size_t count,
