A tunnel whose peer dies resets its connection

What callers saw: an entry host that can't reach a server has a peer tunnel the connection. When the peer's process was killed or stopped while the server wrote an answer with neither a length nor chunks, the caller got what had come so far as a whole answer, with a length or a last chunk of the entry host's own.

Cause: the tunnel closed its connection to the peer in good order unless the server's connection had broken, and the kernel does so for a killed process. The entry host took that for the end of the body.

Fix: the connection is abortive from its start (SO_LINGER with no time), so that whatever ends it, the kernel included, resets it. It becomes orderly only where the tunnel refuses, or once the server has ended its side in good order and all its bytes are in the kernel's hands.

Evidence: ATunnelThatDiesBreaksAnUnframedBody and AKilledPeerBreaksAnUnframedBody (the latter with a real process that is killed) failed on the tunnel of before, and pass; refusals still arrive (ARefusedTunnelEndsAsNotSent, of before).

--- a/src/gateway/tunnel_test.cc
+++ b/src/gateway/tunnel_test.cc
@@ -1,9 +1,16 @@
 // Tests requests through a tunnel: client, tunnel server and backend server on
 // loopback.
 
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "gateway/path_monitor.h"
 #include "http/loop_client.h"
@@ -125,6 +132,87 @@
   BOOST_TEST((*end == TransferEnd::kBroken));
 }
 
+// Guards against half of an unframed body that looks complete because the peer
+// ended its tunnels.
+BOOST_FIXTURE_TEST_CASE(ATunnelThatDiesBreaksAnUnframedBody, Fixture) {
+  Send();
+  Answer(kUnframed);
+  RunUntil([this] { return body == "half"; });
+  tunnels.reset();
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kBroken));
+}
+
+// A tunnel server as a process of its own, until it is killed.
+class TunnelProcess {
+ public:
+  TunnelProcess() {
+    std::array<int, 2> pipe_ends = {};
+    BOOST_REQUIRE(pipe2(pipe_ends.data(), O_CLOEXEC) == 0);
+    pid_ = fork();
+    BOOST_REQUIRE(pid_ >= 0);
+    if (pid_ == 0) Run(pipe_ends[1]);
+    BOOST_REQUIRE(read(pipe_ends[0], &port_, sizeof port_) == sizeof port_);
+    for (const int pipe_end : pipe_ends) close(pipe_end);
+  }
+  ~TunnelProcess() { Kill(); }
+  TunnelProcess(const TunnelProcess&) = delete;
+  TunnelProcess& operator=(const TunnelProcess&) = delete;
+
+  int port() const { return port_; }
+  void Kill() {
+    if (pid_ <= 0) return;
+    kill(pid_, SIGKILL);
+    waitpid(std::exchange(pid_, 0), nullptr, 0);
+  }
+
+ private:
+  [[noreturn]] static void Run(int pipe_end) {
+    const auto kept = static_cast<unsigned>(pipe_end);
+    close_range(STDERR_FILENO + 1, kept - 1, 0);
+    close_range(kept + 1, ~0U, 0);
+    loop::EventLoop loop;
+    tunnel::TunnelServerHooks hooks;
+    hooks.is_allowed = [](const settings::Endpoint&) { return true; };
+    hooks.on_connect = [](const settings::Endpoint&, bool) {};
+    auto started =
+        tunnel::TunnelServer::Start(&loop, {"127.0.0.1", 0}, std::move(hooks));
+    if (!started.ok()) _exit(1);
+    const int port = started.value()->port();
+    if (write(pipe_end, &port, sizeof port) != sizeof port) _exit(1);
+    loop.Run();
+    _exit(0);
+  }
+
+  pid_t pid_ = 0;
+  int port_ = 0;
+};
+
+// Guards against half of an unframed body that looks complete because the
+// peer's process was killed: the kernel ends its connections.
+BOOST_FIXTURE_TEST_CASE(AKilledPeerBreaksAnUnframedBody, Fixture) {
+  TunnelProcess peer;
+  tunnel_port = peer.port();
+  Send();
+  Answer(kUnframed);
+  RunUntil([this] { return body == "half"; });
+  peer.Kill();
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kBroken));
+}
+
+// A peer that stops keeps what its server had ended in good order.
+BOOST_FIXTURE_TEST_CASE(AWholeUnframedBodyOutlivesThePeer, Fixture) {
+  Send();
+  Answer(kUnframed);
+  server.Close();
+  RunUntil([this] { return tunnels->open_tunnels() == 0; });
+  tunnels.reset();
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(body == "half");
+}
+
 // Nothing has been sent in these cases, so that even a payment may be tried on
 // another path.
 BOOST_FIXTURE_TEST_CASE(ARefusedTunnelEndsAsNotSent, Fixture) {
--- a/src/tunnel/tunnel.cc
+++ b/src/tunnel/tunnel.cc
@@ -1,5 +1,6 @@
 #include "tunnel/tunnel.h"
 
+#include <glog/logging.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -32,6 +33,16 @@
 constexpr std::string_view kMethod = "CONNECT ";
 constexpr std::string_view kRequestEnd = "\r\n\r\n";
 
+// Decides what the end of a connection looks like to the other side, also if
+// this process is killed: a reset, or an orderly end.
+void SetAbortive(int socket, bool abortive) {
+  const linger option = {abortive ? 1 : 0, 0};
+  if (setsockopt(socket, SOL_SOCKET, SO_LINGER, &option, sizeof option) == 0) {
+    return;
+  }
+  PLOG(WARNING) << "event=socket-option-refused option=SO_LINGER";
+}
+
 bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
 }  // namespace
@@ -54,6 +65,7 @@
     : loop_(loop), hooks_(std::move(hooks)) {
   peer_.socket = peer;
   loop::SetLivenessOptions(peer);
+  SetAbortive(peer, true);
   Watch(&peer_, EPOLLIN, [this](std::uint32_t) { ReadRequest(); });
   request_timer_ = loop_->timers().At(loop::SteadyNow() + kRequestTimeout,
                                       [this](absl::Time) {
@@ -120,6 +132,7 @@
 void Tunnel::Refuse(ConnectAnswer answer) {
   peer_.outgoing = ResponseText(answer);
   Flush(&peer_);
+  SetAbortive(peer_.socket, false);
   End();
 }
 
@@ -165,8 +178,8 @@
   const bool sent = !broken && Flush(&server_);
   const ReadEnd end = sent ? Relay(&server_, &peer_) : ReadEnd::kBroken;
   if (end == ReadEnd::kOpen) return UpdateWatches();
-  reset_peer_ = end != ReadEnd::kClosed;
   server_ended_ = true;
+  orderly_end_ = end == ReadEnd::kClosed;
   CloseServer();
   EndWhenFlushed();
 }
@@ -179,16 +192,13 @@
 }
 
 void Tunnel::EndWhenFlushed() {
-  if (peer_.outgoing.empty()) return End();
-  UpdateWatches();
+  if (!peer_.outgoing.empty()) return UpdateWatches();
+  if (orderly_end_) SetAbortive(peer_.socket, false);
+  End();
 }
 
 void Tunnel::End() {
   if (std::exchange(ended_, true)) return;
-  if (reset_peer_) {
-    const linger discard = {1, 0};
-    setsockopt(peer_.socket, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
-  }
   loop_->timers().Cancel(std::exchange(request_timer_, 0));
   loop_->Unwatch(peer_.socket);
   if (server_.socket >= 0) loop_->Unwatch(server_.socket);
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -3,7 +3,8 @@
 //
 // The peer speaks to the server as if it were connected directly: a connection
 // that the server closes is closed, and one that breaks is reset, because the
-// end of a connection may be the end of a response.
+// end of a connection may be the end of a response. Whatever else ends a
+// tunnel, the end of this process too, resets the peer's connection.
 
 #ifndef GENTIANLB_TUNNEL_TUNNEL_H_
 #define GENTIANLB_TUNNEL_TUNNEL_H_
@@ -87,7 +88,7 @@
   std::unique_ptr<Connector> connector_;
   bool relaying_ = false;
   bool server_ended_ = false;
-  bool reset_peer_ = false;  // Once all bytes are sent.
+  bool orderly_end_ = false;  // The peer's connection ends as the server's did.
   bool ended_ = false;
   TimerId request_timer_ = 0;
 };
