Head and trailer of a response are bounded

Lines that come after the head was delivered belong to the trailer and are no longer kept. Head and trailer have a bound each, beyond which the transfer ends as broken with the cause in its detail; libcurl then closes the connection.

--- a/src/http/raw_server_test.h
+++ b/src/http/raw_server_test.h
@@ -76,6 +76,13 @@
                   static_cast<ssize_t>(bytes.size()));
   }
 
+  // Writes what the connection takes at once. Returns false if it is closed.
+  bool WriteSome(const std::string& bytes) const {
+    const ssize_t count = send(connection_, bytes.data(), bytes.size(),
+                               MSG_NOSIGNAL | MSG_DONTWAIT);
+    return count >= 0 || errno == EAGAIN;
+  }
+
   void StopListening() { close(std::exchange(listener_, -1)); }
 
   void Close() { close(std::exchange(connection_, -1)); }
--- a/src/http/response_end_test.cc
+++ b/src/http/response_end_test.cc
@@ -155,6 +155,53 @@
   BOOST_TEST(FindHeader(headers, "Content-Length") == "4");
 }
 
+// The server writes lines until its caller closes.
+struct EndlessLines : Fixture {
+  void WriteWithoutEnd(const std::string& begin) {
+    constexpr std::size_t kEnough = 32 << 20;
+    Send();
+    server.Write(begin);
+    std::string lines;
+    for (int i = 0; i < 1000; ++i) lines += "x: y\r\n";
+    while (!end && written < kEnough && server.WriteSome(lines)) {
+      written += lines.size();
+      RunFor(absl::Milliseconds(1));
+    }
+    RunFor(absl::Milliseconds(20));
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == TransferEnd::kBroken));
+    BOOST_TEST(written < kEnough);
+  }
+
+  std::size_t written = 0;
+};
+
+// Guards against a trailer without end that fills the host's memory.
+BOOST_FIXTURE_TEST_CASE(ATrailerWithoutEndIsBrokenOff, EndlessLines) {
+  WriteWithoutEnd(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nbody\r\n0\r\n");
+  BOOST_TEST(detail == "the trailer is too long");
+  BOOST_TEST(body == "body");
+}
+
+// Guards against the same in the head.
+BOOST_FIXTURE_TEST_CASE(AHeadWithoutEndIsBrokenOff, EndlessLines) {
+  WriteWithoutEnd("HTTP/1.1 200 OK\r\n");
+  BOOST_TEST(detail == "the head is too long");
+  BOOST_TEST(statuses.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AShortTrailerIsNoPartOfTheResponse, Fixture) {
+  Send();
+  Answer(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nbody\r\n0\r\nContent-Length: 9\r\nHTTP/1.1 500: x\r\n\r\n");
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(headers.size() == 1u);
+  BOOST_TEST(body == "body");
+}
+
 constexpr char kChunks[] =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     "5\r\nfirst\r\n0\r\n\r\n";
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -20,6 +20,10 @@
 // Over TLS, what waits may be a message of TLS itself.
 constexpr std::string_view kPlainScheme = "http://";
 
+// A faulty server may write lines without end.
+constexpr std::size_t kMaxHeadBytes = 256 << 10;
+constexpr std::size_t kMaxTrailerBytes = 64 << 10;
+
 // A smaller status is of a head that another one follows.
 constexpr int kMinFinalStatus = 200;
 
@@ -160,6 +164,13 @@
     sink_.on_first_byte();
     if (cancelled_) return false;
   }
+  // The lines behind a body in chunks come here too.
+  if (head_delivered_) {
+    trailer_bytes_ += line.size();
+    return trailer_bytes_ <= kMaxTrailerBytes;
+  }
+  head_bytes_ += line.size();
+  if (head_bytes_ > kMaxHeadBytes) return false;
   if (line.starts_with("HTTP/")) headers_.clear();
   if (line == "\r\n" || line == "\n") {
     const int status = Status();
@@ -179,7 +190,6 @@
 }
 
 bool Transfer::DeliverHead(int status) {
-  if (head_delivered_) return true;
   framing_problem_ = ResponseFramingProblem(headers_);
   if (!framing_problem_.empty()) return false;
   head_delivered_ = true;
@@ -257,6 +267,8 @@
 std::string Transfer::DetailOf(CURLcode code) const {
   if (cancelled_) return "cancelled";
   if (!framing_problem_.empty()) return std::string(framing_problem_);
+  if (head_bytes_ > kMaxHeadBytes) return "the head is too long";
+  if (trailer_bytes_ > kMaxTrailerBytes) return "the trailer is too long";
   if (code == CURLE_OK && !head_delivered_) {
     return "the connection ended within the head";
   }
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -83,7 +83,9 @@
   ConnectionSockets* const sockets_;
   curl_slist* header_list_ = nullptr;
   std::vector<Header> headers_;
-  bool has_begun_ = false;    // A line of the response's head has arrived.
+  std::size_t head_bytes_ = 0;     // Of all heads of the response.
+  std::size_t trailer_bytes_ = 0;  // Behind the last chunk.
+  bool has_begun_ = false;         // A line of the response's head has arrived.
   int made_socket_ = -1;      // Of the connection that was made for it, if any.
   bool found_bytes_ = false;  // At a kept connection, before the request.
   bool head_delivered_ = false;       // The empty line after it has arrived.
