The fleet's simulation builds in Release

A Release build with tests stopped at -Werror=restrict in gateway_demand_test and gateway_fleet_test: g++ 12 inlines "x" + std::to_string(...) into an insert whose two ranges it takes for overlapping. The three places, all in fleet_site_test.h, use absl::StrCat instead; no warning is switched off.

Evidence: both objects fail to compile with CMAKE_BUILD_TYPE=Release before, and compile after.

--- a/src/gateway/fleet_site_test.h
+++ b/src/gateway/fleet_site_test.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/str_cat.h"
 #include "gateway/fleet.h"
 
 namespace gentianlb::gateway {
@@ -46,7 +47,7 @@
     FLAGS_minloglevel = google::GLOG_FATAL;  // The tests don't check the log.
   }
 
-  static std::string Name(int number) { return "h" + std::to_string(number); }
+  static std::string Name(int number) { return absl::StrCat("h", number); }
 
   // Starts `count` hosts in `zones` zones, about one in ten of them with a
   // large share of a processor.
@@ -54,8 +55,8 @@
     for (int i = 0; i < count; ++i) {
       Host& host = hosts[Name(i)];
       host.entry.host = Name(i);
-      host.entry.address = "10.0.0.1:" + std::to_string(1000 + i);
-      host.entry.zone = "z" + std::to_string(i % zones);
+      host.entry.address = absl::StrCat("10.0.0.1:", 1000 + i);
+      host.entry.zone = absl::StrCat("z", i % zones);
       host.entry.processor = i % 10 < zones && i / 10 % 2 == 0 ? 0.5F : 0.12F;
     }
     for (auto& [name, host] : hosts) Start(name);
