A failure that was cut is not relayed as complete

A server's answer of status 500 or more whose transfer broke after the head was given to the caller with what had come of its body and a length that this host stated: it looked complete. OnFailure() took any head with such a status for a complete failure; since heads are delivered before the body, that would also hold for a body of which nothing came. An attempt now records that its whole response has arrived, and only such a failure is relayed; the others get the 502 of a server that broke. The line sending-failed names it (complete).

--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -325,6 +325,7 @@
                          : RequestOutcome::kFailed,
                      {Code::kServerBroke, detail});
   }
+  attempt.complete = true;
   const std::string_view truncation = FindTruncation(exchange);
   if (!truncation.empty()) {
     return OnFailure(exchange, RequestOutcome::kConnectionLost,
@@ -438,12 +439,12 @@
                << " body_bytes=" << exchange.body.size()
                << " peer=" << exchange.attempt.path.peer_name()
                << " begun=" << exchange.attempt.has_begun
-               << " head=" << exchange.attempt.has_head;
+               << " head=" << exchange.attempt.has_head
+               << " complete=" << exchange.attempt.complete;
   exchange.may_have_run = true;
   const ResponseHead head = exchange.attempt.head;
-  const bool complete_failure = error.code != Code::kAnswerTooLong &&
-                                exchange.attempt.has_head &&
-                                IsServerFailure(head.status);
+  const bool complete_failure =
+      exchange.attempt.complete && IsServerFailure(head.status);
   RecordAnswer(exchange, complete_failure ? ServerAnswer::Kind::kFailed
                                           : ServerAnswer::Kind::kBroken);
   std::string body = std::move(exchange.body);
--- a/src/gateway/forwarder_test.cc
+++ b/src/gateway/forwarder_test.cc
@@ -170,6 +170,19 @@
   BOOST_TEST(caller->body == "broken");
 }
 
+// Guards against a failure that was cut and is relayed as a complete one.
+BOOST_AUTO_TEST_CASE(AFailureThatIsCutIsNotRelayed) {
+  FakeSite site;
+  site.Configure();
+  const auto caller = site.SendRequest("/pay/1");
+  site.last().SendHead(500);
+  site.last().SendData("half");
+  site.last().Finish(TransferEnd::kBroken);
+  BOOST_TEST(caller->status == 502);
+  BOOST_TEST(caller->header("X-From").empty());
+  BOOST_TEST(caller->body.find("half") == std::string::npos);
+}
+
 // Ninety hosts share the burst of retries that the operators allow. If each
 // accumulated as many as one host of a dozen, a fault of one server would cause
 // several times the allowed retries at once.
