--- a/src/http/response_end_test.cc
+++ b/src/http/response_end_test.cc
@@ -2,10 +2,15 @@
 // is complete only where its server has marked its end.
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
+#include "http/client.h"
 #include "http/loop_client.h"
 #include "http/raw_server_test.h"
 #include "loop/loop_runner_test.h"
@@ -275,5 +280,43 @@
   BOOST_TEST(client.connections_made() == 1u);
 }
 
+// Guards against a waiting response in the client with a thread of its own.
+BOOST_AUTO_TEST_CASE(TheClientTakesNoWaitingResponseForTheNextOne) {
+  Client client;
+  RawServer server;
+  Reply reply;
+  const auto send = [&](absl::Notification* ended) {
+    client.Fetch({.url = server.url(), .send_policy = SendPolicy::kNoResend},
+                 [&reply, ended](Reply got) {
+                   reply = std::move(got);
+                   ended->Notify();
+                 });
+  };
+  const auto wait_for = [](const std::function<bool()>& done) {
+    for (int i = 0; i < 5000 && !done(); ++i) {
+      absl::SleepFor(absl::Milliseconds(1));
+    }
+    BOOST_REQUIRE(done());
+  };
+  absl::Notification first;
+  send(&first);
+  wait_for([&] { return server.HasRequest(); });
+  server.Write(kChunks);
+  BOOST_REQUIRE(first.WaitForNotificationWithTimeout(absl::Seconds(5)));
+  server.Write(Foreign(20));
+  absl::Notification second;
+  send(&second);
+  wait_for(
+      [&] { return second.HasBeenNotified() || server.IsClosedByCaller(); });
+  BOOST_REQUIRE(!second.HasBeenNotified());
+  server.Close();
+  server.request.clear();
+  wait_for([&] { return server.HasRequest(); });
+  server.Write(kSecond);
+  BOOST_REQUIRE(second.WaitForNotificationWithTimeout(absl::Seconds(5)));
+  BOOST_TEST((reply.end == TransferEnd::kComplete));
+  BOOST_TEST(reply.body == "second");
+}
+
 }  // namespace
 }  // namespace gentianlb::http
