An unframed body counts as complete only once its server is known to live

What callers saw: a server was killed while it wrote an answer with neither a length nor chunks. The caller got what had come so far as a whole answer: a plain one with a length, a stream with a last chunk of the host's own.

Cause: the kernel closes the connections of a killed process in good order, and the host took that for the end of the body.

Fix: before such an end counts, the host waits 5 ms and connects to the server once. The kernel closes a killed process's listening socket in the same moment, so that the connection is refused: the transfer is broken, and is handled as any broken one. gateway/end_confirmation decides, without network and clock; gateway/confirmed_servers holds back the end of the transfer alone, between the forwarder and the servers' port, so that deadline, disconnect and drain are as before; gateway/server_prober connects. A peer does the same before it ends a tunnel in good order. tunnel::Connector tells refused from unanswered, and takes a connection to itself for refused. Without the hook a tunnel ends as before.

--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -67,8 +67,23 @@
                [this](const EntryHostId& host, const StreamMessage& message) {
                  peers_->Send(host.str(), Encode(message));
                }}),
+      prober_(loop),
+      confirmations_(
+          &loop->timers(), [loop] { return loop->now(); }, &metrics_,
+          {.probe =
+               [this](const settings::Endpoint& server,
+                      std::function<void(ServerProbe)> done) {
+                 return prober_.Probe(server, std::move(done));
+               },
+           .cancel_probe = [this](std::uint64_t id) { prober_.Cancel(id); },
+           .open_transfers =
+               [this](const settings::Endpoint& server, absl::Time since) {
+                 return servers_.OpenTransfers(server, since);
+               }}),
+      servers_(
+          platform_.servers, [loop] { return loop->now(); }, &confirmations_),
       forwarder_(
-          OptionsOf(settings, suspects_), platform_.servers, &loop->timers(),
+          OptionsOf(settings, suspects_), servers_.Port(), &loop->timers(),
           [loop] { return loop->now(); }, &directory_, &demand_, &metrics_),
       rollouts_(
           settings.max_rollout_exposure,
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -11,14 +11,17 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/confirmed_servers.h"
 #include "gateway/demand.h"
 #include "gateway/directory.h"
+#include "gateway/end_confirmation.h"
 #include "gateway/forwarder.h"
 #include "gateway/group_link.h"
 #include "gateway/messages.h"
 #include "gateway/path_monitor.h"
 #include "gateway/peers.h"
 #include "gateway/rollouts.h"
+#include "gateway/server_prober.h"
 #include "gateway/startup_queue.h"
 #include "gateway/stream_versions.h"
 #include "gateway/table_sharing.h"
@@ -84,6 +87,8 @@
 
   std::optional<Error> Listen();
   std::optional<Error> StartPeers();
+  // Returns what confirms the ends of the connections that this host tunnels.
+  tunnel::ConfirmEnd MakeConfirmEnd();
   void ComposeUpdate(FleetUpdate* update);
   void OnPeersUpdate(const FleetUpdate& peers);
   // Charges what peers have admitted to the workspace's limit. Logs a charge
@@ -141,6 +146,9 @@
   Directory directory_;
   Demand demand_;
   StreamVersions streams_;
+  ServerProber prober_;
+  EndConfirmations confirmations_;
+  ConfirmedServers servers_;
   Forwarder forwarder_;
   Rollouts rollouts_;
   ServerPaths paths_;
--- a/src/gateway/host_fleet.cc
+++ b/src/gateway/host_fleet.cc
@@ -41,13 +41,25 @@
   // Peers know the address of this host's datagrams; tunnels have the same.
   settings::Endpoint address = settings_.peers;
   address.port = peers_->port();
-  auto monitor = PathMonitor::Start(address, loop_, &directory_,
-                                    &forwarder_.cooldowns(), &paths_);
+  auto monitor =
+      PathMonitor::Start(address, loop_, &directory_, &forwarder_.cooldowns(),
+                         &paths_, MakeConfirmEnd());
   if (!monitor.ok()) return monitor.error();
   path_monitor_ = std::move(monitor.value());
   return std::nullopt;
 }
 
+tunnel::ConfirmEnd Host::MakeConfirmEnd() {
+  return [this](const settings::Endpoint& server, std::uint64_t bytes,
+                std::function<void(bool)> done) {
+    confirmations_.Start(
+        {.request = "-", .server = server, .bytes = bytes, .in_tunnel = true},
+        [done = std::move(done)](bool lives, const std::string&) {
+          done(lives);
+        });
+  };
+}
+
 void Host::ComposeUpdate(FleetUpdate* update) {
   update->draining = draining_;
   update->servers = forwarder_.ServerUses();
--- a/src/gateway/host_metrics.cc
+++ b/src/gateway/host_metrics.cc
@@ -86,6 +86,9 @@
                  "Reservations for retries of refused callers, by outcome",
                  {{"outcome", outcome}}, static_cast<double>(count));
   }
+  metrics_.Set("gentianlb_unframed_ends_waiting",
+               "Unframed bodies whose end is not judged yet", {},
+               static_cast<double>(confirmations_.waiting()));
   SetLimitMetrics();
   SetPathMetrics();
   SetRolloutMetrics();
--- a/src/gateway/path_monitor.cc
+++ b/src/gateway/path_monitor.cc
@@ -24,7 +24,7 @@
 Outcome<std::unique_ptr<PathMonitor>> PathMonitor::Start(
     const settings::Endpoint& address, loop::EventLoop* loop,
     const Directory* directory, const ServerCooldowns* cooldowns,
-    ServerPaths* paths) {
+    ServerPaths* paths, tunnel::ConfirmEnd confirm_end) {
   std::unique_ptr<PathMonitor> monitor(
       new PathMonitor(loop, directory, cooldowns, paths));
   PathMonitor* self = monitor.get();
@@ -37,7 +37,8 @@
        .on_connect =
            [self](const settings::Endpoint& server, bool connected) {
              self->RecordConnect(server, connected);
-           }});
+           },
+       .confirm_end = std::move(confirm_end)});
   if (!tunnels.ok()) return tunnels.error();
   self->tunnels_ = std::move(tunnels.value());
   self->probe_timer_ =
@@ -72,7 +73,7 @@
 void PathMonitor::Probe(const ServerEntry& server, absl::Time now) {
   probes_[server.id] = std::make_unique<tunnel::Connector>(
       loop_, server.address, kProbeTimeout,
-      [this, id = server.id, now](int socket) {
+      [this, id = server.id, now](int socket, tunnel::ConnectResult) {
         if (socket >= 0) close(socket);
         RecordProbe(id, now, socket >= 0);
       });
--- a/src/gateway/path_monitor.h
+++ b/src/gateway/path_monitor.h
@@ -22,11 +22,11 @@
 class PathMonitor {
  public:
   // Accepts connections of peers on `address`. The pointers must outlive the
-  // monitor.
+  // monitor. `confirm_end`: as in tunnel::TunnelHooks.
   static Outcome<std::unique_ptr<PathMonitor>> Start(
       const settings::Endpoint& address, loop::EventLoop* loop,
       const Directory* directory, const ServerCooldowns* cooldowns,
-      ServerPaths* paths);
+      ServerPaths* paths, tunnel::ConfirmEnd confirm_end = {});
   ~PathMonitor();
   PathMonitor(const PathMonitor&) = delete;
   PathMonitor& operator=(const PathMonitor&) = delete;
--- a/src/gateway/tunnel_test.cc
+++ b/src/gateway/tunnel_test.cc
@@ -8,11 +8,15 @@
 
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 
+#include "gateway/end_confirmation.h"
 #include "gateway/path_monitor.h"
+#include "gateway/server_prober.h"
 #include "http/loop_client.h"
 #include "http/raw_server_test.h"
 #include "loop/loop_runner_test.h"
@@ -213,6 +217,144 @@
   BOOST_TEST(body == "half");
 }
 
+// A peer that asks whether the server lives before it ends its tunnel.
+struct ConfirmingFixture : Fixture {
+  ConfirmingFixture() {
+    tunnel::TunnelServerHooks hooks;
+    hooks.is_allowed = [](const settings::Endpoint&) { return true; };
+    hooks.on_connect = [](const settings::Endpoint&, bool) {};
+    hooks.confirm_end = [this](const settings::Endpoint& to,
+                               std::uint64_t bytes,
+                               std::function<void(bool)> done) {
+      BOOST_TEST(settings::Format(to) == server.address());
+      BOOST_TEST(bytes == response_bytes);
+      confirm = std::move(done);
+    };
+    auto started =
+        tunnel::TunnelServer::Start(&loop, {"127.0.0.1", 0}, std::move(hooks));
+    BOOST_REQUIRE(started.ok());
+    tunnels = std::move(started.value());
+    tunnel_port = tunnels->port();
+  }
+  // The server answers and closes its connection in good order.
+  void AnswerAndClose(const std::string& response) {
+    response_bytes = response.size();
+    Send();
+    Answer(response);
+    server.Close();
+    RunUntil([this] { return confirm != nullptr; });
+  }
+
+  std::uint64_t response_bytes = 0;
+  std::function<void(bool)> confirm;
+};
+
+BOOST_FIXTURE_TEST_CASE(AConfirmedEndIsPassedOn, ConfirmingFixture) {
+  AnswerAndClose(kUnframed);
+  RunUntil([this] { return body == "half"; });
+  BOOST_TEST(!end.has_value());
+  confirm(true);
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kComplete));
+}
+
+// Guards against half of a body that looks complete because the server behind
+// the peer was killed.
+BOOST_FIXTURE_TEST_CASE(AnUnconfirmedEndBreaksTheBody, ConfirmingFixture) {
+  AnswerAndClose(kUnframed);
+  RunUntil([this] { return body == "half"; });
+  confirm(false);
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kBroken));
+}
+
+// What states its end by itself waits for nothing, and its tunnel goes.
+BOOST_FIXTURE_TEST_CASE(AFramedBodyNeedsNoConfirmation, ConfirmingFixture) {
+  AnswerAndClose("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody");
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  RunUntil([this] { return tunnels->open_tunnels() == 0; });
+  confirm(false);  // Too late: nothing is left that it could end.
+}
+
+BOOST_FIXTURE_TEST_CASE(APeerThatStopsWhileItConfirmsBreaksTheBody,
+                        ConfirmingFixture) {
+  AnswerAndClose(kUnframed);
+  RunUntil([this] { return body == "half"; });
+  tunnels.reset();
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  confirm(true);
+}
+
+BOOST_FIXTURE_TEST_CASE(ACallerThatGoesEndsAWaitingTunnel, ConfirmingFixture) {
+  response_bytes = std::string_view(kUnframed).size();
+  const http::TransferId id = Send();
+  Answer(kUnframed);
+  server.Close();
+  RunUntil([this] { return confirm != nullptr; });
+  client.Cancel(id);
+  RunUntil([this] { return tunnels->open_tunnels() == 0; });
+}
+
+// A peer that connects to the server to find out whether it lives.
+struct ProbingFixture : Fixture {
+  ProbingFixture() {
+    tunnel::TunnelServerHooks hooks;
+    hooks.is_allowed = [](const settings::Endpoint&) { return true; };
+    hooks.on_connect = [](const settings::Endpoint&, bool) {};
+    hooks.confirm_end = [this](const settings::Endpoint& to,
+                               std::uint64_t bytes,
+                               std::function<void(bool)> done) {
+      confirmations.Start(
+          {.request = "-", .server = to, .bytes = bytes, .in_tunnel = true},
+          [done](bool lives, const std::string&) { done(lives); });
+    };
+    auto started =
+        tunnel::TunnelServer::Start(&loop, {"127.0.0.1", 0}, std::move(hooks));
+    BOOST_REQUIRE(started.ok());
+    tunnels = std::move(started.value());
+    tunnel_port = tunnels->port();
+  }
+
+  metrics::Metrics metrics;
+  ServerProber prober{&loop};
+  EndConfirmations confirmations{
+      &loop.timers(),
+      [this] { return loop.now(); },
+      &metrics,
+      {.probe =
+           [this](const settings::Endpoint& to,
+                  std::function<void(ServerProbe)> done) {
+             return prober.Probe(to, std::move(done));
+           },
+       .cancel_probe = [this](std::uint64_t id) { prober.Cancel(id); },
+       .open_transfers = [](const settings::Endpoint&,
+                            absl::Time) { return 0; }}};
+};
+
+BOOST_FIXTURE_TEST_CASE(ALivingServersEndIsPassedOnByThePeer, ProbingFixture) {
+  Send();
+  Answer(kUnframed);
+  server.Close();
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(body == "half");
+}
+
+// Guards against half of a body that looks complete because the server behind
+// the peer was killed: the kernel ends its connections and its listening
+// socket.
+BOOST_FIXTURE_TEST_CASE(ADeadServersEndIsBrokenByThePeer, ProbingFixture) {
+  Send();
+  Answer(kUnframed);
+  RunUntil([this] { return body == "half"; });
+  server.Close();
+  server.StopListening();
+  WaitForEnd();
+  BOOST_TEST((*end == TransferEnd::kBroken));
+}
+
 // Nothing has been sent in these cases, so that even a payment may be tried on
 // another path.
 BOOST_FIXTURE_TEST_CASE(ARefusedTunnelEndsAsNotSent, Fixture) {
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -53,6 +53,10 @@
                      "their connection was used before")),
       framings_(AddCounter("gentianlb_answers_by_framing_total",
                            "Whole answers, by what marks the body's end")),
+      unframed_ends_(AddCounter(
+          "gentianlb_unframed_ends_total",
+          "Unframed bodies that ended in good order, by what their servers' "
+          "addresses answered, and by whether they were taken for complete")),
       cancelled_(AddCounter("gentianlb_requests_cancelled_total",
                             "Running requests that were stopped")),
       first_token_(prometheus::BuildHistogram()
@@ -115,6 +119,13 @@
   framings_.Add({{"framing", std::string(framing)}}).Increment();
 }
 
+void Metrics::CountUnframedEnd(std::string_view probe, bool complete) {
+  unframed_ends_
+      .Add({{"probe", std::string(probe)},
+            {"complete", complete ? "yes" : "no"}})
+      .Increment();
+}
+
 void Metrics::CountCancelled(Code code) {
   cancelled_.Add({{"code", CodeLabel(code)}}).Increment();
 }
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -46,6 +46,9 @@
   void CountUnnamedRefusal(bool kept_connection);
   // Counts a relayed response by what marks the end of its body.
   void CountFraming(std::string_view framing);
+  // Counts an unframed body that ended in good order, by what the last probe of
+  // its server showed and by what the end was taken for.
+  void CountUnframedEnd(std::string_view probe, bool complete);
   void CountCancelled(Code code);
   void ObserveFirstToken(Tier tier, absl::Duration since_arrival);
 
@@ -74,6 +77,7 @@
   prometheus::Family<prometheus::Counter>& foreign_answers_;
   prometheus::Family<prometheus::Counter>& unnamed_refusals_;
   prometheus::Family<prometheus::Counter>& framings_;
+  prometheus::Family<prometheus::Counter>& unframed_ends_;
   prometheus::Family<prometheus::Counter>& cancelled_;
   prometheus::Family<prometheus::Histogram>& first_token_;
 };
--- a/src/tunnel/connector.h
+++ b/src/tunnel/connector.h
@@ -11,12 +11,16 @@
 
 namespace gentianlb::tunnel {
 
+// kRefused: the machine answered that nothing listens there. kUnanswered: there
+// was no answer in time, or the network has no way to the machine.
+enum class ConnectResult { kConnected, kRefused, kUnanswered };
+
 // Not thread-safe: used by the event loop's thread only.
 class Connector {
  public:
-  // Called once, never from the constructor. `socket` is -1 if the connection
-  // was refused or not made in time, else it belongs to the callee.
-  using Done = std::function<void(int socket)>;
+  // Called once, never from the constructor. `socket` is -1 unless connected,
+  // else it belongs to the callee.
+  using Done = std::function<void(int socket, ConnectResult result)>;
 
   // `loop` must outlive this object.
   Connector(loop::EventLoop* loop, const settings::Endpoint& to,
@@ -27,7 +31,7 @@
 
  private:
   void OnWritable();
-  void Finish(bool connected);
+  void Finish(ConnectResult result);
 
   loop::EventLoop* const loop_;
   Done done_;
--- a/src/tunnel/tunnel.cc
+++ b/src/tunnel/tunnel.cc
@@ -115,11 +115,14 @@
   Watch(&peer_, EPOLLRDHUP, [this](std::uint32_t) { End(); });
   connector_ = std::make_unique<Connector>(
       loop_, server.value(), kConnectTimeout,
-      [this, to = server.value()](int socket) { OnConnected(to, socket); });
+      [this, to = server.value()](int socket, ConnectResult) {
+        OnConnected(to, socket);
+      });
 }
 
 void Tunnel::OnConnected(const settings::Endpoint& server, int socket) {
   server_.socket = socket;
+  address_ = server;
   hooks_.on_connect(server, socket >= 0);
   if (ended_) return;
   if (socket < 0) return Refuse(ConnectAnswer::kUnreachable);
@@ -155,6 +158,7 @@
     if (count < 0) return ReadEnd::kBroken;
     if (count == 0) return ReadEnd::kClosed;
     to->outgoing.append(block.data(), static_cast<std::size_t>(count));
+    if (to == &peer_) bytes_to_peer_ += static_cast<std::uint64_t>(count);
     if (!Flush(to)) return ReadEnd::kBroken;
     // A short block is most likely the last one for now.
     if (count < static_cast<ssize_t>(block.size())) return ReadEnd::kOpen;
@@ -166,7 +170,10 @@
 // stop the server's work, so the server's connection ends at once.
 void Tunnel::RelayToServer(std::uint32_t events) {
   if ((events & kBrokenEvents) != 0 || !Flush(&peer_)) return End();
-  if (server_ended_) return EndWhenFlushed();
+  if (server_ended_) {
+    if ((events & EPOLLRDHUP) != 0) return End();
+    return EndWhenFlushed();
+  }
   if (Relay(&peer_, &server_) != ReadEnd::kOpen) return End();
   UpdateWatches();
 }
@@ -179,11 +186,26 @@
   const ReadEnd end = sent ? Relay(&server_, &peer_) : ReadEnd::kBroken;
   if (end == ReadEnd::kOpen) return UpdateWatches();
   server_ended_ = true;
-  orderly_end_ = end == ReadEnd::kClosed;
   CloseServer();
+  if (end == ReadEnd::kClosed) OnServerClosed();
   EndWhenFlushed();
 }
 
+void Tunnel::OnServerClosed() {
+  if (!hooks_.confirm_end) {
+    orderly_end_ = true;
+    return;
+  }
+  confirming_ = true;
+  hooks_.confirm_end(address_, bytes_to_peer_,
+                     [this, alive = std::weak_ptr<int>(alive_)](bool lives) {
+                       if (alive.expired() || ended_) return;
+                       confirming_ = false;
+                       orderly_end_ = lives;
+                       EndWhenFlushed();
+                     });
+}
+
 void Tunnel::CloseServer() {
   connector_.reset();
   if (server_.socket < 0) return;
@@ -192,7 +214,7 @@
 }
 
 void Tunnel::EndWhenFlushed() {
-  if (!peer_.outgoing.empty()) return UpdateWatches();
+  if (confirming_ || !peer_.outgoing.empty()) return UpdateWatches();
   if (orderly_end_) SetAbortive(peer_.socket, false);
   End();
 }
@@ -213,7 +235,10 @@
     return wanted;
   };
   if (server_ended_) {
-    return Watch(&peer_, EPOLLOUT,
+    // A peer that has what it wants closes its side.
+    std::uint32_t wanted = EPOLLRDHUP;
+    if (!peer_.outgoing.empty()) wanted |= EPOLLOUT;
+    return Watch(&peer_, wanted,
                  [this](std::uint32_t got) { RelayToServer(got); });
   }
   Watch(&peer_, events(peer_, server_),
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -3,8 +3,9 @@
 //
 // The peer speaks to the server as if it were connected directly: a connection
 // that the server closes is closed, and one that breaks is reset, because the
-// end of a connection may be the end of a response. Whatever else ends a
-// tunnel, the end of this process too, resets the peer's connection.
+// end of a connection may be the end of a response. One that the server's
+// process closes as it dies is reset, too. Whatever else ends a tunnel, the end
+// of this process too, resets the peer's connection.
 
 #ifndef GENTIANLB_TUNNEL_TUNNEL_H_
 #define GENTIANLB_TUNNEL_TUNNEL_H_
@@ -28,12 +29,20 @@
 // Returns the response text for `answer`.
 std::string_view ResponseText(ConnectAnswer answer);
 
+// Finds out whether the process of `server`, which has closed a connection in
+// good order after `bytes` of responses, lives. Calls `done` later.
+using ConfirmEnd =
+    std::function<void(const settings::Endpoint& server, std::uint64_t bytes,
+                       std::function<void(bool lives)> done)>;
+
 struct TunnelHooks {
   // Returns whether connections to `server` may be made.
   std::function<bool(const settings::Endpoint& server)> is_allowed;
   // Reports whether a connection to `server` could be made.
   std::function<void(const settings::Endpoint& server, bool connected)>
       on_connect;
+  // Not set: each end in good order is taken for the server's own.
+  ConfirmEnd confirm_end = {};
   // Called once when the tunnel has ended. May destroy it after the current
   // callback.
   std::function<void()> on_end;
@@ -73,6 +82,8 @@
   // Returns false if the connection is broken.
   bool Flush(Side* side);
   void CloseServer();
+  // Handles the end of the server's connection in good order.
+  void OnServerClosed();
   // Ends the tunnel once the peer has all bytes of the server.
   void EndWhenFlushed();
   void End();
@@ -82,15 +93,20 @@
 
   loop::EventLoop* const loop_;
   const TunnelHooks hooks_;
+  settings::Endpoint address_;  // Of the server.
   Side peer_;
   Side server_;
   std::string request_;  // Until it is complete.
   std::unique_ptr<Connector> connector_;
   bool relaying_ = false;
   bool server_ended_ = false;
+  bool confirming_ = false;  // The server's end.
+  std::uint64_t bytes_to_peer_ = 0;
   bool orderly_end_ = false;  // The peer's connection ends as the server's did.
   bool ended_ = false;
   TimerId request_timer_ = 0;
+  // Expires with this object; confirmations in progress check it.
+  std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
 }  // namespace gentianlb::tunnel
