A promise that the server did not make is not passed on

Callers saw REFUSED: calls that may run once were answered 503 or 429 and had run.

Cause: a server's 503, 429 or 408 without the mark that it did not run the request was relayed as it came. Callers take these statuses for a promise that the request has not run and never will, and only the mark states that.

FinishResponse gives such an answer up as an unknown outcome (502) where the request may run only once. Idempotent calls and streams that may be resumed get it as before. With the mark, the request is sent elsewhere or refused by this host, as before.

--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -24,6 +24,12 @@
   return info.http_status == 504 ? 504 : 502;
 }
 
+// Returns whether callers take a status for the promise that the request has
+// not run and never will.
+bool PromisesNotRun(int status) {
+  return status == 503 || status == 429 || status == 408 || status == 421;
+}
+
 // Returns what marks the end of a response's body.
 std::string_view FramingOf(const ResponseHead& head) {
   if (head.ends_with_connection) return "connection";
@@ -75,6 +81,14 @@
 void Forwarder::FinishResponse(Exchange& exchange) {
   const absl::Time now = clock_();
   const ResponseHead& head = exchange.attempt.head;
+  // Only a server that states that it has not run the request can promise it.
+  if (PromisesNotRun(head.status) && !head.not_run &&
+      !exchange.safe_to_retry()) {
+    return FailRequest(
+        exchange,
+        {Code::kServerBroke, absl::StrCat("status ", head.status,
+                                          " doesn't say that it did not run")});
+  }
   const bool stream = exchange.is_stream() && IsSuccess(head.status);
   const std::size_t body_bytes = exchange.body.size();
   metrics_->CountFraming(FramingOf(head));
--- a/src/gateway/forwarder_identity_test.cc
+++ b/src/gateway/forwarder_identity_test.cc
@@ -80,5 +80,39 @@
   BOOST_TEST(!NextIsOnNewConnection(site));
 }
 
+// Guards against a call that a server has run, though its answer promises the
+// caller that it has not: only the server can say so.
+BOOST_AUTO_TEST_CASE(APromiseThatTheServerDidNotMakeIsNotPassedOn) {
+  for (const char* path : {"/pay/1", "/stream/1"}) {
+    for (const int status : {503, 429, 408, 421}) {
+      FakeSite site;
+      site.Configure();
+      const auto caller = site.SendRequest(path);
+      site.last().SendResponse(status, "full");
+      BOOST_TEST(site.calls.size() == 1u);
+      BOOST_TEST(caller->status == 502);
+      BOOST_TEST(caller->body.find("full") == std::string::npos);
+      BOOST_TEST(caller->header("Retry-After").empty());
+      BOOST_TEST(site.forwarder->open_requests() == 0u);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(OtherFailuresAreRelayedAsTheyCome) {
+  for (const int status : {400, 404, 500, 504}) {
+    FakeSite site;
+    site.Configure();
+    const auto caller = site.SendRequest("/pay/1");
+    site.last().SendResponse(status, "failed");
+    BOOST_TEST(caller->status == status);
+    BOOST_TEST(caller->body == "failed");
+  }
+  FakeSite site;
+  site.Configure();
+  const auto caller = site.SendRequest("/read/1");
+  site.last().SendResponse(429, "slower");
+  BOOST_TEST(caller->status == 429);
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
