--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,7 +41,7 @@
 enum class ReadAction {
   kContinue,           // Read the body and keep the connection.
   kContinueThenClose,  // Read the body, then close the connection.
-  kStop,               // End the transfer and close the connection.
+  kStop,               // End the transfer as kBroken and close the connection.
 };
 
 struct ClientRequest {
@@ -77,8 +77,6 @@
   std::vector<Header> headers;
   // The connection has carried other responses before.
   bool kept_connection = false;
-  // False: the connection ended before the empty line after the head.
-  bool whole = true;
 };
 
 // Callbacks for a response, called in this order from the client's thread. They
@@ -118,6 +116,9 @@
 
   // Thread-safe.
   TransferId Start(ClientRequest request, TransferSink sink);
+  // Ends a transfer as kCancelled, unless it ends before, and closes its
+  // connection. Thread-safe. Called from a sink, the transfer delivers nothing
+  // more but its end.
   void Cancel(TransferId id);
 
   // Buffers the response and calls `done` from the client's thread.
--- a/src/http/loop_client.h
+++ b/src/http/loop_client.h
@@ -32,7 +32,8 @@
   TransferId Start(ClientRequest request, TransferSink sink);
 
   // Ends a transfer without calling its sink and closes its connection, so that
-  // the server stops. Does nothing if the transfer has ended.
+  // the server stops. Does nothing if the transfer has ended. May be called
+  // from a sink; no sink of the transfer is called after that.
   void Cancel(TransferId id);
 
   std::size_t running() const { return transfers_.size(); }
@@ -57,6 +58,7 @@
   TransferId next_id_ = 1;
   TimerId timer_ = 0;
   bool in_callback_ = false;  // True while libcurl calls back.
+  ConnectionSockets sockets_;
   absl::flat_hash_map<TransferId, std::shared_ptr<Transfer>> transfers_;
   std::vector<CURL*> spare_handles_;
   std::uint64_t connections_made_ = 0;
