Faulty backend servers as processes, and a test for each fault of answers

Nothing in tests/ showed callers' MIXED, ORDER, REFUSED and TWICE: the stand-ins answer over the gateway's own HTTP library and can't be killed. faulty_server is a program over plain sockets that writes answers twice, refuses with and without an id, cuts heads and bodies, leaves out framing and writes without end, by seed. Its bodies and events are functions of server and request, and it reports what it ran and finished. CallerConnection keeps its connection and tells how an answer ended; Judge() checks the four rules by what callers got and servers report alone.

--- /dev/null
+++ b/tests/process/answers_site_test.h
@@ -0,0 +1,293 @@
+// Gateways and faulty backend servers as processes, and callers that keep their
+// connections. The answers are judged by what callers got and servers report.
+
+#ifndef GENTIANLB_PROCESS_ANSWERS_SITE_TEST_H_
+#define GENTIANLB_PROCESS_ANSWERS_SITE_TEST_H_
+
+#include <json/json.h>
+#include <signal.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
+#include "base/json_text.h"
+#include "http/client.h"
+#include "process/answer_rules.h"
+#include "process/caller_connection.h"
+#include "process/gateway_process_test.h"
+#include "process/process.h"
+#include "standins/feed_table.h"
+
+namespace gentianlb::process {
+
+// Plain calls that may run once and others, and streams of both kinds.
+inline constexpr char kAnswersConfiguration[] = R"({"version":1,
+ "routes":[
+  {"name":"once","host":"one.example","prefix":"/once/",
+   "route_type":"non_idempotent","timeout_ms":4000,"slo_ms":500,"priority":1,
+   "service":"plain","max_attempts":2,"public":true},
+  {"name":"read","host":"one.example","prefix":"/read/",
+   "route_type":"idempotent","timeout_ms":4000,"slo_ms":500,"priority":1,
+   "service":"plain","max_attempts":2,"public":true},
+  {"name":"chat","host":"one.example","prefix":"/chat/",
+   "route_type":"streaming","timeout_ms":6000,"slo_ms":1000,"priority":1,
+   "service":"llm","max_attempts":2,"public":true,"resumable":true},
+  {"name":"talk","host":"one.example","prefix":"/talk/",
+   "route_type":"streaming","timeout_ms":6000,"slo_ms":1000,"priority":1,
+   "service":"llm","max_attempts":1,"public":true}],
+ "services":[
+  {"name":"plain","max_conns":100},
+  {"name":"llm","engine":{"slots":8,"kv_capacity":100000,"stride":1,
+   "models":[{"name":"m"}]}}],
+ "limits":{"idle_timeout_ms":15000}})";
+
+enum class CallKind { kOnce, kRead, kChat, kTalk };
+
+struct FaultyServerSetup {
+  std::string service;
+  std::string version = "v1";
+  std::size_t body_bytes = 600;
+  // Of the program.
+  std::vector<std::string> options;
+};
+
+class AnswersSite {
+ public:
+  static constexpr absl::Duration kAnswerTime = absl::Seconds(6);
+
+  AnswersSite(std::vector<FaultyServerSetup> servers, std::size_t hosts,
+              int events = 5, std::uint64_t seed = 1)
+      : setups_(std::move(servers)), events_(events), seed_(seed) {
+    for (std::size_t i = 0; i < setups_.size(); ++i) {
+      servers_.emplace_back();
+      StartServer(i);
+    }
+    table_.Put("op", "config", kAnswersConfiguration);
+    for (std::size_t i = 0; i < hosts; ++i) hosts_.emplace_back();
+  }
+  ~AnswersSite() { KeepLogs(); }
+  AnswersSite(const AnswersSite&) = delete;
+  AnswersSite& operator=(const AnswersSite&) = delete;
+
+  // `environment`: of the first host.
+  void StartHosts(const std::vector<std::string>& environment = {}) {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      hosts_[i] = std::make_unique<GatewayProcess>(
+          folder_, absl::StrCat("h", i), table_.port(),
+          i == 0 ? environment : std::vector<std::string>());
+    }
+    for (auto& host : hosts_) host->WaitUntilReady(client_);
+    WaitUntil("all hosts dispatch for each other", [this] {
+      return std::all_of(hosts_.begin(), hosts_.end(), [this](auto& host) {
+        return host->Metrics(client_).find(absl::StrCat(
+                   "gentianlb_peers_reachable ", hosts_.size() - 1)) !=
+               std::string::npos;
+      });
+    });
+  }
+
+  // Starts server number `i` (again), and registers it.
+  void StartServer(std::size_t i) {
+    const FaultyServerSetup& setup = setups_[i];
+    std::vector<std::string> arguments = {
+        "--id",           ServerId(i),
+        "--version-name", setup.version,
+        "--seed",         absl::StrCat(seed_),
+        "--body-bytes",   absl::StrCat(setup.body_bytes),
+        "--events",       absl::StrCat(events_)};
+    arguments.insert(arguments.end(), setup.options.begin(),
+                     setup.options.end());
+    const std::string log =
+        folder_.Path(absl::StrCat(ServerId(i), "-", ++server_starts_));
+    logs_.emplace_back(i, log + ".out");
+    servers_[i] = std::make_unique<Process>(
+        GENTIANLB_BUILD_DIR "/tests/standins/faulty_server", arguments, log);
+    Json::Value row;
+    row["service"] = setup.service;
+    row["address"] = absl::StrCat("127.0.0.1:", servers_[i]->Port());
+    row["zone"] = "z";
+    row["slots"] = 8;
+    row["state"] = "ready";
+    row["seq"] = 1;
+    row["born"] = Json::Int64(absl::ToUnixMillis(absl::Now()));
+    row["version"] = setup.version;
+    table_.Put("servers", ServerId(i), ToText(row));
+  }
+
+  std::string ServerId(std::size_t i) const {
+    return absl::StrCat(setups_[i].service, "-", i);
+  }
+  std::string ServerAddress(std::size_t i) {
+    return absl::StrCat("127.0.0.1:", servers_[i]->Port());
+  }
+
+  // Returns a new attempt's record. Thread-safe.
+  CallRecord NewCall(CallKind kind) {
+    absl::MutexLock lock(&mutex_);
+    CallRecord call;
+    call.id = absl::StrCat("r", ++requests_);
+    call.once = kind == CallKind::kOnce || kind == CallKind::kTalk;
+    call.stream = kind == CallKind::kChat || kind == CallKind::kTalk;
+    return call;
+  }
+
+  // Sends an attempt on `connection`, to `host`, and keeps its answer.
+  // Thread-safe.
+  CallRecord Ask(CallerConnection& connection, std::size_t host, CallKind kind,
+                 CallRecord call) {
+    constexpr const char* kPaths[] = {"/once/1", "/read/1", "/chat/1",
+                                      "/talk/1"};
+    const std::string body = "question";
+    std::string text = absl::StrCat(
+        "POST ", kPaths[static_cast<int>(kind)],
+        " HTTP/1.1\r\nHost: one.example\r\nRequest-Id: ", call.id,
+        "\r\nDeadline-Ms: ", absl::ToInt64Milliseconds(kAnswerTime),
+        "\r\nContent-Length: ", body.size(), "\r\n");
+    if (call.stream) text += "Model: m\r\nToken-Count: 100,10\r\n";
+    if (!call.resumes.empty()) {
+      absl::StrAppend(&text, "Resumes: ", call.resumes,
+                      "\r\nLast-Event-Id: ", call.after_event, "\r\n");
+    }
+    call.host = absl::StrCat("h", host);
+    call.answer = connection.Ask(absl::StrCat(text, "\r\n", body), kAnswerTime);
+    absl::MutexLock lock(&mutex_);
+    calls_.push_back(call);
+    return call;
+  }
+
+  // The same on a connection of its own.
+  CallRecord AskOnce(std::size_t host, CallKind kind) {
+    CallerConnection connection(hosts_[host]->callers());
+    return Ask(connection, host, kind, NewCall(kind));
+  }
+
+  // Makes `count` calls of each of `callers` callers, one after the other. A
+  // caller keeps its connection, and goes to the next host when it is closed.
+  void CallAll(const std::vector<CallKind>& kinds, std::size_t callers,
+               std::size_t count) {
+    std::vector<std::thread> threads;
+    for (std::size_t caller = 0; caller < callers; ++caller) {
+      threads.emplace_back(
+          [this, &kinds, caller, count] { CallerLoop(kinds, caller, count); });
+    }
+    for (std::thread& thread : threads) thread.join();
+  }
+
+  // Returns whether any server has written `line`, such as "run ID".
+  bool HasReported(const std::string& line) const {
+    return std::any_of(logs_.begin(), logs_.end(), [&line](const auto& log) {
+      return ReadFile(log.second).find(line) != std::string::npos;
+    });
+  }
+
+  // Starts one caller's calls of one kind in the background. Returns once they
+  // run at a server.
+  std::vector<std::thread> BeginCalls(std::size_t host, CallKind kind,
+                                      int count) {
+    std::vector<std::thread> threads;
+    for (int i = 0; i < count; ++i) {
+      const CallRecord call = NewCall(kind);
+      threads.emplace_back([this, host, kind, call] {
+        CallerConnection connection(hosts_[host]->callers());
+        Ask(connection, host, kind, call);
+      });
+      WaitUntil("it runs", [&] { return HasReported("run " + call.id + " "); });
+    }
+    return threads;
+  }
+
+  Judgement Verdict() {
+    std::vector<ServerReport> reports;
+    for (const auto& [server, log] : logs_) {
+      const FaultyServerSetup& setup = setups_[server];
+      reports.push_back(ReadServerReport(ServerId(server), setup.version,
+                                         setup.body_bytes, ReadFile(log)));
+    }
+    absl::MutexLock lock(&mutex_);
+    return Judge(calls_, reports, events_);
+  }
+
+  standins::FeedTable table_;
+  TempFolder folder_;
+  http::Client client_;
+  std::vector<std::unique_ptr<Process>> servers_;
+  std::vector<std::unique_ptr<GatewayProcess>> hosts_;
+
+ private:
+  // Nobody listens at a host that was killed.
+  static constexpr absl::Duration kPauseAtADeadHost = absl::Milliseconds(20);
+
+  void CallerLoop(const std::vector<CallKind>& kinds, std::size_t caller,
+                  std::size_t count) {
+    std::unique_ptr<CallerConnection> connection;
+    std::size_t host = caller;
+    for (std::size_t i = 0; i < count; ++i) {
+      if (connection == nullptr || !connection->IsOpen()) {
+        host = (host + 1) % hosts_.size();
+        connection =
+            std::make_unique<CallerConnection>(hosts_[host]->callers());
+      }
+      if (!connection->IsOpen()) {
+        absl::SleepFor(kPauseAtADeadHost);
+        continue;
+      }
+      const CallKind kind = kinds[(caller + i) % kinds.size()];
+      const CallRecord call = Ask(*connection, host, kind, NewCall(kind));
+      if (kind == CallKind::kChat) TakeUp(call);
+    }
+  }
+
+  // Takes a stream that broke off up, over the other hosts in turn.
+  void TakeUp(CallRecord call) {
+    const std::string first = call.id;
+    int last = LastEventOf(call.answer.body, 0);
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      const bool broke_off =
+          call.answer.status == 200 && call.answer.end != AnswerEnd::kFramed;
+      const bool goes_on = broke_off || call.answer.status != 200;
+      if (last == 0 || last == events_ || !goes_on) return;
+      CallerConnection connection(hosts_[i]->callers());
+      if (!connection.IsOpen()) continue;
+      CallRecord next = NewCall(CallKind::kChat);
+      next.resumes = first;
+      next.after_event = last;
+      call = Ask(connection, i, CallKind::kChat, std::move(next));
+      last = LastEventOf(call.answer.body, last);
+    }
+  }
+
+  // GENTIANLB_TEST_LOGS names a folder that keeps all that the processes wrote.
+  void KeepLogs() const {
+    const char* const folder = std::getenv("GENTIANLB_TEST_LOGS");
+    if (folder == nullptr) return;
+    std::error_code ignored;
+    std::filesystem::copy(folder_.Path(""),
+                          absl::StrCat(folder, "/seed", seed_, "-",
+                                       absl::ToUnixMillis(absl::Now())),
+                          std::filesystem::copy_options::recursive, ignored);
+  }
+
+  const std::vector<FaultyServerSetup> setups_;
+  const int events_;
+  const std::uint64_t seed_;
+  int server_starts_ = 0;
+  // The server's number, and the file with its reports, by start.
+  std::vector<std::pair<std::size_t, std::string>> logs_;
+  absl::Mutex mutex_;
+  int requests_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::vector<CallRecord> calls_ ABSL_GUARDED_BY(mutex_);
+};
+
+}  // namespace gentianlb::process
+
+#endif  // GENTIANLB_PROCESS_ANSWERS_SITE_TEST_H_
--- /dev/null
+++ b/tests/process/caller_connection.h
@@ -0,0 +1,65 @@
+// A caller's connection to an entry host, over a plain socket: it tells how an
+// answer ended, and sees bytes that nobody asked for.
+
+#ifndef GENTIANLB_PROCESS_CALLER_CONNECTION_H_
+#define GENTIANLB_PROCESS_CALLER_CONNECTION_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "http/server.h"
+
+namespace gentianlb::process {
+
+enum class AnswerEnd {
+  kNone,    // No whole head came.
+  kFramed,  // It is complete by its length or its last chunk.
+  kClosed,  // It has neither, and its connection ended in good order.
+  kBroken,  // It stopped before its end, or was reset.
+};
+
+// An answer as it came.
+struct RawAnswer {
+  int status = 0;
+  std::vector<http::Header> headers;
+  std::string body;  // What came of it.
+  AnswerEnd end = AnswerEnd::kNone;
+  bool timed_out = false;
+  // Bytes came before the request was sent.
+  bool unasked_bytes = false;
+
+  std::string Header(const std::string& name) const;
+};
+
+class CallerConnection {
+ public:
+  // `address`: IP:PORT. Not connected if nobody listens there.
+  explicit CallerConnection(const std::string& address);
+  ~CallerConnection();
+  CallerConnection(const CallerConnection&) = delete;
+  CallerConnection& operator=(const CallerConnection&) = delete;
+
+  // False once the other side has closed it, or an answer has not ended whole.
+  bool IsOpen() const { return socket_ >= 0; }
+
+  // Sends `request`, as it stands, and reads its answer for at most `timeout`.
+  RawAnswer Ask(const std::string& request, absl::Duration timeout);
+
+ private:
+  enum class Read { kBytes, kEnd, kReset, kTimeout };
+
+  Read ReadMore(absl::Time end);
+  void ReadBody(RawAnswer& answer, absl::Time end);
+  void ReadChunks(RawAnswer& answer, absl::Time end);
+  bool NeedBytes(std::size_t count, RawAnswer& answer, absl::Time end);
+  void Close();
+
+  int socket_ = -1;
+  std::string received_;
+};
+
+}  // namespace gentianlb::process
+
+#endif  // GENTIANLB_PROCESS_CALLER_CONNECTION_H_
--- a/tests/process/gateway_process_test.h
+++ b/tests/process/gateway_process_test.h
@@ -7,6 +7,7 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "absl/strings/str_cat.h"
@@ -18,10 +19,12 @@
 class GatewayProcess {
  public:
   // Writes the settings into `folder`, which must outlive this object, and
-  // starts the gateway. `table_port`: of the table service.
+  // starts the gateway. `table_port`: of the table service. `environment`: as
+  // NAME=VALUE, added to this process's own.
   GatewayProcess(const TempFolder& folder, const std::string& name,
-                 int table_port)
+                 int table_port, std::vector<std::string> environment = {})
       : folder_(folder),
+        environment_(std::move(environment)),
         callers_(PickAddress()),
         ready_(PickAddress()),
         metrics_(PickAddress()) {
@@ -42,7 +45,7 @@
     process_ = std::make_unique<Process>(
         GENTIANLB_BUILD_DIR "/src/gentianlb/gentianlb",
         std::vector<std::string>{"gateway", "--settings", settings_},
-        folder_.Path(log));
+        folder_.Path(log), environment_);
   }
 
   int Ready(http::Client& client) const {
@@ -73,6 +76,7 @@
 
  private:
   const TempFolder& folder_;
+  const std::vector<std::string> environment_;
   const std::string callers_;
   const std::string ready_;
   const std::string metrics_;
