A killed host's stream never looks complete to a caller without chunks

What callers saw: a caller of HTTP/1.0 gets a stream without chunks, which ends with its connection. When this host's process was killed, the kernel closed the connection in good order, and half of the stream looked whole.

Fix: the connection is abortive (SO_LINGER with no time) from the stream's head on, and orderly again once the stream is finished, before libmicrohttpd shuts it down. A process that ends in between resets it. libmicrohttpd shuts connections down before it closes them, so an abort still resets by itself, as before.

Evidence: AKilledServersStreamNeverLooksComplete, with a server's process that is killed, failed before and passes; AFinishedStreamOutlivesItsServer passes both times.

--- a/src/http/loop_server_test.cc
+++ b/src/http/loop_server_test.cc
@@ -1,12 +1,20 @@
 // Tests the server on an event loop with raw sockets from the same thread.
 
 #include <arpa/inet.h>
+#include <fcntl.h>
+#include <signal.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
+#include <array>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "absl/time/clock.h"
 #include "http/server.h"
 #include "loop/loop_runner_test.h"
 
@@ -178,5 +186,84 @@
   }
 }
 
+// A server as a process of its own that begins a stream for each request, and
+// finishes it if the target is /whole.
+class ServerProcess {
+ public:
+  ServerProcess() {
+    std::array<int, 2> pipe_ends = {};
+    BOOST_REQUIRE(pipe2(pipe_ends.data(), O_CLOEXEC) == 0);
+    pid_ = fork();
+    BOOST_REQUIRE(pid_ >= 0);
+    if (pid_ == 0) Run(pipe_ends[1]);
+    BOOST_REQUIRE(read(pipe_ends[0], &port_, sizeof port_) == sizeof port_);
+    for (const int pipe_end : pipe_ends) close(pipe_end);
+  }
+  ~ServerProcess() { Kill(); }
+  ServerProcess(const ServerProcess&) = delete;
+  ServerProcess& operator=(const ServerProcess&) = delete;
+
+  std::uint16_t port() const { return port_; }
+  void Kill() {
+    if (pid_ <= 0) return;
+    kill(pid_, SIGKILL);
+    waitpid(std::exchange(pid_, 0), nullptr, 0);
+  }
+
+ private:
+  [[noreturn]] static void Run(int pipe_end) {
+    loop::EventLoop loop;
+    std::vector<std::shared_ptr<Responder>> held;
+    ServerSettings settings;
+    settings.loop = &loop;
+    auto started =
+        Server::Start(settings, [&](const Request& request, auto response) {
+          response->Begin(200, {});
+          response->Write("half");
+          if (request.path == "/whole") response->Finish();
+          held.push_back(std::move(response));
+        });
+    if (!started.ok()) _exit(1);
+    const std::uint16_t port = started.value()->port();
+    if (write(pipe_end, &port, sizeof port) != sizeof port) _exit(1);
+    loop.Run();
+    _exit(0);
+  }
+
+  pid_t pid_ = 0;
+  std::uint16_t port_ = 0;
+};
+
+// Returns what has come until the connection ends or `enough` has come.
+std::string ReadUntil(const Caller& caller, const std::string& enough) {
+  std::string received;
+  for (int i = 0; i < 500 && received.find(enough) == std::string::npos; ++i) {
+    received += caller.Read();
+    absl::SleepFor(absl::Milliseconds(10));
+  }
+  return received;
+}
+
+// Guards against half of a stream that looks complete to a caller without
+// chunked bodies because this process was killed.
+BOOST_AUTO_TEST_CASE(AKilledServersStreamNeverLooksComplete) {
+  ServerProcess server;
+  const Caller caller(server.port());
+  caller.Send("GET /half HTTP/1.0\r\nHost: h\r\n\r\n");
+  BOOST_TEST(ReadUntil(caller, "half").ends_with("half"));
+  server.Kill();
+  BOOST_TEST(caller.IsReset());
+}
+
+BOOST_AUTO_TEST_CASE(AFinishedStreamOutlivesItsServer) {
+  ServerProcess server;
+  const Caller caller(server.port());
+  caller.Send("GET /whole HTTP/1.0\r\nHost: h\r\n\r\n");
+  BOOST_TEST(ReadUntil(caller, "half").ends_with("half"));
+  absl::SleepFor(absl::Milliseconds(50));
+  server.Kill();
+  BOOST_TEST(!caller.IsReset());
+}
+
 }  // namespace
 }  // namespace gentianlb::http
--- a/src/http/pending_response.h
+++ b/src/http/pending_response.h
@@ -114,6 +114,7 @@
       response = MHD_create_response_from_buffer(buffer_.size(), buffer_.data(),
                                                  MHD_RESPMEM_MUST_COPY);
     } else {
+      if (!accepts_chunks_) SetAbortive(true);
       // The reader keeps this object alive until libmicrohttpd frees it.
       response = MHD_create_response_from_callback(
           MHD_SIZE_UNKNOWN, kStreamBlockBytes, &PendingResponse::Read,
@@ -178,6 +179,7 @@
     std::size_t available = self->buffer_.size() - self->consumed_;
     if (available == 0) {
       if (self->phase_ == Phase::kFinished) {
+        if (!self->accepts_chunks_) self->SetAbortive(false);
         return MHD_CONTENT_READER_END_OF_STREAM;
       }
       if (self->phase_ == Phase::kAborted) {
@@ -197,6 +199,20 @@
     return static_cast<ssize_t>(count);
   }
 
+  // Sets whether the end of this process resets the connection. Without chunks
+  // a closed one is the end of a complete response, and the kernel closes the
+  // connections of a killed process in good order.
+  void SetAbortive(bool abortive) const {
+    const MHD_ConnectionInfo* info =
+        MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
+    const linger option = {abortive ? 1 : 0, 0};
+    if (setsockopt(info->connect_fd, SOL_SOCKET, SO_LINGER, &option,
+                   sizeof option) == 0) {
+      return;
+    }
+    PLOG(WARNING) << "event=socket-option-refused option=SO_LINGER";
+  }
+
   // Resets the connection: without chunks a closed one is the end of a complete
   // response. libmicrohttpd shuts connections down before it closes them, so
   // SO_LINGER would have no effect.
