--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,6 +3,7 @@
 #ifndef GENTIANLB_GATEWAY_EXCHANGE_H_
 #define GENTIANLB_GATEWAY_EXCHANGE_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -24,6 +25,9 @@
 // Identifies an exchange on this host.
 using ExchangeId = std::uint64_t;
 
+// Identifies one sending of a request on this host.
+using SendId = std::uint64_t;
+
 // One attempt to have a server run the request.
 struct Attempt {
   RequestId dispatch_id;  // The dispatcher's id; empty if not dispatched.
@@ -31,10 +35,12 @@
   ServerPath path;
   int failed_paths = 0;  // Paths to the server on which nothing could be sent.
   absl::Time sent_at;
+  SendId send = 0;                // 0 unless its response is awaited.
   http::TransferId transfer = 0;  // 0 unless the transfer is in progress.
   ResponseHead head;
   bool has_begun = false;  // A byte of the response has arrived.
   bool has_head = false;
+  bool complete = false;        // The whole response has arrived.
   bool foreign_answer = false;  // A head came that isn't for this request.
   // The body after such a head, as long as it may be that of a server that ends
   // as it begins to write. None of it is relayed.
@@ -68,10 +74,11 @@
   std::optional<LimitRefusal> over_limit;
 
   Attempt attempt;
-  int attempts = 0;           // Attempts sent to a server.
-  int shed_attempts = 0;      // Attempts that the server did not run.
-  bool retry_taken = false;   // From the budget, for an attempt not yet sent.
-  bool may_have_run = false;  // An earlier attempt may have run.
+  int attempts = 0;             // Attempts sent to a server.
+  int shed_attempts = 0;        // Attempts that the server did not run.
+  std::vector<ServerId> asked;  // Servers of the earlier attempts.
+  bool retry_taken = false;     // From the budget, for an attempt not yet sent.
+  bool may_have_run = false;    // An earlier attempt may have run.
 
   std::string body;  // Of a plain response, until it is complete.
   EventSplitter splitter{0};
@@ -97,6 +104,12 @@
                                                  : request->id);
   }
 
+  // Returns whether an earlier attempt was sent to `server`. A late copy of its
+  // answer would name this request.
+  bool WasSentTo(const ServerId& server) const {
+    return std::find(asked.begin(), asked.end(), server) != asked.end();
+  }
+
   // Returns whether its stream may go on at `server`.
   bool Fits(const ServerEntry& server) const {
     return stream_version.empty() || stream_version == server.version;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -96,6 +96,7 @@
 void Forwarder::FinishTransfer(Exchange& exchange) {
   timers_->Cancel(exchange.attempt.unidentified_timer);
   exchange.attempt.unidentified_timer = 0;
+  exchange.attempt.send = 0;
   if (exchange.attempt.transfer == 0) return;
   exchange.attempt.transfer = 0;
   const auto found = running_.find(exchange.attempt.server->id);
@@ -142,6 +143,9 @@
                << " waits_for_end=" << may_end;
   attempt.foreign_answer = true;
   metrics_->CountForeignAnswer(head.names_other_request);
+  if (head.names_other_request) {
+    PauseConnectionReuse(exchange, head.kept_connection);
+  }
   if (!may_end) return http::ReadAction::kStop;
   attempt.unidentified.emplace(/*last_event=*/0);
   attempt.head.ends_with_connection = head.ends_with_connection;
@@ -153,6 +157,20 @@
   return http::ReadAction::kContinue;
 }
 
+void Forwarder::PauseConnectionReuse(const Exchange& exchange,
+                                     bool kept_connection) {
+  const ServerEntry& server = *exchange.attempt.server;
+  if (!connection_reuse_.OnOtherAnswer(server, clock_())) return;
+  LOG(WARNING) << "event=connection-reuse-paused server=" << server.id
+               << " started=" << server.started
+               << " request=" << exchange.request->id
+               << " kept_connection=" << kept_connection
+               << " for_ms=" << Milliseconds(ConnectionReuse::kPause)
+               << " servers_remembered=" << connection_reuse_.size()
+               << " peer=" << exchange.attempt.path.peer_name();
+  metrics_->CountReusePause();
+}
+
 bool Forwarder::HasServerRestarted(const Exchange& exchange) const {
   const ServerEntry& server = *exchange.attempt.server;
   const ServerEntry* const registered = directory_->Find(server.id);
@@ -324,6 +342,7 @@
                          : RequestOutcome::kFailed,
                      {Code::kServerBroke, detail});
   }
+  attempt.complete = true;
   const std::string_view truncation = FindTruncation(exchange);
   if (!truncation.empty()) {
     return OnFailure(exchange, RequestOutcome::kConnectionLost,
@@ -434,16 +453,15 @@
                << " partial_bytes=" << exchange.splitter.partial().size()
                << " ends_with_connection="
                << exchange.attempt.head.ends_with_connection
-               << " head_whole=" << exchange.attempt.head.whole
                << " body_bytes=" << exchange.body.size()
                << " peer=" << exchange.attempt.path.peer_name()
                << " begun=" << exchange.attempt.has_begun
-               << " head=" << exchange.attempt.has_head;
+               << " head=" << exchange.attempt.has_head
+               << " complete=" << exchange.attempt.complete;
   exchange.may_have_run = true;
   const ResponseHead head = exchange.attempt.head;
-  const bool complete_failure = error.code != Code::kAnswerTooLong &&
-                                exchange.attempt.has_head &&
-                                IsServerFailure(head.status);
+  const bool complete_failure =
+      exchange.attempt.complete && IsServerFailure(head.status);
   RecordAnswer(exchange, complete_failure ? ServerAnswer::Kind::kFailed
                                           : ServerAnswer::Kind::kBroken);
   std::string body = std::move(exchange.body);
@@ -489,6 +507,7 @@
   LOG(INFO) << "event=resend request=" << exchange.request->id
             << " after=" << avoid << " why=\"" << reason
             << "\" last_event=" << exchange.splitter.last_event();
+  exchange.asked.push_back(avoid);
   if (exchange.responding) metrics_->CountResumed();
   if (rollouts_ != nullptr) {
     const ServiceId& service = exchange.service->id;
--- a/src/http/loop_client.cc
+++ b/src/http/loop_client.cc
@@ -57,8 +57,8 @@
 
 TransferId LoopClient::Start(ClientRequest request, TransferSink sink) {
   const TransferId id = next_id_++;
-  auto transfer = std::make_shared<Transfer>(id, std::move(request),
-                                             std::move(sink), NewHandle());
+  auto transfer = std::make_shared<Transfer>(
+      id, std::move(request), std::move(sink), NewHandle(), &sockets_);
   transfer->Prepare();
   transfers_.emplace(id, std::move(transfer));
   RunOutsideCallbacks([this, id] {
@@ -84,6 +84,7 @@
   if (found == transfers_.end()) return;
   std::shared_ptr<Transfer> transfer = std::move(found->second);
   transfers_.erase(found);
+  transfer->Cancel();
   RunOutsideCallbacks([this, transfer] {
     curl_multi_remove_handle(multi_, transfer->handle());
     Recycle(transfer);
@@ -166,6 +167,11 @@
 void LoopClient::EndTransfer(TransferId id, CURLcode code) {
   const auto found = transfers_.find(id);
   if (found == transfers_.end()) return;
+  if (found->second->PrepareNewConnection()) {
+    curl_multi_remove_handle(multi_, found->second->handle());
+    curl_multi_add_handle(multi_, found->second->handle());
+    return;
+  }
   std::shared_ptr<Transfer> transfer = std::move(found->second);
   transfers_.erase(found);
   long new_connections = 0;  // NOLINT: libcurl's own type
@@ -174,10 +180,11 @@
   connections_made_ += static_cast<std::uint64_t>(new_connections);
   const TransferEnd end = transfer->Finish(code);
   curl_multi_remove_handle(multi_, transfer->handle());
+  std::string detail = transfer->DetailOf(code);
   std::function<void(TransferEnd, std::string)> on_end =
       std::move(transfer->sink().on_end);
   Recycle(std::move(transfer));
-  if (on_end) on_end(end, curl_easy_strerror(code));
+  if (on_end) on_end(end, std::move(detail));
 }
 
 }  // namespace gentianlb::http
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -1,9 +1,12 @@
 #include "http/transfer.h"
 
+#include <glog/logging.h>
+
 #include <algorithm>
 #include <utility>
 
 #include "absl/time/clock.h"
+#include "http/framing.h"
 #include "loop/tcp_socket.h"
 
 namespace gentianlb::http {
@@ -14,6 +17,20 @@
 constexpr long kReceiveBufferBytes = 4096;    // NOLINT: libcurl's own type
 constexpr long kSendBufferBytes = 16 * 1024;  // NOLINT: libcurl's minimum
 
+// Over TLS, what waits may be a message of TLS itself.
+constexpr std::string_view kPlainScheme = "http://";
+
+// A faulty server may write lines without end.
+constexpr std::size_t kMaxHeadBytes = 256 << 10;
+constexpr std::size_t kMaxTrailerBytes = 64 << 10;
+
+// A smaller status is of a head that another one follows.
+constexpr int kMinFinalStatus = 200;
+
+// Returned by a callback, it has libcurl end the transfer and close its
+// connection.
+constexpr std::size_t kEndTransfer = 0;
+
 long Milliseconds(absl::Duration duration) {  // NOLINT: libcurl's own type
   return static_cast<long>(                   // NOLINT
       std::max<std::int64_t>(1, absl::ToInt64Milliseconds(duration)));
@@ -31,11 +48,12 @@
 void InitializeCurl(CurlUse use) { static const CurlGlobal global(use); }
 
 Transfer::Transfer(TransferId transfer_id, ClientRequest request,
-                   TransferSink sink, CURL* handle)
+                   TransferSink sink, CURL* handle, ConnectionSockets* sockets)
     : id(transfer_id),
       request_(std::move(request)),
       sink_(std::move(sink)),
       handle_(handle),
+      sockets_(sockets),
       last_byte_time_(absl::Now()) {}
 
 Transfer::~Transfer() {
@@ -134,40 +152,67 @@
 
 std::size_t Transfer::OnHeader(char* data, std::size_t size, std::size_t count,
                                void* closure) {
-  static_cast<Transfer*>(closure)->ParseHeaderLine({data, size * count});
-  return size * count;
+  auto& transfer = *static_cast<Transfer*>(closure);
+  const bool goes_on =
+      !transfer.cancelled_ && transfer.ParseHeaderLine({data, size * count});
+  return goes_on && !transfer.cancelled_ ? size * count : kEndTransfer;
 }
 
-void Transfer::ParseHeaderLine(std::string_view line) {
+bool Transfer::ParseHeaderLine(std::string_view line) {
   last_byte_time_ = absl::Now();
   if (!std::exchange(has_begun_, true) && sink_.on_first_byte) {
     sink_.on_first_byte();
+    if (cancelled_) return false;
   }
-  if (line.starts_with("HTTP/")) {
-    headers_.clear();
-    head_whole_ = false;
+  // The lines behind a body in chunks come here too.
+  if (head_delivered_) {
+    trailer_bytes_ += line.size();
+    return trailer_bytes_ <= kMaxTrailerBytes;
   }
-  if (line == "\r\n" || line == "\n") head_whole_ = true;
-  const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos) return;
-  std::string_view value = line.substr(colon + 1);
-  while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
-  while (!value.empty() && (value.back() == '\r' || value.back() == '\n')) {
-    value.remove_suffix(1);
+  head_bytes_ += line.size();
+  if (head_bytes_ > kMaxHeadBytes) return false;
+  if (line.starts_with("HTTP/")) headers_.clear();
+  if (line == "\r\n" || line == "\n") {
+    const int status = Status();
+    return status < kMinFinalStatus || DeliverHead(status);
   }
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) return true;
+  const std::string_view value = TrimBlanks(line.substr(colon + 1));
   headers_.push_back({std::string(line.substr(0, colon)), std::string(value)});
+  return true;
+}
+
+int Transfer::Status() const {
+  long status = 0;  // NOLINT: libcurl's own type
+  curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
+  return static_cast<int>(status);
+}
+
+bool Transfer::DeliverHead(int status) {
+  framing_problem_ = ResponseFramingProblem(headers_);
+  if (!framing_problem_.empty()) return false;
+  head_delivered_ = true;
+  if (!sink_.on_head) return true;
+  const ReadAction action =
+      sink_.on_head({status, std::move(headers_), made_socket_ < 0});
+  // libcurl reads it when the transfer ends.
+  if (action == ReadAction::kContinueThenClose) {
+    curl_easy_setopt(handle_, CURLOPT_FORBID_REUSE, 1L);
+  }
+  return action != ReadAction::kStop;
 }
 
 std::size_t Transfer::OnData(char* data, std::size_t size, std::size_t count,
                              void* closure) {
   auto& transfer = *static_cast<Transfer*>(closure);
   transfer.last_byte_time_ = absl::Now();
-  transfer.DeliverHead();
-  if (transfer.stopped_by_sink_) return 0;  // libcurl ends the transfer.
+  // A body without a head is no response.
+  if (transfer.cancelled_ || !transfer.head_delivered_) return kEndTransfer;
   if (transfer.sink_.on_data) {
     transfer.sink_.on_data(std::string_view(data, size * count));
   }
-  return size * count;
+  return transfer.cancelled_ ? kEndTransfer : size * count;
 }
 
 // Aborts an attempt that must not be sent any more, and a second attempt unless
@@ -176,46 +221,47 @@
 // received it, and the request, such as an order, would run twice unnoticed.
 // The caller of Start() decides whether to retry.
 int Transfer::OnBeforeSend(void* closure, char* /*primary_ip*/,
-                           char* /*local_ip*/, int /*primary_port*/,
-                           int /*local_port*/) {
-  auto& transfer = *static_cast<Transfer*>(closure);
-  const auto& may_send = transfer.request_.may_send;
-  transfer.withdrawn_ = may_send && !may_send();
-  if (transfer.withdrawn_) return CURL_PREREQFUNC_ABORT;
-  const bool is_resend = transfer.send_attempts_++ > 0;
-  const bool allowed =
-      transfer.request_.send_policy == SendPolicy::kAllowResend;
-  return is_resend && !allowed ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+                           char* /*local_ip*/, int primary_port,
+                           int local_port) {
+  const bool sends =
+      static_cast<Transfer*>(closure)->MaySend({local_port, primary_port});
+  return sends ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
-int Transfer::OnSocket(void* closure, curl_socket_t socket,
-                       curlsocktype /*purpose*/) {
-  static_cast<Transfer*>(closure)->made_connection_ = true;
-  loop::SetLivenessOptions(socket);
-  return CURL_SOCKOPT_OK;
+bool Transfer::MaySend(PortPair ports) {
+  if (cancelled_) return false;
+  withdrawn_ = request_.may_send && !request_.may_send();
+  if (withdrawn_) return false;
+  if (made_socket_ >= 0) {
+    sockets_->OnMade(made_socket_, ports);
+  } else if (request_.url.starts_with(kPlainScheme)) {
+    found_bytes_ = sockets_->HasUnreadBytes(ports);
+    if (found_bytes_) return false;
+  }
+  const bool is_resend = send_attempts_++ > 0;
+  return !is_resend || request_.send_policy == SendPolicy::kAllowResend;
 }
 
-void Transfer::DeliverHead() {
-  if (head_delivered_) return;
-  head_delivered_ = true;
-  long status = 0;  // NOLINT: libcurl's own type
-  curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
-  if (!sink_.on_head) return;
-  stopped_by_sink_ =
-      sink_.on_head({static_cast<int>(status), headers_, !made_connection_,
-                     head_whole_}) == ReadAction::kStop;
+bool Transfer::PrepareNewConnection() {
+  if (cancelled_ || !std::exchange(found_bytes_, false)) return false;
+  LOG(WARNING) << "event=bytes-before-request url=" << request_.url;
+  curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
+  return true;
 }
 
-TransferEnd Transfer::Finish(CURLcode code) {
-  TransferEnd end = Classify(code);
-  if (end != TransferEnd::kComplete) return end;
-  DeliverHead();
-  return stopped_by_sink_ ? TransferEnd::kBroken : end;
+int Transfer::OnSocket(void* closure, curl_socket_t socket,
+                       curlsocktype /*purpose*/) {
+  static_cast<Transfer*>(closure)->made_socket_ = socket;
+  loop::SetLivenessOptions(socket);
+  return CURL_SOCKOPT_OK;
 }
 
-// Returns kNotSent only if certainly no byte of the request was sent.
-TransferEnd Transfer::Classify(CURLcode code) const {
-  if (code == CURLE_OK) return TransferEnd::kComplete;
+// Returns kNotSent only if certainly no byte of the request was sent. To
+// libcurl, a connection that is closed in good order within the head ends a
+// response without a body.
+TransferEnd Transfer::Finish(CURLcode code) const {
+  if (cancelled_) return TransferEnd::kCancelled;
+  if (code == CURLE_OK && head_delivered_) return TransferEnd::kComplete;
   if (send_attempts_ == 0) {
     return withdrawn_ ? TransferEnd::kWithdrawn : TransferEnd::kNotSent;
   }
@@ -223,4 +269,15 @@
   return TransferEnd::kBroken;
 }
 
+std::string Transfer::DetailOf(CURLcode code) const {
+  if (cancelled_) return "cancelled";
+  if (!framing_problem_.empty()) return std::string(framing_problem_);
+  if (head_bytes_ > kMaxHeadBytes) return "the head is too long";
+  if (trailer_bytes_ > kMaxTrailerBytes) return "the trailer is too long";
+  if (code == CURLE_OK && !head_delivered_) {
+    return "the connection ended within the head";
+  }
+  return curl_easy_strerror(code);
+}
+
 }  // namespace gentianlb::http
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -11,6 +11,7 @@
 
 #include "absl/time/time.h"
 #include "http/client.h"
+#include "http/connection_sockets.h"
 
 namespace gentianlb::http {
 
@@ -18,9 +19,10 @@
 class Transfer {
  public:
   // Takes ownership of `handle`, which comes from curl_easy_init() or
-  // ReleaseHandle().
+  // ReleaseHandle(). `sockets` are those of the client's connections and must
+  // outlive the transfer.
   Transfer(TransferId transfer_id, ClientRequest request, TransferSink sink,
-           CURL* handle);
+           CURL* handle, ConnectionSockets* sockets);
   ~Transfer();
   Transfer(const Transfer&) = delete;
   Transfer& operator=(const Transfer&) = delete;
@@ -28,9 +30,20 @@
   // Sets all options of the handle.
   void Prepare();
 
-  // Must be called once libcurl has finished with `code`. Delivers the head of
-  // a response without a body and returns how the transfer ended.
-  TransferEnd Finish(CURLcode code);
+  // Must be called first once libcurl has finished. Returns true, with a log
+  // line, if nothing was sent, since bytes waited at the kept connection. The
+  // handle is then ready to be run again and will make a new connection.
+  bool PrepareNewConnection();
+  // Must be called once libcurl has finished with `code`. Returns how the
+  // transfer ended.
+  TransferEnd Finish(CURLcode code) const;
+  // Returns the reason for that end, for log lines.
+  std::string DetailOf(CURLcode code) const;
+
+  // From now on only the end is reported, and only by the caller of this.
+  // libcurl sends nothing more and ends the transfer at the next byte. May be
+  // called from a callback of the sink.
+  void Cancel() { cancelled_ = true; }
 
   // Returns the handle for reuse. The transfer must not be used afterwards.
   CURL* ReleaseHandle();
@@ -48,9 +61,12 @@
  private:
   void PrepareBody();
   void PrepareConnection();
-  void DeliverHead();
-  void ParseHeaderLine(std::string_view line);
-  TransferEnd Classify(CURLcode code) const;
+  // Return false if the transfer must end.
+  bool ParseHeaderLine(std::string_view line);
+  bool DeliverHead(int status);
+  int Status() const;
+  // Returns whether libcurl may send the request on a connection.
+  bool MaySend(PortPair ports);
 
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
                               void* closure);
@@ -64,14 +80,18 @@
   ClientRequest request_;
   TransferSink sink_;
   CURL* handle_ = nullptr;
+  ConnectionSockets* const sockets_;
   curl_slist* header_list_ = nullptr;
   std::vector<Header> headers_;
-  bool has_begun_ = false;   // A line of the response's head has arrived.
-  bool head_whole_ = false;  // Its empty line has arrived.
-  bool made_connection_ = false;
-  bool head_delivered_ = false;
-  bool stopped_by_sink_ = false;
+  std::size_t head_bytes_ = 0;     // Of all heads of the response.
+  std::size_t trailer_bytes_ = 0;  // Behind the last chunk.
+  bool has_begun_ = false;         // A line of the response's head has arrived.
+  int made_socket_ = -1;      // Of the connection that was made for it, if any.
+  bool found_bytes_ = false;  // At a kept connection, before the request.
+  bool head_delivered_ = false;       // The empty line after it has arrived.
+  std::string_view framing_problem_;  // Of its head.
   bool withdrawn_ = false;
+  bool cancelled_ = false;
   int send_attempts_ = 0;
   absl::Time last_byte_time_;
 };
