A failure that is cut is not relayed as a whole answer

Cause: a transfer that broke after the head of a 5xx was taken for a complete failure, and relayed where the request isn't sent again. Since the head is delivered before the body, that was so without any byte of the body too.

An attempt records whether its whole response arrived, and only such a failure is relayed; others are given up as an unknown outcome (502).

Evidence: AFailureThatIsCutIsNotRelayed of gateway_forwarder_identity_test fails in 6 checks with the old condition (status 500 in each case, with the part of the body) and passes now; gateway_forwarder_test passes (26 cases).

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -35,11 +35,12 @@
   ServerPath path;
   int failed_paths = 0;  // Paths to the server on which nothing could be sent.
   absl::Time sent_at;
-  SendId send = 0;  // 0 unless its response is awaited.
+  SendId send = 0;                // 0 unless its response is awaited.
   http::TransferId transfer = 0;  // 0 unless the transfer is in progress.
   ResponseHead head;
   bool has_begun = false;  // A byte of the response has arrived.
   bool has_head = false;
+  bool complete = false;        // The whole response has arrived.
   bool foreign_answer = false;  // A head came that isn't for this request.
   // The body after such a head, as long as it may be that of a server that ends
   // as it begins to write. None of it is relayed.
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -311,6 +311,7 @@
 void Forwarder::OnTransferEnd(Exchange& exchange, http::TransferEnd end,
                               const std::string& detail) {
   Attempt& attempt = exchange.attempt;
+  attempt.complete = end == http::TransferEnd::kComplete;
   FinishTransfer(exchange);
   if (end == http::TransferEnd::kWithdrawn) {
     --exchange.attempts;
@@ -458,7 +459,7 @@
                << " head=" << exchange.attempt.has_head;
   exchange.may_have_run = true;
   const ResponseHead head = exchange.attempt.head;
-  const bool complete_failure = error.code != Code::kAnswerTooLong &&
+  const bool complete_failure = exchange.attempt.complete &&
                                 exchange.attempt.has_head &&
                                 IsServerFailure(head.status);
   RecordAnswer(exchange, complete_failure ? ServerAnswer::Kind::kFailed
--- a/src/gateway/forwarder_identity_test.cc
+++ b/src/gateway/forwarder_identity_test.cc
@@ -2,6 +2,7 @@
 // callers are told of the others.
 
 #include <boost/test/unit_test.hpp>
+#include <cstddef>
 #include <string>
 
 #include "gateway/fake_site_test.h"
@@ -98,6 +99,24 @@
   }
 }
 
+// Guards against a part of a failure's body that its caller gets as the whole.
+BOOST_AUTO_TEST_CASE(AFailureThatIsCutIsNotRelayed) {
+  for (const char* path : {"/pay/1", "/read/1"}) {
+    for (const char* part : {"", "half"}) {
+      FakeSite site;
+      site.Configure();
+      const auto caller = site.SendRequest(path);
+      for (std::size_t call = 0; call < site.calls.size(); ++call) {
+        site.calls[call]->SendHead(500);
+        site.calls[call]->SendData(part);
+        site.calls[call]->Finish(http::TransferEnd::kBroken);
+      }
+      BOOST_TEST(caller->status == 502);
+      BOOST_TEST(caller->body.find("half") == std::string::npos);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OtherFailuresAreRelayedAsTheyCome) {
   for (const int status : {400, 404, 500, 504}) {
     FakeSite site;
