--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -311,7 +311,6 @@
 void Forwarder::OnTransferEnd(Exchange& exchange, http::TransferEnd end,
                               const std::string& detail) {
   Attempt& attempt = exchange.attempt;
-  attempt.complete = end == http::TransferEnd::kComplete;
   FinishTransfer(exchange);
   if (end == http::TransferEnd::kWithdrawn) {
     --exchange.attempts;
@@ -343,6 +342,7 @@
                          : RequestOutcome::kFailed,
                      {Code::kServerBroke, detail});
   }
+  attempt.complete = true;
   const std::string_view truncation = FindTruncation(exchange);
   if (!truncation.empty()) {
     return OnFailure(exchange, RequestOutcome::kConnectionLost,
@@ -456,12 +456,12 @@
                << " body_bytes=" << exchange.body.size()
                << " peer=" << exchange.attempt.path.peer_name()
                << " begun=" << exchange.attempt.has_begun
-               << " head=" << exchange.attempt.has_head;
+               << " head=" << exchange.attempt.has_head
+               << " complete=" << exchange.attempt.complete;
   exchange.may_have_run = true;
   const ResponseHead head = exchange.attempt.head;
-  const bool complete_failure = exchange.attempt.complete &&
-                                exchange.attempt.has_head &&
-                                IsServerFailure(head.status);
+  const bool complete_failure =
+      exchange.attempt.complete && IsServerFailure(head.status);
   RecordAnswer(exchange, complete_failure ? ServerAnswer::Kind::kFailed
                                           : ServerAnswer::Kind::kBroken);
   std::string body = std::move(exchange.body);
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -11,15 +11,19 @@
 #include <string_view>
 #include <vector>
 
+#include "gateway/confirmed_servers.h"
 #include "gateway/demand.h"
 #include "gateway/directory.h"
+#include "gateway/end_confirmation.h"
 #include "gateway/forwarder.h"
 #include "gateway/group_link.h"
 #include "gateway/messages.h"
 #include "gateway/path_monitor.h"
 #include "gateway/peers.h"
 #include "gateway/rollouts.h"
+#include "gateway/server_prober.h"
 #include "gateway/startup_queue.h"
+#include "gateway/stream_records.h"
 #include "gateway/stream_versions.h"
 #include "gateway/table_sharing.h"
 #include "gateway/table_subscriber.h"
@@ -40,7 +44,8 @@
   std::string configuration_table;
   std::string configuration_key;
   std::string server_table;
-  std::string host_table;  // The entry hosts' own.
+  std::string host_table;    // The entry hosts' own.
+  std::string stream_table;  // The records of the streams' versions.
   std::function<Outcome<Configuration>(std::string_view row)>
       read_configuration;
   std::function<Outcome<ServerEntry>(const std::string& key,
@@ -84,6 +89,8 @@
 
   std::optional<Error> Listen();
   std::optional<Error> StartPeers();
+  // Returns what confirms the ends of the connections that this host tunnels.
+  tunnel::ConfirmEnd MakeConfirmEnd();
   void ComposeUpdate(FleetUpdate* update);
   void OnPeersUpdate(const FleetUpdate& peers);
   // Charges what peers have admitted to the workspace's limit. Logs a charge
@@ -105,6 +112,7 @@
   std::string BuildMetricsText();
   void SetLimitMetrics();
   void SetPathMetrics();
+  void SetStreamMetrics();
 
   void OnConfigurationRows(const std::vector<TableRow>& rows, bool full_list,
                            absl::Time now);
@@ -140,7 +148,11 @@
   const std::shared_ptr<schedule::Suspects> suspects_;
   Directory directory_;
   Demand demand_;
+  StreamRecords records_;
   StreamVersions streams_;
+  ServerProber prober_;
+  EndConfirmations confirmations_;
+  ConfirmedServers servers_;
   Forwarder forwarder_;
   Rollouts rollouts_;
   ServerPaths paths_;
--- a/src/http/response_end_test.cc
+++ b/src/http/response_end_test.cc
@@ -2,10 +2,15 @@
 // is complete only where its server has marked its end.
 
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
+#include "http/client.h"
 #include "http/loop_client.h"
 #include "http/raw_server_test.h"
 #include "loop/loop_runner_test.h"
@@ -155,6 +160,53 @@
   BOOST_TEST(FindHeader(headers, "Content-Length") == "4");
 }
 
+// The server writes lines until its caller closes.
+struct EndlessLines : Fixture {
+  void WriteWithoutEnd(const std::string& begin) {
+    constexpr std::size_t kEnough = 32 << 20;
+    Send();
+    server.Write(begin);
+    std::string lines;
+    for (int i = 0; i < 1000; ++i) lines += "x: y\r\n";
+    while (!end && written < kEnough && server.WriteSome(lines)) {
+      written += lines.size();
+      RunFor(absl::Milliseconds(1));
+    }
+    RunFor(absl::Milliseconds(20));
+    BOOST_REQUIRE(end.has_value());
+    BOOST_TEST((*end == TransferEnd::kBroken));
+    BOOST_TEST(written < kEnough);
+  }
+
+  std::size_t written = 0;
+};
+
+// Guards against a trailer without end that fills the host's memory.
+BOOST_FIXTURE_TEST_CASE(ATrailerWithoutEndIsBrokenOff, EndlessLines) {
+  WriteWithoutEnd(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nbody\r\n0\r\n");
+  BOOST_TEST(detail == "the trailer is too long");
+  BOOST_TEST(body == "body");
+}
+
+// Guards against the same in the head.
+BOOST_FIXTURE_TEST_CASE(AHeadWithoutEndIsBrokenOff, EndlessLines) {
+  WriteWithoutEnd("HTTP/1.1 200 OK\r\n");
+  BOOST_TEST(detail == "the head is too long");
+  BOOST_TEST(statuses.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AShortTrailerIsNoPartOfTheResponse, Fixture) {
+  Send();
+  Answer(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nbody\r\n0\r\nContent-Length: 9\r\nHTTP/1.1 500: x\r\n\r\n");
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(headers.size() == 1u);
+  BOOST_TEST(body == "body");
+}
+
 constexpr char kChunks[] =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     "5\r\nfirst\r\n0\r\n\r\n";
@@ -228,5 +280,43 @@
   BOOST_TEST(client.connections_made() == 1u);
 }
 
+// Guards against a waiting response in the client with a thread of its own.
+BOOST_AUTO_TEST_CASE(TheClientTakesNoWaitingResponseForTheNextOne) {
+  Client client;
+  RawServer server;
+  Reply reply;
+  const auto send = [&](absl::Notification* ended) {
+    client.Fetch({.url = server.url(), .send_policy = SendPolicy::kNoResend},
+                 [&reply, ended](Reply got) {
+                   reply = std::move(got);
+                   ended->Notify();
+                 });
+  };
+  const auto wait_for = [](const std::function<bool()>& done) {
+    for (int i = 0; i < 5000 && !done(); ++i) {
+      absl::SleepFor(absl::Milliseconds(1));
+    }
+    BOOST_REQUIRE(done());
+  };
+  absl::Notification first;
+  send(&first);
+  wait_for([&] { return server.HasRequest(); });
+  server.Write(kChunks);
+  BOOST_REQUIRE(first.WaitForNotificationWithTimeout(absl::Seconds(5)));
+  server.Write(Foreign(20));
+  absl::Notification second;
+  send(&second);
+  wait_for(
+      [&] { return second.HasBeenNotified() || server.IsClosedByCaller(); });
+  BOOST_REQUIRE(!second.HasBeenNotified());
+  server.Close();
+  server.request.clear();
+  wait_for([&] { return server.HasRequest(); });
+  server.Write(kSecond);
+  BOOST_REQUIRE(second.WaitForNotificationWithTimeout(absl::Seconds(5)));
+  BOOST_TEST((reply.end == TransferEnd::kComplete));
+  BOOST_TEST(reply.body == "second");
+}
+
 }  // namespace
 }  // namespace gentianlb::http
