Seeded series of faults of answers, servers and hosts

A connection that a host has closed while it was idle is no failed call: callers look before they send.

--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -8,8 +8,11 @@
 #include <signal.h>
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -64,6 +67,7 @@
 class AnswersSite {
  public:
   static constexpr absl::Duration kAnswerTime = absl::Seconds(6);
+  static constexpr std::size_t kMaxHosts = 8;
 
   AnswersSite(std::vector<FaultyServerSetup> servers, std::size_t hosts,
               int events = 5, std::uint64_t seed = 1)
@@ -74,17 +78,19 @@
     }
     table_.Put("op", "config", kAnswersConfiguration);
     for (std::size_t i = 0; i < hosts; ++i) hosts_.emplace_back();
+    for (auto& in_rotation : in_rotation_) in_rotation = true;
   }
   ~AnswersSite() { KeepLogs(); }
   AnswersSite(const AnswersSite&) = delete;
   AnswersSite& operator=(const AnswersSite&) = delete;
 
-  // `environment`: of the first host.
-  void StartHosts(const std::vector<std::string>& environment = {}) {
+  // `environment`: of the first host. `more_settings`: of all.
+  void StartHosts(const std::vector<std::string>& environment = {},
+                  const std::string& more_settings = "") {
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       hosts_[i] = std::make_unique<GatewayProcess>(
           folder_, absl::StrCat("h", i), table_.port(),
-          i == 0 ? environment : std::vector<std::string>());
+          i == 0 ? environment : std::vector<std::string>(), more_settings);
     }
     for (auto& host : hosts_) host->WaitUntilReady(client_);
     WaitUntil("all hosts dispatch for each other", [this] {
@@ -175,12 +181,28 @@
   // caller keeps its connection, and goes to the next host when it is closed.
   void CallAll(const std::vector<CallKind>& kinds, std::size_t callers,
                std::size_t count) {
+    auto threads = StartCallers(
+        kinds, callers, [count](std::size_t calls) { return calls < count; });
+    for (std::thread& thread : threads) thread.join();
+  }
+
+  // Starts callers that go on while `goes_on` holds for the number of calls
+  // that each has made.
+  std::vector<std::thread> StartCallers(
+      const std::vector<CallKind>& kinds, std::size_t callers,
+      const std::function<bool(std::size_t)>& goes_on) {
     std::vector<std::thread> threads;
     for (std::size_t caller = 0; caller < callers; ++caller) {
-      threads.emplace_back(
-          [this, &kinds, caller, count] { CallerLoop(kinds, caller, count); });
+      threads.emplace_back([this, kinds, caller, goes_on] {
+        CallerLoop(kinds, caller, goes_on);
+      });
     }
-    for (std::thread& thread : threads) thread.join();
+    return threads;
+  }
+
+  // Whether callers open new connections to a host.
+  void SetInRotation(std::size_t host, bool in_rotation) {
+    in_rotation_[host] = in_rotation;
   }
 
   // Returns whether any server has written `line`, such as "run ID".
@@ -228,20 +250,20 @@
   static constexpr absl::Duration kPauseAtADeadHost = absl::Milliseconds(20);
 
   void CallerLoop(const std::vector<CallKind>& kinds, std::size_t caller,
-                  std::size_t count) {
+                  const std::function<bool(std::size_t)>& goes_on) {
     std::unique_ptr<CallerConnection> connection;
     std::size_t host = caller;
-    for (std::size_t i = 0; i < count; ++i) {
+    for (std::size_t calls = 0; goes_on(calls);) {
       if (connection == nullptr || !connection->IsOpen()) {
         host = (host + 1) % hosts_.size();
-        connection =
-            std::make_unique<CallerConnection>(hosts_[host]->callers());
+        connection = std::make_unique<CallerConnection>(
+            in_rotation_[host] ? hosts_[host]->callers() : "");
       }
       if (!connection->IsOpen()) {
         absl::SleepFor(kPauseAtADeadHost);
         continue;
       }
-      const CallKind kind = kinds[(caller + i) % kinds.size()];
+      const CallKind kind = kinds[(caller + calls++) % kinds.size()];
       const CallRecord call = Ask(*connection, host, kind, NewCall(kind));
       if (kind == CallKind::kChat) TakeUp(call);
     }
@@ -256,7 +278,7 @@
           call.answer.status == 200 && call.answer.end != AnswerEnd::kFramed;
       const bool goes_on = broke_off || call.answer.status != 200;
       if (last == 0 || last == events_ || !goes_on) return;
-      CallerConnection connection(hosts_[i]->callers());
+      CallerConnection connection(in_rotation_[i] ? hosts_[i]->callers() : "");
       if (!connection.IsOpen()) continue;
       CallRecord next = NewCall(CallKind::kChat);
       next.resumes = first;
@@ -280,6 +302,7 @@
   const std::vector<FaultyServerSetup> setups_;
   const int events_;
   const std::uint64_t seed_;
+  std::array<std::atomic<bool>, kMaxHosts> in_rotation_;
   int server_starts_ = 0;
   // The server's number, and the file with its reports, by start.
   std::vector<std::pair<std::size_t, std::string>> logs_;
--- a/tests/process/caller_connection.cc
+++ b/tests/process/caller_connection.cc
@@ -68,6 +68,13 @@
   if (socket_ >= 0) close(std::exchange(socket_, -1));
 }
 
+bool CallerConnection::IsOpen() {
+  if (socket_ < 0) return false;
+  const Read waiting = ReadMore(absl::InfinitePast());
+  if (waiting == Read::kEnd || waiting == Read::kReset) Close();
+  return socket_ >= 0 || !received_.empty();
+}
+
 CallerConnection::Read CallerConnection::ReadMore(absl::Time end) {
   pollfd waiting = {.fd = socket_, .events = POLLIN, .revents = 0};
   const std::int64_t left =
@@ -85,10 +92,9 @@
                                 absl::Duration timeout) {
   RawAnswer answer;
   const absl::Time end = absl::Now() + timeout;
-  const Read waiting = ReadMore(absl::InfinitePast());
+  const bool open = IsOpen();
   answer.unasked_bytes = !received_.empty();
-  if (waiting == Read::kEnd || waiting == Read::kReset ||
-      answer.unasked_bytes) {
+  if (!open || answer.unasked_bytes) {
     Close();
     return answer;
   }
--- a/tests/process/caller_connection.h
+++ b/tests/process/caller_connection.h
@@ -42,7 +42,8 @@
   CallerConnection& operator=(const CallerConnection&) = delete;
 
   // False once the other side has closed it, or an answer has not ended whole.
-  bool IsOpen() const { return socket_ >= 0; }
+  // Bytes that nobody asked for leave it open.
+  bool IsOpen();
 
   // Sends `request`, as it stands, and reads its answer for at most `timeout`.
   RawAnswer Ask(const std::string& request, absl::Duration timeout);
--- a/tests/process/gateway_process_test.h
+++ b/tests/process/gateway_process_test.h
@@ -20,9 +20,10 @@
  public:
   // Writes the settings into `folder`, which must outlive this object, and
   // starts the gateway. `table_port`: of the table service. `environment`: as
-  // NAME=VALUE, added to this process's own.
+  // NAME=VALUE, added to this process's own. `more_settings`: more sections.
   GatewayProcess(const TempFolder& folder, const std::string& name,
-                 int table_port, std::vector<std::string> environment = {})
+                 int table_port, std::vector<std::string> environment = {},
+                 const std::string& more_settings = "")
       : folder_(folder),
         environment_(std::move(environment)),
         callers_(PickAddress()),
@@ -35,7 +36,7 @@
                      "\npath = /v1/readyz\n[metrics]\naddress = ", metrics_,
                      "\n[peers]\naddress = ", PickAddress(),
                      "\n[table]\naddress = 127.0.0.1:", table_port,
-                     "\n[servers]\ndrain_time = 2s\n");
+                     "\n[servers]\ndrain_time = 2s\n", more_settings);
     settings_ = folder_.Write(name + ".ini", settings);
     Run(name);
   }
