An unconfirmed end through a tunnel loses no bytes

Cause: a tunnel whose server's end isn't confirmed resets the peer's connection, and a reset discards what the kernel has not sent. A framed answer whose server left right after it could lose its end where the peer reads slowly; before ends were confirmed it could not.

Fix: the reset waits until the peer's machine has acknowledged all bytes (SIOCOUTQ), for 2.5 s at most. A peer that closes its side ends the tunnel at once, as before.

--- a/src/gateway/tunnel_test.cc
+++ b/src/gateway/tunnel_test.cc
@@ -1,8 +1,10 @@
 // Tests requests through a tunnel: client, tunnel server and backend server on
 // loopback.
 
+#include <arpa/inet.h>
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -20,6 +22,7 @@
 #include "http/loop_client.h"
 #include "http/raw_server_test.h"
 #include "loop/loop_runner_test.h"
+#include "loop/tcp_socket.h"
 #include "tunnel/tunnel_server.h"
 
 namespace gentianlb::gateway {
@@ -355,6 +358,67 @@
   BOOST_TEST((*end == TransferEnd::kBroken));
 }
 
+// A peer's connection that reads when the test says so.
+class SlowPeer {
+ public:
+  SlowPeer(int port, const std::string& server)
+      : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address = {};
+    BOOST_REQUIRE(loop::MakeAddress(
+        "127.0.0.1", static_cast<std::uint16_t>(port), &address));
+    // Far less than what the server sends.
+    const int buffer_bytes = 4096;
+    setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+               sizeof buffer_bytes);
+    BOOST_REQUIRE(connect(socket_, reinterpret_cast<sockaddr*>(&address),
+                          sizeof address) == 0);
+    Send("CONNECT " + server + " HTTP/1.1\r\n\r\n");
+  }
+  ~SlowPeer() { close(socket_); }
+  SlowPeer(const SlowPeer&) = delete;
+  SlowPeer& operator=(const SlowPeer&) = delete;
+
+  void Send(const std::string& bytes) const {
+    BOOST_REQUIRE(send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(bytes.size()));
+  }
+  // Reads what has come. Returns false once the connection was reset.
+  bool Read() {
+    if (was_reset_) return false;
+    std::string bytes(4096, '\0');
+    const ssize_t count =
+        recv(socket_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    BOOST_TEST(count != 0);
+    if (count > 0) received.append(bytes, 0, static_cast<std::size_t>(count));
+    was_reset_ = count < 0 && errno == ECONNRESET;
+    return !was_reset_;
+  }
+
+  std::string received;
+
+ private:
+  const int socket_;
+  bool was_reset_ = false;
+};
+
+// Guards against a framed answer that loses its end, since its server left
+// right after it and can't be confirmed any more.
+BOOST_FIXTURE_TEST_CASE(AnUnconfirmedEndLosesNoBytes, ConfirmingFixture) {
+  SlowPeer peer(tunnel_port, server.address());
+  RunUntil([&] { return peer.Read() && peer.received.ends_with("\r\n\r\n"); });
+  peer.received.clear();
+  peer.Send("GET / HTTP/1.1\r\n\r\n");
+  const std::string response(60'000, 'x');
+  response_bytes = response.size();
+  Answer(response);
+  server.Close();
+  RunUntil([this] { return confirm != nullptr; });
+  confirm(false);
+  RunFor(absl::Milliseconds(50));
+  RunUntil([&] { return !peer.Read(); });
+  BOOST_TEST(peer.received.size() == response.size());
+}
+
 // Nothing has been sent in these cases, so that even a payment may be tried on
 // another path.
 BOOST_FIXTURE_TEST_CASE(ARefusedTunnelEndsAsNotSent, Fixture) {
--- a/src/tunnel/tunnel.cc
+++ b/src/tunnel/tunnel.cc
@@ -1,7 +1,9 @@
 #include "tunnel/tunnel.h"
 
 #include <glog/logging.h>
+#include <linux/sockios.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -30,6 +32,11 @@
 // Reported also for sockets that are watched for neither input nor output.
 constexpr std::uint32_t kBrokenEvents = EPOLLERR | EPOLLHUP;
 
+// A reset discards what the peer has not received, which may be the end of a
+// response that states its length. After this time the peer is taken for lost.
+constexpr absl::Duration kMaxReceiveTime = absl::Milliseconds(2500);
+constexpr absl::Duration kReceiveCheckInterval = absl::Milliseconds(5);
+
 constexpr std::string_view kMethod = "CONNECT ";
 constexpr std::string_view kRequestEnd = "\r\n\r\n";
 
@@ -43,6 +50,12 @@
   PLOG(WARNING) << "event=socket-option-refused option=SO_LINGER";
 }
 
+// Returns whether the other side has acknowledged all bytes.
+bool IsAllReceived(int socket) {
+  int unacknowledged = 0;
+  return ioctl(socket, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
+}
+
 bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
 }  // namespace
@@ -76,6 +89,7 @@
 
 Tunnel::~Tunnel() {
   loop_->timers().Cancel(request_timer_);
+  loop_->timers().Cancel(reset_timer_);
   CloseServer();
   loop_->Unwatch(peer_.socket);
   close(peer_.socket);
@@ -215,13 +229,28 @@
 
 void Tunnel::EndWhenFlushed() {
   if (confirming_ || !peer_.outgoing.empty()) return UpdateWatches();
-  if (orderly_end_) SetAbortive(peer_.socket, false);
+  if (!orderly_end_) return ResetWhenReceived();
+  SetAbortive(peer_.socket, false);
   End();
 }
 
+void Tunnel::ResetWhenReceived() {
+  if (reset_timer_ != 0) return UpdateWatches();
+  const absl::Time now = loop_->now();
+  if (reset_by_ == absl::InfiniteFuture()) reset_by_ = now + kMaxReceiveTime;
+  if (IsAllReceived(peer_.socket) || now >= reset_by_) return End();
+  UpdateWatches();
+  reset_timer_ =
+      loop_->timers().At(now + kReceiveCheckInterval, [this](absl::Time) {
+        reset_timer_ = 0;
+        ResetWhenReceived();
+      });
+}
+
 void Tunnel::End() {
   if (std::exchange(ended_, true)) return;
   loop_->timers().Cancel(std::exchange(request_timer_, 0));
+  loop_->timers().Cancel(std::exchange(reset_timer_, 0));
   loop_->Unwatch(peer_.socket);
   if (server_.socket >= 0) loop_->Unwatch(server_.socket);
   hooks_.on_end();
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -86,6 +86,8 @@
   void OnServerClosed();
   // Ends the tunnel once the peer has all bytes of the server.
   void EndWhenFlushed();
+  // Resets the peer's connection once the peer has all bytes.
+  void ResetWhenReceived();
   void End();
   void UpdateWatches();
   void Watch(Side* side, std::uint32_t events,
@@ -105,6 +107,8 @@
   bool orderly_end_ = false;  // The peer's connection ends as the server's did.
   bool ended_ = false;
   TimerId request_timer_ = 0;
+  TimerId reset_timer_ = 0;
+  absl::Time reset_by_ = absl::InfiniteFuture();
   // Expires with this object; confirmations in progress check it.
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
