Table port: transactions that drop rows, and the service's clock

What must outlast the processes has to be in the table service, in rows that are dropped again. The port could set a single row only. It now has a call that sets and drops rows, all or none, and pages carry the service's steady clock. The stand-in for the service returns the clock, and pages of a bounded number of rows from a key on, as the platform's does.

--- a/src/gateway/table_page.h
+++ b/src/gateway/table_page.h
@@ -6,6 +6,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace gentianlb::gateway {
@@ -23,9 +24,21 @@
   std::vector<TableRow> rows;
   std::uint64_t version = 0;  // Version of the whole table service at the read.
   bool more = false;          // The table has rows after the last one.
+  std::int64_t now_ms = 0;    // The table service's steady clock; 0: unknown.
   bool operator==(const TablePage&) const = default;
 };
 
+// Rows that one transaction sets and drops, all or none.
+struct RowChanges {
+  std::vector<std::pair<std::string, std::string>> writes;  // Key and value.
+  std::vector<std::string> drops;
+};
+
+struct TransactionResult {
+  bool done = false;        // False means that it may have failed.
+  std::int64_t now_ms = 0;  // As in TablePage.
+};
+
 // The part of a table's history that a host has: all changes after `since` up
 // to `version`; the last of them is `newest_change`. The host may lack removals
 // up to `since`: it read the whole table at that version or has dropped old
--- a/src/gateway/table_subscriber.h
+++ b/src/gateway/table_subscriber.h
@@ -48,6 +48,7 @@
 
 using TableAnswer = std::variant<TablePage, TableFailure>;
 using TableDone = std::function<void(TableAnswer answer)>;
+using TransactionDone = std::function<void(const TransactionResult& result)>;
 
 // Interface to the table service, implemented by the platform's adapter and by
 // fakes. Each call invokes its callback once.
@@ -70,6 +71,10 @@
                      std::uint64_t expected, const std::string& value,
                      std::function<void(bool)> done)>
       write_if;
+  // Sets and drops rows unconditionally, all or none.
+  std::function<void(const std::string& table, const RowChanges& changes,
+                     TransactionDone done)>
+      transact;
 };
 
 struct TableSubscriberOptions {
--- a/tests/standins/feed_table.cc
+++ b/tests/standins/feed_table.cc
@@ -1,11 +1,10 @@
 #include "standins/feed_table.h"
 
-#include <json/json.h>
-
 #include <algorithm>
 
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
+#include "absl/time/clock.h"
 #include "base/json_text.h"
 
 namespace gentianlb::standins {
@@ -58,6 +57,18 @@
   waiters_.clear();
 }
 
+void FeedTable::SetPageRows(int rows) {
+  absl::MutexLock lock(&mutex_);
+  page_rows_ = rows;
+}
+
+Json::Value FeedTable::Body() const {
+  Json::Value body;
+  body["ver"] = version_;
+  body["now_ms"] = static_cast<Json::Int64>(absl::ToUnixMillis(absl::Now()));
+  return body;
+}
+
 std::vector<std::string> FeedTable::Keys(const std::string& table) const {
   absl::MutexLock lock(&mutex_);
   std::vector<std::string> keys;
@@ -77,7 +88,7 @@
 }
 
 bool FeedTable::Tell(const Waiter& waiter) {
-  Json::Value body;
+  Json::Value body = Body();
   body["rows"] = Json::arrayValue;
   for (const auto& [name, row] : rows_) {
     if (name.first != waiter.table || row.version <= waiter.since) continue;
@@ -89,7 +100,6 @@
     body["rows"].append(json);
   }
   if (body["rows"].empty()) return false;
-  body["ver"] = version_;
   Respond(*waiter.answer, body);
   return true;
 }
@@ -107,19 +117,23 @@
 
 void FeedTable::Read(const http::Request& request, const Answer& answer) {
   const std::string table(request.argument("table"));
+  const std::string from(request.argument("from"));
   absl::MutexLock lock(&mutex_);
-  Json::Value body;
+  Json::Value body = Body();
   body["rows"] = Json::arrayValue;
+  body["has_more"] = false;
   for (const auto& [name, row] : rows_) {
-    if (name.first != table || row.removed) continue;
+    if (name.first != table || row.removed || name.second < from) continue;
+    if (body["rows"].size() == static_cast<Json::ArrayIndex>(page_rows_)) {
+      body["has_more"] = true;
+      break;
+    }
     Json::Value json;
     json["key"] = name.second;
     json["ver"] = row.version;
     json["value"] = absl::Base64Escape(row.value);
     body["rows"].append(json);
   }
-  body["has_more"] = false;
-  body["ver"] = version_;
   Respond(*answer, body);
 }
 
@@ -141,9 +155,8 @@
 }
 
 void FeedTable::RespondUnchanged(http::Responder& answer) const {
-  Json::Value body;
+  Json::Value body = Body();
   body["rows"] = Json::arrayValue;
-  body["ver"] = version_;
   Respond(answer, body);
 }
 
@@ -159,9 +172,7 @@
   for (const Json::Value& row : (*body)["drop"]) {
     Set(row["table"].asString(), row["key"].asString(), {"", 0, true});
   }
-  Json::Value done;
-  done["ver"] = version_;
-  Respond(*answer, done);
+  Respond(*answer, Body());
 }
 
 }  // namespace gentianlb::standins
--- a/tests/standins/feed_table.h
+++ b/tests/standins/feed_table.h
@@ -4,6 +4,8 @@
 #ifndef GENTIANLB_STANDINS_FEED_TABLE_H_
 #define GENTIANLB_STANDINS_FEED_TABLE_H_
 
+#include <json/json.h>
+
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -33,6 +35,9 @@
   // Changes up to now are no longer told; whoever asks for them gets a 410.
   void DropHistory();
 
+  // Rows of one response to a read; the rest takes further calls.
+  void SetPageRows(int rows);
+
   // Rows of a table, for the test to look at.
   std::vector<std::string> Keys(const std::string& table) const;
 
@@ -55,6 +60,8 @@
   void Write(const http::Request& request, const Answer& answer);
   void Set(const std::string& table, const std::string& key, Row row)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Returns the fields of all responses about rows.
+  Json::Value Body() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   void RespondUnchanged(http::Responder& answer) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   // True when there was a change to tell.
@@ -66,6 +73,7 @@
   std::vector<Waiter> waiters_ ABSL_GUARDED_BY(mutex_);
   std::uint64_t version_ ABSL_GUARDED_BY(mutex_) = 1;
   std::uint64_t oldest_ ABSL_GUARDED_BY(mutex_) = 0;
+  int page_rows_ ABSL_GUARDED_BY(mutex_) = 500;
   bool down_ ABSL_GUARDED_BY(mutex_) = false;
   TimerQueue timers_;
   std::unique_ptr<http::Server> server_;  // Ends first.
