Streams' versions are recorded in the table service

Callers saw streams that hold events of two software versions after all entry hosts were killed right after the older version had left, and streams that were refused after all hosts were killed, or restarted one after the other, although servers of their version served.

Cause: which version began a stream was kept in the memory of three hosts. When all had lost it, Conclude() took the one version that was registered then for the stream's, or refused it.

Hosts now record in the table service which versions they have known, and while those are several, which version began each stream: in batches, the less often the more hosts there are. The version that is registered alone is taken only if the table has been read, hosts that ran before have written rows, and none of these names another version. So both faults go with one cause; a refusal in place of the guess alone would have made the second worse.

In calm times each process writes one row at its start. Without it, nothing says that another version served if it is replaced while no host runs.

AStreamOfAnUnknownVersionIsRefused removes the records before the hosts start again, as the version would be known otherwise; what it demands is the same.

--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/time/clock.h"
+
 namespace gentianlb::gateway {
 namespace {
 
@@ -60,6 +62,20 @@
       log_(log),
       suspects_(std::make_shared<schedule::Suspects>()),
       directory_(settings.drain_time),
+      records_(settings.id, absl::ToUnixMicros(absl::Now()), &loop->timers(),
+               [loop] { return loop->now(); },
+               {.read =
+                    [this](const std::string& from, TableDone done) {
+                      platform_.table.read(platform_.stream_table, from,
+                                           std::move(done));
+                    },
+                .transact =
+                    [this](const RowChanges& changes, TransactionDone done) {
+                      platform_.table.transact(platform_.stream_table, changes,
+                                               std::move(done));
+                    },
+                .versions = [this] { return streams_.RegisteredVersions(); },
+                .on_read = [this] { streams_.OnRecordsRead(); }}),
       streams_(
           settings.id, settings.zone, &loop->timers(),
           [loop] { return loop->now(); },
@@ -191,9 +207,11 @@
   if (!settings.has_rollouts) host->rollouts_.AllowAllVersions();
   host->forwarder_.SetRollouts(&host->rollouts_);
   host->forwarder_.SetPaths(&host->paths_);
+  host->streams_.SetRecords(&host->records_);
   host->forwarder_.SetStreamVersions(&host->streams_);
   host->configuration_subscription_.Start();
   host->server_subscription_.Start();
+  host->records_.Start();
   LOG(INFO) << "event=started zone=" << settings.zone
             << " callers=" << settings::Format(settings.callers)
             << " table=" << settings::Format(settings.table);
@@ -376,6 +394,7 @@
   LOG(INFO) << "event=draining open=" << forwarder_.open_requests();
   forwarder_.Drain(drain_);
   groups_.Drain();
+  records_.Drain();
   path_monitor_->Drain();
   TimerService& timers = loop_->timers();
   timers_.push_back(timers.At(drain_.close_idle_from, [this](absl::Time) {
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -20,6 +20,7 @@
 #include "gateway/peers.h"
 #include "gateway/rollouts.h"
 #include "gateway/startup_queue.h"
+#include "gateway/stream_records.h"
 #include "gateway/stream_versions.h"
 #include "gateway/table_sharing.h"
 #include "gateway/table_subscriber.h"
@@ -40,7 +41,8 @@
   std::string configuration_table;
   std::string configuration_key;
   std::string server_table;
-  std::string host_table;  // The entry hosts' own.
+  std::string host_table;    // The entry hosts' own.
+  std::string stream_table;  // The records of the streams' versions.
   std::function<Outcome<Configuration>(std::string_view row)>
       read_configuration;
   std::function<Outcome<ServerEntry>(const std::string& key,
@@ -105,6 +107,7 @@
   std::string BuildMetricsText();
   void SetLimitMetrics();
   void SetPathMetrics();
+  void SetStreamMetrics();
 
   void OnConfigurationRows(const std::vector<TableRow>& rows, bool full_list,
                            absl::Time now);
@@ -140,6 +143,7 @@
   const std::shared_ptr<schedule::Suspects> suspects_;
   Directory directory_;
   Demand demand_;
+  StreamRecords records_;
   StreamVersions streams_;
   Forwarder forwarder_;
   Rollouts rollouts_;
--- a/src/gateway/host_fleet.cc
+++ b/src/gateway/host_fleet.cc
@@ -151,6 +151,7 @@
 }
 
 void Host::ApplyPeerState(absl::Time now) {
+  records_.SetHosts(demand_.hosts());
   sharing_.UpdateModes({peers_->fleet().is_aggregator(), demand_.hosts()}, now);
   ApplyLimitShares(now);
   rollouts_.Tick(BuildRolloutContext(now), now);
--- a/src/gateway/host_metrics.cc
+++ b/src/gateway/host_metrics.cc
@@ -1,6 +1,7 @@
 // Host: the metrics that describe its current state.
 
 #include <algorithm>
+#include <tuple>
 
 #include "gateway/host.h"
 
@@ -43,6 +44,25 @@
                static_cast<double>(tunnels.tunnels_opened()));
 }
 
+void Host::SetStreamMetrics() {
+  const StreamRecordCounts& counts = records_.counts();
+  for (const auto& [call, outcome, count] :
+       {std::tuple("write", "all", counts.writes),
+        std::tuple("write", "failed", counts.failed_writes),
+        std::tuple("read", "complete", counts.reads),
+        std::tuple("read", "failed", counts.failed_reads)}) {
+    metrics_.Set("gentianlb_stream_record_calls",
+                 "Of the table of streams, since the start",
+                 {{"call", call}, {"outcome", outcome}}, count);
+  }
+  metrics_.Set("gentianlb_stream_records_pending",
+               "Streams whose version is not recorded yet", {},
+               static_cast<double>(records_.pending()));
+  metrics_.Set("gentianlb_stream_records_pending_seconds",
+               "Age of the oldest of them", {},
+               absl::ToDoubleSeconds(records_.PendingAge()));
+}
+
 std::string Host::BuildMetricsText() {
   metrics_.Set("gentianlb_configuration_version", "In force", {},
                static_cast<double>(forwarder_.version()));
@@ -88,6 +108,7 @@
   }
   SetLimitMetrics();
   SetPathMetrics();
+  SetStreamMetrics();
   SetRolloutMetrics();
   metrics_.Set("gentianlb_log_lines_left_out", "For the log's bound", {},
                static_cast<double>(log_->dropped_lines()));
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -52,28 +52,71 @@
   }
   for (const auto& [service, versions] : present) histories_[service];
   for (auto& [service, history] : histories_) {
-    const absl::Time from = now - kVersionMemory;
-    const bool several = history.VersionsSince(from).size() > 1;
+    UpdateSeveral(service, now);
     history.Update(present[service], now);
-    if (several || history.VersionsSince(from).size() <= 1) continue;
-    std::map<StreamId, Stream> begun;
-    for (const auto& [stream, entry] : streams_) {
-      if (entry.began_here && entry.service == service && entry.until > now) {
-        begun[stream] = entry;
-      }
+    UpdateSeveral(service, now);
+  }
+  if (records_ != nullptr) records_->OnVersions();
+}
+
+std::set<std::string> StreamVersions::VersionsSince(NameHash service,
+                                                    absl::Time from) const {
+  std::set<std::string> versions;
+  const auto history = histories_.find(service);
+  if (history != histories_.end()) {
+    versions = history->second.VersionsSince(from);
+  }
+  if (records_ != nullptr) {
+    versions.merge(records_->VersionsSince(service, from));
+  }
+  return versions;
+}
+
+bool StreamVersions::UpdateSeveral(NameHash service, absl::Time now) {
+  if (VersionsSince(service, now - kVersionMemory).size() <= 1) {
+    several_.erase(service);
+    return false;
+  }
+  if (!several_.insert(service).second) return true;
+  std::map<StreamId, Stream> begun;
+  for (const auto& [stream, entry] : streams_) {
+    if (entry.began_here && entry.service == service && entry.until > now) {
+      begun[stream] = entry;
     }
-    Replicate(begun);
   }
+  PassOn(begun);
+  return true;
+}
+
+void StreamVersions::PassOn(const std::map<StreamId, Stream>& streams) {
+  Replicate(streams);
+  if (records_ == nullptr) return;
+  for (const auto& [stream, entry] : streams) {
+    records_->OnBegin(stream, entry.version, entry.until);
+  }
+}
+
+void StreamVersions::OnRecordsRead() {
+  const absl::Time now = clock_();
+  for (const auto& [service, history] : histories_) UpdateSeveral(service, now);
+}
+
+VersionSets StreamVersions::RegisteredVersions() const {
+  VersionSets versions;
+  const absl::Time from = clock_() - kVersionMemory;
+  for (const auto& [service, history] : histories_) {
+    versions[service] = history.VersionsSince(from);
+  }
+  return versions;
 }
 
 void StreamVersions::OnBegin(const ServiceId& service, StreamId stream,
                              const std::string& version, absl::Time until) {
   const NameHash name = HashName(service.str());
   const Stream entry{name, version, until, /*began_here=*/true};
+  // A second version may have appeared or left meanwhile.
+  if (UpdateSeveral(name, clock_())) PassOn({{stream, entry}});
   Remember(stream, entry);
-  const absl::Time from = clock_() - kVersionMemory;
-  if (histories_[name].VersionsSince(from).size() <= 1) return;
-  Replicate({{stream, entry}});
 }
 
 void StreamVersions::Remember(StreamId stream, const Stream& entry) {
@@ -137,6 +180,13 @@
     answer.version = known->second.version;
     return answer;
   }
+  if (records_ != nullptr) {
+    if (const auto version = records_->Find(query.stream)) {
+      answer.knowledge = StreamKnowledge::kBegan;
+      answer.version = *version;
+      return answer;
+    }
+  }
   const auto history = histories_.find(query.service);
   if (history == histories_.end()) return answer;
   const absl::Time from = now - query.life;
@@ -236,15 +286,35 @@
 }
 
 void StreamVersions::Conclude(StreamId stream) {
-  const Query& query = queries_.at(stream);
-  if (query.several) return Resolve(stream, std::nullopt, "nobody");
-  if (!query.only_version.empty()) {
+  Query& query = queries_.at(stream);
+  if (query.reads_records) return;
+  if (!query.several && !query.only_version.empty()) {
     return Resolve(stream, query.only_version, "history-of-a-peer");
   }
-  // All hosts have just started; as far as any knows, one version serves.
-  const std::set<std::string> versions =
-      histories_[query.service].VersionsSince(clock_() - query.life);
-  if (versions.size() == 1) {
+  if (records_ == nullptr) return ConcludeByRecords(stream, /*read=*/false);
+  query.reads_records = true;
+  timers_->Cancel(std::exchange(query.timer, 0));
+  records_->Refresh([this, stream](bool read) {
+    if (queries_.contains(stream)) ConcludeByRecords(stream, read);
+  });
+}
+
+void StreamVersions::ConcludeByRecords(StreamId stream, bool read) {
+  const Query& query = queries_.at(stream);
+  if (records_ != nullptr) {
+    if (const auto version = records_->Find(stream)) {
+      return Resolve(stream, version, "records");
+    }
+  }
+  if (!read) return Resolve(stream, std::nullopt, "records-unread");
+  if (query.several) return Resolve(stream, std::nullopt, "nobody");
+  // All hosts have just started; as far as any knew, one version serves. If no
+  // host that ran before has written records, they may have known others.
+  const absl::Time from = clock_() - query.life;
+  const bool is_recorded =
+      records_ != nullptr && records_->Covers(query.service, from);
+  const std::set<std::string> versions = VersionsSince(query.service, from);
+  if (is_recorded && versions.size() == 1) {
     return Resolve(stream, *versions.begin(), "servers-now");
   }
   Resolve(stream, std::nullopt, "nobody");
--- a/src/gateway/stream_versions.h
+++ b/src/gateway/stream_versions.h
@@ -5,9 +5,11 @@
 // over any host, and the one over which it began may have been killed. So while
 // a service has servers of several versions, a host passes the version of each
 // stream that begins to two others, one of them in another zone. A host that
-// doesn't know a stream asks all hosts that may dispatch. If none knows and
-// several versions served, the version is not known: a guess would mix events
-// of two versions, which the caller doesn't notice.
+// doesn't know a stream asks all hosts that may dispatch. As all of them may be
+// killed at once, streams are recorded in a table too (stream_records.h), which
+// is read if none knows. If the table doesn't say either and several versions
+// may have served, or if it can't be read, the version is not known: a guess
+// would mix events of two versions, which the caller doesn't notice.
 //
 // Has no network and no clock of its own.
 
@@ -27,6 +29,7 @@
 #include "base/timer_service.h"
 #include "gateway/messages.h"
 #include "gateway/stream_messages.h"
+#include "gateway/stream_records.h"
 #include "gateway/version_history.h"
 
 namespace gentianlb::gateway {
@@ -51,6 +54,9 @@
   StreamVersions(const StreamVersions&) = delete;
   StreamVersions& operator=(const StreamVersions&) = delete;
 
+  // Without records, the memory of this host and its peers is all there is.
+  void SetRecords(StreamRecords* records) { records_ = records; }
+
   // Sets the hosts that may dispatch; they may include this one.
   void SetPeers(const std::vector<HostEntry>& hosts) { peers_ = hosts; }
   // Sets all registered servers of all services.
@@ -68,6 +74,11 @@
 
   void HandleMessage(const StreamMessage& message);
 
+  // To be called when rows of the records have been read.
+  void OnRecordsRead();
+  // Returns the versions that were registered within a stream's life.
+  VersionSets RegisteredVersions() const;
+
   // Returns the number of streams that are remembered.
   std::size_t size() const { return streams_.size(); }
 
@@ -87,11 +98,20 @@
     absl::Time asked_at;
     bool several = false;      // A peer knows that several versions served.
     std::string only_version;  // As a peer knows; empty: none does.
+    bool reads_records = false;
     TimerId timer = 0;
   };
 
   void Remember(StreamId stream, const Stream& entry);
   void ForgetOld(absl::Time now);
+  // Returns the versions that served at or after `from`, as far as this host or
+  // the records know.
+  std::set<std::string> VersionsSince(NameHash service, absl::Time from) const;
+  // Returns whether a service has, or had within a stream's life, several
+  // versions. If it didn't before, passes on the streams that began here.
+  bool UpdateSeveral(NameHash service, absl::Time now);
+  // Passes streams that began here to peers and to the records.
+  void PassOn(const std::map<StreamId, Stream>& streams);
   // Sends streams that began here to the hosts that keep them too.
   void Replicate(const std::map<StreamId, Stream>& streams);
   // Returns two hosts by the hash of the stream: one of this zone and one of
@@ -102,8 +122,10 @@
   void OnAnswer(const EntryHostId& from, const StreamAnswer& answer);
   // Asks the peers again that have not answered, or gives up.
   void OnTimer(StreamId stream);
-  // Ends a query by what the peers answered.
+  // Ends a query by what the peers answered, or reads the records.
   void Conclude(StreamId stream);
+  // Ends a query by the records, if they could be read.
+  void ConcludeByRecords(StreamId stream, bool read);
   void Resolve(StreamId stream, const std::optional<std::string>& version,
                std::string_view source);
 
@@ -113,7 +135,9 @@
   const std::function<absl::Time()> clock_;
   const StreamVersionsHooks hooks_;
   std::vector<HostEntry> peers_;
+  StreamRecords* records_ = nullptr;
   std::map<NameHash, VersionHistory> histories_;
+  std::set<NameHash> several_;  // Services whose streams are passed on.
   absl::flat_hash_map<StreamId, Stream> streams_;
   std::map<StreamId, Query> queries_;
   absl::Time forgot_at_ = absl::InfinitePast();
--- a/tests/process/stream_version_test.cc
+++ b/tests/process/stream_version_test.cc
@@ -142,6 +142,18 @@
     return ended;
   }
 
+  void KillAll() {
+    for (auto& host : hosts_) {
+      host->process().Signal(SIGKILL);
+      WaitUntil("it has ended", [&] { return host->process().HasEnded(); });
+    }
+  }
+  void RunAll() {
+    for (auto& host : hosts_) host->Run("again");
+    for (auto& host : hosts_) host->WaitUntilReady(client_);
+    WaitUntilConnected();
+  }
+
   static int CountMixed(const std::vector<Stream>& streams) {
     int mixed = 0;
     for (const Stream& stream : streams) {
@@ -172,18 +184,42 @@
   BOOST_TEST(ended >= kGoal * kStreams);
 }
 
+// Guards against streams that don't go on because all hosts that knew their
+// versions were killed.
+BOOST_AUTO_TEST_CASE(AStreamGoesOnAfterAllHostsWereKilled) {
+  Site site;
+  std::vector<Stream> streams = site.Begin();
+  site.KillAll();
+  site.RunAll();
+  const int ended = site.TakeUp(&streams);
+  BOOST_TEST(site.CountMixed(streams) == 0);
+  BOOST_TEST(ended >= kStreams / 2);
+}
+
+// Guards against a guess by the version that is left when all hosts start
+// again.
+BOOST_AUTO_TEST_CASE(AStreamOfAVersionThatHasLeftIsRefused) {
+  Site site;
+  std::vector<Stream> streams = site.Begin();
+  site.KillAll();
+  for (std::size_t i = 0; i < site.servers_.size(); i += versions.size()) {
+    site.table_.Remove("servers", site.servers_[i]->id());
+  }
+  site.RunAll();
+  site.TakeUp(&streams);
+  BOOST_TEST(site.CountMixed(streams) == 0);
+}
+
 // Guards against a guess where no host can know any more: no stream is mixed,
 // and each refusal is at once.
 BOOST_AUTO_TEST_CASE(AStreamOfAnUnknownVersionIsRefused) {
   Site site;
   std::vector<Stream> streams = site.Begin();
-  for (auto& host : site.hosts_) {
-    host->process().Signal(SIGKILL);
-    WaitUntil("it has ended", [&] { return host->process().HasEnded(); });
-    host->Run("again");
+  site.KillAll();
+  for (const std::string& key : site.table_.Keys("entry_streams")) {
+    site.table_.Remove("entry_streams", key);
   }
-  for (auto& host : site.hosts_) host->WaitUntilReady(site.client_);
-  site.WaitUntilConnected();
+  site.RunAll();
   site.TakeUp(&streams);
   BOOST_TEST(site.CountMixed(streams) == 0);
 }
