--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -34,6 +34,9 @@
 // Rows of ended streams wait so long for a call that drops them beside others.
 constexpr absl::Duration kDropDelay = absl::Seconds(20);
 
+// Hosts that start within this time may have started together.
+constexpr absl::Duration kStartTime = absl::Seconds(5);
+
 // The table service's clock is known to this precision.
 constexpr absl::Duration kClockMargin = absl::Seconds(2);
 
@@ -235,6 +238,7 @@
   if (versions_key_.empty()) versions_key_ = NextKey();
   StreamRow value;
   value.written_ms = StoreNow(clock_());
+  value.since_ms = std::min(table_since_ms_, StoreNow(started_at_));
   value.versions = known;
   batch->changes.writes.emplace_back(versions_key_, Encode(value));
   batch->versions = std::move(known);
@@ -369,7 +373,7 @@
     return ReadPage(page->rows.back().key + '\0');
   }
   const absl::Time now = clock_();
-  const Reading reading = *std::exchange(reading_, std::nullopt);
+  const StreamTableReading reading = *std::exchange(reading_, std::nullopt);
   const bool is_first = last_read_ == absl::InfinitePast();
   ++counts_.reads;
   read_failures_ = 0;
@@ -452,6 +456,9 @@
   seen.written_ms = value.written_ms;
   seen.versions = value.versions;
   seen.ends = MergeStreams(value, now);
+  if (!value.versions.empty()) {
+    table_since_ms_ = std::min(table_since_ms_, value.since_ms);
+  }
   for (const auto& [service, versions] : value.versions) {
     for (const std::string& version : versions) {
       table_versions_[service][version] = now;
@@ -535,4 +542,9 @@
   return found;
 }
 
+bool StreamRecords::Covers(NameHash service, absl::Time from) const {
+  return table_since_ms_ <= StoreNow(started_at_ - kStartTime) &&
+         !VersionsSince(service, from).empty();
+}
+
 }  // namespace gentianlb::gateway
--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -24,6 +24,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -61,6 +62,13 @@
   int failed_reads = 0;
 };
 
+// One read of the whole table.
+struct StreamTableReading {
+  std::vector<TableRow> rows;
+  int pages = 0;
+  absl::Time began;
+};
+
 class StreamRecords {
  public:
   // A stream lasts no longer.
@@ -101,6 +109,10 @@
   // Returns the versions that another host may have known at or after `from`.
   std::set<std::string> VersionsSince(NameHash service, absl::Time from) const;
 
+  // Returns whether hosts that ran well before this one have written which
+  // versions of a service they knew at or after `from`.
+  bool Covers(NameHash service, absl::Time from) const;
+
   const StreamRecordCounts& counts() const { return counts_; }
   std::size_t pending() const { return pending_.size(); }
   // Returns how long the oldest stream that is not recorded waits.
@@ -141,12 +153,6 @@
     std::function<void(bool)> done;
     TimerId timer = 0;
   };
-  // One read of the whole table.
-  struct Reading {
-    std::vector<TableRow> rows;
-    int pages = 0;
-    absl::Time began;
-  };
 
   absl::Duration WriteInterval() const;
   absl::Duration ReadInterval() const;
@@ -215,10 +221,12 @@
   absl::flat_hash_map<StreamId, Recorded> recorded_;
   std::vector<std::string> names_;  // Of versions.
   std::map<NameHash, std::map<std::string, absl::Time>> table_versions_;
+  // When the first process started that has written rows.
+  std::int64_t table_since_ms_ = std::numeric_limits<std::int64_t>::max();
   std::vector<std::string> abandoned_;
   std::map<int, Waiter> waiters_;
   int next_waiter_ = 0;
-  std::optional<Reading> reading_;
+  std::optional<StreamTableReading> reading_;
   absl::Time last_read_ = absl::InfinitePast();  // Start of the last read.
   absl::Time next_read_ = absl::InfinitePast();  // No read begins before.
   int read_failures_ = 0;
--- a/src/gateway/stream_records_test.cc
+++ b/src/gateway/stream_records_test.cc
@@ -248,6 +248,21 @@
   BOOST_TEST(site.TakeUp().wrong == 0);
 }
 
+// Guards against a guess where the hosts that were killed could write nothing.
+BOOST_AUTO_TEST_CASE(AnEmptyTableIsNoReasonToGuess) {
+  Site site(7);
+  site.table.down = true;
+  site.SetVersions({"v1"});
+  site.StartAll();
+  site.BeginFor(absl::Seconds(10), 200, {"v1"});
+  site.KillAll();
+  site.table.down = false;
+  site.SetVersions({"v2"});
+  site.StartAll();
+  site.Pass(absl::Seconds(2));
+  BOOST_TEST(site.TakeUp().wrong == 0);
+}
+
 // Guards against streams that are refused although one version alone serves.
 BOOST_AUTO_TEST_CASE(ASingleVersionIsKnownAfterAllHostsAreKilled) {
   Site site(7);
@@ -260,6 +275,17 @@
   BOOST_TEST(site.TakeUp().found == site.streams());
 }
 
+// The same soon after the first start of the site.
+BOOST_AUTO_TEST_CASE(ASingleVersionIsKnownSoonAfterTheFirstStart) {
+  Site site(7);
+  site.SetVersions({"v1"});
+  site.StartAll();
+  site.BeginFor(absl::Seconds(10), 200, {"v1"});
+  site.KillAll();
+  site.StartAll();
+  BOOST_TEST(site.TakeUp().found == site.streams());
+}
+
 // Guards against a rolling restart that empties one memory after the other.
 BOOST_AUTO_TEST_CASE(VersionsAreKnownAfterARollingRestart) {
   for (const int hosts : {3, 7}) {
--- a/src/gateway/stream_rows.cc
+++ b/src/gateway/stream_rows.cc
@@ -30,7 +30,7 @@
 }
 
 void Read(WireReader& reader, StreamRow* row) {
-  reader(row->written_ms);
+  reader(row->written_ms, row->since_ms);
   std::vector<std::pair<NameHash, std::vector<std::string>>> services;
   ReadList(reader, &services, [&](auto& service) {
     reader(service.first);
@@ -57,7 +57,7 @@
   std::ostringstream out;
   out << kMagic;
   WireWriter writer(out);
-  writer(row.written_ms);
+  writer(row.written_ms, row.since_ms);
   const std::vector<std::pair<NameHash, std::set<std::string>>> services(
       row.versions.begin(), row.versions.end());
   WriteList(writer, services, [&](const auto& service) {
--- a/src/gateway/stream_rows.h
+++ b/src/gateway/stream_rows.h
@@ -35,6 +35,8 @@
   static constexpr std::size_t kMaxStreams = 256;
 
   std::int64_t written_ms = 0;  // By the table service's clock.
+  // When the first process started whose versions these include.
+  std::int64_t since_ms = 0;
   VersionSets versions;
   std::map<std::string, std::vector<RecordedStream>> streams;
   bool operator==(const StreamRow&) const = default;
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -66,8 +66,9 @@
   if (history != histories_.end()) {
     versions = history->second.VersionsSince(from);
   }
-  if (records_ != nullptr)
+  if (records_ != nullptr) {
     versions.merge(records_->VersionsSince(service, from));
+  }
   return versions;
 }
 
@@ -307,10 +308,13 @@
   }
   if (!read) return Resolve(stream, std::nullopt, "records-unread");
   if (query.several) return Resolve(stream, std::nullopt, "nobody");
-  // All hosts have just started; as far as any knew, one version serves.
-  const std::set<std::string> versions =
-      VersionsSince(query.service, clock_() - query.life);
-  if (versions.size() == 1) {
+  // All hosts have just started; as far as any knew, one version serves. If no
+  // host that ran before has written records, they may have known others.
+  const absl::Time from = clock_() - query.life;
+  const bool is_recorded =
+      records_ != nullptr && records_->Covers(query.service, from);
+  const std::set<std::string> versions = VersionsSince(query.service, from);
+  if (is_recorded && versions.size() == 1) {
     return Resolve(stream, *versions.begin(), "servers-now");
   }
   Resolve(stream, std::nullopt, "nobody");
