--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -37,7 +37,8 @@
 }
 
 std::string_view OrDash(const std::string& text) {
-  return text.empty() ? "-" : std::string_view(text);
+  if (text.empty()) return "-";
+  return text;
 }
 
 // Returns the inputs that decided a refusal by a limit, as fields of its line.
--- a/src/http/loop_client_test.cc
+++ b/src/http/loop_client_test.cc
@@ -116,12 +116,13 @@
   BOOST_TEST((*end == TransferEnd::kComplete));
 }
 
+constexpr std::string_view kChunkedAnswer =
+    "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "4\r\nfull\r\n0\r\n\r\n";
 constexpr std::string_view kFramedAnswers[] = {
     "HTTP/1.1 503 Full\r\nContent-Length: 4\r\n\r\nfull",
     "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
-    "HTTP/1.1 204 None\r\n\r\n",
-    "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n"
-    "4\r\nfull\r\n0\r\n\r\n",
+    "HTTP/1.1 204 None\r\n\r\n", kChunkedAnswer,
     "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"};
 
 // Returns whether the connection is closed after an answer.
