--- a/tests/process/answer_faults_test.cc
+++ b/tests/process/answer_faults_test.cc
@@ -48,8 +48,8 @@
   BOOST_TEST(verdict.order.empty());
 }
 
-void Join(std::vector<std::thread>& threads) {
-  for (std::thread& thread : threads) thread.join();
+void Join(std::vector<std::jthread>& threads) {
+  for (std::jthread& thread : threads) thread.join();
 }
 
 // Guards against checks that see a fault where there is none.
@@ -111,7 +111,7 @@
 BOOST_AUTO_TEST_CASE(AKilledServersUnframedBodyDoesNotLookWhole) {
   AnswersSite site({{"plain", "v1", 6000, SlowAnswers()}}, 1);
   site.StartHosts();
-  std::vector<std::thread> calls =
+  std::vector<std::jthread> calls =
       site.BeginCalls(0, CallKind::kOnce, kSlowAnswers);
   absl::SleepFor(kKilledAfter);
   site.servers_[0]->Signal(SIGKILL);
@@ -124,7 +124,7 @@
 BOOST_AUTO_TEST_CASE(AKilledServersUnframedStreamDoesNotLookWhole) {
   AnswersSite site({{"llm", "v1", 600, SlowAnswers()}}, 1, kEvents);
   site.StartHosts();
-  std::vector<std::thread> calls =
+  std::vector<std::jthread> calls =
       site.BeginCalls(0, CallKind::kTalk, kSlowAnswers);
   absl::SleepFor(kKilledAfter);
   site.servers_[0]->Signal(SIGKILL);
@@ -141,7 +141,7 @@
                                 "/tests/process/libredirect.so"),
                    absl::StrCat("GENTIANLB_TEST_ROUTES=", site.ServerAddress(0),
                                 "=", PickAddress(), ",")});
-  std::vector<std::thread> calls = site.BeginCalls(0, kind, kSlowAnswers);
+  std::vector<std::jthread> calls = site.BeginCalls(0, kind, kSlowAnswers);
   absl::SleepFor(kKilledAfter);
   site.hosts_[1]->process().Signal(SIGKILL);
   Join(calls);
--- a/tests/process/answer_rules.cc
+++ b/tests/process/answer_rules.cc
@@ -177,8 +177,8 @@
   report.server = server;
   report.version = version;
   report.body_bytes = body_bytes;
-  for (const std::string& line :
-       std::vector<std::string>(absl::StrSplit(lines, '\n'))) {
+  const std::vector<std::string> all = absl::StrSplit(lines, '\n');
+  for (const std::string& line : all) {
     const std::vector<std::string> words = absl::StrSplit(line, ' ');
     if (words.size() < 2) continue;
     if (words[0] == "run") report.runs.push_back(words[1]);
@@ -227,20 +227,26 @@
       found.refused.push_back(text);
     }
     if (call.answer.unasked_bytes) {
-      found.mixed.push_back("unasked bytes: " + text);
+      found.mixed.push_back(absl::StrCat("unasked bytes: ", text));
     }
     if (call.answer.status != kOk) continue;
     bool served = false;
     const std::string head = FaultOfHead(call);
-    if (!head.empty()) found.mixed.push_back(head + ": " + text);
+    if (!head.empty()) {
+      found.mixed.push_back(absl::StrCat(head, ": ", text));
+    }
     if (call.stream) {
       const std::string& first = call.resumes.empty() ? call.id : call.resumes;
       const std::string fault =
           StreamCheck(call, runs, events).Fault(&versions[first], &served);
-      if (!fault.empty()) found.order.push_back(fault + ": " + text);
+      if (!fault.empty()) {
+        found.order.push_back(absl::StrCat(fault, ": ", text));
+      }
     } else {
       const std::string fault = FaultOfPlain(call, runs, &served);
-      if (!fault.empty()) found.mixed.push_back(fault + ": " + text);
+      if (!fault.empty()) {
+        found.mixed.push_back(absl::StrCat(fault, ": ", text));
+      }
     }
     found.served += served ? 1 : 0;
   }
--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -125,7 +125,7 @@
     row["slots"] = 8;
     row["state"] = "ready";
     row["seq"] = 1;
-    row["born"] = Json::Int64(absl::ToUnixMillis(absl::Now()));
+    row["born"] = static_cast<Json::Int64>(absl::ToUnixMillis(absl::Now()));
     row["version"] = setup.version;
     table_.Put("servers", ServerId(i), ToText(row));
   }
@@ -183,15 +183,15 @@
                std::size_t count) {
     auto threads = StartCallers(
         kinds, callers, [count](std::size_t calls) { return calls < count; });
-    for (std::thread& thread : threads) thread.join();
+    for (std::jthread& thread : threads) thread.join();
   }
 
   // Starts callers that go on while `goes_on` holds for the number of calls
   // that each has made.
-  std::vector<std::thread> StartCallers(
+  std::vector<std::jthread> StartCallers(
       const std::vector<CallKind>& kinds, std::size_t callers,
       const std::function<bool(std::size_t)>& goes_on) {
-    std::vector<std::thread> threads;
+    std::vector<std::jthread> threads;
     for (std::size_t caller = 0; caller < callers; ++caller) {
       threads.emplace_back([this, kinds, caller, goes_on] {
         CallerLoop(kinds, caller, goes_on);
@@ -214,9 +214,9 @@
 
   // Starts one caller's calls of one kind in the background. Returns once they
   // run at a server.
-  std::vector<std::thread> BeginCalls(std::size_t host, CallKind kind,
-                                      int count) {
-    std::vector<std::thread> threads;
+  std::vector<std::jthread> BeginCalls(std::size_t host, CallKind kind,
+                                       int count) {
+    std::vector<std::jthread> threads;
     for (int i = 0; i < count; ++i) {
       const CallRecord call = NewCall(kind);
       threads.emplace_back([this, host, kind, call] {
--- a/tests/process/answers_soak_test.cc
+++ b/tests/process/answers_soak_test.cc
@@ -15,6 +15,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/cleanup/cleanup.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -218,9 +219,11 @@
       auto callers = site.StartCallers(
           {CallKind::kOnce, CallKind::kChat, CallKind::kRead, CallKind::kTalk},
           kCallers, [&ends](std::size_t /*calls*/) { return !ends; });
+      // Also where a fault of the test itself ends it.
+      const absl::Cleanup end = [&ends] { ends = true; };
       Disturber(site, number).Run();
       ends = true;
-      for (std::thread& caller : callers) caller.join();
+      for (std::jthread& caller : callers) caller.join();
       const Judgement verdict = site.Verdict();
       CheckRules(seed, verdict);
       BOOST_TEST(verdict.served > 0);
@@ -267,13 +270,15 @@
       auto callers =
           site.StartCallers({CallKind::kOnce}, kCallers,
                             [&ends](std::size_t /*calls*/) { return !ends; });
+      // Also where a fault of the test itself ends it.
+      const absl::Cleanup end = [&ends] { ends = true; };
       Disturber disturber(site, static_cast<unsigned>(seed));
       for (std::size_t host = 0; host < kHosts; ++host) {
         absl::SleepFor(kStep);
         disturber.RestartHost(host);
       }
       ends = true;
-      for (std::thread& caller : callers) caller.join();
+      for (std::jthread& caller : callers) caller.join();
       const Judgement verdict = site.Verdict();
       CheckRules(seed, verdict);
       BOOST_TEST(verdict.ServedShare() >= kServedWithKills);
--- a/tests/standins/faulty_server.cc
+++ b/tests/standins/faulty_server.cc
@@ -129,8 +129,9 @@
     std::size_t size = std::string::npos;
     Request request;
     if (head_end != std::string::npos) {
-      for (const std::string& line : std::vector<std::string>(
-               absl::StrSplit(received.substr(0, head_end), "\r\n"))) {
+      const std::vector<std::string> lines =
+          absl::StrSplit(received.substr(0, head_end), "\r\n");
+      for (const std::string& line : lines) {
         const std::vector<std::string> field =
             absl::StrSplit(line, absl::MaxSplits(':', 1));
         if (field.size() < 2) continue;
