--- a/src/entry/answer_relay.cc
+++ b/src/entry/answer_relay.cc
@@ -28,8 +28,8 @@
   corrupt_ = false;
   reader_ = std::make_unique<EventStreamReader>(engine_request_, next_offset_);
   auto self = shared_from_this();
-  return {[self](int status, std::vector<http::Header> headers) {
-            self->OnHead(status, std::move(headers));
+  return {[self](http::ReceivedHead head) {
+            self->OnHead(head.status, std::move(head.headers));
             return http::ReadAction::kContinue;
           },
           [self](std::string_view bytes) { self->OnData(bytes); },
