Streams are recorded more often on small sites

A host wrote its records every 500 ms, and a stream there lives some two seconds: a quarter of those that run at a kill had begun since the last write.

The shortest interval is now 150 ms, so that seven hosts write every 175 ms, still 40 calls a second for all hosts together, as on larger sites.

--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -10,7 +10,7 @@
 namespace {
 
 // All hosts together write, and read, at most at the rates that these give.
-constexpr absl::Duration kMinWriteInterval = absl::Milliseconds(500);
+constexpr absl::Duration kMinWriteInterval = absl::Milliseconds(150);
 constexpr absl::Duration kWriteIntervalPerHost = absl::Milliseconds(25);
 constexpr absl::Duration kDrainIntervalPerHost = absl::Milliseconds(10);
 constexpr absl::Duration kMinReadInterval = absl::Milliseconds(500);
