A head inside a head is tested

The review of the fixes asked whether a head that is cut, with a late second answer behind it on its connection, is delivered with the status of the first and the headers of the second. The new case passes on the code as it is, and guards against a library that doesn't.

--- a/src/http/response_end_test.cc
+++ b/src/http/response_end_test.cc
@@ -75,6 +75,21 @@
   BOOST_TEST(statuses.empty());
 }
 
+// Guards against the status of a head that was cut with the headers of the
+// response behind it.
+BOOST_AUTO_TEST_CASE(AHeadInsideAHeadIsBroken) {
+  const std::string first = "HTTP/1.1 200 OK\r\nServer-Stamp: x\r\n";
+  const std::string second =
+      "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string& cut : {first, first + "Content-Le"}) {
+    Fixture fixture;
+    fixture.Send();
+    fixture.Answer(cut + second);
+    BOOST_TEST((*fixture.end == TransferEnd::kBroken));
+    BOOST_TEST(fixture.statuses.empty());
+  }
+}
+
 // Guards against an interim head that is taken for the response.
 BOOST_FIXTURE_TEST_CASE(AnInterimHeadAloneIsBroken, Fixture) {
   Send();
