An empty page that says that more follow is a failed read

The table of streams' versions counted as read whole though a part was missing, which may let one version be taken for the only one. Found by the review, by reading; no test.

--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -365,11 +365,12 @@
 void StreamRecords::OnPage(const TableAnswer& answer) {
   const auto* page = std::get_if<TablePage>(&answer);
   if (page == nullptr) return OnReadFailed();
+  if (page->more && page->rows.empty()) return OnReadFailed();
   SetStoreClock(page->now_ms);
   ++reading_->pages;
   std::vector<TableRow>& rows = reading_->rows;
   rows.insert(rows.end(), page->rows.begin(), page->rows.end());
-  if (page->more && !page->rows.empty()) {
+  if (page->more) {
     return ReadPage(page->rows.back().key + '\0');
   }
   const absl::Time now = clock_();
