Only progress of other transfers speaks for a server that refuses

An unframed body counted as whole, though its server refused new connections, if another transfer to it was still open after 55 ms. Now another transfer must have got bytes since the first probe. The same evidence counts where probes get no answer, as in packet loss, which broke whole answers after two lost packets; there are three probes now, and such an end no longer counts as the loss of a server, which feeds the memory of requests that end servers.

--- a/src/gateway/confirmed_servers.cc
+++ b/src/gateway/confirmed_servers.cc
@@ -22,6 +22,14 @@
          !head.not_run;
 }
 
+// Only a server that refuses connections is known to be lost.
+http::TransferEnd EndOf(const EndReport& report) {
+  if (report.complete) return http::TransferEnd::kComplete;
+  return report.last_probe == ServerProbe::kRefused
+             ? http::TransferEnd::kBroken
+             : http::TransferEnd::kTimedOut;
+}
+
 }  // namespace
 
 ConfirmedServers::ConfirmedServers(ServerPort servers,
@@ -41,16 +49,30 @@
 
 int ConfirmedServers::OpenTransfers(const settings::Endpoint& server,
                                     absl::Time since) const {
+  return static_cast<int>(std::count_if(
+      transfers_.begin(), transfers_.end(),
+      [&](const auto& item) { return WasOpen(*item.second, server, since); }));
+}
+
+int ConfirmedServers::ProgressingTransfers(const settings::Endpoint& server,
+                                           absl::Time since,
+                                           absl::Time after) const {
   return static_cast<int>(std::count_if(
       transfers_.begin(), transfers_.end(), [&](const auto& item) {
-        const Transfer& transfer = *item.second;
-        const bool was_open = transfer.began_at < since ||
-                              transfer.sent_at + kMaxConnectTime < since;
-        return transfer.direct && transfer.server == server && was_open &&
-               transfer.confirmation == 0;
+        return WasOpen(*item.second, server, since) &&
+               item.second->last_byte_at > after;
       }));
 }
 
+bool ConfirmedServers::WasOpen(const Transfer& transfer,
+                               const settings::Endpoint& server,
+                               absl::Time since) {
+  if (!transfer.direct || transfer.server != server) return false;
+  if (transfer.confirmation != 0) return false;
+  return transfer.began_at < since ||
+         transfer.sent_at + kMaxConnectTime < since;
+}
+
 http::TransferId ConfirmedServers::Send(ServerCall call, CallSink sink) {
   auto transfer = std::make_shared<Transfer>();
   transfer->request = call.request;
@@ -77,6 +99,7 @@
   CallSink sink;
   sink.on_first_byte = [this, transfer] {
     transfer->began_at = clock_();
+    transfer->last_byte_at = transfer->began_at;
     transfer->sink.on_first_byte();
   };
   sink.on_head = [transfer](ResponseHead head) {
@@ -84,7 +107,8 @@
         transfer->direct && NeedsConfirmation(*transfer->request, head);
     return transfer->sink.on_head(std::move(head));
   };
-  sink.on_data = [transfer](std::string_view bytes) {
+  sink.on_data = [this, transfer](std::string_view bytes) {
+    transfer->last_byte_at = clock_();
     transfer->body_bytes += bytes.size();
     transfer->sink.on_data(bytes);
   };
@@ -107,11 +131,9 @@
       {.request = transfer->request->id.str(),
        .server = transfer->server,
        .bytes = transfer->body_bytes},
-      [this, transfer](bool confirmed, std::string reason) {
+      [this, transfer](const EndReport& report) {
         transfers_.erase(transfer->id);
-        transfer->sink.on_end(confirmed ? http::TransferEnd::kComplete
-                                        : http::TransferEnd::kBroken,
-                              std::move(reason));
+        transfer->sink.on_end(EndOf(report), report.detail);
       });
 }
 
--- a/src/gateway/confirmed_servers.h
+++ b/src/gateway/confirmed_servers.h
@@ -33,6 +33,9 @@
   // Returns the number of transfers on direct paths to `server` that were open
   // at `since` and have not ended.
   int OpenTransfers(const settings::Endpoint& server, absl::Time since) const;
+  // Of these, returns the number of which bytes have come after `after`.
+  int ProgressingTransfers(const settings::Endpoint& server, absl::Time since,
+                           absl::Time after) const;
 
  private:
   struct Transfer {
@@ -43,11 +46,14 @@
     CallSink sink;
     absl::Time sent_at;
     absl::Time began_at = absl::InfiniteFuture();  // The response did.
+    absl::Time last_byte_at = absl::InfinitePast();
     bool needs_confirmation = false;
     std::uint64_t body_bytes = 0;
     std::uint64_t confirmation = 0;  // In progress; 0: none.
   };
 
+  static bool WasOpen(const Transfer& transfer,
+                      const settings::Endpoint& server, absl::Time since);
   http::TransferId Send(ServerCall call, CallSink sink);
   void Cancel(http::TransferId id);
   CallSink MakeSink(const std::shared_ptr<Transfer>& transfer);
--- a/src/gateway/end_confirmation.cc
+++ b/src/gateway/end_confirmation.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -13,11 +14,10 @@
 // and its listening socket may come last.
 constexpr absl::Duration kClosingTime = absl::Milliseconds(5);
 
-// Before a second probe. By then the other connections of a server that died
-// have ended here too.
-constexpr absl::Duration kTimeToSecondProbe = absl::Milliseconds(50);
+// Between probes. Streams of a server that lives make progress meanwhile.
+constexpr absl::Duration kTimeToNextProbe = absl::Milliseconds(50);
 
-constexpr int kMaxProbes = 2;
+constexpr int kMaxProbes = 3;
 
 }  // namespace
 
@@ -35,12 +35,11 @@
 
 EndVerdict JudgeEnd(const EndEvidence& evidence) {
   if (evidence.probe == ServerProbe::kConnected) return EndVerdict::kComplete;
-  const bool last = evidence.probes >= kMaxProbes;
-  if (evidence.probe == ServerProbe::kUnanswered) {
-    return last ? EndVerdict::kBroken : EndVerdict::kProbeAgain;
-  }
-  if (evidence.open_transfers == 0) return EndVerdict::kBroken;
-  return last ? EndVerdict::kComplete : EndVerdict::kProbeAgain;
+  if (evidence.progressing_transfers > 0) return EndVerdict::kComplete;
+  if (evidence.probes >= kMaxProbes) return EndVerdict::kBroken;
+  const bool refused = evidence.probe == ServerProbe::kRefused;
+  if (refused && evidence.open_transfers == 0) return EndVerdict::kBroken;
+  return EndVerdict::kProbeAgain;
 }
 
 EndConfirmations::EndConfirmations(TimerService* timers,
@@ -95,12 +94,16 @@
 void EndConfirmations::OnProbed(std::uint64_t id, ServerProbe probe) {
   Waiting& waiting = waiting_.at(id);
   waiting.is_probing = false;
+  const absl::Time now = clock_();
+  waiting.first_probed_at = std::min(waiting.first_probed_at, now);
+  const settings::Endpoint& server = waiting.end.server;
   const EndEvidence evidence = {
-      probe, waiting.probes,
-      hooks_.open_transfers(waiting.end.server, waiting.ended_at)};
+      probe, waiting.probes, hooks_.open_transfers(server, waiting.ended_at),
+      hooks_.progressing_transfers(server, waiting.ended_at,
+                                   waiting.first_probed_at)};
   const EndVerdict verdict = JudgeEnd(evidence);
   if (verdict == EndVerdict::kProbeAgain) {
-    return ProbeAt(id, clock_() + kTimeToSecondProbe);
+    return ProbeAt(id, now + kTimeToNextProbe);
   }
   Finish(id, evidence, verdict == EndVerdict::kComplete);
 }
@@ -119,11 +122,14 @@
             << " probes=" << evidence.probes << " took_ms="
             << absl::ToInt64Milliseconds(clock_() - waiting.ended_at)
             << " open_transfers=" << evidence.open_transfers
+            << " progressing=" << evidence.progressing_transfers
             << " complete=" << complete;
-  waiting.done(complete, complete ? ""
-                                  : absl::StrCat("unframed, and then its "
-                                                 "server's address was ",
-                                                 std::string(probe)));
+  EndReport report{complete, evidence.probe, ""};
+  if (!complete) {
+    report.detail = absl::StrCat("unframed, and then its server's address was ",
+                                 std::string(probe));
+  }
+  waiting.done(report);
 }
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/end_confirmation.h
+++ b/src/gateway/end_confirmation.h
@@ -35,11 +35,14 @@
   int probes = 1;  // Including this one.
   // Transfers to the same server that were open before the end and still are.
   int open_transfers = 0;
+  // Of these, those of which bytes have come since the first probe.
+  int progressing_transfers = 0;
 };
 
 // Returns what the evidence says of the end. A refusal doesn't prove that the
-// server died, since a full one may refuse too; while its other connections
-// last, it lives. What stays unknown is broken.
+// server died, since a full one may refuse too, nor does a lost packet. Another
+// transfer that merely stays open proves nothing: the packet that ends it may
+// be lost. One that goes on does. What stays unknown is broken.
 EndVerdict JudgeEnd(const EndEvidence& evidence);
 
 // The end to be confirmed, for log lines.
@@ -50,6 +53,13 @@
   bool in_tunnel = false;  // Of a connection that this host tunnels for a peer.
 };
 
+// How an end was judged.
+struct EndReport {
+  bool complete = false;
+  ServerProbe last_probe = ServerProbe::kUnanswered;
+  std::string detail;  // Says why an end is not confirmed.
+};
+
 struct EndConfirmationHooks {
   // Connects to `server` once, and calls `done` later. Returns an id.
   std::function<std::uint64_t(const settings::Endpoint& server,
@@ -59,13 +69,16 @@
   // Returns the number of open transfers to `server` that were open at `since`.
   std::function<int(const settings::Endpoint& server, absl::Time since)>
       open_transfers;
+  // Of these, returns the number of which bytes have come after `after`.
+  std::function<int(const settings::Endpoint& server, absl::Time since,
+                    absl::Time after)>
+      progressing_transfers;
 };
 
 // Not thread-safe: used by the event loop's thread only.
 class EndConfirmations {
  public:
-  // Called once. `detail` says why an end is not confirmed.
-  using Done = std::function<void(bool confirmed, std::string detail)>;
+  using Done = std::function<void(const EndReport& report)>;  // Called once.
 
   // The pointers must outlive this object.
   EndConfirmations(TimerService* timers, std::function<absl::Time()> clock,
@@ -87,6 +100,7 @@
     UnframedEnd end;
     Done done;
     absl::Time ended_at;
+    absl::Time first_probed_at = absl::InfiniteFuture();
     int probes = 0;
     TimerId timer = 0;        // Until the next probe.
     std::uint64_t probe = 0;  // The probe in progress.
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -95,6 +95,11 @@
            .open_transfers =
                [this](const settings::Endpoint& server, absl::Time since) {
                  return servers_.OpenTransfers(server, since);
+               },
+           .progressing_transfers =
+               [this](const settings::Endpoint& server, absl::Time since,
+                      absl::Time after) {
+                 return servers_.ProgressingTransfers(server, since, after);
                }}),
       servers_(
           platform_.servers, [loop] { return loop->now(); }, &confirmations_),
--- a/src/gateway/host_fleet.cc
+++ b/src/gateway/host_fleet.cc
@@ -54,8 +54,8 @@
                 std::function<void(bool)> done) {
     confirmations_.Start(
         {.request = "-", .server = server, .bytes = bytes, .in_tunnel = true},
-        [done = std::move(done)](bool lives, const std::string&) {
-          done(lives);
+        [done = std::move(done)](const EndReport& report) {
+          done(report.complete);
         });
   };
 }
