The longest life of a stream is one constant

Cause: the 60 s after which a stream has ended stood three times, for the forwarder, for the memory of versions and for their records. Were one of them changed alone, streams would be recorded that no host looks for, or looked for that no host has recorded.

Change: kMaxStreamLife beside StreamId; no behaviour changes.

--- a/src/gateway/forwarder_streams.cc
+++ b/src/gateway/forwarder_streams.cc
@@ -9,12 +9,6 @@
 #include "gateway/forwarder_internal.h"
 
 namespace gentianlb::gateway {
-namespace {
-
-// For callers that state no deadline.
-constexpr absl::Duration kMaxStreamLife = absl::Seconds(60);
-
-}  // namespace
 
 void Forwarder::RecordVersion(Exchange& exchange) {
   if (streams_ == nullptr || !exchange.safe_to_retry()) return;
--- a/src/gateway/stream_messages.h
+++ b/src/gateway/stream_messages.h
@@ -19,6 +19,10 @@
 // Identifies a stream on all hosts: a hash of the id of the caller's attempt
 // that got its first event.
 using StreamId = std::uint64_t;
+
+// A stream lasts no longer, whatever its caller states.
+inline constexpr absl::Duration kMaxStreamLife = absl::Seconds(60);
+
 StreamId StreamIdOf(const RequestId& first_attempt);
 
 // A server of `version` wrote the first event of a stream.
--- a/src/gateway/stream_records.cc
+++ b/src/gateway/stream_records.cc
@@ -82,7 +82,7 @@
   const absl::Time now = clock_();
   started_at_ = now;
   ReadAt(now + Random() * kStartSpread);
-  cleaning_timer_ = timers_->At(now + (2 + Random()) * kLife,
+  cleaning_timer_ = timers_->At(now + (2 + Random()) * kMaxStreamLife,
                                 [this](absl::Time at) { ReadAt(at); });
 }
 
@@ -121,7 +121,7 @@
 
 VersionSets StreamRecords::KnownVersions() const {
   VersionSets known = hooks_.versions();
-  const absl::Time from = clock_() - kLife;
+  const absl::Time from = clock_() - kMaxStreamLife;
   for (const auto& [service, versions] : table_versions_) {
     for (const std::string& version : VersionsSince(service, from)) {
       known[service].insert(version);
@@ -500,7 +500,7 @@
   const absl::Time now = clock_();
   abandoned_.clear();
   // Before, this host's own registrations don't show what has served.
-  if (now - started_at_ < 2 * kLife) return;
+  if (now - started_at_ < 2 * kMaxStreamLife) return;
   const VersionSets own = hooks_.versions();
   for (const auto& [key, row] : seen_) {
     if (abandoned_.size() >= kMaxRowsDropped) break;
@@ -519,7 +519,7 @@
                  [now](const auto& item) { return item.second.until <= now; });
   for (auto& [service, versions] : table_versions_) {
     std::erase_if(versions, [now](const auto& item) {
-      return item.second < now - kLife;
+      return item.second < now - kMaxStreamLife;
     });
   }
 }
--- a/src/gateway/stream_records.h
+++ b/src/gateway/stream_records.h
@@ -71,8 +71,6 @@
 
 class StreamRecords {
  public:
-  // A stream lasts no longer.
-  static constexpr absl::Duration kLife = absl::Seconds(60);
   // How long a query may wait for a read. A caller waits meanwhile.
   static constexpr absl::Duration kReadWait = absl::Milliseconds(800);
   // When full, further streams of other hosts are not remembered.
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -17,10 +17,6 @@
 // Interval of forgetting streams that have ended.
 constexpr absl::Duration kForgetInterval = absl::Seconds(2);
 
-// Streams that begin while one version serves are not replicated. Once a second
-// one appears, those of the last such time are; none lasts longer.
-constexpr absl::Duration kVersionMemory = absl::Seconds(60);
-
 // Streams in one datagram, which then has some ten kilobytes.
 constexpr std::size_t kMaxBeginsPerMessage = 400;
 
@@ -73,7 +69,7 @@
 }
 
 bool StreamVersions::UpdateSeveral(NameHash service, absl::Time now) {
-  if (VersionsSince(service, now - kVersionMemory).size() <= 1) {
+  if (VersionsSince(service, now - kMaxStreamLife).size() <= 1) {
     several_.erase(service);
     return false;
   }
@@ -103,7 +99,7 @@
 
 VersionSets StreamVersions::RegisteredVersions() const {
   VersionSets versions;
-  const absl::Time from = clock_() - kVersionMemory;
+  const absl::Time from = clock_() - kMaxStreamLife;
   for (const auto& [service, history] : histories_) {
     versions[service] = history.VersionsSince(from);
   }
