A stopping host accepts only what ends before it does

Cause: PlanDrain() accepted plain requests until 1.3 s before the end of the process, a constant "longest call". Routes here have timeouts of 0.8 to 15 s, so the requests that may outlast the host depend on the route and the caller. At the end, open requests were left without any answer.

Ruled out: the server's silence and the number of hosts in rotation.

Change: each request is judged by its own deadline, the earlier of its caller's and its route's. Until the platform had time to direct callers elsewhere (3 s, at most half of the grace time) everything is accepted as before. From then on a request is accepted only if its deadline comes before the host gives its last answers, 150 ms before it exits; streams follow the same rule. At that time the host answers whatever is still without an answer: 503 where nothing was sent, 504 where it may have run. Those that wait come first, so that the end of one request lets no other begin. Connections are accepted until then, and what is refused closes its connection; before, nobody listened for the last 1.3 s.

WhileDrainingResponsesCloseTheir Connection gives its route a timeout of 1.2 s, as a call of 5 s, 4 s after the signal, is what must be refused now; its checks are as they were.

--- a/src/gateway/drain_plan.h
+++ b/src/gateway/drain_plan.h
@@ -2,9 +2,9 @@
 //
 // Callers keep sending requests until the platform has taken the host out of
 // service, and later on connections that they keep open. A request that is
-// accepted too late is aborted when the process exits, and its caller doesn't
-// learn the outcome. So the host first refuses streams, which may last long,
-// and then all requests, early enough for a refused caller to use another host.
+// still open when the process exits has no answer, and its caller doesn't learn
+// whether it has run. So once the platform had time to direct callers to other
+// hosts, the host accepts only requests whose deadline comes before its end.
 
 #ifndef GENTIANLB_GATEWAY_DRAIN_PLAN_H_
 #define GENTIANLB_GATEWAY_DRAIN_PLAN_H_
@@ -16,15 +16,23 @@
 namespace gentianlb::gateway {
 
 struct DrainPlan {
-  // New streams are refused from this time on, since they may last long.
-  absl::Time refuse_streams_from = absl::InfiniteFuture();
+  // Requests that arrive before are accepted even if their deadline comes after
+  // `answer_all`, since most end much sooner.
+  absl::Time accept_all_until = absl::InfiniteFuture();
   // Idle connections are closed after a short timeout from this time on.
   // Responses carry "Connection: close" from the start of the shutdown.
   absl::Time close_idle_from = absl::InfiniteFuture();
-  // No connection is accepted and every request is refused from this time on.
-  absl::Time refuse_requests_from = absl::InfiniteFuture();
-  // The process exits, even with requests in progress.
+  // No connection is accepted from this time on, and each request without an
+  // answer gets its final one.
+  absl::Time answer_all = absl::InfiniteFuture();
+  // The process exits, even with streams and slow readers in progress.
   absl::Time end = absl::InfiniteFuture();
+
+  // Returns whether a request that arrives at `now` is accepted. `deadline`:
+  // the earlier of its caller's and its route's.
+  bool Accepts(absl::Time now, absl::Time deadline) const {
+    return now < accept_all_until || deadline < answer_all;
+  }
   bool operator==(const DrainPlan&) const = default;
 };
 
@@ -33,21 +41,17 @@
 inline DrainPlan PlanDrain(absl::Time start, absl::Duration grace) {
   // The platform checks readiness once a second and takes a host out of service
   // after two failures; new requests arrive for a moment longer.
-  constexpr absl::Duration kStreamAcceptTime = absl::Seconds(3);
+  constexpr absl::Duration kRemovalTime = absl::Seconds(3);
   constexpr absl::Duration kIdleCloseDelay = absl::Milliseconds(2500);
-  // Reserved for the exit of the process.
+  // Reserved for sending the last answers, and for the exit of the process.
+  constexpr absl::Duration kSendReserve = absl::Milliseconds(150);
   constexpr absl::Duration kExitReserve = absl::Milliseconds(400);
-  // The longest call of a plain service: a route's timeout, 1.2 s in current
-  // deployments, and a margin.
-  constexpr absl::Duration kMaxCallTime = absl::Milliseconds(1300);
   DrainPlan plan;
   plan.end = start + grace - std::min(kExitReserve, grace / 4);
-  plan.refuse_requests_from =
-      std::max(start + grace / 2, plan.end - kMaxCallTime);
-  plan.refuse_streams_from =
-      std::min(start + kStreamAcceptTime, plan.refuse_requests_from);
+  plan.answer_all = plan.end - std::min(kSendReserve, grace / 8);
+  plan.accept_all_until = start + std::min(kRemovalTime, grace / 2);
   plan.close_idle_from =
-      std::min(start + kIdleCloseDelay, plan.refuse_requests_from);
+      std::min(start + kIdleCloseDelay, plan.accept_all_until);
   return plan;
 }
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -158,6 +158,10 @@
         index_->FindRoute(exchange.request->host, exchange.request->path);
     exchange.workspace = index_->FindWorkspace(exchange.request->key);
   }
+  if (exchange.route != nullptr) {
+    exchange.deadline = exchange.arrival + std::min(exchange.request->time_left,
+                                                    exchange.route->timeout);
+  }
   exchanges_.emplace(id, std::move(owned));
   if (const auto error = Check(exchange)) {
     return Refuse(exchange, *error, kShortRetryAfter);
@@ -166,9 +170,6 @@
   exchange.content = HashContent(
       *exchange.request,
       exchange.workspace == nullptr ? WorkspaceId() : exchange.workspace->id);
-  const absl::Duration time_left =
-      std::min(exchange.request->time_left, exchange.route->timeout);
-  exchange.deadline = exchange.arrival + time_left;
   if (!TakeQuota(exchange)) {
     return Refuse(exchange, {Code::kRateLimited, "over the workspace's tokens"},
                   exchange.over_limit->retry_after);
@@ -221,11 +222,13 @@
   if (exchange.route->services.empty()) {
     return Error{Code::kNoServer, "the route names no service"};
   }
-  const absl::Time refuse_from = exchange.is_stream()
-                                     ? drain_.refuse_streams_from
-                                     : drain_.refuse_requests_from;
-  if (clock_() >= refuse_from) {
-    return Error{Code::kDraining, "this host is about to stop"};
+  if (!drain_.Accepts(exchange.arrival, exchange.deadline)) {
+    return Error{
+        Code::kDraining,
+        absl::StrCat("this host stops in ",
+                     Milliseconds(drain_.answer_all - exchange.arrival),
+                     " ms, the request may take ",
+                     Milliseconds(exchange.deadline - exchange.arrival))};
   }
   return std::nullopt;
 }
@@ -402,4 +405,27 @@
   drain_ = plan;
 }
 
+void Forwarder::AnswerAll() {
+  LOG(INFO) << "event=answering-all open=" << exchanges_.size();
+  // Those that wait come first: what ends at a server makes room for them.
+  std::vector<ExchangeId> waiting;
+  std::vector<ExchangeId> at_servers;
+  for (const auto& [id, exchange] : exchanges_) {
+    (exchange->attempt.transfer == 0 ? waiting : at_servers).push_back(id);
+  }
+  for (const std::vector<ExchangeId>* open : {&waiting, &at_servers}) {
+    for (const ExchangeId id : *open) {
+      Exchange* exchange = Find(id);
+      if (exchange != nullptr && !exchange->responding) EndForExit(*exchange);
+    }
+  }
+}
+
+void Forwarder::EndForExit(Exchange& exchange) {
+  if (IsSent(exchange)) {
+    return FailRequest(exchange, {Code::kCancelledRunning, "this host stops"});
+  }
+  Refuse(exchange, {Code::kDraining, "this host stops"}, kShortRetryAfter);
+}
+
 }  // namespace gentianlb::gateway
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -74,6 +74,10 @@
   // are refused as planned.
   void Drain(const DrainPlan& plan);
 
+  // Gives each request that has no answer yet its final one, since this host is
+  // about to exit. Streams in progress go on.
+  void AnswerAll();
+
   // Sets the callback for a server whose address belongs to another server now.
   void OnWrongServer(std::function<void(const ServerId&)> callback) {
     on_wrong_server_ = std::move(callback);
@@ -242,6 +246,8 @@
               absl::Duration retry_after);
   void FailRequest(Exchange& exchange, const Error& error);
   void OnDeadlinePassed(Exchange& exchange);
+  // Answers a request that this host won't finish before it exits.
+  void EndForExit(Exchange& exchange);
   void OnCallerDisconnected(Exchange& exchange);
   void Remove(ExchangeId id);
   // Stops the server's work on the request, or removes it from the queue.
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -202,8 +202,7 @@
 
 void Forwarder::OnDeadlinePassed(Exchange& exchange) {
   exchange.deadline_timer = 0;
-  const bool sent = exchange.attempt.transfer != 0 || exchange.may_have_run;
-  if (sent) {
+  if (IsSent(exchange)) {
     if (exchange.attempt.transfer != 0) {
       RecordAnswer(exchange, ServerAnswer::Kind::kFailed);
     }
--- a/src/gateway/forwarder_internal.h
+++ b/src/gateway/forwarder_internal.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "gateway/exchange.h"
 
 namespace gentianlb::gateway {
 
@@ -21,6 +22,11 @@
 inline bool IsSuccess(int status) { return status >= 200 && status < 300; }
 inline bool IsServerFailure(int status) { return status >= 500; }
 
+// Returns whether a server has the request, or may have run it.
+inline bool IsSent(const Exchange& exchange) {
+  return exchange.attempt.transfer != 0 || exchange.may_have_run;
+}
+
 // Returns whole milliseconds for log lines.
 inline std::int64_t Milliseconds(absl::Duration duration) {
   return absl::ToInt64Milliseconds(duration);
--- a/src/gateway/forwarder_test.cc
+++ b/src/gateway/forwarder_test.cc
@@ -385,11 +385,14 @@
 BOOST_AUTO_TEST_CASE(WhileDrainingResponsesCloseTheirConnection) {
   FakeSite site;
   site.Configure();
+  Configuration configuration = FakeSite::MakeConfiguration(2);
+  configuration.routes[3].timeout = absl::Milliseconds(1200);
+  site.forwarder->SetConfiguration(std::move(configuration));
   const auto before = site.SendRequest("/pay/1");
   site.forwarder->Drain(PlanDrain(site.now, absl::Seconds(8)));
   site.last().SendResponse(200, "paid");
   BOOST_TEST(before->header("Connection") == "close");
-  // Streams are refused first, then all requests.
+  // Long streams are refused first, then all requests.
   site.AdvanceTime(absl::Seconds(4));
   BOOST_TEST(site.SendRequest("/stream/1")->status == 503);
   const auto call = site.SendRequest("/pay/1");
@@ -399,6 +402,40 @@
   BOOST_TEST(site.SendRequest("/pay/1")->status == 503);
 }
 
+// Guards against callers who get no answer, or one that isn't true, as a host
+// exits with requests in progress.
+BOOST_AUTO_TEST_CASE(AHostThatExitsAnswersAllRequests) {
+  FakeSite site;
+  site.Configure();
+  // Servers have room for four. The third is lost, and its retry waits.
+  std::vector<std::shared_ptr<FakeCaller>> sent;
+  for (const char* path : {"/pay/1", "/pay/2", "/read/3", "/pay/4"}) {
+    sent.push_back(site.SendRequest(path));
+  }
+  sent.push_back(site.SendRequest("/pay/5"));
+  site.calls[2]->Begin();
+  site.calls[2]->Finish(http::TransferEnd::kBroken);
+  const auto waiting = site.SendRequest("/pay/6");
+  const auto stream = site.SendRequest("/stream/1");
+  const auto streaming = site.calls.back();
+  streaming->SendHead(200);
+  streaming->SendData("id: 1\ndata: a\n\n");
+  const std::size_t calls = site.calls.size();
+  site.forwarder->AnswerAll();
+  BOOST_TEST(site.calls.size() == calls);
+  for (const auto& caller : sent) {
+    BOOST_TEST(caller->status == 504);
+    BOOST_TEST(caller->complete);
+  }
+  BOOST_TEST(waiting->status == 503);
+  BOOST_TEST(waiting->complete);
+  BOOST_TEST(!stream->aborted);
+  streaming->SendData("id: 2\ndata: b\n\n");
+  streaming->Finish();
+  BOOST_TEST(stream->complete);
+  BOOST_TEST(site.forwarder->open_requests() == 0u);
+}
+
 // No server is available, and a caller retries as advised. If each refused
 // request were charged, the third would exceed the limit though none ever ran.
 BOOST_AUTO_TEST_CASE(ARefusedRequestIsNotChargedToTheLimit) {
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -411,7 +411,12 @@
   draining_ = true;
   const absl::Time now = loop_->now();
   drain_ = PlanDrain(now, settings_.grace);
-  LOG(INFO) << "event=draining open=" << forwarder_.open_requests();
+  LOG(INFO) << "event=draining open=" << forwarder_.open_requests()
+            << " accepts_all_for_ms="
+            << absl::ToInt64Milliseconds(drain_.accept_all_until - now)
+            << " answers_all_in_ms="
+            << absl::ToInt64Milliseconds(drain_.answer_all - now)
+            << " ends_in_ms=" << absl::ToInt64Milliseconds(drain_.end - now);
   forwarder_.Drain(drain_);
   groups_.Drain();
   records_.Drain();
@@ -420,11 +425,11 @@
   timers_.push_back(timers.At(drain_.close_idle_from, [this](absl::Time) {
     caller_server_->SetKeepAliveTimeout(kDrainIdleTimeout);
   }));
-  timers_.push_back(timers.At(drain_.refuse_requests_from, [this](absl::Time) {
+  timers_.push_back(timers.At(drain_.answer_all, [this](absl::Time) {
     caller_server_->StopAccepting();
+    forwarder_.AnswerAll();
   }));
-  timers_.push_back(timers.Every(drain_.refuse_streams_from,
-                                 kDrainCheckInterval,
+  timers_.push_back(timers.Every(drain_.accept_all_until, kDrainCheckInterval,
                                  [this](absl::Time at) { CheckDrained(at); }));
 }
 
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -73,7 +73,7 @@
   Host(const Host&) = delete;
   Host& operator=(const Host&) = delete;
 
-  // Begins the shutdown: refuses requests as planned by PlanDrain(), finishes
+  // Begins the shutdown: refuses requests as planned by PlanDrain(), answers
   // those in progress, and stops the loop.
   void Drain();
 
