A take-up is not sent away for what a host has not read yet

Callers whose streams broke off as all hosts were killed were refused for a minute (code 3008), with their whole time as the come-back time, although the hosts had the records of their streams and servers of their version served.

Cause, traced with processes (all hosts killed twice, the table away from each kill until 2 s after the hosts start): a host took what it had not read yet for what isn't there. Its records of streams came some 100 ms before its list of servers; in between it refused a stream of a known version for good, as no server of that version was registered. Its caller came back 6 s later, as told. By then the stream was forgotten everywhere, since it was remembered only until the deadline of its first attempt, and a take-up has a deadline of its own; "nobody" knew it until one version alone had served for 60 s. The same follows a table that answers too late: `records-unread` sent callers away in the same way.

Ruled out: streams never written, or dropped with an earlier process's rows. The hosts that refused had read all 48 streams of the table, and 5 of 5 refusals that were followed named the right version.

Change: a missing server of a stream's version refuses for good only once the list of servers is whole and 2 s have passed since the table service recovered; before, callers may come back after 0.5 s. Records that can't be read allow a return after 1 s. A stream is remembered for the longest life of a stream, the time over which the answer "only one version served" looks back as well.

--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -32,6 +32,7 @@
 bool Directory::Replace(
     const std::vector<std::pair<std::string, ServerEntry>>& entries,
     absl::Time now) {
+  has_list_ = true;
   bool changed = false;
   absl::flat_hash_set<std::string> listed;
   for (const auto& [key, entry] : entries) {
--- a/src/gateway/directory.h
+++ b/src/gateway/directory.h
@@ -78,6 +78,12 @@
   const ServerEntry* FindByAddress(const settings::Endpoint& address) const;
   // Returns null if the server is not registered.
   const ServerEntry* Find(const ServerId& id) const;
+  // Returns whether a server that isn't registered isn't there either: a whole
+  // list has arrived, and servers had time to register since the table service
+  // recovered.
+  bool IsSettled(absl::Time now) const {
+    return has_list_ && now >= RemovalsDue();
+  }
   std::size_t size() const { return entries_.size(); }
 
  private:
@@ -105,6 +111,7 @@
   absl::flat_hash_map<std::string, Registration> entries_;
   absl::flat_hash_map<ServerId, Leave> leaves_;
   absl::Time recovered_at_ = absl::InfinitePast();
+  bool has_list_ = false;  // A whole list has arrived.
 };
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/fake_site_test.h
+++ b/src/gateway/fake_site_test.h
@@ -119,6 +119,7 @@
     port.cancel = [this](http::TransferId id) {
       calls[id - 1]->cancelled = true;
     };
+    directory.Replace({}, now);  // All servers are known.
     ForwarderOptions options;
     options.host = EntryHostId("h");
     options.queue.dispatcher.allow_preemption = false;
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -151,13 +151,13 @@
   // Finds the version that began the stream that the request takes up, and
   // queues the request for servers of that version.
   void FindVersion(Exchange& exchange);
-  void OnVersionFound(Exchange& exchange,
-                      const std::optional<std::string>& version);
+  void OnVersionFound(Exchange& exchange, const StreamFinding& finding);
   // Returns whether a registered server may go on with the exchange's stream.
   bool HasServerOfVersion(Exchange& exchange);
   // Remembers the version that wrote the stream's first event.
   void RecordVersion(Exchange& exchange);
-  // Refuses to go on with a stream. The caller must not come back for it.
+  // Refuses to go on with a stream. The caller must not come back for it,
+  // unless servers of its version may yet register.
   void RefuseStream(Exchange& exchange);
   // Moves the requests that wait for servers that a roll-back has closed.
   void LeaveForbiddenPools();
--- a/src/gateway/forwarder_streams.cc
+++ b/src/gateway/forwarder_streams.cc
@@ -9,6 +9,13 @@
 #include "gateway/forwarder_internal.h"
 
 namespace gentianlb::gateway {
+namespace {
+
+// Retry-After while the records of streams can't be read: a failed read is
+// repeated within some hundred milliseconds.
+constexpr absl::Duration kUnreadRetryAfter = absl::Seconds(1);
+
+}  // namespace
 
 void Forwarder::RecordVersion(Exchange& exchange) {
   if (streams_ == nullptr || !exchange.safe_to_retry()) return;
@@ -16,28 +23,34 @@
     exchange.stream_version = exchange.attempt.server->version;
   }
   if (exchange.stream_version.empty()) return;
-  const absl::Duration life =
-      std::min(exchange.request->time_left, kMaxStreamLife);
+  // A later attempt may have a later deadline.
   streams_->OnBegin(exchange.service->id, exchange.stream(),
-                    exchange.stream_version, exchange.arrival + life);
+                    exchange.stream_version, exchange.arrival + kMaxStreamLife);
 }
 
 void Forwarder::FindVersion(Exchange& exchange) {
   exchange.finds_version = true;
   streams_->Find(exchange.service->id, exchange.stream(), kMaxStreamLife,
-                 [this, id = exchange.id](const auto& version) {
+                 [this, id = exchange.id](const StreamFinding& finding) {
                    Exchange* found = Find(id);
-                   if (found != nullptr) OnVersionFound(*found, version);
+                   if (found != nullptr) OnVersionFound(*found, finding);
                  });
 }
 
 void Forwarder::OnVersionFound(Exchange& exchange,
-                               const std::optional<std::string>& version) {
+                               const StreamFinding& finding) {
   exchange.finds_version = false;
-  if (!version) return RefuseStream(exchange);
-  exchange.stream_version = *version;
+  if (finding.may_be_recorded) {
+    return Refuse(exchange,
+                  {Code::kPlatformUnavailable,
+                   "the records of streams could not be read"},
+                  kUnreadRetryAfter);
+  }
+  if (!finding.version) return RefuseStream(exchange);
+  exchange.stream_version = *finding.version;
   if (rollouts_ != nullptr) {
-    exchange.pool = rollouts_->PoolOfVersion(exchange.service->id, *version);
+    exchange.pool =
+        rollouts_->PoolOfVersion(exchange.service->id, *finding.version);
     const bool may_send =
         rollouts_->MaySend(exchange.service->id, exchange.pool);
     if (!may_send) return RefuseStream(exchange);
@@ -55,9 +68,15 @@
 }
 
 void Forwarder::RefuseStream(Exchange& exchange) {
-  const std::string version = exchange.stream_version.empty()
-                                  ? "an unknown version"
-                                  : exchange.stream_version;
+  const bool version_known = !exchange.stream_version.empty();
+  if (version_known && !directory_->IsSettled(clock_())) {
+    return Refuse(
+        exchange,
+        {Code::kNoServer, "servers of its version may not be registered yet"},
+        kShortRetryAfter);
+  }
+  const std::string version =
+      version_known ? exchange.stream_version : "an unknown version";
   Refuse(exchange, {Code::kNoServerOfVersion, "the stream began at " + version},
          exchange.deadline - clock_());
 }
--- a/src/gateway/forwarder_streams_test.cc
+++ b/src/gateway/forwarder_streams_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "gateway/fake_site_test.h"
+#include "gateway/stream_records.h"
 
 namespace gentianlb::gateway {
 namespace {
@@ -77,6 +78,54 @@
   BOOST_TEST(site.forwarder->open_requests() == 0u);
 }
 
+// Guards against a caller that is sent away for its whole time, and begins
+// anew, though a moment later the records say where its stream goes on.
+BOOST_FIXTURE_TEST_CASE(AStreamWhoseRecordsCantBeReadMayComeBackSoon, Fixture) {
+  StreamRecords records(
+      EntryHostId("h"), /*incarnation=*/1, &site.timers,
+      [this] { return site.now; },
+      {.read = [](const auto&,
+                  const TableDone& done) { done(TableFailure::kUnavailable); },
+       .transact = [](const auto&, const auto&) {},
+       .versions = [this] { return streams.RegisteredVersions(); },
+       .on_read = [] {}});
+  streams.SetRecords(&records);
+  records.Start();
+  const auto caller = TakeUp("unknown");
+  site.AdvanceTime(absl::Seconds(1));
+  BOOST_TEST(caller->status == 503);
+  BOOST_TEST(caller->header("Retry-After") == "1.000");
+  streams.SetRecords(nullptr);
+}
+
+// The same while the servers of its version have yet to register.
+BOOST_FIXTURE_TEST_CASE(AStreamWhoseServersMayRegisterMayComeBackSoon,
+                        Fixture) {
+  Begin();
+  site.directory.Update(site.last().server(), std::nullopt, site.now);
+  site.directory.SetTableRecovered(site.now);
+  OnServersChanged();
+  const auto early = TakeUp("r1");
+  BOOST_TEST(early->status == 503);
+  BOOST_TEST(early->header("Retry-After") == "0.500");
+  site.AdvanceTime(kReregistrationTime);
+  const auto late = TakeUp("r1");
+  BOOST_TEST(late->status == 503);
+  BOOST_TEST(late->header("Retry-After") == "5.000");
+}
+
+// Guards against a stream that is forgotten before its caller gives it up:
+// each attempt has a deadline of its own.
+BOOST_FIXTURE_TEST_CASE(AStreamIsKnownBeyondTheTimeOfItsFirstAttempt, Fixture) {
+  const auto first = Begin();
+  const std::string server = site.last().server();
+  first->on_disconnect();
+  site.AdvanceTime(absl::Seconds(20));
+  TakeUp("r1");
+  BOOST_REQUIRE(site.calls.size() == 2u);
+  BOOST_TEST(site.last().server() == server);
+}
+
 // Guards against a stream that the gateway resumes at another version, or ends
 // as if it were complete.
 BOOST_FIXTURE_TEST_CASE(AStreamWithoutAServerOfItsVersionBreaksOff, Fixture) {
--- a/src/gateway/stream_records_test.cc
+++ b/src/gateway/stream_records_test.cc
@@ -125,8 +125,8 @@
       hosts_.at(static_cast<std::size_t>(Random(hosts())))
           .versions->Find(
               service, IdOf(static_cast<int>(i)), kLife,
-              [this, answers, i, from, &result](const auto& version) {
-                (*answers)[i] = version.value_or("-");
+              [this, answers, i, from, &result](const StreamFinding& finding) {
+                (*answers)[i] = finding.version.value_or("-");
                 result.longest = std::max(result.longest, now - from);
               });
     }
--- a/src/gateway/stream_versions.cc
+++ b/src/gateway/stream_versions.cc
@@ -202,7 +202,7 @@
   const StreamAnswer own = AnswerTo({stream, name, life});
   const bool known = own.knowledge == StreamKnowledge::kBegan ||
                      own.knowledge == StreamKnowledge::kOnlyVersion;
-  if (known) return found(own.version);
+  if (known) return found({own.version});
   const auto [entry, is_new] = queries_.try_emplace(stream);
   Query& query = entry->second;
   query.found.push_back(std::move(found));
@@ -268,7 +268,7 @@
   if (query.unanswered.erase(from) == 0) return;
   switch (answer.knowledge) {
     case StreamKnowledge::kBegan:
-      return Resolve(answer.stream, answer.version, from.str());
+      return Resolve(answer.stream, {answer.version}, from.str());
     case StreamKnowledge::kOnlyVersion:
       query.only_version = answer.version;
       break;
@@ -285,7 +285,7 @@
   Query& query = queries_.at(stream);
   if (query.reads_records) return;
   if (!query.several && !query.only_version.empty()) {
-    return Resolve(stream, query.only_version, "history-of-a-peer");
+    return Resolve(stream, {query.only_version}, "history-of-a-peer");
   }
   if (records_ == nullptr) return ConcludeByRecords(stream, /*read=*/false);
   query.reads_records = true;
@@ -299,11 +299,14 @@
   const Query& query = queries_.at(stream);
   if (records_ != nullptr) {
     if (const auto version = records_->Find(stream)) {
-      return Resolve(stream, version, "records");
+      return Resolve(stream, {version}, "records");
     }
   }
-  if (!read) return Resolve(stream, std::nullopt, "records-unread");
-  if (query.several) return Resolve(stream, std::nullopt, "nobody");
+  if (!read) {
+    const StreamFinding finding{.may_be_recorded = records_ != nullptr};
+    return Resolve(stream, finding, "records-unread");
+  }
+  if (query.several) return Resolve(stream, {}, "nobody");
   // All hosts have just started; as far as any knew, one version serves. If no
   // host that ran before has written records, they may have known others.
   const absl::Time from = clock_() - query.life;
@@ -311,23 +314,22 @@
       records_ != nullptr && records_->Covers(query.service, from);
   const std::set<std::string> versions = VersionsSince(query.service, from);
   if (is_recorded && versions.size() == 1) {
-    return Resolve(stream, *versions.begin(), "servers-now");
+    return Resolve(stream, {*versions.begin()}, "servers-now");
   }
-  Resolve(stream, std::nullopt, "nobody");
+  Resolve(stream, {}, "nobody");
 }
 
-void StreamVersions::Resolve(StreamId stream,
-                             const std::optional<std::string>& version,
+void StreamVersions::Resolve(StreamId stream, const StreamFinding& finding,
                              std::string_view source) {
   auto node = queries_.extract(stream);
   const Query& query = node.mapped();
   timers_->Cancel(query.timer);
   LOG(INFO) << "event=stream-version stream=" << absl::StrCat(absl::Hex(stream))
-            << " version=" << version.value_or("-") << " source=" << source
-            << " asked=" << query.asked
+            << " version=" << finding.version.value_or("-")
+            << " source=" << source << " asked=" << query.asked
             << " unanswered=" << query.unanswered.size() << " after_ms="
             << absl::ToInt64Milliseconds(clock_() - query.asked_at);
-  for (const Found& found : query.found) found(version);
+  for (const Found& found : query.found) found(finding);
 }
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/stream_versions.h
+++ b/src/gateway/stream_versions.h
@@ -34,6 +34,14 @@
 
 namespace gentianlb::gateway {
 
+// What is known of the version that began a stream.
+struct StreamFinding {
+  std::optional<std::string> version;
+  // If there is no version: the records could not be read, and may name it.
+  bool may_be_recorded = false;
+  bool operator==(const StreamFinding&) const = default;
+};
+
 struct StreamVersionsHooks {
   // Sends a message to a peer.
   std::function<void(const EntryHostId& host, const StreamMessage& message)>
@@ -45,8 +53,7 @@
   // When full, further streams are not remembered.
   static constexpr std::size_t kMaxStreams = 1 << 15;
 
-  // Called with the version, or nullopt if it is not known.
-  using Found = std::function<void(const std::optional<std::string>& version)>;
+  using Found = std::function<void(const StreamFinding& finding)>;
 
   StreamVersions(EntryHostId self, ZoneId zone, TimerService* timers,
                  std::function<absl::Time()> clock, StreamVersionsHooks hooks);
@@ -126,7 +133,7 @@
   void Conclude(StreamId stream);
   // Ends a query by the records, if they could be read.
   void ConcludeByRecords(StreamId stream, bool read);
-  void Resolve(StreamId stream, const std::optional<std::string>& version,
+  void Resolve(StreamId stream, const StreamFinding& finding,
                std::string_view source);
 
   const EntryHostId self_;
--- a/src/gateway/stream_versions_test.cc
+++ b/src/gateway/stream_versions_test.cc
@@ -77,8 +77,8 @@
     auto found = std::make_shared<std::string>();
     hosts_.at(Name(host))
         .versions->Find(service, IdOf(stream), kLife,
-                        [found](const std::optional<std::string>& version) {
-                          *found = version.value_or("-");
+                        [found](const StreamFinding& finding) {
+                          *found = finding.version.value_or("-");
                         });
     Pass(absl::Milliseconds(100));
     return *found;
--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -118,6 +118,13 @@
     logs_.emplace_back(i, log + ".out");
     servers_[i] = std::make_unique<Process>(
         GENTIANLB_BUILD_DIR "/tests/standins/faulty_server", arguments, log);
+    started_[i] = absl::Now();
+    Register(i);
+  }
+
+  // Writes the row of server number `i`.
+  void Register(std::size_t i) {
+    const FaultyServerSetup& setup = setups_[i];
     Json::Value row;
     row["service"] = setup.service;
     row["address"] = absl::StrCat("127.0.0.1:", servers_[i]->Port());
@@ -125,7 +132,7 @@
     row["slots"] = 8;
     row["state"] = "ready";
     row["seq"] = 1;
-    row["born"] = static_cast<Json::Int64>(absl::ToUnixMillis(absl::Now()));
+    row["born"] = static_cast<Json::Int64>(absl::ToUnixMillis(started_[i]));
     row["version"] = setup.version;
     table_.Put("servers", ServerId(i), ToText(row));
   }
@@ -304,6 +311,7 @@
   const std::uint64_t seed_;
   std::array<std::atomic<bool>, kMaxHosts> in_rotation_;
   int server_starts_ = 0;
+  std::map<std::size_t, absl::Time> started_;  // By the server's number.
   // The server's number, and the file with its reports, by start.
   std::vector<std::pair<std::size_t, std::string>> logs_;
   absl::Mutex mutex_;
