What a host holds for others has one bound

Each answer, body and backlog had a bound of its own; nothing bounded their sum.

A budget, a fifth of the new setting [host] memory, counts them all: bodies of requests (twice, as they are copied to be sent), answers and events that are not complete, and what callers have yet to read. Beyond it, whoever holds most gives way: a body that is still coming is dropped and refused with 503 (2010, not run), an answer is broken off like one beyond its own bound, an unread response ends visibly incomplete. What has no end grows until it holds most, so that sound requests go on.

The same cause beside it: heads may have 64 KiB and 512 lines in place of 256 KiB (each short line takes some times its length); what a caller has read of a long stream is freed before all of it has been read; complete answers of more than 64 KiB are no longer copied; the allocator returns blocks of 128 KiB and more.

--- a/src/base/result.h
+++ b/src/base/result.h
@@ -57,6 +57,7 @@
   X(kPowerShort, 2007, 503, kNo, "the power cap leaves no room in time")      \
   X(kDeadlinePassed, 2008, 504, kNo, "the deadline passed while waiting")     \
   X(kCallerGone, 2009, 499, kNo, "the caller closed the connection")          \
+  X(kHoldsTooMuch, 2010, 503, kNo, "this host holds as much as it may")       \
   X(kNoServer, 3001, 503, kNo, "no backend server can take this request")     \
   X(kServerUnreachable, 3002, 502, kNo, "no connection to a backend server")  \
   X(kServerBroke, 3003, 502, kUnknown, "the server broke off the answer")     \
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "base/byte_budget.h"
 #include "base/timer_service.h"
 #include "gateway/event_splitter.h"
 #include "gateway/messages.h"
@@ -81,6 +82,7 @@
   bool may_have_run = false;    // An earlier attempt may have run.
 
   std::string body;  // Of a plain response, until it is complete.
+  std::unique_ptr<HeldBytes> held;  // That, and events that are not complete.
   EventSplitter splitter{0};
   bool responding = false;  // The response's head was sent to the caller.
   // Version of the software that wrote the stream's first event, at which alone
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -162,6 +162,12 @@
     exchange.deadline = exchange.arrival + std::min(exchange.request->time_left,
                                                     exchange.route->timeout);
   }
+  exchange.held = std::make_unique<HeldBytes>(
+      options_.budget, HeldKind::kAnswer, [this, id] {
+        Exchange* largest = Find(id);
+        if (largest == nullptr) return;
+        BreakOffAnswer(*largest, "this host holds as much as it may");
+      });
   exchanges_.emplace(id, std::move(owned));
   if (const auto error = Check(exchange)) {
     return Refuse(exchange, *error, kShortRetryAfter);
@@ -293,8 +299,9 @@
 void Forwarder::Enqueue(Exchange& exchange, const ServerId& avoid) {
   exchange.attempt = {};
   exchange.attempt.dispatch_id = RequestId(absl::StrCat(next_dispatch_id_++));
-  exchange.body.clear();
+  exchange.body = std::string();
   exchange.splitter.DiscardPartial();
+  CountHeldBytes(exchange);
   exchange_by_dispatch_id_[exchange.attempt.dispatch_id] = exchange.id;
   schedule::Request request = MakeDispatchRequest(exchange, avoid);
   if (exchange.service->engine && request.model.empty()) {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -19,6 +19,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "base/byte_budget.h"
 #include "base/timer_service.h"
 #include "gateway/configuration.h"
 #include "gateway/connection_reuse.h"
@@ -47,6 +48,8 @@
   // Retries that all hosts together may accumulate; each has an equal share.
   double retry_burst = 10;
   double limit_tolerance_tokens = 0;  // Above a workspace's limit, all hosts.
+  // Counts the answers that are held here; null: they are not counted.
+  std::shared_ptr<ByteBudget> budget;
 };
 
 // Not thread-safe: used by the event loop's thread only.
@@ -211,6 +214,7 @@
   // Has the server's connections carry one request each for a while.
   void PauseConnectionReuse(const Exchange& exchange, bool kept_connection);
   void OnBytes(Exchange& exchange, std::string_view bytes);
+  void TakeBytes(Exchange& exchange, std::string_view bytes);
   // Handles the body after such a head.
   void OnUnidentifiedBytes(Exchange& exchange, std::string_view bytes);
   void LeaveUnidentifiedAnswer(Exchange& exchange);
@@ -224,7 +228,9 @@
   void OnFailure(Exchange& exchange, schedule::RequestOutcome kind,
                  const Error& error);
   // Ends an answer that is longer than this host can keep.
-  void BreakOffAnswer(Exchange& exchange);
+  void BreakOffAnswer(Exchange& exchange, std::string_view detail);
+  // Counts the bytes of the answer that are held.
+  void CountHeldBytes(Exchange& exchange);
   // Returns whether too many servers were lost under requests with the same
   // content, and logs it if so.
   bool EndsServers(const Exchange& exchange) const;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -37,6 +37,10 @@
 constexpr std::size_t kMaxBodyBytes = 16 << 20;
 constexpr std::size_t kMaxBacklogBytes = 16 << 20;
 
+constexpr std::size_t kBlocksWhileGrowing = 3;
+
+constexpr std::string_view kExceedsBound = "it exceeds what this host keeps";
+
 // A server that ends as it begins to write an answer does so within
 // milliseconds. The caller of a server that doesn't end waits for this long
 // before another one gets its request.
@@ -228,6 +232,32 @@
 }
 
 void Forwarder::OnBytes(Exchange& exchange, std::string_view bytes) {
+  if (options_.budget == nullptr) return TakeBytes(exchange, bytes);
+  const ExchangeId id = exchange.id;
+  const std::size_t capacity = exchange.body.capacity();
+  if (exchange.body.size() + bytes.size() > capacity) {
+    // While the body is moved into a block of twice the size, both are held.
+    exchange.held->Set(kBlocksWhileGrowing * AllocatedBytes(exchange.body));
+    const SendId send = exchange.attempt.send;
+    options_.budget->Relieve();
+    const Exchange* found = Find(id);
+    if (found == nullptr || found->attempt.send != send) return;
+  }
+  TakeBytes(exchange, bytes);
+  if (Exchange* found = Find(id)) CountHeldBytes(*found);
+  options_.budget->Relieve();
+}
+
+void Forwarder::CountHeldBytes(Exchange& exchange) {
+  std::size_t bytes = AllocatedBytes(exchange.body) +
+                      AllocatedBytes(exchange.splitter.partial());
+  if (const auto& unidentified = exchange.attempt.unidentified) {
+    bytes += AllocatedBytes(unidentified->partial());
+  }
+  exchange.held->Set(bytes);
+}
+
+void Forwarder::TakeBytes(Exchange& exchange, std::string_view bytes) {
   if (exchange.attempt.foreign_answer) {
     return OnUnidentifiedBytes(exchange, bytes);
   }
@@ -235,13 +265,15 @@
   const bool relayed = exchange.is_stream() && IsSuccess(head.status);
   if (!relayed) {
     exchange.body.append(bytes);
-    if (exchange.body.size() > kMaxBodyBytes) BreakOffAnswer(exchange);
+    if (exchange.body.size() > kMaxBodyBytes) {
+      BreakOffAnswer(exchange, kExceedsBound);
+    }
     return;
   }
   const int events_before = exchange.splitter.event_count();
   const std::string events = exchange.splitter.Feed(bytes);
   if (exchange.splitter.partial().size() > kMaxEventBytes) {
-    return BreakOffAnswer(exchange);
+    return BreakOffAnswer(exchange, kExceedsBound);
   }
   if (events.empty()) return;
   const int new_events = exchange.splitter.event_count() - events_before;
@@ -273,11 +305,11 @@
             {Code::kServerBroke, "its answer doesn't name the request"});
 }
 
-void Forwarder::BreakOffAnswer(Exchange& exchange) {
+void Forwarder::BreakOffAnswer(Exchange& exchange, std::string_view detail) {
   servers_.cancel(exchange.attempt.transfer);
   FinishTransfer(exchange);
   OnFailure(exchange, RequestOutcome::kFailed,
-            {Code::kAnswerTooLong, "it exceeds what this host keeps"});
+            {Code::kAnswerTooLong, std::string(detail)});
 }
 
 void Forwarder::BeginStream(Exchange& exchange) {
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -29,14 +29,20 @@
 // count retries and the requests that earn them at different moments.
 constexpr double kRetryShare = 0.75;
 
+// Part of the process's memory for what it holds for others. What grows is
+// copied once, and the rest is for connections, tunnels and this host's state.
+constexpr std::int64_t kHeldPartOfMemory = 5;
+
 std::uint64_t SeedOf(const settings::GatewaySettings& settings) {
   return absl::HashOf(settings.id);
 }
 
 ForwarderOptions OptionsOf(
     const settings::GatewaySettings& settings,
-    const std::shared_ptr<schedule::Suspects>& suspects) {
+    const std::shared_ptr<schedule::Suspects>& suspects,
+    const std::shared_ptr<ByteBudget>& budget = nullptr) {
   ForwarderOptions options;
+  options.budget = budget;
   options.host = settings.id;
   options.zone = settings.zone;
   options.queue.host = settings.id;
@@ -60,6 +66,8 @@
       platform_(std::move(platform)),
       loop_(loop),
       log_(log),
+      budget_(std::make_shared<ByteBudget>(
+          static_cast<std::size_t>(settings.memory / kHeldPartOfMemory))),
       suspects_(std::make_shared<schedule::Suspects>()),
       directory_(settings.drain_time),
       records_(settings.id, absl::ToUnixMicros(absl::Now()), &loop->timers(),
@@ -104,8 +112,9 @@
       servers_(
           platform_.servers, [loop] { return loop->now(); }, &confirmations_),
       forwarder_(
-          OptionsOf(settings, suspects_), servers_.Port(), &loop->timers(),
-          [loop] { return loop->now(); }, &directory_, &demand_, &metrics_),
+          OptionsOf(settings, suspects_, budget_), servers_.Port(),
+          &loop->timers(), [loop] { return loop->now(); }, &directory_,
+          &demand_, &metrics_),
       rollouts_(
           settings.max_rollout_exposure,
           {.write =
@@ -249,6 +258,7 @@
     server_settings.limits.max_connections = connections;
     server_settings.limits.max_header_bytes = kMaxHeaderBytes;
     server_settings.limits.max_body_bytes = kMaxBodyBytes;
+    server_settings.budget = budget_;
     server_settings.loop = loop_;
     auto started = http::Server::Start(server_settings, std::move(handler));
     if (!started.ok()) return started.error();
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -113,6 +113,7 @@
   void SetLimitMetrics();
   void SetPathMetrics();
   void SetStreamMetrics();
+  void SetHeldMetrics();
 
   void OnConfigurationRows(const std::vector<TableRow>& rows, bool full_list,
                            absl::Time now);
@@ -145,6 +146,7 @@
   log::BoundedLog* const log_;
 
   metrics::Metrics metrics_;
+  const std::shared_ptr<ByteBudget> budget_;  // Of what is held for others.
   const std::shared_ptr<schedule::Suspects> suspects_;
   Directory directory_;
   Demand demand_;
--- a/src/gateway/host_metrics.cc
+++ b/src/gateway/host_metrics.cc
@@ -44,6 +44,19 @@
                static_cast<double>(tunnels.tunnels_opened()));
 }
 
+void Host::SetHeldMetrics() {
+  for (const HeldKind kind :
+       {HeldKind::kRequest, HeldKind::kAnswer, HeldKind::kUnread}) {
+    const std::string name(NameOf(kind));
+    metrics_.Set("gentianlb_held_bytes", "For callers and servers",
+                 {{"kind", name}}, static_cast<double>(budget_->held(kind)));
+    metrics_.Set("gentianlb_gave_way", "As too much was held, since the start",
+                 {{"kind", name}}, budget_->gave_way(kind));
+  }
+  metrics_.Set("gentianlb_held_bytes_limit", "Of all kinds together", {},
+               static_cast<double>(budget_->limit()));
+}
+
 void Host::SetStreamMetrics() {
   const StreamRecordCounts& counts = records_.counts();
   for (const auto& [call, outcome, count] :
@@ -112,6 +125,7 @@
   SetLimitMetrics();
   SetPathMetrics();
   SetStreamMetrics();
+  SetHeldMetrics();
   SetRolloutMetrics();
   metrics_.Set("gentianlb_log_lines_left_out", "For the log's bound", {},
                static_cast<double>(log_->dropped_lines()));
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "base/byte_budget.h"
 #include "base/ids.h"
 #include "base/result.h"
 #include "http/client.h"
@@ -43,6 +44,7 @@
   std::string path;                   // Of `target`, not decoded.
   std::vector<http::Header> headers;  // Forwarded unchanged.
   std::string body;
+  std::shared_ptr<HeldBytes> held;  // What the body takes of the budget.
   std::string key;  // The workspace's API key; empty if none was sent.
   absl::Duration time_left = absl::InfiniteDuration();  // Set by the caller.
   std::optional<Prompt> prompt;
--- a/src/gentianlb/gateway.cc
+++ b/src/gentianlb/gateway.cc
@@ -1,6 +1,7 @@
 #include "gentianlb/gateway.h"
 
 #include <glog/logging.h>
+#include <malloc.h>
 #include <signal.h>
 
 #include <iostream>
@@ -18,6 +19,10 @@
 // than the number of requests that a host runs at once.
 constexpr int kMaxIdleConnections = 64;
 
+// Blocks of this size and more are returned to the system as they are freed.
+// Otherwise the allocator keeps what a burst of long answers took.
+constexpr int kReturnedBlockBytes = 128 << 10;
+
 // Reads the settings file again and logs whether it differs from the current
 // settings. A running process can't change its settings.
 void Reload(const std::string& path, const settings::GatewaySettings& current) {
@@ -33,6 +38,7 @@
 }  // namespace
 
 int RunGateway(const std::string& settings_path) {
+  mallopt(M_MMAP_THRESHOLD, kReturnedBlockBytes);
   const auto settings = settings::LoadGatewaySettings(settings_path);
   if (!settings.ok()) {
     std::cerr << settings.error().detail << "\n";
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -4,11 +4,13 @@
 #define GENTIANLB_HTTP_MESSAGES_H_
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "absl/time/time.h"
+#include "base/byte_budget.h"
 #include "base/result.h"
 
 namespace gentianlb::http {
@@ -34,6 +36,8 @@
   std::string target;  // Path and query, byte for byte as sent.
   std::vector<Header> headers;
   std::string body;
+  // What the body takes of the server's budget; null: it isn't counted.
+  std::shared_ptr<HeldBytes> held;
 
   std::string_view header(std::string_view name) const {
     return FindHeader(headers, name);
--- a/src/http/pending_response.h
+++ b/src/http/pending_response.h
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "absl/synchronization/mutex.h"
+#include "base/byte_budget.h"
 #include "http/server.h"
 
 namespace gentianlb::http {
@@ -26,6 +27,11 @@
 // Block size of the callback through which libmicrohttpd reads a stream.
 inline constexpr std::size_t kStreamBlockBytes = 4 << 10;
 
+// A complete body is sent from a copy of libmicrohttpd's up to this size, and
+// otherwise in blocks.
+inline constexpr std::size_t kMaxCopiedBytes = 64 << 10;
+inline constexpr std::size_t kLargeBlockBytes = 32 << 10;
+
 // The state of one response, shared by the connection (a server thread) and the
 // request handler (any thread). The connection is suspended while there is
 // nothing to send, so that no thread blocks on it.
@@ -33,12 +39,15 @@
  public:
   // `on_resume` is called after each change after which libmicrohttpd must run.
   // It is empty when the daemon has a thread of its own. `accepts_chunks`:
-  // whether the caller's protocol version has chunked bodies.
+  // whether the caller's protocol version has chunked bodies. `budget`: counts
+  // what the caller has yet to read; null without an event loop.
   PendingResponse(MHD_Connection* connection, bool accepts_chunks,
-                  std::function<void()> on_resume)
+                  std::function<void()> on_resume,
+                  std::shared_ptr<ByteBudget> budget)
       : connection_(connection),
         accepts_chunks_(accepts_chunks),
-        on_resume_(std::move(on_resume)) {}
+        on_resume_(std::move(on_resume)),
+        held_(std::move(budget), HeldKind::kUnread, [this] { GiveWay(); }) {}
 
   void Respond(int status, std::vector<Header> headers, std::string body) {
     absl::MutexLock lock(&mutex_);
@@ -46,6 +55,7 @@
     status_ = status;
     headers_ = std::move(headers);
     buffer_ = std::move(body);
+    held_.Set(AllocatedBytes(buffer_));
     phase_ = Phase::kComplete;
     ResumeLocked();
   }
@@ -63,6 +73,7 @@
     absl::MutexLock lock(&mutex_);
     if (phase_ != Phase::kStreaming) return;
     buffer_.append(bytes);
+    held_.Set(AllocatedBytes(buffer_));
     ResumeLocked();
   }
 
@@ -110,15 +121,18 @@
     }
     if (phase_ == Phase::kAborted) return MHD_NO;
     MHD_Response* response = nullptr;
-    if (phase_ == Phase::kComplete) {
+    const bool complete = phase_ == Phase::kComplete;
+    if (complete && buffer_.size() <= kMaxCopiedBytes) {
       response = MHD_create_response_from_buffer(buffer_.size(), buffer_.data(),
                                                  MHD_RESPMEM_MUST_COPY);
+      buffer_ = std::string();
     } else {
-      if (!accepts_chunks_) SetAbortive(true);
+      if (!complete && !accepts_chunks_) SetAbortive(true);
       // The reader keeps this object alive until libmicrohttpd frees it.
       response = MHD_create_response_from_callback(
-          MHD_SIZE_UNKNOWN, kStreamBlockBytes, &PendingResponse::Read,
-          new std::shared_ptr<PendingResponse>(self),
+          complete ? buffer_.size() : MHD_SIZE_UNKNOWN,
+          complete ? kLargeBlockBytes : kStreamBlockBytes,
+          &PendingResponse::Read, new std::shared_ptr<PendingResponse>(self),
           &PendingResponse::FreeReader);
     }
     for (const Header& header : headers_) {
@@ -148,6 +162,24 @@
  private:
   enum class Phase { kWaiting, kComplete, kStreaming, kFinished, kAborted };
 
+  // Drops what the caller has not read, since this host holds too much. The
+  // response ends visibly incomplete.
+  void GiveWay() {
+    std::function<void()> callback;
+    {
+      absl::MutexLock lock(&mutex_);
+      if (closed_) return;
+      phase_ = Phase::kAborted;
+      buffer_ = std::string();
+      consumed_ = 0;
+      held_.Set(0);
+      callback = std::move(on_disconnect_);
+      on_disconnect_ = nullptr;
+      ResumeLocked();
+    }
+    if (callback) callback();
+  }
+
   void EndStream(Phase phase) {
     absl::MutexLock lock(&mutex_);
     const bool not_started =
@@ -192,13 +224,24 @@
     std::size_t count = std::min(capacity, available);
     std::memcpy(out, self->buffer_.data() + self->consumed_, count);
     self->consumed_ += count;
-    if (self->consumed_ == self->buffer_.size()) {
-      self->buffer_.clear();
-      self->consumed_ = 0;
-    }
+    self->DropConsumed();
     return static_cast<ssize_t>(count);
   }
 
+  // Frees what the caller has read: all of it at once where nothing is left,
+  // and otherwise rarely enough that the rest is moved seldom.
+  void DropConsumed() {
+    if (consumed_ == buffer_.size()) {
+      if (buffer_.capacity() > kMaxCopiedBytes) buffer_ = std::string();
+      buffer_.clear();
+      consumed_ = 0;
+    } else if (consumed_ > kMaxCopiedBytes && consumed_ > buffer_.size() / 2) {
+      buffer_.erase(0, consumed_);
+      consumed_ = 0;
+    }
+    held_.Set(AllocatedBytes(buffer_));
+  }
+
   // Sets whether the end of this process resets the connection. Without chunks
   // a closed one is the end of a complete response, and the kernel closes the
   // connections of a killed process in good order.
@@ -241,6 +284,7 @@
   std::string buffer_;
   std::size_t consumed_ = 0;
   std::function<void()> on_disconnect_;
+  HeldBytes held_;
 };
 
 }  // namespace gentianlb::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -27,6 +27,12 @@
 // queue, a caller waits a second until it retransmits its SYN packet.
 constexpr unsigned kListenBacklog = 512;
 
+// A request's body is held once more while it is sent to a server.
+constexpr std::size_t kCopiesOfBody = 2;
+
+// What gives way holds much; most of it ends within seconds.
+constexpr absl::Duration kRetryAfterGivingWay = absl::Seconds(1);
+
 // The Responder that a handler holds. Its destructor aborts the connection if
 // the response isn't complete.
 class ResponderHandle : public Responder {
@@ -60,6 +66,7 @@
   std::size_t header_bytes = 0;
   bool started = false;
   bool too_large = false;
+  bool gave_way = false;  // To others, as the host holds too much.
   bool caller_disconnected = false;
   bool dispatched = false;
   std::shared_ptr<PendingResponse> response;
@@ -78,6 +85,7 @@
 
 struct Server::Impl {
   ServerLimits limits;
+  std::shared_ptr<ByteBudget> budget;
   loop::EventLoop* loop = nullptr;
   TimerId idle_sweep_timer = 0;
   bool run_pending = false;
@@ -154,7 +162,7 @@
     const bool accepts_chunks =
         std::string_view(version) != MHD_HTTP_VERSION_1_0;
     exchange.response = std::make_shared<PendingResponse>(
-        connection, accepts_chunks, std::move(on_resume));
+        connection, accepts_chunks, std::move(on_resume), budget);
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
                               &exchange);
     if (connections == nullptr) return;
@@ -174,12 +182,31 @@
     return exchange.response->QueueOrSuspend(exchange.response);
   }
 
-  void AppendBody(Exchange& exchange, std::string_view block) const {
+  // A body that is not kept is read to its end all the same: only then can
+  // libmicrohttpd send the refusal.
+  void AppendBody(Exchange& exchange, std::string_view block) {
     if (exchange.request.body.size() + block.size() > limits.max_body_bytes) {
       exchange.too_large = true;
-      exchange.request.body.clear();
+      DropBody(exchange);
     }
-    if (!exchange.too_large) exchange.request.body.append(block);
+    if (exchange.too_large || exchange.gave_way) return;
+    exchange.request.body.append(block);
+    if (budget == nullptr) return;
+    if (exchange.request.held == nullptr) {
+      exchange.request.held =
+          std::make_shared<HeldBytes>(budget, HeldKind::kRequest, [&exchange] {
+            exchange.gave_way = true;
+            DropBody(exchange);
+          });
+    }
+    exchange.request.held->Set(kCopiesOfBody *
+                               AllocatedBytes(exchange.request.body));
+    budget->Relieve();
+  }
+
+  static void DropBody(Exchange& exchange) {
+    exchange.request.body = std::string();
+    if (exchange.request.held != nullptr) exchange.request.held->Set(0);
   }
 
   void Dispatch(Exchange& exchange) {
@@ -196,6 +223,13 @@
                           " bytes are taken"});
       return;
     }
+    if (exchange.gave_way) {
+      RespondProblem(*responder,
+                     {Code::kHoldsTooMuch, "no room for the request's body"},
+                     kRetryAfterGivingWay);
+      return;
+    }
+    if (exchange.request.held != nullptr) exchange.request.held->Keep();
     if (exchange.header_bytes > limits.max_header_bytes) {
       RespondProblem(*responder,
                      {Code::kHeaderTooLarge,
@@ -341,6 +375,7 @@
                                                Handler handler) {
   auto impl = std::make_unique<Impl>();
   impl->limits = settings.limits;
+  if (settings.loop != nullptr) impl->budget = settings.budget;
   impl->handler = std::move(handler);
 
   sockaddr_in address = {};
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "absl/time/time.h"
+#include "base/byte_budget.h"
 #include "base/result.h"
 #include "http/messages.h"
 #include "loop/event_loop.h"
@@ -31,6 +32,9 @@
   ServerLimits limits;
   std::string certificate_pem;  // TLS when both are set.
   std::string private_key_pem;
+  // Counts the bodies of requests and what callers have yet to read; requires a
+  // loop. Null: they are not counted.
+  std::shared_ptr<ByteBudget> budget;
   // When set, the server runs on this loop, which must outlive it, and also
   // detects callers that disconnect while their response is pending.
   loop::EventLoop* loop = nullptr;
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -20,8 +20,10 @@
 // Over TLS, what waits may be a message of TLS itself.
 constexpr std::string_view kPlainScheme = "http://";
 
-// A faulty server may write lines without end.
-constexpr std::size_t kMaxHeadBytes = 256 << 10;
+// A faulty server may write lines without end. Each short line of a head takes
+// some times its length.
+constexpr std::size_t kMaxHeadLines = 512;
+constexpr std::size_t kMaxHeadBytes = 64 << 10;
 constexpr std::size_t kMaxTrailerBytes = 64 << 10;
 
 // A smaller status is of a head that another one follows.
@@ -171,6 +173,7 @@
   }
   head_bytes_ += line.size();
   if (head_bytes_ > kMaxHeadBytes) return false;
+  if (headers_.size() >= kMaxHeadLines) return false;
   if (line.starts_with("HTTP/")) headers_.clear();
   if (line == "\r\n" || line == "\n") {
     const int status = Status();
@@ -272,7 +275,9 @@
 std::string Transfer::DetailOf(CURLcode code) const {
   if (cancelled_) return "cancelled";
   if (!framing_problem_.empty()) return std::string(framing_problem_);
-  if (head_bytes_ > kMaxHeadBytes) return "the head is too long";
+  if (head_bytes_ > kMaxHeadBytes || headers_.size() >= kMaxHeadLines) {
+    return "the head is too long";
+  }
   if (trailer_bytes_ > kMaxTrailerBytes) return "the trailer is too long";
   if (code == CURLE_OK && !head_delivered_) {
     return "the connection ended within the head";
--- a/src/settings/gateway_settings.cc
+++ b/src/settings/gateway_settings.cc
@@ -17,6 +17,8 @@
                                                    absl::Minutes(1)};
 constexpr Range<double> kBurstRange = {0, 1e6};
 constexpr Range<double> kRatioRange = {0, 10};
+constexpr Range<std::int64_t> kMemoryRange = {std::int64_t{32} << 20,
+                                              std::int64_t{1} << 40};
 constexpr Range<double> kExposureRange = {0, 0.5};
 constexpr Range<double> kProcessorRange = {0.001, 1024};
 
@@ -30,6 +32,7 @@
     settings->id = EntryHostId(id);
     settings->zone = ZoneId(zone);
     reader.Duration("grace", kGraceRange, &settings->grace, Need::kRequired);
+    reader.Size("memory", kMemoryRange, &settings->memory);
     reader.Number("processor", kProcessorRange, &settings->processor);
   } else if (kind == "callers") {
     reader.Address("address", &settings->callers, Need::kRequired);
--- a/src/settings/gateway_settings.h
+++ b/src/settings/gateway_settings.h
@@ -5,6 +5,7 @@
 #ifndef GENTIANLB_SETTINGS_GATEWAY_SETTINGS_H_
 #define GENTIANLB_SETTINGS_GATEWAY_SETTINGS_H_
 
+#include <cstdint>
 #include <string>
 
 #include "absl/time/time.h"
@@ -24,6 +25,8 @@
   Endpoint peers;        // For messages of peers.
   Endpoint table;        // The platform's table service.
   absl::Duration grace;  // From SIGTERM until the process is killed.
+  // Of the process, in bytes; beyond, the platform kills it.
+  std::int64_t memory = 128 << 20;
   double processor = 1;  // Number of processors that the host may use.
   double retries_per_request = 0.1;   // Over all hosts.
   double retry_burst = 10;            // Over all hosts.
--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -235,6 +235,11 @@
     return threads;
   }
 
+  std::vector<CallRecord> Records() {
+    absl::MutexLock lock(&mutex_);
+    return calls_;
+  }
+
   Judgement Verdict() {
     std::vector<ServerReport> reports;
     for (const auto& [server, log] : logs_) {
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -172,6 +172,16 @@
   while (!HasEnded() && absl::Now() < end) absl::SleepFor(kPoll);
 }
 
+std::int64_t Process::PeakMemory() const {
+  constexpr std::string_view kField = "VmHWM:";
+  const std::string status = ReadFile(absl::StrCat("/proc/", pid_, "/status"));
+  const std::size_t field = status.find(kField);
+  if (field == std::string::npos) return 0;
+  constexpr std::int64_t kKibibyte = 1024;
+  return std::strtoll(status.c_str() + field + kField.size(), nullptr, 10) *
+         kKibibyte;
+}
+
 std::string Process::Output() const { return ReadFile(log_ + ".out"); }
 
 std::string Process::Errors() const { return ReadFile(log_ + ".err"); }
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -64,6 +64,10 @@
 
   void KillAndWait();
 
+  // Returns the most memory that has been resident, in bytes; 0 once the
+  // process has ended.
+  std::int64_t PeakMemory() const;
+
   std::string Output() const;
   std::string Errors() const;
 
