--- a/src/base/byte_budget.h
+++ b/src/base/byte_budget.h
@@ -30,8 +30,8 @@
 
 // Returns the bytes that a string has allocated.
 inline std::size_t AllocatedBytes(const std::string& text) {
-  static const std::size_t kInPlace = std::string().capacity();
-  return text.capacity() > kInPlace ? text.capacity() : 0;
+  const std::size_t in_place = std::string().capacity();
+  return text.capacity() > in_place ? text.capacity() : 0;
 }
 
 class HeldBytes;
--- a/src/gateway/fake_site_test.h
+++ b/src/gateway/fake_site_test.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "gateway/forwarder.h"
@@ -106,8 +107,8 @@
 class FakeSite {
  public:
   // Has two servers of a model service "llm" and two of a plain service
-  // "plain".
-  FakeSite() {
+  // "plain". `budget`: as in ForwarderOptions.
+  explicit FakeSite(std::shared_ptr<ByteBudget> budget = nullptr) {
     FLAGS_minloglevel = google::GLOG_FATAL;  // The tests check no log lines.
     ServerPort port;
     port.send = [this](ServerCall call, CallSink sink) {
@@ -122,6 +123,7 @@
     directory.Replace({}, now);  // All servers are known.
     ForwarderOptions options;
     options.host = EntryHostId("h");
+    options.budget = std::move(budget);
     options.queue.dispatcher.allow_preemption = false;
     options.retry_burst = 3;
     forwarder = std::make_unique<Forwarder>(
--- a/src/gateway/forwarder_endless_test.cc
+++ b/src/gateway/forwarder_endless_test.cc
@@ -1,7 +1,9 @@
 // Answers without end, and callers that read more slowly than servers write.
 
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "gateway/fake_site_test.h"
 
@@ -66,6 +68,36 @@
   BOOST_TEST(forwarder->open_requests() == 0u);
 }
 
+// Guards against bodies without end that fill the host's memory together, and
+// against a sound answer that gives way to them.
+BOOST_AUTO_TEST_CASE(BodiesWithoutEndStayWithinTheBudgetTogether) {
+  constexpr std::size_t kBudget = 8 * kMebibyte;
+  const auto budget = std::make_shared<ByteBudget>(kBudget);
+  FakeSite site(budget);
+  site.Configure();
+  const auto sound = site.SendRequest("/pay/1");
+  std::vector<std::shared_ptr<FakeCaller>> others;
+  for (const char* path : {"/pay/2", "/pay/3", "/pay/4"}) {
+    others.push_back(site.SendRequest(path));
+  }
+  BOOST_REQUIRE(site.calls.size() == 4u);
+  for (const auto& call : site.calls) call->SendHead(200);
+  site.calls[0]->SendData(std::string(40'000, 's'));
+  const std::string block(64 << 10, 'x');
+  for (int i = 0; i < 400; ++i) {
+    for (std::size_t other = 1; other < site.calls.size(); ++other) {
+      if (!site.calls[other]->cancelled) site.calls[other]->SendData(block);
+    }
+    BOOST_TEST(budget->held() <= kBudget);
+  }
+  for (const auto& caller : others) BOOST_TEST(caller->status == 502);
+  site.calls[0]->SendData("end");
+  site.calls[0]->Finish();
+  BOOST_TEST(sound->status == 200);
+  BOOST_TEST(sound->body.size() == 40'003u);
+  BOOST_TEST(budget->held() == 0u);
+}
+
 // Guards against bytes of an answer that was broken off in that of the server
 // that is asked next.
 BOOST_FIXTURE_TEST_CASE(ABrokenOffBodyIsNoPartOfTheNextAnswer, Fixture) {
--- a/src/gateway/forwarder_internal.h
+++ b/src/gateway/forwarder_internal.h
@@ -4,6 +4,7 @@
 #define GENTIANLB_GATEWAY_FORWARDER_INTERNAL_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "absl/time/time.h"
@@ -19,6 +20,9 @@
 // take about that long.
 inline constexpr absl::Duration kMinTimeToRetry = absl::Milliseconds(20);
 
+// With so many events a stream had not just begun.
+inline constexpr int kEventsUnderWay = 3;
+
 inline bool IsSuccess(int status) { return status >= 200 && status < 300; }
 inline bool IsServerFailure(int status) { return status >= 500; }
 
@@ -27,6 +31,11 @@
   return exchange.attempt.transfer != 0 || exchange.may_have_run;
 }
 
+// Returns nullopt if the response doesn't state it.
+inline std::optional<double> MachineSlowdownOf(const ResponseHead& head) {
+  return head.load ? head.load->machine_slowdown : std::nullopt;
+}
+
 // Returns whole milliseconds for log lines.
 inline std::int64_t Milliseconds(absl::Duration duration) {
   return absl::ToInt64Milliseconds(duration);
--- a/tests/process/memory_test.cc
+++ b/tests/process/memory_test.cc
@@ -25,6 +25,9 @@
 constexpr std::int64_t kMaxMemory = 110 * kMebibyte;
 constexpr std::int64_t kMaxGrowth = 64 * kMebibyte;
 
+// Of callers that don't send the rest of a body.
+constexpr absl::Duration kStall = absl::Seconds(5);
+
 // The share of sound calls beside the others that must be served.
 constexpr double kServed = 0.97;
 
@@ -122,7 +125,6 @@
 BOOST_AUTO_TEST_CASE(BodiesThatStallTogetherFillNoHost) {
   constexpr std::size_t kBody = 4 << 20;
   constexpr std::size_t kSent = kBody - (100 << 10);
-  constexpr absl::Duration kStall = absl::Seconds(5);
   MemorySite site({});
   const std::string request = absl::StrCat(
       "POST /read/1 HTTP/1.1\r\nHost: one.example\r\nRequest-Id: stalled\r\n"
