The memory setting is known to the template's test

settings_gateway_settings_test failed on: the template has a key, [host] memory, that its complete file lacks. The file has it now, its value is checked, and the template has 17 keys.

--- a/src/settings/gateway_settings_test.cc
+++ b/src/settings/gateway_settings_test.cc
@@ -13,6 +13,7 @@
 zone = z
 grace = 8s
 processor = 0.25
+memory = 110MiB
 [callers]
 address = 10.0.0.1:80
 [ready]
@@ -52,6 +53,7 @@
   BOOST_TEST(problems.empty());
   BOOST_TEST(settings.id.str() == "h");
   BOOST_TEST((settings.grace == absl::Seconds(8)));
+  BOOST_TEST(settings.memory == 110 << 20);
   BOOST_TEST(Format(settings.table) == "10.0.0.2:84");
   BOOST_TEST(settings.retry_burst == 56);
   BOOST_TEST((settings.zone_crossing_cost == absl::Milliseconds(300)));
@@ -98,7 +100,7 @@
                    std::string::npos,
                line);
   }
-  BOOST_TEST(key_count == 16);
+  BOOST_TEST(key_count == 17);
 }
 
 }  // namespace
