--- a/src/base/byte_budget.h
+++ b/src/base/byte_budget.h
@@ -3,9 +3,9 @@
 // read.
 //
 // A bound of each of them is no bound of their sum: many faulty servers, or
-// many callers, may reach it at once. When the sum exceeds the limit, whoever
-// holds most gives way. What has no end grows until it holds most, so that
-// ordinary requests beside it go on.
+// many callers, may reach it at once. When the sum exceeds the limit, the
+// largest holder gives way. Endless input grows until it is the largest, so
+// that ordinary requests beside it go on.
 
 #ifndef GENTIANLB_BASE_BYTE_BUDGET_H_
 #define GENTIANLB_BASE_BYTE_BUDGET_H_
@@ -44,7 +44,7 @@
   ByteBudget(const ByteBudget&) = delete;
   ByteBudget& operator=(const ByteBudget&) = delete;
 
-  // Has those that hold most give way until the sum is within the limit. May
+  // Has the largest holders give way until the sum is within the limit. May
   // end any request: to be called last.
   void Relieve();
 
--- a/src/base/byte_budget_test.cc
+++ b/src/base/byte_budget_test.cc
@@ -74,7 +74,7 @@
              boost::test_tools::per_element());
   Hold(HeldKind::kRequest, 300);
   holders[2]->Keep();
-  budget->Relieve();  // Nobody is left that can.
+  budget->Relieve();  // No holder can give way.
   BOOST_TEST(budget->held() == 1200u);
 }
 
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -215,6 +215,9 @@
   void PauseConnectionReuse(const Exchange& exchange, bool kept_connection);
   void OnBytes(Exchange& exchange, std::string_view bytes);
   void TakeBytes(Exchange& exchange, std::string_view bytes);
+  // Counts the blocks that are held while a plain answer's body grows. Returns
+  // false if the answer gave way.
+  bool MakeRoom(Exchange& exchange, std::size_t bytes);
   // Handles the body after such a head.
   void OnUnidentifiedBytes(Exchange& exchange, std::string_view bytes);
   void LeaveUnidentifiedAnswer(Exchange& exchange);
--- a/src/gateway/forwarder_body.cc
+++ b/src/gateway/forwarder_body.cc
@@ -32,18 +32,9 @@
 }  // namespace
 
 void Forwarder::OnBytes(Exchange& exchange, std::string_view bytes) {
-  if (options_.budget == nullptr) return TakeBytes(exchange, bytes);
   const ExchangeId id = exchange.id;
-  const std::size_t capacity = exchange.body.capacity();
-  if (exchange.body.size() + bytes.size() > capacity) {
-    // While the body is moved into a block of twice the size, both are held.
-    exchange.held->Set(kBlocksWhileGrowing * AllocatedBytes(exchange.body));
-    const SendId send = exchange.attempt.send;
-    options_.budget->Relieve();
-    const Exchange* found = Find(id);
-    if (found == nullptr || found->attempt.send != send) return;
-  }
   TakeBytes(exchange, bytes);
+  if (options_.budget == nullptr) return;
   if (Exchange* found = Find(id)) CountHeldBytes(*found);
   options_.budget->Relieve();
 }
@@ -57,6 +48,18 @@
   exchange.held->Set(bytes);
 }
 
+bool Forwarder::MakeRoom(Exchange& exchange, std::size_t bytes) {
+  const std::string& body = exchange.body;
+  if (options_.budget == nullptr) return true;
+  if (body.size() + bytes <= body.capacity()) return true;
+  const ExchangeId id = exchange.id;
+  const SendId send = exchange.attempt.send;
+  exchange.held->Set(kBlocksWhileGrowing * AllocatedBytes(body));
+  options_.budget->Relieve();
+  const Exchange* const found = Find(id);
+  return found != nullptr && found->attempt.send == send;
+}
+
 void Forwarder::TakeBytes(Exchange& exchange, std::string_view bytes) {
   if (exchange.attempt.foreign_answer) {
     return OnUnidentifiedBytes(exchange, bytes);
@@ -64,6 +67,7 @@
   const ResponseHead& head = exchange.attempt.head;
   const bool relayed = exchange.is_stream() && IsSuccess(head.status);
   if (!relayed) {
+    if (!MakeRoom(exchange, bytes.size())) return;
     exchange.body.append(bytes);
     if (exchange.body.size() > kMaxBodyBytes) {
       BreakOffAnswer(exchange, kExceedsBound);
--- a/src/gateway/forwarder_test.cc
+++ b/src/gateway/forwarder_test.cc
@@ -402,8 +402,8 @@
   BOOST_TEST(site.SendRequest("/pay/1")->status == 503);
 }
 
-// Guards against callers who get no answer, or one that isn't true, as a host
-// exits with requests in progress.
+// Guards against requests in progress that get no answer, or a false one, as a
+// host exits.
 BOOST_AUTO_TEST_CASE(AHostThatExitsAnswersAllRequests) {
   FakeSite site;
   site.Configure();
--- a/src/http/response_end_test.cc
+++ b/src/http/response_end_test.cc
@@ -212,6 +212,38 @@
   BOOST_TEST(statuses.empty());
 }
 
+// Returns the head of a response with so many further lines of that length.
+std::string HeadOf(int lines, std::size_t length) {
+  std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n";
+  for (int i = 0; i < lines; ++i) {
+    head += "x: " + std::string(length, 'y') + "\r\n";
+  }
+  return head + "\r\n";
+}
+
+// Guards against short lines, which take some times their length in memory.
+BOOST_FIXTURE_TEST_CASE(AHeadOfTooManyLinesIsBroken, Fixture) {
+  Send();
+  Answer(HeadOf(/*lines=*/600, /*length=*/1) + "body");
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(detail == "the head is too long");
+}
+
+BOOST_FIXTURE_TEST_CASE(AHeadOfTooManyBytesIsBroken, Fixture) {
+  Send();
+  Answer(HeadOf(/*lines=*/20, /*length=*/4000) + "body");
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(detail == "the head is too long");
+}
+
+// Guards against a bound that ordinary heads exceed.
+BOOST_FIXTURE_TEST_CASE(AHeadOfHundredsOfLinesIsRead, Fixture) {
+  Send();
+  Answer(HeadOf(/*lines=*/400, /*length=*/100) + "body");
+  BOOST_TEST((*end == TransferEnd::kComplete));
+  BOOST_TEST(headers.size() == 401u);
+}
+
 BOOST_FIXTURE_TEST_CASE(AShortTrailerIsNoPartOfTheResponse, Fixture) {
   Send();
   Answer(
--- a/tests/process/drain_test.cc
+++ b/tests/process/drain_test.cc
@@ -61,8 +61,8 @@
     StartHosts();
   }
 
-  // Begins a call, on a connection that an earlier one has left open if there
-  // is one. Returns false if nobody listens at the host any more.
+  // Begins a call, on a connection that an earlier call has left open if there
+  // is one. Returns false once the host's port is closed.
   bool BeginCall(std::size_t host, int route, int deadline_ms) {
     std::unique_ptr<CallerConnection> connection = TakeConnection(host);
     if (!connection->IsOpen()) return false;
@@ -119,7 +119,7 @@
   std::vector<std::jthread> threads_;
 };
 
-// What callers got who sent requests after the signal.
+// The outcome of the calls that were sent after the signal.
 struct DrainVerdict {
   int calls = 0;
   int served = 0;
