--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -112,6 +112,7 @@
             << " parts=" << PartsText(exchange)
             << " peer=" << exchange.attempt.path.peer_name()
             << " sending=" << exchange.attempts
+            << " once=" << !exchange.safe_to_retry()
             << " waited_ms=" << Milliseconds(now - exchange.arrival)
             << " left_ms=" << Milliseconds(exchange.deadline - now)
             << " version=" << exchange.index->configuration().version
--- a/src/gentianctl/explain.cc
+++ b/src/gentianctl/explain.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/match.h"
 #include "explain/losses.h"
+#include "explain/sends.h"
 
 namespace gentianlb::ctl {
 namespace {
@@ -18,6 +19,7 @@
   std::string request;
   std::string rollout;  // Of this service.
   bool seconds = false;
+  bool sends = false;
 };
 
 // Calls `take` with each line of all logs and its text. False when one can't be
@@ -77,7 +79,19 @@
       "a roll-out of " + options.rollout);
 }
 
+Exit CheckSends(const ExplainOptions& options) {
+  explain::Sends sends;
+  const bool read =
+      ReadLogs(options.logs, [&](const explain::LogLine& line,
+                                 const std::string&) { sends.Add(line); });
+  if (!read) return Exit::kInvalid;
+  sends.Finish();
+  sends.Print(std::cout);
+  return sends.problems().empty() ? Exit::kDone : Exit::kRefused;
+}
+
 Exit Explain(const ExplainOptions& options) {
+  if (options.sends) return CheckSends(options);
   if (!options.request.empty()) return ExplainRequest(options);
   if (!options.rollout.empty()) return ExplainRollout(options);
   explain::Losses losses;
@@ -103,6 +117,9 @@
   command->add_option("--rollout", options->rollout,
                       "Only the lines of this service's roll-outs");
   command->add_flag("--seconds", options->seconds, "Also by second");
+  command->add_flag("--sends", options->sends,
+                    "Check that no request was sent, or refused as not run, "
+                    "while an earlier send of it was open or may have run it");
   command->callback([=] { *action = [=] { return Explain(*options); }; });
 }
 
