--- /dev/null
+++ b/src/gateway/forwarder_sends_test.cc
@@ -0,0 +1,96 @@
+// Decisions that reach a request whose send is open, whatever dispatcher they
+// come from.
+
+#include <boost/test/unit_test.hpp>
+#include <memory>
+#include <string>
+
+#include "absl/strings/str_cat.h"
+#include "gateway/fake_site_test.h"
+
+namespace gentianlb::gateway {
+namespace {
+
+using http::TransferEnd;
+
+// One request at its server, and its dispatch id.
+struct OpenSend : FakeSite {
+  explicit OpenSend(const std::string& path) {
+    // The first id of a host is its clock's time.
+    dispatch_id = RequestId(absl::StrCat(absl::ToUnixMicros(now)));
+    Configure();
+    caller = SendRequest(path);
+    BOOST_REQUIRE(calls.size() == 1u);
+  }
+
+  // Returns the server that has not got it.
+  ServerId OtherServer() const {
+    const std::string first = calls.front()->server();
+    const std::string service = first.substr(0, first.size() - 1);
+    return ServerId(service + (first.ends_with("a") ? "b" : "a"));
+  }
+  void Grant() {
+    forwarder->ApplyDecision(
+        schedule::Grant{dispatch_id, EntryHostId("h"), OtherServer(), {}});
+  }
+  void Refuse() {
+    forwarder->ApplyDecision(schedule::Refuse{
+        dispatch_id, EntryHostId("h"), Code::kQueueFull, absl::Seconds(1)});
+  }
+
+  RequestId dispatch_id;
+  std::shared_ptr<FakeCaller> caller;
+};
+
+// Guards against a second server that gets a payment while the first has it.
+BOOST_AUTO_TEST_CASE(AGrantWhileASendIsOpenSendsNothing,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  for (const char* path : {"/pay/1", "/stream/1", "/read/1", "/resume/1"}) {
+    OpenSend site(path);
+    site.Grant();
+    BOOST_TEST(site.calls.size() == 1u, path);
+    site.calls.front()->SendResponse(200, "id: 1\ndata: paid\n\n");
+    BOOST_TEST(site.caller->status == 200);
+    BOOST_TEST(site.forwarder->open_requests() == 0u);
+  }
+}
+
+// Guards against a promise of "not run" while a server has the payment.
+BOOST_AUTO_TEST_CASE(ARefusalWhileASendIsOpenIsNoAnswer,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  for (const char* path : {"/pay/1", "/stream/1"}) {
+    OpenSend site(path);
+    site.Refuse();
+    BOOST_TEST(site.caller->status == 0, path);
+    BOOST_TEST(!site.calls.front()->cancelled);
+    site.calls.front()->SendResponse(200, "id: 1\ndata: paid\n\n");
+    BOOST_TEST(site.caller->status == 200);
+  }
+}
+
+// Guards against a dispatch id that a refusal takes away from an open send, so
+// that its end is never reported.
+BOOST_AUTO_TEST_CASE(ARefusalWhileASendIsOpenLeavesTheRetryItsOrder,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  OpenSend site("/pay/1");
+  site.Refuse();
+  site.calls.front()->SendHead(503, /*not_run=*/true);
+  site.calls.front()->Finish();
+  BOOST_REQUIRE(site.calls.size() == 2u);
+  site.last().SendResponse(200, "paid");
+  BOOST_TEST(site.caller->body == "paid");
+}
+
+// Guards against a payment that goes to a second server after the first may
+// have made it.
+BOOST_AUTO_TEST_CASE(AGrantAfterAnUnknownEndSendsNothing) {
+  OpenSend site("/pay/1");
+  site.calls.front()->Finish(TransferEnd::kBroken);
+  site.Grant();
+  site.Refuse();
+  BOOST_TEST(site.calls.size() == 1u);
+  BOOST_TEST(site.caller->status == 502);
+}
+
+}  // namespace
+}  // namespace gentianlb::gateway
--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
@@ -157,7 +158,7 @@
   // Sends an attempt on `connection`, to `host`, and keeps its answer.
   // Thread-safe.
   CallRecord Ask(CallerConnection& connection, std::size_t host, CallKind kind,
-                 CallRecord call) {
+                 CallRecord call, absl::Duration timeout = kAnswerTime) {
     constexpr const char* kPaths[] = {"/once/1", "/read/1", "/chat/1",
                                       "/talk/1"};
     const std::string body = "question";
@@ -172,7 +173,7 @@
                       "\r\nLast-Event-Id: ", call.after_event, "\r\n");
     }
     call.host = absl::StrCat("h", host);
-    call.answer = connection.Ask(absl::StrCat(text, "\r\n", body), kAnswerTime);
+    call.answer = connection.Ask(absl::StrCat(text, "\r\n", body), timeout);
     absl::MutexLock lock(&mutex_);
     calls_.push_back(call);
     return call;
@@ -219,6 +220,23 @@
     });
   }
 
+  // Returns the time that follows `line` in a server's report; InfiniteFuture()
+  // if none has written it.
+  absl::Time ReportedAt(const std::string& line) const {
+    for (const auto& [server, log] : logs_) {
+      const std::string text = ReadFile(log);
+      const std::size_t start = text.find(absl::StrCat(line, " "));
+      if (start == std::string::npos) continue;
+      std::int64_t at_ms = 0;
+      const std::size_t from = start + line.size() + 1;
+      const std::size_t end = text.find('\n', from);
+      if (absl::SimpleAtoi(text.substr(from, end - from), &at_ms)) {
+        return absl::FromUnixMillis(at_ms);
+      }
+    }
+    return absl::InfiniteFuture();
+  }
+
   // Starts one caller's calls of one kind in the background. Returns once they
   // run at a server.
   std::vector<std::jthread> BeginCalls(std::size_t host, CallKind kind,
--- a/tests/process/caller_connection.cc
+++ b/tests/process/caller_connection.cc
@@ -10,12 +10,14 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <stdexcept>
 #include <utility>
 
 #include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
+#include "loop/cut_link_test.h"
 #include "loop/tcp_socket.h"
 
 namespace gentianlb::process {
@@ -62,10 +64,25 @@
   if (!connected) Close();
 }
 
-CallerConnection::~CallerConnection() { Close(); }
+CallerConnection::~CallerConnection() {
+  Close();
+  if (cut_socket_ >= 0) close(cut_socket_);
+}
 
 void CallerConnection::Close() {
-  if (socket_ >= 0) close(std::exchange(socket_, -1));
+  if (socket_ < 0) return;
+  if (cut_) {
+    cut_socket_ = std::exchange(socket_, -1);
+  } else {
+    close(std::exchange(socket_, -1));
+  }
+}
+
+void CallerConnection::CutLink() {
+  if (!loop::DropReceived(socket_)) {
+    throw std::runtime_error("can't cut the link of a socket");
+  }
+  cut_ = true;
 }
 
 bool CallerConnection::IsOpen() {
--- a/tests/process/caller_connection.h
+++ b/tests/process/caller_connection.h
@@ -4,6 +4,7 @@
 #ifndef GENTIANLB_PROCESS_CALLER_CONNECTION_H_
 #define GENTIANLB_PROCESS_CALLER_CONNECTION_H_
 
+#include <atomic>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -48,6 +49,11 @@
   // Sends `request`, as it stands, and reads its answer for at most `timeout`.
   RawAnswer Ask(const std::string& request, absl::Duration timeout);
 
+  // Cuts the link: from now on nothing arrives, and the end of the connection
+  // doesn't reach the other side before this object is destroyed. May be called
+  // while Ask() runs.
+  void CutLink();
+
  private:
   enum class Read { kBytes, kEnd, kReset, kTimeout };
 
@@ -58,6 +64,8 @@
   void Close();
 
   int socket_ = -1;
+  int cut_socket_ = -1;  // Kept open once the link is cut.
+  std::atomic<bool> cut_ = false;
   std::string received_;
 };
 
--- a/tests/standins/faulty_server.cc
+++ b/tests/standins/faulty_server.cc
@@ -303,10 +303,15 @@
       if (plan.reset || orderly_end) Reset(connection);
       return false;
     }
-    if (!Send(connection, piece)) return false;
+    if (!Send(connection, piece)) {
+      Report(absl::StrCat("left ", request.Id(), " ",
+                          absl::ToUnixMillis(absl::Now())));
+      return false;
+    }
     if (i + 1 < count) absl::SleepFor(answer.gap);
   }
-  Report(absl::StrCat("wrote ", request.Id()));
+  Report(absl::StrCat("wrote ", request.Id(), " ",
+                      absl::ToUnixMillis(absl::Now())));
   return !answer.closes;
 }
 
