--- a/src/loop/cut_link_test.h
+++ b/src/loop/cut_link_test.h
@@ -19,6 +19,11 @@
                     sizeof program) == 0;
 }
 
+// The kernel delivers again what arrives.
+inline void ReceiveAgain(int socket) {
+  setsockopt(socket, SOL_SOCKET, SO_DETACH_FILTER, nullptr, 0);
+}
+
 // Returns the socket of this process with a connection to `remote_port`, and
 // from `local_port` unless that is 0; -1 if there is none.
 inline int FindSocket(int remote_port, int local_port = 0) {
--- a/tests/process/answer_rules.cc
+++ b/tests/process/answer_rules.cc
@@ -177,6 +177,7 @@
   report.server = server;
   report.version = version;
   report.body_bytes = body_bytes;
+  std::map<std::string, absl::Time> begun;
   const std::vector<std::string> all = absl::StrSplit(lines, '\n');
   for (const std::string& line : all) {
     const std::vector<std::string> words = absl::StrSplit(line, ' ');
@@ -184,6 +185,14 @@
     if (words[0] == "run") report.runs.push_back(words[1]);
     if (words[0] == "wrote") report.finished.insert(words[1]);
     if (words[0] == "copy") report.doubled_for.insert(words[1]);
+    std::int64_t at_ms = 0;
+    if (words.size() < 3 || !absl::SimpleAtoi(words[2], &at_ms)) continue;
+    const absl::Time at = absl::FromUnixMillis(at_ms);
+    if (words[0] == "run") begun[words[1]] = at;
+    const bool ends =
+        words[0] == "wrote" || words[0] == "left" || words[0] == "cut";
+    if (!ends || !begun.contains(words[1])) continue;
+    report.work.push_back({words[1], begun[words[1]], at});
   }
   return report;
 }
@@ -253,4 +262,60 @@
   return found;
 }
 
+std::vector<std::string> FindTwoAtWork(
+    const std::vector<CallRecord>& calls,
+    const std::vector<ServerReport>& reports,
+    const std::vector<Disturbance>& disturbances, absl::Duration touch_time) {
+  constexpr absl::Duration kMaxOverlap = absl::Milliseconds(400);
+  struct Place {
+    ServerWork work;
+    std::string server;
+    std::string host;
+  };
+  std::map<std::string, const CallRecord*> call_of;
+  for (const CallRecord& call : calls) {
+    if (call.stream && !call.once) call_of[call.id] = &call;
+  }
+  std::map<std::string, std::vector<Place>> streams;  // By first attempt.
+  for (const ServerReport& report : reports) {
+    for (const ServerWork& work : report.work) {
+      const auto call = call_of.find(work.request);
+      if (call == call_of.end()) continue;
+      const CallRecord& record = *call->second;
+      const std::string& first =
+          record.resumes.empty() ? record.id : record.resumes;
+      streams[first].push_back({work, report.server, record.host});
+    }
+  }
+  const auto excused = [&](const Place& first, absl::Time begin,
+                           absl::Time end) {
+    return std::any_of(
+        disturbances.begin(), disturbances.end(), [&](const Disturbance& item) {
+          const bool concerns =
+              item.name == first.server || item.name == first.host;
+          return concerns && item.begin < end && item.end + touch_time > begin;
+        });
+  };
+  std::vector<std::string> found;
+  for (auto& [id, places] : streams) {
+    std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
+      return a.work.begin < b.work.begin;
+    });
+    for (std::size_t i = 1; i < places.size(); ++i) {
+      const Place& first = places[i - 1];
+      const Place& second = places[i];
+      const absl::Time end = std::min(first.work.end, second.work.end);
+      const absl::Duration overlap = end - second.work.begin;
+      if (overlap <= kMaxOverlap || excused(first, second.work.begin, end))
+        continue;
+      found.push_back(absl::StrCat(
+          "stream ", id, ": ", first.work.request, " at ", first.server,
+          " over ", first.host, ", then ", second.work.request, " at ",
+          second.server, " over ", second.host, ", both for ",
+          absl::ToInt64Milliseconds(overlap), " ms"));
+    }
+  }
+  return found;
+}
+
 }  // namespace gentianlb::process
--- a/tests/process/answer_rules.h
+++ b/tests/process/answer_rules.h
@@ -8,10 +8,26 @@
 #include <string>
 #include <vector>
 
+#include "absl/time/time.h"
 #include "process/caller_connection.h"
 
 namespace gentianlb::process {
 
+// A server's work on a request.
+struct ServerWork {
+  std::string request;
+  absl::Time begin;
+  absl::Time end;
+};
+
+// A host or a server was disturbed. For the rules it is out of touch then, and
+// for a while after.
+struct Disturbance {
+  std::string name;
+  absl::Time begin;
+  absl::Time end;
+};
+
 // What a server reports.
 struct ServerReport {
   std::string server;
@@ -20,6 +36,7 @@
   std::vector<std::string> runs;      // Ids of requests, once for each run.
   std::set<std::string> finished;     // Those whose answer was written whole.
   std::set<std::string> doubled_for;  // Before whose answers a copy came.
+  std::vector<ServerWork> work;       // Of which it has told begin and end.
 };
 
 // Reads the lines that a faulty server has written.
@@ -63,6 +80,14 @@
 Judgement Judge(const std::vector<CallRecord>& calls,
                 const std::vector<ServerReport>& reports, int events);
 
+// Returns a line for each stream on which a server worked for over 400 ms after
+// another one had begun to go on with it, though neither that server nor the
+// host that had sent it there was disturbed within `touch_time` before.
+std::vector<std::string> FindTwoAtWork(
+    const std::vector<CallRecord>& calls,
+    const std::vector<ServerReport>& reports,
+    const std::vector<Disturbance>& disturbances, absl::Duration touch_time);
+
 }  // namespace gentianlb::process
 
 #endif  // GENTIANLB_PROCESS_ANSWER_RULES_H_
--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -61,6 +61,7 @@
   std::string service;
   std::string version = "v1";
   std::size_t body_bytes = 600;
+  int slots = 8;
   // Of the program.
   std::vector<std::string> options;
 };
@@ -68,7 +69,7 @@
 class AnswersSite {
  public:
   static constexpr absl::Duration kAnswerTime = absl::Seconds(6);
-  static constexpr std::size_t kMaxHosts = 8;
+  static constexpr std::size_t kMaxHosts = 64;
 
   AnswersSite(std::vector<FaultyServerSetup> servers, std::size_t hosts,
               int events = 5, std::uint64_t seed = 1)
@@ -130,7 +131,7 @@
     row["service"] = setup.service;
     row["address"] = absl::StrCat("127.0.0.1:", servers_[i]->Port());
     row["zone"] = "z";
-    row["slots"] = 8;
+    row["slots"] = setup.slots;
     row["state"] = "ready";
     row["seq"] = 1;
     row["born"] = static_cast<Json::Int64>(absl::ToUnixMillis(started_[i]));
@@ -259,14 +260,20 @@
   }
 
   Judgement Verdict() {
+    const std::vector<ServerReport> reports = Reports();
+    absl::MutexLock lock(&mutex_);
+    return Judge(calls_, reports, events_);
+  }
+
+  // Returns what each start of each server has reported.
+  std::vector<ServerReport> Reports() const {
     std::vector<ServerReport> reports;
     for (const auto& [server, log] : logs_) {
       const FaultyServerSetup& setup = setups_[server];
       reports.push_back(ReadServerReport(ServerId(server), setup.version,
                                          setup.body_bytes, ReadFile(log)));
     }
-    absl::MutexLock lock(&mutex_);
-    return Judge(calls_, reports, events_);
+    return reports;
   }
 
   standins::FeedTable table_;
--- a/tests/process/caller_connection.cc
+++ b/tests/process/caller_connection.cc
@@ -70,6 +70,7 @@
 }
 
 void CallerConnection::Close() {
+  absl::MutexLock lock(&close_mutex_);
   if (socket_ < 0) return;
   if (cut_) {
     cut_socket_ = std::exchange(socket_, -1);
@@ -79,6 +80,8 @@
 }
 
 void CallerConnection::CutLink() {
+  absl::MutexLock lock(&close_mutex_);
+  if (socket_ < 0) return;
   if (!loop::DropReceived(socket_)) {
     throw std::runtime_error("can't cut the link of a socket");
   }
--- a/tests/process/caller_connection.h
+++ b/tests/process/caller_connection.h
@@ -4,11 +4,11 @@
 #ifndef GENTIANLB_PROCESS_CALLER_CONNECTION_H_
 #define GENTIANLB_PROCESS_CALLER_CONNECTION_H_
 
-#include <atomic>
 #include <cstdint>
 #include <string>
 #include <vector>
 
+#include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 #include "http/server.h"
 
@@ -51,7 +51,7 @@
 
   // Cuts the link: from now on nothing arrives, and the end of the connection
   // doesn't reach the other side before this object is destroyed. May be called
-  // while Ask() runs.
+  // while Ask() runs. Does nothing once the connection has ended.
   void CutLink();
 
  private:
@@ -64,8 +64,10 @@
   void Close();
 
   int socket_ = -1;
+  // Held while `socket_` is closed, and while its link is cut.
+  absl::Mutex close_mutex_;
   int cut_socket_ = -1;  // Kept open once the link is cut.
-  std::atomic<bool> cut_ = false;
+  bool cut_ = false;
   std::string received_;
 };
 
--- a/tests/standins/faulty_server.cc
+++ b/tests/standins/faulty_server.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <signal.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,6 +22,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
+#include "loop/cut_link_test.h"
 #include "standins/answer_bytes.h"
 
 namespace gentianlb::standins {
@@ -109,10 +111,43 @@
   Report(absl::StrCat("port=", ntohs(address.sin_port)));
 }
 
+void FaultyServer::WatchLink() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGUSR1);
+  sigaddset(&signals, SIGUSR2);
+  while (true) {
+    int signal = 0;
+    if (sigwait(&signals, &signal) != 0) continue;
+    const bool cut = signal == SIGUSR1;
+    absl::MutexLock lock(&mutex_);
+    // New connections have the options of the listener.
+    std::set<int> sockets = connections_;
+    sockets.insert(listener_);
+    for (const int socket : sockets) {
+      if (cut) {
+        loop::DropReceived(socket);
+      } else {
+        loop::ReceiveAgain(socket);
+      }
+    }
+  }
+}
+
 void FaultyServer::Run() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGUSR1);
+  sigaddset(&signals, SIGUSR2);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::thread([this] { WatchLink(); }).detach();
   while (true) {
     const int connection = accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
     if (connection < 0) continue;
+    {
+      absl::MutexLock lock(&mutex_);
+      connections_.insert(connection);
+    }
     const int on = 1;
     setsockopt(connection, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     std::thread([this, connection] { Serve(connection); }).detach();
@@ -153,6 +188,8 @@
     open = count > 0;
     if (open) received.append(block.data(), static_cast<std::size_t>(count));
   }
+  absl::MutexLock lock(&mutex_);
+  connections_.erase(connection);
   close(connection);
 }
 
@@ -296,7 +333,8 @@
   for (std::size_t i = 0; i < count; ++i) {
     const std::string& piece = answer.pieces[i];
     if (i == cut_piece) {
-      Report(absl::StrCat("cut ", request.Id()));
+      Report(absl::StrCat("cut ", request.Id(), " ",
+                          absl::ToUnixMillis(absl::Now())));
       Send(connection, piece.substr(0, piece.size() / 2));
       // A plain answer without framing that ends in good order is whole.
       const bool orderly_end = answer.closes && !request.IsStream();
--- a/tests/standins/faulty_server.h
+++ b/tests/standins/faulty_server.h
@@ -1,6 +1,8 @@
 // A backend server that writes raw bytes to its connections, faulty by seed:
 // it writes answers twice, refuses, cuts its answers, and leaves out their
 // framing. It reports each run and each finished answer as a line of text.
+// SIGUSR1 cuts its link: no packet arrives any more, the ends of connections
+// neither, while its own go out. SIGUSR2 heals it.
 
 #ifndef GENTIANLB_STANDINS_FAULTY_SERVER_H_
 #define GENTIANLB_STANDINS_FAULTY_SERVER_H_
@@ -8,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 #include "absl/synchronization/mutex.h"
@@ -75,6 +78,8 @@
   struct Request;
   struct Answer;
 
+  // Cuts and heals the link, as signals say.
+  [[noreturn]] void WatchLink();
   void Serve(int connection);
   // Returns whether the connection stays open.
   bool Handle(int connection, const Request& request, std::string* copy);
@@ -91,6 +96,7 @@
   const int report_;
   int listener_ = -1;
   absl::Mutex mutex_;
+  std::set<int> connections_ ABSL_GUARDED_BY(mutex_);
   // How often each request has come, by its id.
   std::map<std::string, int> arrivals_ ABSL_GUARDED_BY(mutex_);
 };
