--- a/src/gateway/sends_property_test.cc
+++ b/src/gateway/sends_property_test.cc
@@ -3,10 +3,9 @@
 // played, and GENTIANLB_SENDS_FIRST_SEED the first one.
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <string>
 
-#include "absl/strings/numbers.h"
+#include "base/environment_test.h"
 #include "gateway/sends_site_test.h"
 
 namespace gentianlb::gateway {
@@ -15,12 +14,6 @@
 constexpr int kSeeds = 6;
 constexpr absl::Duration kTime = absl::Seconds(8);
 
-int FromEnvironment(const char* name, int otherwise) {
-  const char* const text = std::getenv(name);
-  int value = 0;
-  return text != nullptr && absl::SimpleAtoi(text, &value) ? value : otherwise;
-}
-
 // Guards against a second send, or a promise of "not run", while a send of the
 // same request is open or may have run it.
 BOOST_AUTO_TEST_CASE(NoDecisionReachesAnOpenSend) {
--- a/src/gateway/tunnel_test.cc
+++ b/src/gateway/tunnel_test.cc
@@ -19,70 +19,17 @@
 #include "gateway/end_confirmation.h"
 #include "gateway/path_monitor.h"
 #include "gateway/server_prober.h"
-#include "http/loop_client.h"
-#include "http/raw_server_test.h"
-#include "loop/loop_runner_test.h"
+#include "gateway/tunnel_site_test.h"
 #include "loop/tcp_socket.h"
-#include "tunnel/tunnel_server.h"
 
 namespace gentianlb::gateway {
 namespace {
 
 using http::TransferEnd;
 
-struct Fixture : loop::LoopRunner {
-  Fixture() {
-    tunnel::TunnelServerHooks hooks;
-    hooks.is_allowed = [this](const settings::Endpoint&) { return allowed; };
-    hooks.on_connect = [this](const settings::Endpoint&, bool made) {
-      connected = made;
-    };
-    auto started =
-        tunnel::TunnelServer::Start(&loop, {"127.0.0.1", 0}, std::move(hooks));
-    BOOST_REQUIRE(started.ok());
-    tunnels = std::move(started.value());
-    tunnel_port = tunnels->port();
-  }
-
-  http::TransferId Send(const std::string& request_body = "") {
-    http::ClientRequest request;
-    request.url = server.url();
-    request.tunnel = "127.0.0.1:" + std::to_string(tunnel_port);
-    request.method = "POST";
-    request.headers = {{"Secret", "for the server alone"}};
-    request.body = request_body;
-    request.send_policy = http::SendPolicy::kNoResend;
-    http::TransferSink sink;
-    sink.on_head = [this](const http::ReceivedHead& head) {
-      status = head.status;
-      return http::ReadAction::kContinue;
-    };
-    sink.on_data = [this](std::string_view data) { body += data; };
-    sink.on_end = [this](TransferEnd got, const std::string&) { end = got; };
-    return client.Start(std::move(request), std::move(sink));
-  }
-  void Answer(const std::string& bytes) {
-    RunUntil([this] { return server.HasRequest(); });
-    server.Write(bytes);
-  }
-  void WaitForEnd() {
-    RunUntil([this] { return end.has_value(); });
-  }
-
-  http::LoopClient client{&loop, 4};
-  http::RawServer server;
-  std::unique_ptr<tunnel::TunnelServer> tunnels;
-  int tunnel_port = 0;
-  bool allowed = true;
-  std::optional<bool> connected;
-  int status = 0;
-  std::string body;
-  std::optional<TransferEnd> end;
-};
-
 constexpr char kUnframed[] = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\n\r\nhalf";
 
-BOOST_FIXTURE_TEST_CASE(ARequestIsServedThroughATunnel, Fixture) {
+BOOST_FIXTURE_TEST_CASE(ARequestIsServedThroughATunnel, TunnelSite) {
   Send("question");
   Answer("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nanswer");
   WaitForEnd();
@@ -96,7 +43,7 @@
 }
 
 // Both directions are larger than the tunnel's buffers.
-BOOST_FIXTURE_TEST_CASE(LargeBodiesPassThroughATunnel, Fixture) {
+BOOST_FIXTURE_TEST_CASE(LargeBodiesPassThroughATunnel, TunnelSite) {
   const std::string large(1 << 20, 'x');
   Send(large);
   RunUntil([&] {
@@ -110,7 +57,7 @@
   BOOST_TEST(body == std::string(200000, 'y'));
 }
 
-BOOST_FIXTURE_TEST_CASE(AnUnframedBodyEndsThroughATunnelToo, Fixture) {
+BOOST_FIXTURE_TEST_CASE(AnUnframedBodyEndsThroughATunnelToo, TunnelSite) {
   Send();
   Answer(kUnframed);
   server.Close();
@@ -121,7 +68,7 @@
 
 // If the tunnel closed its connection in the ordinary way, half of a response
 // would look complete.
-BOOST_FIXTURE_TEST_CASE(AServersResetIsPassedOn, Fixture) {
+BOOST_FIXTURE_TEST_CASE(AServersResetIsPassedOn, TunnelSite) {
   Send();
   Answer(kUnframed);
   RunUntil([this] { return body == "half"; });
@@ -131,7 +78,7 @@
 }
 
 // The peer is killed after the request was sent: it may have run.
-BOOST_FIXTURE_TEST_CASE(ATunnelThatDiesBreaksItsRequest, Fixture) {
+BOOST_FIXTURE_TEST_CASE(ATunnelThatDiesBreaksItsRequest, TunnelSite) {
   Send();
   RunUntil([this] { return server.HasRequest(); });
   tunnels.reset();
@@ -141,7 +88,7 @@
 
 // Guards against half of an unframed body that looks complete because the peer
 // ended its tunnels.
-BOOST_FIXTURE_TEST_CASE(ATunnelThatDiesBreaksAnUnframedBody, Fixture) {
+BOOST_FIXTURE_TEST_CASE(ATunnelThatDiesBreaksAnUnframedBody, TunnelSite) {
   Send();
   Answer(kUnframed);
   RunUntil([this] { return body == "half"; });
@@ -197,7 +144,7 @@
 
 // Guards against half of an unframed body that looks complete because the
 // peer's process was killed: the kernel ends its connections.
-BOOST_FIXTURE_TEST_CASE(AKilledPeerBreaksAnUnframedBody, Fixture) {
+BOOST_FIXTURE_TEST_CASE(AKilledPeerBreaksAnUnframedBody, TunnelSite) {
   TunnelProcess peer;
   tunnel_port = peer.port();
   Send();
@@ -209,7 +156,7 @@
 }
 
 // A peer that stops keeps what its server had ended in good order.
-BOOST_FIXTURE_TEST_CASE(AWholeUnframedBodyOutlivesThePeer, Fixture) {
+BOOST_FIXTURE_TEST_CASE(AWholeUnframedBodyOutlivesThePeer, TunnelSite) {
   Send();
   Answer(kUnframed);
   server.Close();
@@ -221,23 +168,14 @@
 }
 
 // A peer that asks whether the server lives before it ends its tunnel.
-struct ConfirmingFixture : Fixture {
+struct ConfirmingFixture : TunnelSite {
   ConfirmingFixture() {
-    tunnel::TunnelServerHooks hooks;
-    hooks.is_allowed = [](const settings::Endpoint&) { return true; };
-    hooks.on_connect = [](const settings::Endpoint&, bool) {};
-    hooks.confirm_end = [this](const settings::Endpoint& to,
-                               std::uint64_t bytes,
-                               std::function<void(bool)> done) {
+    Listen([this](const settings::Endpoint& to, std::uint64_t bytes,
+                  std::function<void(bool)> done) {
       BOOST_TEST(settings::Format(to) == server.address());
       BOOST_TEST(bytes == response_bytes);
       confirm = std::move(done);
-    };
-    auto started =
-        tunnel::TunnelServer::Start(&loop, {"127.0.0.1", 0}, std::move(hooks));
-    BOOST_REQUIRE(started.ok());
-    tunnels = std::move(started.value());
-    tunnel_port = tunnels->port();
+    });
   }
   // The server answers and closes its connection in good order.
   void AnswerAndClose(const std::string& response) {
@@ -301,23 +239,14 @@
 }
 
 // A peer that connects to the server to find out whether it lives.
-struct ProbingFixture : Fixture {
+struct ProbingFixture : TunnelSite {
   ProbingFixture() {
-    tunnel::TunnelServerHooks hooks;
-    hooks.is_allowed = [](const settings::Endpoint&) { return true; };
-    hooks.on_connect = [](const settings::Endpoint&, bool) {};
-    hooks.confirm_end = [this](const settings::Endpoint& to,
-                               std::uint64_t bytes,
-                               std::function<void(bool)> done) {
+    Listen([this](const settings::Endpoint& to, std::uint64_t bytes,
+                  std::function<void(bool)> done) {
       confirmations.Start(
           {.request = "-", .server = to, .bytes = bytes, .in_tunnel = true},
           [done](const EndReport& report) { done(report.complete); });
-    };
-    auto started =
-        tunnel::TunnelServer::Start(&loop, {"127.0.0.1", 0}, std::move(hooks));
-    BOOST_REQUIRE(started.ok());
-    tunnels = std::move(started.value());
-    tunnel_port = tunnels->port();
+    });
   }
 
   metrics::Metrics metrics;
@@ -423,7 +352,7 @@
 
 // Nothing has been sent in these cases, so that even a payment may be tried on
 // another path.
-BOOST_FIXTURE_TEST_CASE(ARefusedTunnelEndsAsNotSent, Fixture) {
+BOOST_FIXTURE_TEST_CASE(ARefusedTunnelEndsAsNotSent, TunnelSite) {
   allowed = false;
   Send();
   WaitForEnd();
@@ -431,7 +360,7 @@
   BOOST_TEST(!connected.has_value());
 }
 
-BOOST_FIXTURE_TEST_CASE(AServerThatThePeerCantReachEndsAsNotSent, Fixture) {
+BOOST_FIXTURE_TEST_CASE(AServerThatThePeerCantReachEndsAsNotSent, TunnelSite) {
   server.StopListening();
   Send();
   WaitForEnd();
@@ -439,7 +368,7 @@
   BOOST_TEST(!*connected);
 }
 
-BOOST_FIXTURE_TEST_CASE(APeerThatIsGoneEndsAsNotSent, Fixture) {
+BOOST_FIXTURE_TEST_CASE(APeerThatIsGoneEndsAsNotSent, TunnelSite) {
   tunnels->StopAccepting();
   Send();
   WaitForEnd();
@@ -447,7 +376,8 @@
 }
 
 // A caller that disconnects stops the server's work over both connections.
-BOOST_FIXTURE_TEST_CASE(ACancelledRequestClosesTheServersConnection, Fixture) {
+BOOST_FIXTURE_TEST_CASE(ACancelledRequestClosesTheServersConnection,
+                        TunnelSite) {
   const http::TransferId id = Send();
   RunUntil([this] { return server.HasRequest(); });
   client.Cancel(id);
@@ -456,7 +386,7 @@
 }
 
 // A host that is about to stop accepts no more, and finishes what it has.
-BOOST_FIXTURE_TEST_CASE(ADrainingPeerFinishesItsTunnels, Fixture) {
+BOOST_FIXTURE_TEST_CASE(ADrainingPeerFinishesItsTunnels, TunnelSite) {
   Send();
   RunUntil([this] { return server.HasRequest(); });
   tunnels->StopAccepting();
@@ -466,7 +396,7 @@
 }
 
 // A host's tunnels to the server of the fixture above.
-struct MonitoredFixture : Fixture {
+struct MonitoredFixture : TunnelSite {
   MonitoredFixture() {
     entry.id = ServerId("s");
     const std::string address = server.address();
--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -61,9 +61,9 @@
   std::string service;
   std::string version = "v1";
   std::size_t body_bytes = 600;
-  int slots = 8;
   // Of the program.
-  std::vector<std::string> options;
+  std::vector<std::string> options = {};
+  int slots = 8;
 };
 
 class AnswersSite {
--- a/tests/process/answers_soak_test.cc
+++ b/tests/process/answers_soak_test.cc
@@ -7,7 +7,6 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <map>
 #include <random>
 #include <string>
@@ -16,9 +15,9 @@
 #include <vector>
 
 #include "absl/cleanup/cleanup.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "base/environment_test.h"
 #include "process/answers_site_test.h"
 
 namespace gentianlb::process {
@@ -39,12 +38,6 @@
 constexpr double kServedWithKills = 0.85;
 constexpr std::size_t kCallsOfShare = 120;  // Of a caller.
 
-int FromEnvironment(const char* name, int otherwise) {
-  const char* const text = std::getenv(name);
-  int value = 0;
-  return text != nullptr && absl::SimpleAtoi(text, &value) ? value : otherwise;
-}
-
 std::vector<int> Seeds() {
   const int first = FromEnvironment("GENTIANLB_SOAK_FIRST_SEED", 1);
   std::vector<int> seeds(static_cast<std::size_t>(
--- a/tests/process/cooldown_soak_test.cc
+++ b/tests/process/cooldown_soak_test.cc
@@ -6,10 +6,10 @@
 #include <signal.h>
 
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <optional>
 #include <random>
 
+#include "base/environment_test.h"
 #include "process/cooldown_site_test.h"
 
 namespace gentianlb::process {
@@ -25,11 +25,7 @@
 // The server that got most requests in the last step leaves after so many.
 constexpr int kLeavesAfter = 5;
 
-int SeedCount() {
-  const char* const text = std::getenv("GENTIANLB_SOAK_SEEDS");
-  int seeds = 0;
-  return text != nullptr && absl::SimpleAtoi(text, &seeds) ? seeds : kSeeds;
-}
+int SeedCount() { return FromEnvironment("GENTIANLB_SOAK_SEEDS", kSeeds); }
 
 class Soak {
  public:
--- a/tests/process/open_sends_soak_test.cc
+++ b/tests/process/open_sends_soak_test.cc
@@ -12,7 +12,6 @@
 
 #include <atomic>
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <random>
@@ -22,9 +21,9 @@
 #include <vector>
 
 #include "absl/cleanup/cleanup.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "base/environment_test.h"
 #include "process/answers_site_test.h"
 
 namespace gentianlb::process {
@@ -67,12 +66,6 @@
 // A caller that gets nothing for so long leaves its stream.
 constexpr absl::Duration kPatience = absl::Seconds(2);
 
-int FromEnvironment(const char* name, int otherwise) {
-  const char* const text = std::getenv(name);
-  int value = 0;
-  return text != nullptr && absl::SimpleAtoi(text, &value) ? value : otherwise;
-}
-
 std::vector<FaultyServerSetup> Servers(int count) {
   std::vector<FaultyServerSetup> servers;
   for (int i = 0; i < count; ++i) {
