--- a/src/explain/sends.cc
+++ b/src/explain/sends.cc
@@ -54,9 +54,9 @@
   } else if (once && request.may_have_run) {
     problems_.push_back({SendFault::kSentAgain, id, request.place, place, {}});
   }
-  const absl::string_view first = line.Text("takes_up");
+  const std::string first(line.Text("takes_up"));
   if (!first.empty()) ++taken_up_;
-  request.stream = first.empty() ? id : std::string(first);
+  request.stream = first.empty() ? id : first;
   request.place = place;
   request.open = true;
   request.sent = line.time;
--- a/src/explain/sends_test.cc
+++ b/src/explain/sends_test.cc
@@ -44,7 +44,7 @@
   log.Add(13, "h", "sent request=a server=u once=1");
   log.Add(14, "h", "send-withheld request=a server=u");
   log.Add(15, "h", "refused request=a code=2001");
-  BOOST_TEST((log.Faults() == Faults{}));
+  BOOST_TEST(log.Faults().empty());
   BOOST_TEST(log.sends.sends_once() == 3);
 }
 
@@ -113,7 +113,7 @@
   log.Add(1000, "h", "sent request=a server=s once=1");
   log.Add(1000, "k", "sent request=c server=t once=0 takes_up=b");
   log.Add(3000, "k", "answered request=c");
-  BOOST_TEST((log.Faults() == Faults{}));
+  BOOST_TEST(log.Faults().empty());
 }
 
 }  // namespace
--- a/tests/process/answer_rules.cc
+++ b/tests/process/answer_rules.cc
@@ -306,8 +306,8 @@
       const Place& second = places[i];
       const absl::Time end = std::min(first.work.end, second.work.end);
       const absl::Duration overlap = end - second.work.begin;
-      if (overlap <= kMaxOverlap || excused(first, second.work.begin, end))
-        continue;
+      const bool is_excused = excused(first, second.work.begin, end);
+      if (overlap <= kMaxOverlap || is_excused) continue;
       found.push_back(absl::StrCat(
           "stream ", id, ": ", first.work.request, " at ", first.server,
           " over ", first.host, ", then ", second.work.request, " at ",
--- a/tests/process/open_sends_soak_test.cc
+++ b/tests/process/open_sends_soak_test.cc
@@ -166,24 +166,22 @@
     const int choice = Pick(10);
     if (choice < 3 && !IsDisturbed(true, host)) {
       site_.hosts_[host]->process().Signal(SIGSTOP);
-      Begin({Kind::kStalledHost, host, until, absl::Now()});
+      faults_.push_back({Kind::kStalledHost, host, until, absl::Now()});
     } else if (choice < 5 && !IsDisturbed(true, host)) {
       site_.SetInRotation(host, false);
       site_.hosts_[host]->process().Signal(choice == 3 ? SIGKILL : SIGTERM);
-      Begin({Kind::kEndedHost, host, until, absl::Now()});
+      faults_.push_back({Kind::kEndedHost, host, until, absl::Now()});
     } else if (choice < 7 && !IsDisturbed(false, server)) {
       site_.servers_[server]->Signal(SIGUSR1);
-      Begin({Kind::kCutServer, server, until, absl::Now()});
+      faults_.push_back({Kind::kCutServer, server, until, absl::Now()});
     } else if (choice < 8 && !IsDisturbed(false, server)) {
       site_.servers_[server]->Signal(SIGKILL);
-      Begin({Kind::kEndedServer, server, until, absl::Now()});
+      faults_.push_back({Kind::kEndedServer, server, until, absl::Now()});
     } else if (choice == 9) {
       site_.table_.SetDown(Pick(2) == 0);
     }
   }
 
-  void Begin(Fault fault) { faults_.push_back(std::move(fault)); }
-
   void EndDue(int step) {
     std::vector<Fault> going_on;
     for (const Fault& fault : std::exchange(faults_, {})) {
