Names of the field for the check of callers

A caller that acknowledges nothing is unresponsive (caller-unresponsive, UnacknowledgedFor, CallerEventTimeout).

--- a/src/entry/answer_log_test.cc
+++ b/src/entry/answer_log_test.cc
@@ -22,7 +22,9 @@
   void Abort() override { aborted = true; }
   void OnDisconnect(std::function<void()> /*callback*/) override {}
   std::size_t Backlog() const override { return 0; }
-  absl::Duration SilentFor() const override { return absl::ZeroDuration(); }
+  absl::Duration UnacknowledgedFor() const override {
+    return absl::ZeroDuration();
+  }
 
   int status = 0;
   std::string body;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -71,8 +71,8 @@
   absl::Time arrival;
   absl::Time deadline;  // The earlier of the caller's and the route's.
   TimerId deadline_timer = 0;
-  TimerId caller_timer = 0;    // Of a stream: when its caller is looked at.
-  bool caller_silent = false;  // At the last look, for as long as it waits.
+  TimerId caller_check_timer = 0;  // Of a stream: the next check of its caller.
+  bool caller_unresponsive = false;  // At the last check.
 
   double quota_tokens = 0;  // Taken from the workspace's limit; 0 once sent.
   std::optional<LimitRefusal> over_limit;
--- a/src/gateway/fake_site_test.h
+++ b/src/gateway/fake_site_test.h
@@ -35,7 +35,9 @@
     on_disconnect = std::move(callback);
   }
   std::size_t Backlog() const override { return reads ? 0 : body.size(); }
-  absl::Duration SilentFor() const override { return silent_for; }
+  absl::Duration UnacknowledgedFor() const override {
+    return unacknowledged_for;
+  }
 
   std::string header(std::string_view name) const {
     return std::string(http::FindHeader(headers, name));
@@ -47,7 +49,7 @@
   bool complete = false;
   bool aborted = false;
   bool reads = true;
-  absl::Duration silent_for;
+  absl::Duration unacknowledged_for;
   std::function<void()> on_disconnect;
 };
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -52,7 +52,7 @@
 Forwarder::~Forwarder() {
   for (auto& [id, exchange] : exchanges_) {
     timers_->Cancel(exchange->deadline_timer);
-    timers_->Cancel(exchange->caller_timer);
+    timers_->Cancel(exchange->caller_check_timer);
     timers_->Cancel(exchange->attempt.unidentified_timer);
   }
   for (auto& [service, queue] : queues_) timers_->Cancel(queue.wakeup);
@@ -196,8 +196,8 @@
         if (Exchange* expired = Find(id)) OnDeadlinePassed(*expired);
       });
   if (exchange.is_stream()) {
-    LookAtCallerAt(exchange,
-                   exchange.arrival + CallerPatience(*exchange.route));
+    ScheduleCallerCheck(exchange,
+                        exchange.arrival + CallerEventTimeout(*exchange.route));
   }
   const auto kept_responder = exchange.responder;
   exchange.pool = rollouts_ == nullptr
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -260,11 +260,11 @@
   // Answers a request that this host won't finish before it exits.
   void EndForExit(Exchange& exchange);
   void OnCallerDisconnected(Exchange& exchange);
-  // Sets when it is looked at whether the caller of a stream still acknowledges
-  // what it gets. The link to it may be cut, so that no end of its connection
-  // arrives, and the server would work on while the caller goes on elsewhere.
-  void LookAtCallerAt(Exchange& exchange, absl::Time when);
-  void LookAtCaller(Exchange& exchange);
+  // Check whether the caller of a stream still acknowledges what it gets. The
+  // link to it may be cut, so that no end of its connection arrives, and the
+  // server would work on while the caller goes on over another host.
+  void ScheduleCallerCheck(Exchange& exchange, absl::Time when);
+  void CheckCaller(Exchange& exchange);
   void Remove(ExchangeId id);
   // Stops the server's work on the request, or removes it from the queue.
   void CancelAttempt(Exchange& exchange);
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -16,7 +16,7 @@
 using schedule::RequestOutcome;
 
 // An acknowledgement that waits here is read within this time.
-constexpr absl::Duration kSecondLookAtCaller = absl::Milliseconds(100);
+constexpr absl::Duration kCallerRecheckInterval = absl::Milliseconds(100);
 
 // Returns the status of a refusal: 503 or 429 if the request was not run and
 // may be retried, 502 or 504 if it may have run.
@@ -227,30 +227,30 @@
   Remove(exchange.id);
 }
 
-void Forwarder::LookAtCallerAt(Exchange& exchange, absl::Time when) {
-  exchange.caller_timer =
+void Forwarder::ScheduleCallerCheck(Exchange& exchange, absl::Time when) {
+  exchange.caller_check_timer =
       timers_->At(when, [this, id = exchange.id](absl::Time) {
-        if (Exchange* looked_at = Find(id)) LookAtCaller(*looked_at);
+        if (Exchange* checked = Find(id)) CheckCaller(*checked);
       });
 }
 
-// Looks twice: after a pause of this process its first look is at the time
-// before.
-void Forwarder::LookAtCaller(Exchange& exchange) {
-  exchange.caller_timer = 0;
-  const absl::Duration silent = exchange.responder->SilentFor();
-  const absl::Duration patience = CallerPatience(*exchange.route);
-  const bool was_silent =
-      std::exchange(exchange.caller_silent, silent >= patience);
-  if (!exchange.caller_silent || !was_silent) {
+// Checks twice: the first check after a pause of this process sees a state that
+// is as old as the pause.
+void Forwarder::CheckCaller(Exchange& exchange) {
+  exchange.caller_check_timer = 0;
+  const absl::Duration unacknowledged = exchange.responder->UnacknowledgedFor();
+  const absl::Duration timeout = CallerEventTimeout(*exchange.route);
+  const bool was_unresponsive =
+      std::exchange(exchange.caller_unresponsive, unacknowledged >= timeout);
+  if (!exchange.caller_unresponsive || !was_unresponsive) {
     const absl::Duration until_next =
-        std::max(patience - silent, kSecondLookAtCaller);
-    return LookAtCallerAt(exchange, clock_() + until_next);
+        std::max(timeout - unacknowledged, kCallerRecheckInterval);
+    return ScheduleCallerCheck(exchange, clock_() + until_next);
   }
-  LOG(INFO) << "event=caller-silent request=" << exchange.request->id
-            << " for_ms=" << Milliseconds(silent)
-            << " patience_ms=" << Milliseconds(patience);
-  metrics_->CountSilentCaller();
+  LOG(INFO) << "event=caller-unresponsive request=" << exchange.request->id
+            << " for_ms=" << Milliseconds(unacknowledged)
+            << " timeout_ms=" << Milliseconds(timeout);
+  metrics_->CountUnresponsiveCaller();
   OnCallerDisconnected(exchange);
 }
 
@@ -272,7 +272,7 @@
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
   timers_->Cancel(found->second->deadline_timer);
-  timers_->Cancel(found->second->caller_timer);
+  timers_->Cancel(found->second->caller_check_timer);
   RefundQuota(*found->second);
   exchanges_.erase(found);
 }
--- a/src/gateway/forwarder_internal.h
+++ b/src/gateway/forwarder_internal.h
@@ -27,16 +27,15 @@
 // Returns for how long the caller of a stream waits for an event. One that gets
 // nothing for longer has left, and takes the stream up over another host; see
 // docs/design/open-sends.md.
-inline absl::Duration CallerPatience(const Route& route) {
-  constexpr absl::Duration kMinPatience = absl::Seconds(2);
+inline absl::Duration CallerEventTimeout(const Route& route) {
+  constexpr absl::Duration kMinTimeout = absl::Seconds(2);
   constexpr int kObjectives = 4;
   constexpr int kPauses = 8;
-  absl::Duration patience =
-      std::max(kMinPatience, kObjectives * route.objective);
+  absl::Duration timeout = std::max(kMinTimeout, kObjectives * route.objective);
   if (route.max_pause < absl::InfiniteDuration()) {
-    patience = std::max(patience, kPauses * route.max_pause);
+    timeout = std::max(timeout, kPauses * route.max_pause);
   }
-  return patience;
+  return timeout;
 }
 
 inline bool IsSuccess(int status) { return status >= 200 && status < 300; }
--- a/src/gateway/forwarder_sends_test.cc
+++ b/src/gateway/forwarder_sends_test.cc
@@ -1,5 +1,5 @@
 // What reaches a request whose send is open: decisions, whatever dispatcher
-// they come from, and the silence of its caller.
+// they come from, and a caller that doesn't acknowledge.
 
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -92,9 +92,9 @@
 
 // Guards against a server that works for a caller who is gone, while another
 // one goes on with the same stream.
-BOOST_AUTO_TEST_CASE(AStreamOfASilentCallerIsLeft) {
+BOOST_AUTO_TEST_CASE(AStreamOfAnUnresponsiveCallerIsLeft) {
   OpenSend site("/resume/1");
-  site.caller->silent_for = CallerPatience(
+  site.caller->unacknowledged_for = CallerEventTimeout(
       FakeSite::MakeRoute("/resume/", RouteKind::kStream, "llm"));
   for (int i = 0; i < 8 && !site.calls.front()->cancelled; ++i) {
     site.AdvanceTime(absl::Milliseconds(500));
@@ -107,9 +107,9 @@
 // its caller has acknowledged meanwhile waits to be read.
 BOOST_AUTO_TEST_CASE(AStreamOfACallerThatAnswersAgainGoesOn) {
   OpenSend site("/resume/1");
-  site.caller->silent_for = absl::Seconds(9);
+  site.caller->unacknowledged_for = absl::Seconds(9);
   site.AdvanceTime(absl::Milliseconds(3201));
-  site.caller->silent_for = absl::ZeroDuration();
+  site.caller->unacknowledged_for = absl::ZeroDuration();
   site.AdvanceTime(absl::Milliseconds(1000));
   BOOST_TEST(!site.calls.front()->cancelled);
   site.calls.front()->SendResponse(200, "id: 1\ndata: a\n\n");
@@ -117,9 +117,9 @@
 }
 
 // A call that may run once is not taken up; its caller may only wait.
-BOOST_AUTO_TEST_CASE(ACallOfASilentCallerGoesOn) {
+BOOST_AUTO_TEST_CASE(ACallOfAnUnresponsiveCallerGoesOn) {
   OpenSend site("/pay/1");
-  site.caller->silent_for = absl::Seconds(9);
+  site.caller->unacknowledged_for = absl::Seconds(9);
   site.AdvanceTime(absl::Milliseconds(4500));
   BOOST_TEST(!site.calls.front()->cancelled);
 }
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -83,7 +83,7 @@
   // Returns for how long the caller has acknowledged nothing of what the
   // connection has sent. Zero if it has, if nothing waits for it, or if that is
   // not known, as without an event loop.
-  virtual absl::Duration SilentFor() const = 0;
+  virtual absl::Duration UnacknowledgedFor() const = 0;
 };
 
 // Returns the `application/problem+json` body of a refusal.
--- a/src/http/pending_response.h
+++ b/src/http/pending_response.h
@@ -99,13 +99,13 @@
 
   // Returns zero unless the server runs on an event loop, on whose thread this
   // is called.
-  absl::Duration SilentFor() const {
+  absl::Duration UnacknowledgedFor() const {
     absl::MutexLock lock(&mutex_);
     if (closed_ || !on_resume_) return absl::ZeroDuration();
     const MHD_ConnectionInfo* info =
         MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
     return info == nullptr ? absl::ZeroDuration()
-                           : loop::SilentFor(info->connect_fd);
+                           : loop::UnacknowledgedFor(info->connect_fd);
   }
 
   // The remaining functions are called by server threads.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -55,7 +55,9 @@
     response_->OnDisconnect(std::move(callback));
   }
   std::size_t Backlog() const override { return response_->Backlog(); }
-  absl::Duration SilentFor() const override { return response_->SilentFor(); }
+  absl::Duration UnacknowledgedFor() const override {
+    return response_->UnacknowledgedFor();
+  }
 
  private:
   std::shared_ptr<PendingResponse> response_;
--- a/src/loop/tcp_socket.cc
+++ b/src/loop/tcp_socket.cc
@@ -56,7 +56,7 @@
             "TCP_KEEPCNT");
 }
 
-absl::Duration SilentFor(int socket) {
+absl::Duration UnacknowledgedFor(int socket) {
   tcp_info info = {};
   socklen_t size = sizeof info;
   if (getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
--- a/src/loop/tcp_socket.h
+++ b/src/loop/tcp_socket.h
@@ -35,7 +35,7 @@
 // Returns for how long the other side of a connection with SetKeepalive() has
 // acknowledged nothing, although bytes or a probe wait for it. Zero if nothing
 // waits, or if the kernel doesn't say.
-absl::Duration SilentFor(int socket);
+absl::Duration UnacknowledgedFor(int socket);
 
 }  // namespace gentianlb::loop
 
--- a/src/loop/tcp_socket_test.cc
+++ b/src/loop/tcp_socket_test.cc
@@ -54,9 +54,9 @@
 
 BOOST_AUTO_TEST_CASE(AnIdleCallerIsNotSilent) {
   const Connection connection;
-  BOOST_TEST((SilentFor(connection.host) == absl::ZeroDuration()));
+  BOOST_TEST((UnacknowledgedFor(connection.host) == absl::ZeroDuration()));
   absl::SleepFor(kWait);
-  BOOST_TEST((SilentFor(connection.host) < kSilence));
+  BOOST_TEST((UnacknowledgedFor(connection.host) < kSilence));
 }
 
 // Guards against a stream that is taken from a caller who reads slowly.
@@ -64,7 +64,7 @@
   const Connection connection;
   connection.Write(64 << 20);
   absl::SleepFor(kWait);
-  BOOST_TEST((SilentFor(connection.host) < kSilence));
+  BOOST_TEST((UnacknowledgedFor(connection.host) < kSilence));
 }
 
 BOOST_AUTO_TEST_CASE(ACallerWhoseLinkIsCutIsSilent) {
@@ -73,7 +73,7 @@
     BOOST_REQUIRE(DropReceived(connection.caller));
     if (writes) connection.Write(100);
     absl::SleepFor(kWait);
-    BOOST_TEST((SilentFor(connection.host) >= kSilence), writes);
+    BOOST_TEST((UnacknowledgedFor(connection.host) >= kSilence), writes);
   }
 }
 
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -48,8 +48,8 @@
           AddCounter("gentianlb_decisions_ignored_total",
                      "Decisions on requests that a server had or may have run, "
                      "by kind")),
-      silent_callers_(
-          AddCounter("gentianlb_streams_silent_callers_total",
+      unresponsive_callers_(
+          AddCounter("gentianlb_streams_unresponsive_callers_total",
                      "Streams whose caller acknowledged nothing for too long")),
       foreign_answers_(
           AddCounter("gentianlb_answers_foreign_total",
@@ -119,7 +119,9 @@
   ignored_decisions_.Add({{"kind", std::string(kind)}}).Increment();
 }
 
-void Metrics::CountSilentCaller() { silent_callers_.Add({}).Increment(); }
+void Metrics::CountUnresponsiveCaller() {
+  unresponsive_callers_.Add({}).Increment();
+}
 
 void Metrics::CountForeignAnswer(bool names_other_request) {
   foreign_answers_.Add({{"names_other", names_other_request ? "yes" : "no"}})
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -43,7 +43,7 @@
   // Counts a decision on a request that a server has, or may have run.
   void CountIgnoredDecision(std::string_view kind);
   // Counts a stream whose caller has acknowledged nothing for too long.
-  void CountSilentCaller();
+  void CountUnresponsiveCaller();
   // Counts a response that isn't for the request that was sent.
   void CountForeignAnswer(bool names_other_request);
   // Counts a server whose connections carry one request each from now on.
@@ -81,7 +81,7 @@
   prometheus::Family<prometheus::Counter>& cooldowns_;
   prometheus::Family<prometheus::Counter>& withheld_;
   prometheus::Family<prometheus::Counter>& ignored_decisions_;
-  prometheus::Family<prometheus::Counter>& silent_callers_;
+  prometheus::Family<prometheus::Counter>& unresponsive_callers_;
   prometheus::Family<prometheus::Counter>& foreign_answers_;
   prometheus::Family<prometheus::Counter>& reuse_pauses_;
   prometheus::Family<prometheus::Counter>& unnamed_refusals_;
--- a/tests/process/lost_caller_test.cc
+++ b/tests/process/lost_caller_test.cc
@@ -31,7 +31,7 @@
  "limits":{"idle_timeout_ms":15000}})";
 
 // A caller of this route that gets nothing for so long leaves its stream.
-constexpr absl::Duration kPatience = absl::Seconds(2);
+constexpr absl::Duration kEventTimeout = absl::Seconds(2);
 
 // From the rules: for so long a server may work on after another one goes on
 // with its stream.
@@ -59,7 +59,7 @@
         absl::SleepFor(kReading);
         lost.CutLink();
       });
-      first = Ask(lost, 0, CallKind::kChat, first, kReading + kPatience);
+      first = Ask(lost, 0, CallKind::kChat, first, kReading + kEventTimeout);
     }
     CallRecord next = NewCall(CallKind::kChat);
     next.resumes = first.id;
--- a/tests/process/open_sends_soak_test.cc
+++ b/tests/process/open_sends_soak_test.cc
@@ -64,7 +64,7 @@
  "limits":{"idle_timeout_ms":15000}})";
 
 // A caller that gets nothing for so long leaves its stream.
-constexpr absl::Duration kPatience = absl::Seconds(2);
+constexpr absl::Duration kEventTimeout = absl::Seconds(2);
 
 std::vector<FaultyServerSetup> Servers(int count) {
   std::vector<FaultyServerSetup> servers;
@@ -236,7 +236,8 @@
         absl::SleepFor(kStep);
         lost.CutLink();
       });
-      first = site_.Ask(lost, host, CallKind::kChat, first, kStep + kPatience);
+      first =
+          site_.Ask(lost, host, CallKind::kChat, first, kStep + kEventTimeout);
     }
     const int last = LastEventOf(first.answer.body, 0);
     if (last == 0 || first.answer.status != 200) return;
