Spans of work are compared in pairs, in one place

Cause: the log check and the soak each compared a stream's work with the work that began just before it, so that a long first one behind a short second one went unnoticed. The log check also took a process that was killed for alive until the first lines of the next one, which come before its line 'started': two servers would seem to be at work.

Change: FindOverlaps() compares all pairs, for both; a process ends with its last line on a request. Both checks ask more than before.

--- a/src/explain/sends.cc
+++ b/src/explain/sends.cc
@@ -1,6 +1,5 @@
 #include "explain/sends.h"
 
-#include <algorithm>
 #include <array>
 #include <ostream>
 #include <utility>
@@ -35,7 +34,7 @@
 void Sends::Add(const LogLine& line) {
   Host& host = hosts_[line.host];
   if (line.event == "started") EndAll(host);
-  host.last = line.time;
+  if (!line.Text("request").empty()) host.last = line.time;
   if (line.event == "sent") return OnSent(line, host);
   OnEnd(line, host);
 }
@@ -85,7 +84,10 @@
 void Sends::EndSend(const std::string& id, Request& request, absl::Time end) {
   if (!std::exchange(request.open, false)) return;
   if (request.once) return;
-  streams_[request.stream].push_back({id, request.place, request.sent, end});
+  Stream& stream = streams_[request.stream];
+  stream.spans.push_back({request.sent, end});
+  stream.requests.push_back(id);
+  stream.places.push_back(request.place);
 }
 
 void Sends::EndAll(Host& host) {
@@ -99,18 +101,12 @@
 }
 
 void Sends::CompareStreams() {
-  for (auto& [stream, works] : streams_) {
-    std::sort(works.begin(), works.end(), [](const Work& a, const Work& b) {
-      return std::pair(a.begin, a.request) < std::pair(b.begin, b.request);
-    });
-    for (std::size_t i = 1; i < works.size(); ++i) {
-      const Work& first = works[i - 1];
-      const Work& second = works[i];
-      const absl::Duration overlap =
-          std::min(first.end, second.end) - second.begin;
-      if (overlap <= kMaxOverlap) continue;
-      problems_.push_back({SendFault::kTwoAtWork, second.request, first.place,
-                           second.place, overlap});
+  for (const auto& [id, stream] : streams_) {
+    for (const Overlap& overlap : FindOverlaps(stream.spans, kMaxOverlap)) {
+      problems_.push_back({SendFault::kTwoAtWork,
+                           stream.requests[overlap.second],
+                           stream.places[overlap.first],
+                           stream.places[overlap.second], overlap.length});
     }
   }
   streams_.clear();
--- a/src/explain/sends.h
+++ b/src/explain/sends.h
@@ -16,6 +16,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "base/overlaps.h"
 #include "explain/log_line.h"
 
 namespace gentianlb::explain {
@@ -40,7 +41,8 @@
 
 class Sends {
  public:
-  // A server that is told to stop does so within this time.
+  // For so long the platform lets a server work on a stream after another
+  // server has begun to go on with it.
   static constexpr absl::Duration kMaxOverlap = absl::Milliseconds(400);
 
   void Add(const LogLine& line);
@@ -66,15 +68,15 @@
     std::string stream;  // The caller's attempt that got its first event.
     absl::Time sent;
   };
-  // One send of a stream.
-  struct Work {
-    std::string request;
-    std::string place;
-    absl::Time begin;
-    absl::Time end;
+  // The sends of one stream, in the order in which they ended.
+  struct Stream {
+    std::vector<Span> spans;
+    std::vector<std::string> requests;  // Of each span.
+    std::vector<std::string> places;
   };
   struct Host {
-    absl::Time last;                                     // Its last line.
+    // Its last line on a request; a process that starts writes others first.
+    absl::Time last;
     absl::flat_hash_map<std::string, Request> requests;  // Without an end.
   };
 
@@ -86,7 +88,7 @@
   void CompareStreams();
 
   std::map<std::string, Host> hosts_;
-  std::map<std::string, std::vector<Work>> streams_;  // By first attempt.
+  std::map<std::string, Stream> streams_;  // By first attempt.
   std::vector<SendProblem> problems_;
   std::int64_t sends_once_ = 0;
   std::int64_t sends_others_ = 0;
--- a/src/explain/sends_test.cc
+++ b/src/explain/sends_test.cc
@@ -87,7 +87,7 @@
               Faults{SendFault::kFalsePromise, SendFault::kFalsePromise}));
 }
 
-// Guards against a stream on which two servers work.
+// Guards against two servers that run the same stream over two hosts.
 BOOST_AUTO_TEST_CASE(AStreamThatIsTakenUpWhileItsServerWorksOnIsFound) {
   Log log;
   log.Add(0, "h", "sent request=a server=s once=0");
@@ -109,9 +109,10 @@
   log.Add(0, "h", "sent request=a server=s once=1");
   log.Add(0, "h", "sent request=b server=s once=0");
   log.Add(100, "h", "shed request=x server=s");
+  log.Add(890, "h", "following table=op");
   log.Add(900, "h", "started zone=z");
   log.Add(1000, "h", "sent request=a server=s once=1");
-  log.Add(1000, "k", "sent request=c server=t once=0 takes_up=b");
+  log.Add(200, "k", "sent request=c server=t once=0 takes_up=b");
   log.Add(3000, "k", "answered request=c");
   BOOST_TEST(log.Faults().empty());
 }
--- a/tests/process/answer_rules.cc
+++ b/tests/process/answer_rules.cc
@@ -192,7 +192,7 @@
     const bool ends =
         words[0] == "wrote" || words[0] == "left" || words[0] == "cut";
     if (!ends || !begun.contains(words[1])) continue;
-    report.work.push_back({words[1], begun[words[1]], at});
+    report.work.push_back({words[1], {begun[words[1]], at}});
   }
   return report;
 }
@@ -266,53 +266,52 @@
     const std::vector<CallRecord>& calls,
     const std::vector<ServerReport>& reports,
     const std::vector<Disturbance>& disturbances, absl::Duration touch_time) {
-  constexpr absl::Duration kMaxOverlap = absl::Milliseconds(400);
   struct Place {
-    ServerWork work;
+    std::string request;
     std::string server;
     std::string host;
   };
+  struct Stream {
+    std::vector<Span> spans;
+    std::vector<Place> places;  // Of each span.
+  };
   std::map<std::string, const CallRecord*> call_of;
   for (const CallRecord& call : calls) {
     if (call.stream && !call.once) call_of[call.id] = &call;
   }
-  std::map<std::string, std::vector<Place>> streams;  // By first attempt.
+  std::map<std::string, Stream> streams;  // By first attempt.
   for (const ServerReport& report : reports) {
     for (const ServerWork& work : report.work) {
       const auto call = call_of.find(work.request);
       if (call == call_of.end()) continue;
       const CallRecord& record = *call->second;
-      const std::string& first =
-          record.resumes.empty() ? record.id : record.resumes;
-      streams[first].push_back({work, report.server, record.host});
+      Stream& stream =
+          streams[record.resumes.empty() ? record.id : record.resumes];
+      stream.spans.push_back(work.span);
+      stream.places.push_back({work.request, report.server, record.host});
     }
   }
-  const auto excused = [&](const Place& first, absl::Time begin,
-                           absl::Time end) {
+  const auto excused = [&](const Place& first, const Span& second) {
     return std::any_of(
         disturbances.begin(), disturbances.end(), [&](const Disturbance& item) {
           const bool concerns =
               item.name == first.server || item.name == first.host;
-          return concerns && item.begin < end && item.end + touch_time > begin;
+          return concerns && item.span.begin < second.end &&
+                 item.span.end + touch_time > second.begin;
         });
   };
   std::vector<std::string> found;
-  for (auto& [id, places] : streams) {
-    std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) {
-      return a.work.begin < b.work.begin;
-    });
-    for (std::size_t i = 1; i < places.size(); ++i) {
-      const Place& first = places[i - 1];
-      const Place& second = places[i];
-      const absl::Time end = std::min(first.work.end, second.work.end);
-      const absl::Duration overlap = end - second.work.begin;
-      const bool is_excused = excused(first, second.work.begin, end);
-      if (overlap <= kMaxOverlap || is_excused) continue;
-      found.push_back(absl::StrCat(
-          "stream ", id, ": ", first.work.request, " at ", first.server,
-          " over ", first.host, ", then ", second.work.request, " at ",
-          second.server, " over ", second.host, ", both for ",
-          absl::ToInt64Milliseconds(overlap), " ms"));
+  for (const auto& [id, stream] : streams) {
+    for (const Overlap& overlap : FindOverlaps(stream.spans, kMaxTwoAtWork)) {
+      const Place& first = stream.places[overlap.first];
+      const Place& second = stream.places[overlap.second];
+      const absl::Time begin = stream.spans[overlap.second].begin;
+      if (excused(first, {begin, begin + overlap.length})) continue;
+      found.push_back(
+          absl::StrCat("stream ", id, ": ", first.request, " at ", first.server,
+                       " over ", first.host, ", then ", second.request, " at ",
+                       second.server, " over ", second.host, ", both for ",
+                       absl::ToInt64Milliseconds(overlap.length), " ms"));
     }
   }
   return found;
--- a/tests/process/answer_rules.h
+++ b/tests/process/answer_rules.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "absl/time/time.h"
+#include "base/overlaps.h"
 #include "process/caller_connection.h"
 
 namespace gentianlb::process {
@@ -16,16 +17,18 @@
 // A server's work on a request.
 struct ServerWork {
   std::string request;
-  absl::Time begin;
-  absl::Time end;
+  Span span;
 };
 
+// From the rules: for so long a server may work on a stream after another one
+// has begun to go on with it.
+inline constexpr absl::Duration kMaxTwoAtWork = absl::Milliseconds(400);
+
 // A host or a server was disturbed. For the rules it is out of touch then, and
 // for a while after.
 struct Disturbance {
   std::string name;
-  absl::Time begin;
-  absl::Time end;
+  Span span;
 };
 
 // What a server reports.
@@ -36,7 +39,7 @@
   std::vector<std::string> runs;      // Ids of requests, once for each run.
   std::set<std::string> finished;     // Those whose answer was written whole.
   std::set<std::string> doubled_for;  // Before whose answers a copy came.
-  std::vector<ServerWork> work;       // Of which it has told begin and end.
+  std::vector<ServerWork> work;       // Whose begin and end it has reported.
 };
 
 // Reads the lines that a faulty server has written.
@@ -80,9 +83,10 @@
 Judgement Judge(const std::vector<CallRecord>& calls,
                 const std::vector<ServerReport>& reports, int events);
 
-// Returns a line for each stream on which a server worked for over 400 ms after
-// another one had begun to go on with it, though neither that server nor the
-// host that had sent it there was disturbed within `touch_time` before.
+// Returns a line for each stream on which a server worked for longer than
+// kMaxTwoAtWork after another one had begun to go on with it, though neither
+// that server nor the host that had sent it there was disturbed within
+// `touch_time` before.
 std::vector<std::string> FindTwoAtWork(
     const std::vector<CallRecord>& calls,
     const std::vector<ServerReport>& reports,
