Keepalive options are set in one place; SendState alone says whether a send is open

Cause: the last read found the keepalive options of servers' and callers' connections written twice, and a transfer's id still asked whether a send is open beside SendState. No caller saw anything.

Change: SetProbes() for both; FinishTransfer() asks SendState.

Measured: loop_tcp_socket_test, gateway_forwarder_sends_test and gateway_tunnel_cut_test hold as before.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -38,7 +38,7 @@
   int failed_paths = 0;  // Paths to the server on which nothing could be sent.
   absl::Time sent_at;
   SendId send = 0;                // 0 unless its response is awaited.
-  http::TransferId transfer = 0;  // 0 unless the transfer is in progress.
+  http::TransferId transfer = 0;  // Of the last send.
   ResponseHead head;
   bool has_begun = false;  // A byte of the response has arrived.
   bool has_head = false;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -83,12 +83,12 @@
 }  // namespace
 
 void Forwarder::FinishTransfer(Exchange& exchange, SendEnd end) {
+  const bool was_open = exchange.sends.open();
   exchange.sends.End(end);
   timers_->Cancel(exchange.attempt.unidentified_timer);
   exchange.attempt.unidentified_timer = 0;
   exchange.attempt.send = 0;
-  if (exchange.attempt.transfer == 0) return;
-  exchange.attempt.transfer = 0;
+  if (!was_open) return;
   const auto found = running_.find(exchange.attempt.server->id);
   if (found == running_.end()) return;
   if (--found->second <= 0) running_.erase(found);
--- a/src/loop/tcp_socket.cc
+++ b/src/loop/tcp_socket.cc
@@ -14,7 +14,8 @@
 constexpr int kKeepaliveProbeSeconds = 1;
 constexpr int kKeepaliveProbes = 3;
 
-// A caller may be on a poor link; what it has asked for goes on meanwhile.
+// Of a caller's connection: callers may be on poor links, and the host serves
+// them meanwhile.
 constexpr int kKeepaliveProbesOfCaller = 9;
 
 void SetOption(int socket, int level, int option, unsigned value,
@@ -23,6 +24,17 @@
   PLOG(WARNING) << "event=socket-option-refused option=" << name;
 }
 
+// `probes`: that may stay unanswered.
+void SetProbes(int socket, int probes) {
+  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1, "SO_KEEPALIVE");
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepaliveProbeSeconds,
+            "TCP_KEEPIDLE");
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepaliveProbeSeconds,
+            "TCP_KEEPINTVL");
+  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, static_cast<unsigned>(probes),
+            "TCP_KEEPCNT");
+}
+
 }  // namespace
 
 bool MakeAddress(const std::string& ip, std::uint16_t port,
@@ -34,27 +46,14 @@
 }
 
 void SetLivenessOptions(int socket, absl::Duration max_unacknowledged) {
-  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1, "SO_KEEPALIVE");
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepaliveProbeSeconds,
-            "TCP_KEEPIDLE");
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepaliveProbeSeconds,
-            "TCP_KEEPINTVL");
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kKeepaliveProbes, "TCP_KEEPCNT");
+  SetProbes(socket, kKeepaliveProbes);
   SetOption(
       socket, IPPROTO_TCP, TCP_USER_TIMEOUT,
       static_cast<unsigned>(absl::ToInt64Milliseconds(max_unacknowledged)),
       "TCP_USER_TIMEOUT");
 }
 
-void SetKeepalive(int socket) {
-  SetOption(socket, SOL_SOCKET, SO_KEEPALIVE, 1, "SO_KEEPALIVE");
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPIDLE, kKeepaliveProbeSeconds,
-            "TCP_KEEPIDLE");
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPINTVL, kKeepaliveProbeSeconds,
-            "TCP_KEEPINTVL");
-  SetOption(socket, IPPROTO_TCP, TCP_KEEPCNT, kKeepaliveProbesOfCaller,
-            "TCP_KEEPCNT");
-}
+void SetKeepalive(int socket) { SetProbes(socket, kKeepaliveProbesOfCaller); }
 
 absl::Duration UnacknowledgedFor(int socket) {
   tcp_info info = {};
--- a/src/loop/tcp_socket_test.cc
+++ b/src/loop/tcp_socket_test.cc
@@ -59,7 +59,8 @@
   BOOST_TEST((UnacknowledgedFor(connection.host) < kSilence));
 }
 
-// Guards against a stream that is taken from a caller who reads slowly.
+// Guards against a host that ends the stream of a caller whose receive window
+// is full.
 BOOST_AUTO_TEST_CASE(ACallerThatDoesNotReadIsNotSilent) {
   const Connection connection;
   connection.Write(64 << 20);
