Failing tests: another process at its address speaks for a killed server

What callers see: half of an unframed stream ends as complete, half of a plain body is answered with a length. A host stands still (SIGSTOP), the server is killed in the middle of its answer, and another process listens at its address before the host goes on: another server, or the same one started again under its id. The host connects, and takes the connection for the dead server's life.

The stand-ins now say who they are, as the platform's servers do: Instance-Id at /healthz, their start in /v1/report, 421 to a request for another one. They can be started at a given port.

--- a/tests/process/answer_ends_test.cc
+++ b/tests/process/answer_ends_test.cc
@@ -1,6 +1,8 @@
 // Servers whose answers have neither a length nor chunks, before a gateway as a
 // process: killed in the middle of an answer, and alive at its end.
 
+#include <signal.h>
+
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <memory>
@@ -67,6 +69,14 @@
       return Counter(absl::StrCat("gentianlb_servers ", count));
     });
   }
+  // The first server is killed while the host stands still, and `successor`
+  // listens at its address when the host goes on.
+  void Replace(const UnframedServer& successor) {
+    host_->process().Signal(SIGSTOP);
+    first_.Kill();
+    successor.Start();
+    host_->process().Signal(SIGCONT);
+  }
   // Returns whether the host's metrics hold the line.
   bool Counter(const std::string& line) {
     return host_->Metrics(client_).find("\n" + line) != std::string::npos;
@@ -75,6 +85,8 @@
   // Started first: they are forked from this process while it is small.
   UnframedServer first_{"s-1"};
   UnframedServer second_{"s-2"};
+  UnframedServer successor_{"s-3", 2, first_};
+  UnframedServer restarted_{"s-1", 2, first_};
   standins::FeedTable table_;
   TempFolder folder_;
   http::Client client_;
@@ -108,6 +120,39 @@
   BOOST_TEST(UnframedServer::WholeBody().starts_with(answer.body));
 }
 
+// Guards against half of a stream that ends as complete since another server
+// listens at the address of the killed one.
+BOOST_FIXTURE_TEST_CASE(ASuccessorAtItsAddressDoesNotSpeakForAKilledServer,
+                        Site, *boost::unit_test::disabled()) {
+  Call call = Ask("/once/1");
+  call.WaitForBytes(kSomeEvents);
+  Replace(successor_);
+  const Answer answer = call.Wait();
+  BOOST_TEST((answer.end == http::TransferEnd::kBroken));
+  BOOST_TEST(UnframedServer::WholeBody().starts_with(answer.body));
+}
+
+// Guards against the same where the server is started again under its id.
+BOOST_FIXTURE_TEST_CASE(ARestartedServerDoesNotSpeakForItsPredecessor, Site,
+                        *boost::unit_test::disabled()) {
+  Call call = Ask("/once/1");
+  call.WaitForBytes(kSomeEvents);
+  Replace(restarted_);
+  const Answer answer = call.Wait();
+  BOOST_TEST((answer.end == http::TransferEnd::kBroken));
+  BOOST_TEST(UnframedServer::WholeBody().starts_with(answer.body));
+}
+
+// Guards against half of a plain body that is answered as whole since another
+// server listens at the address of the killed one.
+BOOST_FIXTURE_TEST_CASE(ASuccessorsAddressMakesNoBodyWhole, Site,
+                        *boost::unit_test::disabled()) {
+  Call pay = Ask("/pay/1");
+  absl::SleepFor(absl::Milliseconds(300));
+  Replace(successor_);
+  BOOST_TEST(pay.Wait().status == 502);
+}
+
 // Guards against half of a body that is answered with a length of the host's.
 BOOST_FIXTURE_TEST_CASE(AKilledServersBodyIsNoAnswer, Site) {
   Call pay = Ask("/pay/1");
--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -119,8 +119,10 @@
   // Starts server number `i` (again), and registers it.
   void StartServer(std::size_t i) {
     const FaultyServerSetup& setup = setups_[i];
+    started_[i] = absl::Now();
     std::vector<std::string> arguments = {
         "--id",           ServerId(i),
+        "--started",      absl::StrCat(absl::ToUnixMillis(started_[i])),
         "--version-name", setup.version,
         "--seed",         absl::StrCat(seed_),
         "--body-bytes",   absl::StrCat(setup.body_bytes),
@@ -132,7 +134,6 @@
     logs_.emplace_back(i, log + ".out");
     servers_[i] = std::make_unique<Process>(
         GENTIANLB_BUILD_DIR "/tests/standins/faulty_server", arguments, log);
-    started_[i] = absl::Now();
     Register(i);
   }
 
--- a/tests/process/unframed_server_test.h
+++ b/tests/process/unframed_server_test.h
@@ -5,7 +5,9 @@
 #define GENTIANLB_PROCESS_UNFRAMED_SERVER_TEST_H_
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -27,14 +29,37 @@
   static constexpr int kEvents = 20;  // Of each answer.
   static constexpr absl::Duration kEventGap = absl::Milliseconds(50);
 
-  explicit UnframedServer(std::string id) : id_(std::move(id)) {
+  // `started`: as its row and its report state it.
+  explicit UnframedServer(std::string id, int started = 1)
+      : id_(std::move(id)), started_(started) {
     const int listener = Listen();
     pid_ = fork();
     if (pid_ < 0) throw std::runtime_error("can't fork");
     if (pid_ == 0) Serve(listener);
     close(listener);
   }
-  ~UnframedServer() { Kill(); }
+  // A process that listens at the address of `predecessor` once Start() is
+  // called.
+  UnframedServer(std::string id, int started, const UnframedServer& predecessor)
+      : id_(std::move(id)), started_(started), port_(predecessor.port_) {
+    int to_child[2];
+    int from_child[2];
+    if (pipe2(to_child, O_CLOEXEC) != 0 || pipe2(from_child, O_CLOEXEC) != 0) {
+      throw std::runtime_error("can't make a pipe");
+    }
+    pid_ = fork();
+    if (pid_ < 0) throw std::runtime_error("can't fork");
+    if (pid_ == 0) ServeLater(to_child[0], from_child[1]);
+    close(to_child[0]);
+    close(from_child[1]);
+    start_ = to_child[1];
+    started_now_ = from_child[0];
+  }
+  ~UnframedServer() {
+    Kill();
+    if (start_ >= 0) close(start_);
+    if (started_now_ >= 0) close(started_now_);
+  }
   UnframedServer(const UnframedServer&) = delete;
   UnframedServer& operator=(const UnframedServer&) = delete;
 
@@ -43,7 +68,16 @@
   std::string Registration(const std::string& service) const {
     return absl::StrCat(
         R"({"service":")", service, R"(","address":"127.0.0.1:)", port_,
-        R"(","zone":"z","slots":8,"state":"ready","seq":1,)", R"("born":1})");
+        R"(","zone":"z","slots":8,"state":"ready","seq":1,"born":)", started_,
+        "}");
+  }
+
+  // Its address must be free. Returns once it listens.
+  void Start() const {
+    char byte = 0;
+    if (write(start_, &byte, 1) != 1 || read(started_now_, &byte, 1) != 1) {
+      throw std::runtime_error("the server doesn't start");
+    }
   }
 
   void Kill() {
@@ -64,9 +98,13 @@
  private:
   int Listen() {
     const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    // Connections of a predecessor may linger at the address.
+    const int on = 1;
+    setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     sockaddr_in address = {};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port_));
     socklen_t size = sizeof address;
     auto* generic = reinterpret_cast<sockaddr*>(&address);
     constexpr int kBacklog = 64;
@@ -79,6 +117,15 @@
     return listener;
   }
 
+  [[noreturn]] void ServeLater(int start, int started) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    char byte = 0;
+    if (read(start, &byte, 1) != 1) _exit(0);
+    const int listener = Listen();
+    if (write(started, &byte, 1) != 1) _exit(1);
+    Serve(listener);
+  }
+
   [[noreturn]] void Serve(int listener) const {
     const auto kept = static_cast<unsigned>(listener);
     close_range(STDERR_FILENO + 1, kept - 1, 0);
@@ -98,6 +145,30 @@
       if (count <= 0) return static_cast<void>(close(connection));
       request.append(bytes, 0, static_cast<std::size_t>(count));
     }
+    if (!AnswerAboutItself(connection, request)) Stream(connection, request);
+    close(connection);
+  }
+
+  // Returns false if the request is one that the server runs.
+  bool AnswerAboutItself(int connection, const std::string& request) const {
+    const std::string expected = Header(request, "Expect-Instance: ");
+    const bool report = request.starts_with("GET /v1/report ");
+    if (!expected.empty() && expected != id_) {
+      Write(connection,
+            "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n");
+      return true;
+    }
+    if (!report && !request.starts_with("GET /healthz ")) return false;
+    const std::string body =
+        report ? absl::StrCat("{\"born\":", started_, "}") : "";
+    Write(connection,
+          absl::StrCat("HTTP/1.1 200 OK\r\nInstance-Id: ", id_,
+                       "\r\nContent-Length: ", body.size(), "\r\n\r\n", body));
+    return true;
+  }
+
+  void Stream(int connection, const std::string& request) const {
     Write(connection, absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ",
                                    Header(request, "Request-Id: "),
                                    "\r\nServer-Stamp: ", id_,
@@ -107,7 +178,6 @@
       absl::SleepFor(kEventGap);
       Write(connection, Event(i));
     }
-    close(connection);
   }
 
   static std::string Header(const std::string& request,
@@ -123,8 +193,11 @@
   }
 
   const std::string id_;
+  const int started_;
   int port_ = 0;
   pid_t pid_ = 0;
+  int start_ = -1;        // Written to by Start().
+  int started_now_ = -1;  // Read by it.
 };
 
 }  // namespace gentianlb::process
--- a/tests/standins/faulty_server.cc
+++ b/tests/standins/faulty_server.cc
@@ -79,6 +79,7 @@
 }  // namespace
 
 struct FaultyServer::Request {
+  std::string first_line;
   std::map<std::string, std::string> headers;  // By their names in lowercase.
 
   std::string Header(const std::string& name) const {
@@ -100,9 +101,13 @@
     : options_(std::move(options)),
       report_(report),
       listener_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  // Connections of a predecessor may linger at the address.
+  const int on = 1;
+  setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   sockaddr_in address = {};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  address.sin_port = htons(static_cast<std::uint16_t>(options_.port));
   socklen_t size = sizeof address;
   auto* generic = reinterpret_cast<sockaddr*>(&address);
   if (bind(listener_, generic, size) != 0 || listen(listener_, kBacklog) != 0 ||
@@ -165,6 +170,7 @@
     if (head_end != std::string::npos) {
       const std::vector<std::string> lines =
           absl::StrSplit(received.substr(0, head_end), "\r\n");
+      request.first_line = lines.front();
       for (const std::string& line : lines) {
         const std::vector<std::string> field =
             absl::StrSplit(line, absl::MaxSplits(':', 1));
@@ -281,6 +287,20 @@
   return answer;
 }
 
+bool FaultyServer::AnswerAboutItself(int connection,
+                                     const Request& request) const {
+  const bool report = request.first_line.starts_with("GET /v1/report ");
+  if (!report && !request.first_line.starts_with("GET /healthz ")) return false;
+  const std::string body =
+      report && options_.started != 0
+          ? absl::StrCat("{\"born\":", options_.started, "}")
+          : "";
+  Send(connection,
+       absl::StrCat("HTTP/1.1 200 OK\r\nInstance-Id: ", options_.id, "\r\n",
+                    HeadEnd(Framing::kLength, body.size()), body));
+  return true;
+}
+
 bool FaultyServer::Handle(int connection, const Request& request,
                           std::string* copy) {
   if (request.Header("expect-instance") != options_.id) {
@@ -289,6 +309,7 @@
                                          request.Id(), "\r\n",
                                          HeadEnd(Framing::kLength, 0)));
   }
+  if (AnswerAboutItself(connection, request)) return true;
   const FaultyPlan plan = MakePlan(request);
   Report(absl::StrCat(plan.refused ? "refused " : "run ", request.Id(), " ",
                       absl::ToUnixMillis(absl::Now())));
--- a/tests/standins/faulty_server.h
+++ b/tests/standins/faulty_server.h
@@ -21,6 +21,8 @@
 // Shares are between 0 and 1, of all answers unless a comment says otherwise.
 struct FaultyServerOptions {
   std::string id;
+  int port = 0;                // 0: any that is free.
+  std::int64_t started = 0;    // As its report states it; 0: it doesn't.
   std::string version = "v1";  // Named in each event of its streams.
   std::uint64_t seed = 1;
 
@@ -81,6 +83,9 @@
   // Cuts and heals the link, as signals say.
   [[noreturn]] void WatchLink();
   void Serve(int connection);
+  // Answers a question about the server itself. Returns false if the request is
+  // none.
+  bool AnswerAboutItself(int connection, const Request& request) const;
   // Returns whether the connection stays open.
   bool Handle(int connection, const Request& request, std::string* copy);
   FaultyPlan MakePlan(const Request& request);
--- a/tests/standins/programs/faulty_server.cc
+++ b/tests/standins/programs/faulty_server.cc
@@ -16,6 +16,8 @@
   int event_gap_ms = 0;
   CLI::App app("A backend server with faults.");
   app.add_option("--id", options.id)->required();
+  app.add_option("--port", options.port);
+  app.add_option("--started", options.started);
   app.add_option("--version-name", options.version);
   app.add_option("--seed", options.seed);
   app.add_option("--work-ms", work_ms);
