Log lines of streams: the last event, events dropped, ids that are not the next

Now it states the last id, how many events were dropped since the caller had them, and how often an id was not the one after the last.

--- a/src/gateway/event_splitter.cc
+++ b/src/gateway/event_splitter.cc
@@ -61,7 +61,11 @@
 
 bool EventSplitter::RecordIfNew(std::string_view event) {
   const std::optional<std::int64_t> number = EventId(event);
-  if (number && *number <= last_event_) return false;
+  if (number && *number <= last_event_) {
+    ++dropped_events_;
+    return false;
+  }
+  if (number && *number != last_event_ + 1) ++id_gaps_;
   if (number) last_event_ = *number;
   ++event_count_;
   return true;
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -36,6 +36,10 @@
   std::int64_t last_event() const { return last_event_; }
   // Returns the number of events returned by Feed().
   int event_count() const { return event_count_; }
+  // Returns the number of events dropped because the caller has them.
+  int dropped_events() const { return dropped_events_; }
+  // Returns how often an event's id was not the one after the last event's.
+  int id_gaps() const { return id_gaps_; }
 
  private:
   // Records the event's id. Returns false if the caller has the event.
@@ -44,6 +48,8 @@
   std::string partial_;
   std::int64_t last_event_;
   int event_count_ = 0;
+  int dropped_events_ = 0;
+  int id_gaps_ = 0;
 };
 
 }  // namespace gentianlb::gateway
--- a/src/gateway/event_splitter_test.cc
+++ b/src/gateway/event_splitter_test.cc
@@ -34,6 +34,14 @@
   BOOST_TEST(splitter.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n\n") ==
              "id: 3\n\n");
   BOOST_TEST(splitter.event_count() == 1);
+  BOOST_TEST(splitter.dropped_events() == 2);
+  BOOST_TEST(splitter.id_gaps() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(IdsThatAreNotTheNextAreCounted) {
+  EventSplitter splitter(2);
+  splitter.Feed("id: 4\n\nid: 5\n\nid: 9\n\n");
+  BOOST_TEST(splitter.id_gaps() == 2);
 }
 
 BOOST_AUTO_TEST_CASE(EventsWithoutAnIdAreKept) {
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -44,6 +44,14 @@
   return text;
 }
 
+// Returns what a caller got of a stream, as fields of a log line.
+std::string EventFields(const EventSplitter& events) {
+  return absl::StrCat(" events=", events.event_count(),
+                      " last_event=", events.last_event(),
+                      " dropped_events=", events.dropped_events(),
+                      " id_gaps=", events.id_gaps());
+}
+
 // Returns the inputs that decided a refusal by a limit, as fields of its line.
 std::string LimitInputs(const LimitRefusal& refusal,
                         const PeerKnowledge& peers) {
@@ -123,7 +131,7 @@
             << " prompt_tokens=" << exchange.prompt_tokens()
             << " first_ms=" << Milliseconds(responded_at - exchange.arrival)
             << " total_ms=" << Milliseconds(now - exchange.arrival)
-            << " events=" << exchange.splitter.event_count()
+            << EventFields(exchange.splitter)
             << " partial_bytes=" << exchange.splitter.partial().size()
             << " body_bytes=" << body_bytes << " framing=" << FramingOf(head)
             << " stated_bytes=" << OrDash(head.content_length)
@@ -188,7 +196,7 @@
   LOG(WARNING) << "event=given-up request=" << exchange.request->id
                << " code=" << static_cast<int>(error.code) << " cause=\""
                << error.detail << "\" sendings=" << exchange.attempts
-               << " events=" << exchange.splitter.event_count()
+               << EventFields(exchange.splitter)
                << " after_ms=" << Milliseconds(clock_() - exchange.arrival)
                << " answering=" << exchange.responding
                << " prompt_tokens=" << exchange.prompt_tokens()
