Soak of stream ends: killed servers are started again at their address

The incident's three conditions at once, as processes: unframed answers, servers that are killed and listen again at their address 10 to 500 ms later (under their id, plain ones under another), hosts that stand still for 30 to 200 ms about twice a second and sometimes for up to 2.5 s.

A plain server that keeps its id isn't played: nothing it answers tells it from its predecessor (docs/design/answer-ends.md).

--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -116,12 +116,28 @@
     });
   }
 
-  // Starts server number `i` (again), and registers it.
-  void StartServer(std::size_t i) {
+  // Starts server number `i` (again) at an address of its own, and registers
+  // it.
+  void StartServer(std::size_t i) { StartServerAt(i, 0); }
+
+  // Starts server number `i` again at the address that it had, which must be
+  // free, under its id or a new one. Its row is replaced.
+  void RestartServer(std::size_t i, bool keeps_id) {
+    const int port = ports_.at(i);
+    if (!keeps_id) {
+      table_.Remove("servers", ServerId(i));
+      ++ids_used_[i];
+    }
+    StartServerAt(i, port);
+  }
+
+  // `port`: 0 for any.
+  void StartServerAt(std::size_t i, int port) {
     const FaultyServerSetup& setup = setups_[i];
     started_[i] = absl::Now();
     std::vector<std::string> arguments = {
         "--id",           ServerId(i),
+        "--port",         absl::StrCat(port),
         "--started",      absl::StrCat(absl::ToUnixMillis(started_[i])),
         "--version-name", setup.version,
         "--seed",         absl::StrCat(seed_),
@@ -131,7 +147,7 @@
                      setup.options.end());
     const std::string log =
         folder_.Path(absl::StrCat(ServerId(i), "-", ++server_starts_));
-    logs_.emplace_back(i, log + ".out");
+    logs_.push_back({i, ServerId(i), log + ".out"});
     servers_[i] = std::make_unique<Process>(
         GENTIANLB_BUILD_DIR "/tests/standins/faulty_server", arguments, log);
     Register(i);
@@ -140,9 +156,10 @@
   // Writes the row of server number `i`.
   void Register(std::size_t i) {
     const FaultyServerSetup& setup = setups_[i];
+    ports_[i] = servers_[i]->Port();
     Json::Value row;
     row["service"] = setup.service;
-    row["address"] = absl::StrCat("127.0.0.1:", servers_[i]->Port());
+    row["address"] = absl::StrCat("127.0.0.1:", ports_[i]);
     row["zone"] = "z";
     row["slots"] = setup.slots;
     row["state"] = "ready";
@@ -153,7 +170,9 @@
   }
 
   std::string ServerId(std::size_t i) const {
-    return absl::StrCat(setups_[i].service, "-", i);
+    const std::string id = absl::StrCat(setups_[i].service, "-", i);
+    const auto used = ids_used_.find(i);
+    return used == ids_used_.end() ? id : absl::StrCat(id, ".", used->second);
   }
   std::string ServerAddress(std::size_t i) {
     return absl::StrCat("127.0.0.1:", servers_[i]->Port());
@@ -230,15 +249,15 @@
   // Returns whether any server has written `line`, such as "run ID".
   bool HasReported(const std::string& line) const {
     return std::any_of(logs_.begin(), logs_.end(), [&line](const auto& log) {
-      return ReadFile(log.second).find(line) != std::string::npos;
+      return ReadFile(log.path).find(line) != std::string::npos;
     });
   }
 
   // Returns the time that follows `line` in a server's report; InfiniteFuture()
   // if none has written it.
   absl::Time ReportedAt(const std::string& line) const {
-    for (const auto& [server, log] : logs_) {
-      const std::string text = ReadFile(log);
+    for (const ServerLog& log : logs_) {
+      const std::string text = ReadFile(log.path);
       const std::size_t start = text.find(absl::StrCat(line, " "));
       if (start == std::string::npos) continue;
       std::int64_t at_ms = 0;
@@ -281,10 +300,10 @@
   // Returns what each start of each server has reported.
   std::vector<ServerReport> Reports() const {
     std::vector<ServerReport> reports;
-    for (const auto& [server, log] : logs_) {
-      const FaultyServerSetup& setup = setups_[server];
-      reports.push_back(ReadServerReport(ServerId(server), setup.version,
-                                         setup.body_bytes, ReadFile(log)));
+    for (const ServerLog& log : logs_) {
+      const FaultyServerSetup& setup = setups_[log.number];
+      reports.push_back(ReadServerReport(log.id, setup.version,
+                                         setup.body_bytes, ReadFile(log.path)));
     }
     return reports;
   }
@@ -296,6 +315,12 @@
   std::vector<std::unique_ptr<GatewayProcess>> hosts_;
 
  private:
+  struct ServerLog {
+    std::size_t number = 0;  // Of the server.
+    std::string id;
+    std::string path;  // Of the file with its reports.
+  };
+
   // Nobody listens at a host that was killed.
   static constexpr absl::Duration kPauseAtADeadHost = absl::Milliseconds(20);
 
@@ -355,8 +380,9 @@
   std::array<std::atomic<bool>, kMaxHosts> in_rotation_;
   int server_starts_ = 0;
   std::map<std::size_t, absl::Time> started_;  // By the server's number.
-  // The server's number, and the file with its reports, by start.
-  std::vector<std::pair<std::size_t, std::string>> logs_;
+  std::map<std::size_t, int> ports_;           // By the server's number.
+  std::map<std::size_t, int> ids_used_;  // By the server's number; 0: left out.
+  std::vector<ServerLog> logs_;          // By start.
   absl::Mutex mutex_;
   int requests_ ABSL_GUARDED_BY(mutex_) = 0;
   std::vector<CallRecord> calls_ ABSL_GUARDED_BY(mutex_);
--- /dev/null
+++ b/tests/process/stream_ends_soak_test.cc
@@ -0,0 +1,190 @@
+// Seeded series of kills before servers that leave out their framing: a killed
+// server is started again at its address at once, under its id or another one,
+// while hosts stand still for moments, as with a small share of a core, or for
+// longer. Servers refuse, answer twice and break off beside it.
+//
+// GENTIANLB_SOAK_SEEDS sets how many seeds are played,
+// GENTIANLB_SOAK_FIRST_SEED the first one, GENTIANLB_SOAK_HOSTS,
+// GENTIANLB_SOAK_SERVERS and GENTIANLB_SOAK_SECONDS the size and length of a
+// play, GENTIANLB_SOAK_UNFRAMED the percentage of unframed answers.
+
+#include <signal.h>
+
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/cleanup/cleanup.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+#include "base/environment_test.h"
+#include "process/answers_site_test.h"
+
+namespace gentianlb::process {
+namespace {
+
+constexpr int kSeeds = 2;
+constexpr int kHosts = 6;
+constexpr int kServers = 16;
+constexpr int kSeconds = 8;
+constexpr int kUnframedPercent = 70;
+constexpr int kEvents = 24;
+constexpr std::size_t kCallersPerHost = 6;
+
+// Between two kills, at 16 servers.
+constexpr absl::Duration kKillInterval = absl::Milliseconds(250);
+constexpr int kServersPerInterval = 16;
+// Until the killed server is back.
+constexpr int kAwayMs[] = {10, 10, 100, 500};
+
+// Of moments in which a host stands still, and between them.
+constexpr int kMinMomentMs = 30;
+constexpr int kMaxMomentMs = 200;
+constexpr int kMeanPauseMs = 500;
+// Longer ones, of one host at a time.
+constexpr int kMaxStallMs = 2500;
+
+bool IsPlain(std::size_t server) { return server % 4 == 0; }
+
+std::vector<FaultyServerSetup> Servers(int count, int unframed_percent) {
+  const std::string unframed = absl::StrCat(unframed_percent / 100.0);
+  std::vector<FaultyServerSetup> servers;
+  for (int i = 0; i < count; ++i) {
+    FaultyServerSetup setup;
+    setup.service = IsPlain(static_cast<std::size_t>(i)) ? "plain" : "llm";
+    setup.body_bytes = i % 8 == 0 ? 60'000 : 600;
+    setup.options = {"--pieces",
+                     "6",
+                     "--piece-gap-ms",
+                     "20",
+                     "--event-gap-ms",
+                     absl::StrCat(15 + i % 3 * 15),
+                     "--unframed",
+                     unframed,
+                     "--unframed-streams",
+                     unframed,
+                     "--refused",
+                     "0.05",
+                     "--doubled",
+                     "0.03",
+                     "--cut",
+                     "0.05"};
+    servers.push_back(std::move(setup));
+  }
+  return servers;
+}
+
+class Dice {
+ public:
+  explicit Dice(unsigned seed) : random_(seed) {}
+  int Between(int from, int to) {
+    return std::uniform_int_distribution<int>(from, to)(random_);
+  }
+  std::size_t Pick(std::size_t count) {
+    return static_cast<std::size_t>(Between(0, static_cast<int>(count) - 1));
+  }
+
+ private:
+  std::mt19937 random_;
+};
+
+class Play {
+ public:
+  Play(unsigned seed, int hosts, int servers, int unframed_percent)
+      : seed_(seed),
+        site_(Servers(servers, unframed_percent),
+              static_cast<std::size_t>(hosts), kEvents, seed) {
+    site_.StartHosts();
+  }
+
+  void Run(absl::Duration length) {
+    std::vector<std::jthread> threads =
+        site_.StartCallers({CallKind::kChat, CallKind::kTalk, CallKind::kChat,
+                            CallKind::kRead, CallKind::kTalk, CallKind::kOnce},
+                           kCallersPerHost * site_.hosts_.size(),
+                           [this](std::size_t /*calls*/) { return !ends_; });
+    // Also where a fault of the test itself ends it.
+    const absl::Cleanup end = [this] { ends_ = true; };
+    for (std::size_t host = 0; host < site_.hosts_.size(); ++host) {
+      threads.emplace_back([this, host] { StutterLoop(host); });
+    }
+    KillLoop(absl::Now() + length);
+    ends_ = true;
+    for (std::jthread& thread : threads) thread.join();
+  }
+
+  void Check() {
+    const Judgement verdict = site_.Verdict();
+    BOOST_TEST_MESSAGE("seed " << seed_ << " kills " << kills_ << " "
+                               << verdict.Text());
+    BOOST_TEST(verdict.order.empty());
+    BOOST_TEST(verdict.mixed.empty());
+    BOOST_TEST(verdict.twice.empty());
+    BOOST_TEST(verdict.refused.empty());
+    BOOST_TEST(verdict.served > 0);
+  }
+
+ private:
+  // The host stands still for moments, every seventh time for longer.
+  void StutterLoop(std::size_t host) {
+    Dice dice(seed_ * 1000 + static_cast<unsigned>(host));
+    Process& process = site_.hosts_[host]->process();
+    while (!ends_) {
+      absl::SleepFor(absl::Milliseconds(dice.Between(0, 2 * kMeanPauseMs)));
+      const bool long_stall = dice.Pick(7) == 0;
+      const int stall_ms =
+          dice.Between(kMinMomentMs, long_stall ? kMaxStallMs : kMaxMomentMs);
+      process.Signal(SIGSTOP);
+      absl::SleepFor(absl::Milliseconds(stall_ms));
+      process.Signal(SIGCONT);
+    }
+  }
+
+  void KillLoop(absl::Time until) {
+    Dice dice(seed_);
+    const absl::Duration interval =
+        kKillInterval * kServersPerInterval / site_.servers_.size();
+    while (absl::Now() < until) {
+      const std::size_t server = dice.Pick(site_.servers_.size());
+      site_.servers_[server]->KillAndWait();
+      ++kills_;
+      const absl::Duration away =
+          absl::Milliseconds(kAwayMs[dice.Pick(std::size(kAwayMs))]);
+      absl::SleepFor(away);
+      // A plain server that keeps its id can't be told from its predecessor.
+      const bool keeps_id = !IsPlain(server) && dice.Pick(3) == 0;
+      site_.RestartServer(server, keeps_id);
+      absl::SleepFor(interval);
+    }
+  }
+
+  const unsigned seed_;
+  AnswersSite site_;
+  std::atomic<bool> ends_ = false;
+  int kills_ = 0;
+};
+
+// Guards against half of an answer that ends as complete because another
+// process listens at the address of its server, which was killed.
+BOOST_AUTO_TEST_CASE(NoSuccessorSpeaksForAKilledServer) {
+  const int first = FromEnvironment("GENTIANLB_SOAK_FIRST_SEED", 1);
+  const int seeds = FromEnvironment("GENTIANLB_SOAK_SEEDS", kSeeds);
+  for (int seed = first; seed < first + seeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      Play play(static_cast<unsigned>(seed),
+                FromEnvironment("GENTIANLB_SOAK_HOSTS", kHosts),
+                FromEnvironment("GENTIANLB_SOAK_SERVERS", kServers),
+                FromEnvironment("GENTIANLB_SOAK_UNFRAMED", kUnframedPercent));
+      play.Run(
+          absl::Seconds(FromEnvironment("GENTIANLB_SOAK_SECONDS", kSeconds)));
+      play.Check();
+    }
+  }
+}
+
+}  // namespace
+}  // namespace gentianlb::process
