Ends wait longer for their proof; a row that states no start is no proof either

By review of the fix: (1) a later row without a start let another request's answer prove that the server lives, though the row of the end states one; now neither may. (2) A full engine resets new connections, so that three questions were answered by nothing within 110 ms and whole answers broke off; now it is asked for a second at least, at growing intervals.

--- a/src/gateway/end_confirmation.cc
+++ b/src/gateway/end_confirmation.cc
@@ -14,17 +14,22 @@
 // before it stops answering.
 constexpr absl::Duration kClosingTime = absl::Milliseconds(5);
 
-// Between probes. A full server may have room by then.
+// Between the first two probes; twice as long after each. A full server may
+// have room by then.
 constexpr absl::Duration kTimeToNextProbe = absl::Milliseconds(50);
 
-constexpr int kMaxProbes = 3;
+// A host that stands still may spend all of the time before its second probe.
+constexpr absl::Duration kMaxWait = absl::Seconds(1);
+constexpr int kMinProbes = 3;
 
 }  // namespace
 
 EndVerdict JudgeEnd(const EndEvidence& evidence) {
   if (evidence.probe == ServerProbe::kSame) return EndVerdict::kComplete;
   if (evidence.probe == ServerProbe::kOther) return EndVerdict::kBroken;
-  if (evidence.probes >= kMaxProbes) return EndVerdict::kBroken;
+  if (evidence.probes >= kMinProbes && evidence.waited >= kMaxWait) {
+    return EndVerdict::kBroken;
+  }
   const bool refused = evidence.probe == ServerProbe::kRefused;
   if (refused && evidence.open_transfers == 0) return EndVerdict::kBroken;
   return EndVerdict::kProbeAgain;
@@ -49,6 +54,7 @@
   waiting.end = std::move(end);
   waiting.done = std::move(done);
   waiting.ended_at = clock_();
+  waiting.pause = kTimeToNextProbe;
   ProbeAt(id, waiting.ended_at + kClosingTime);
   return id;
 }
@@ -78,24 +84,26 @@
 void EndConfirmations::OnProbed(std::uint64_t id, ServerProbe probe) {
   Waiting& waiting = waiting_.at(id);
   waiting.is_probing = false;
+  const absl::Time now = clock_();
   const EndEvidence evidence = {
-      probe, waiting.probes,
+      probe, waiting.probes, now - waiting.ended_at,
       hooks_.open_transfers(waiting.end.server, waiting.ended_at)};
   const EndVerdict verdict = JudgeEnd(evidence);
   if (verdict == EndVerdict::kProbeAgain) {
-    return ProbeAt(id, clock_() + kTimeToNextProbe);
+    return ProbeAt(id, now + std::exchange(waiting.pause, 2 * waiting.pause));
   }
   Finish(id, evidence, verdict == EndVerdict::kComplete);
 }
 
 void EndConfirmations::OnAnswered(const ServerEntry& server,
                                   absl::Time sent_at) {
-  // One that states when it started may have been started again under its id.
-  if (server.started != 0) return;
   const absl::Time now = clock_();
   for (auto& [id, waiting] : waiting_) {
-    const bool proves =
-        waiting.end.server.id == server.id && waiting.ended_at < sent_at;
+    const ServerEntry& expected = waiting.end.server;
+    // One that states when it started may have been started again under its id.
+    const bool states_start = expected.started != 0 || server.started != 0;
+    const bool proves = expected.id == server.id && !states_start &&
+                        waiting.ended_at + kClosingTime < sent_at;
     if (!proves || std::exchange(waiting.has_answered, true)) continue;
     GiveUpProbe(waiting);
     waiting.timer = timers_->At(now, [this, id = id](absl::Time) {
--- a/src/gateway/end_confirmation.h
+++ b/src/gateway/end_confirmation.h
@@ -28,7 +28,8 @@
 // What is known of the server after a probe.
 struct EndEvidence {
   ServerProbe probe = ServerProbe::kUnanswered;
-  int probes = 1;  // Including this one.
+  int probes = 1;         // Including this one.
+  absl::Duration waited;  // Since the end.
   // Transfers to the same server that were open before the end and still are.
   int open_transfers = 0;
 };
@@ -95,6 +96,7 @@
     Done done;
     absl::Time ended_at;
     int probes = 0;
+    absl::Duration pause;     // Before the next probe.
     TimerId timer = 0;        // Until the next probe.
     std::uint64_t probe = 0;  // The probe in progress.
     bool is_probing = false;
--- a/src/gateway/server_prober_test.cc
+++ b/src/gateway/server_prober_test.cc
@@ -66,6 +66,15 @@
   BOOST_TEST((Probe(ServerProbe::kUnanswered) == ServerProbe::kUnanswered));
 }
 
+// Its queue of new connections is full, so that it drops what comes.
+BOOST_FIXTURE_TEST_CASE(AServerThatDropsConnectionsIsUnanswered, Fixture) {
+  const absl::Time start = loop.now();
+  for (int i = 0; i < 8 && loop.now() - start < absl::Milliseconds(100); ++i) {
+    BOOST_TEST((Probe(ServerProbe::kUnanswered) == ServerProbe::kUnanswered));
+  }
+  BOOST_TEST(loop.now() - start >= absl::Milliseconds(100));
+}
+
 BOOST_FIXTURE_TEST_CASE(ACancelledProbeReportsNothing, Fixture) {
   prober.Cancel(Start());
   BOOST_TEST(cancelled);
