An error of the server that resumes a stream is not the stream's end

What callers saw: a stream that ends as complete before its last event, with framed answers too and without any restart. A resumable stream breaks off, the host sends it to another server with the last event's id, and that server answers by a status below 500 without saying that it has not run it (302, 400, 404, 408, 413, 421, 429). Such an answer is whole, so the host took it for the end of the response that it had begun, dropped its body and wrote the last chunk. 5xx was handled.

Now only a success can end a stream of which the caller has a part. Anything else is a failed attempt: the stream goes on at another server within max_attempts, else it is broken off visibly, so that the caller takes it up itself. First attempts and take-ups by callers get the server's status as before: nothing of them has been relayed.

Whether this was among the users' cases isn't known: their record has no logs.

--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -257,7 +257,9 @@
     return OnFailure(exchange, RequestOutcome::kConnectionLost,
                      {Code::kServerBroke, std::string(truncation)});
   }
-  const bool failed = IsServerFailure(attempt.head.status);
+  // Of a stream that the caller has in part, no error is the end.
+  const bool failed = IsServerFailure(attempt.head.status) ||
+                      (exchange.responding && !IsSuccess(attempt.head.status));
   if (failed && exchange.safe_to_retry()) {
     return OnFailure(
         exchange, RequestOutcome::kFailed,
--- a/src/gateway/forwarder_order_test.cc
+++ b/src/gateway/forwarder_order_test.cc
@@ -68,6 +68,22 @@
                          {.send = [](const auto&...) {}}};
 };
 
+// Guards against a stream that ends as complete because the server at which it
+// was to go on answers by an error.
+BOOST_AUTO_TEST_CASE(AnErrorOfTheServerThatResumesAStreamIsNotItsEnd) {
+  for (const int status : {302, 400, 404, 408, 413, 421, 429, 500, 503}) {
+    BOOST_TEST_CONTEXT("status " << status) {
+      Fixture fixture;
+      const auto caller = fixture.BeginBroken(Events(1, 2));
+      fixture.site.last().SendResponse(status, "no");
+      BOOST_TEST(!caller->complete);
+      BOOST_TEST(caller->aborted);
+      BOOST_TEST(caller->body == Events(1, 2));
+      BOOST_TEST(fixture.site.forwarder->open_requests() == 0u);
+    }
+  }
+}
+
 // Guards against callers who get events again from a server that doesn't go on
 // where the stream broke off.
 BOOST_AUTO_TEST_CASE(EventsThatAServerWritesAgainAreDropped) {
@@ -289,7 +305,7 @@
 
 // What the servers of one stream do, drawn at random: each writes the events
 // from the one after the last or an earlier one, some twice, in pieces, and
-// breaks off anywhere or ends.
+// breaks off anywhere or ends. One that is to go on may answer by an error.
 struct RandomServers {
   static constexpr int kEvents = 8;
 
@@ -311,6 +327,10 @@
 
   // Plays an attempt. Returns whether the whole answer was written.
   bool Play(FakeCall& call) {
+    if (call.call.last_event > 0 && Draw(6) == 0) {
+      call.SendResponse(404, "no");
+      return false;
+    }
     std::string answer = Answer(call.call.last_event);
     const bool breaks = Draw(2) == 0;
     if (breaks) {
