A stream of a split route is taken up at the service that began it

What callers saw: on a route that is split among services, a stream that its caller takes up goes on at another service than the one that began it, as soon as both name their software versions alike: events of two programs in one stream. Where they name them differently it is refused for its whole time.

Cause: the service was chosen by a hash of the take-up's own request id, and the hash (absl::HashOf) differs between processes, so that hosts don't choose alike either. The version that is looked up is the stream's, whichever service began it, and is then taken for one of the chosen service.

Now the choice is by the id under which hosts remember the stream: the first attempt's for a take-up, the request's own for all others, by a hash that is the same on all hosts. A configuration that moves the route, or changes the shares, may still put it elsewhere.

Streams of a split route that state no first attempt are sent as before.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -179,8 +179,8 @@
     return Refuse(exchange, {Code::kRateLimited, "over the workspace's tokens"},
                   exchange.over_limit->retry_after);
   }
-  const ServiceId& service =
-      ChooseService(*exchange.route, absl::HashOf(exchange.request->id.str()));
+  // All hosts choose alike, so that a stream is taken up where it began.
+  const ServiceId& service = ChooseService(*exchange.route, exchange.stream());
   exchange.service = index_->FindService(service);
   if (exchange.service == nullptr) {
     return Refuse(exchange, {Code::kNoServer, "the service is not configured"},
--- a/src/gateway/forwarder_order_test.cc
+++ b/src/gateway/forwarder_order_test.cc
@@ -223,6 +223,33 @@
   BOOST_TEST(!caller->complete);
 }
 
+// Guards against streams of a split route that go on at another service than
+// the one that began them.
+BOOST_AUTO_TEST_CASE(ATakenUpStreamOfASplitRouteStaysAtItsService) {
+  for (int skipped = 0; skipped < 20; ++skipped) {
+    Fixture fixture;
+    FakeSite& site = fixture.site;
+    site.AddServer("other-a", "other", 2, "v1");
+    fixture.Reconfigure([](Configuration& configuration) {
+      Service other = configuration.services[0];
+      other.id = ServiceId("other");
+      configuration.services.push_back(other);
+      configuration.routes[1].services.push_back({other.id, 1});
+    });
+    fixture.OnServersChanged();
+    site.requests_sent = skipped;
+    const auto first = site.SendRequest("/resume/1");
+    const std::string attempt = absl::StrCat("r", site.requests_sent);
+    site.last().SendHead(200);
+    site.last().SendData(Events(1, 2));
+    first->on_disconnect();
+    fixture.TakeUp(2, attempt);
+    BOOST_REQUIRE(site.calls.size() == 2u);
+    BOOST_TEST(site.calls[1]->call.server.service.str() ==
+               site.calls[0]->call.server.service.str());
+  }
+}
+
 // A site on which a roll-out from v1 to v2 of the model service is ordered.
 struct RolloutFixture : Fixture {
   RolloutFixture() {
