--- a/src/gateway/forwarder_order_test.cc
+++ b/src/gateway/forwarder_order_test.cc
@@ -84,6 +84,22 @@
   }
 }
 
+// Guards against a stream that is broken off, or goes on at the wrong event,
+// though a third server may run it.
+BOOST_FIXTURE_TEST_CASE(AStreamGoesOnAfterAnErrorOfAServerThatResumesIt,
+                        Fixture) {
+  Reconfigure([](Configuration& configuration) {
+    configuration.routes[1].max_attempts = 3;
+  });
+  const auto caller = BeginBroken(Events(1, 2));
+  site.last().SendResponse(404, Events(3, 3));
+  BOOST_REQUIRE(site.calls.size() == 3u);
+  BOOST_TEST(site.last().call.last_event == 2);
+  site.last().SendResponse(200, Events(3, 4));
+  BOOST_TEST(caller->body == Events(1, 4));
+  BOOST_TEST(caller->complete);
+}
+
 // Guards against callers who get events again from a server that doesn't go on
 // where the stream broke off.
 BOOST_AUTO_TEST_CASE(EventsThatAServerWritesAgainAreDropped) {
@@ -223,6 +239,23 @@
   BOOST_TEST(!caller->complete);
 }
 
+// Guards against a stream that goes on at the version with which its server
+// has registered again meanwhile.
+BOOST_FIXTURE_TEST_CASE(AStreamKeepsTheVersionWithWhichItWasSent, Fixture) {
+  const auto caller = site.SendRequest("/resume/1");
+  FakeCall& first = site.last();
+  first.SendHead(200);
+  site.AddServer(first.server(), "llm", 2, "v2");
+  OnServersChanged();
+  first.SendData(Events(1, 2));
+  first.Finish(http::TransferEnd::kBroken);
+  BOOST_REQUIRE(site.calls.size() == 2u);
+  BOOST_TEST(site.last().call.server.version == "v1");
+  const auto again = TakeUp(2, "r1");
+  BOOST_REQUIRE(site.calls.size() == 3u);
+  BOOST_TEST(site.last().call.server.version == "v1");
+}
+
 // Guards against streams of a split route that go on at another service than
 // the one that began them.
 BOOST_AUTO_TEST_CASE(ATakenUpStreamOfASplitRouteStaysAtItsService) {
