A response whose length doesn't fit 64 bits is refused

Callers got a part of a response as the whole. libcurl 7.88 ignores a length that its type can't hold and reads until the connection ends, while ReadResponseHead takes the response for framed. So any end in good order was complete, without a question to the server, a killed server's too.

Why it works: the head is refused before it is relayed, as other uncertain framings are, so the transfer is broken and the send may be repeated where that is allowed. Leading zeros stay allowed.

--- a/src/http/framing.cc
+++ b/src/http/framing.cc
@@ -1,7 +1,10 @@
 #include "http/framing.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <optional>
+#include <system_error>
 
 #include "absl/strings/ascii.h"
 
@@ -20,6 +23,14 @@
   });
 }
 
+// Readers hold lengths in 64 bits with a sign, and may ignore one that is
+// larger.
+bool FitsReaders(std::string_view length) {
+  std::int64_t bytes = 0;
+  const char* const end = length.data() + length.size();
+  return std::from_chars(length.data(), end, bytes).ec == std::errc();
+}
+
 bool HasName(const Header& header, std::string_view name) {
   return SameName(header.name, name);
 }
@@ -80,6 +91,7 @@
       continue;
     }
     if (!IsNumber(header.value)) return "the length is not a number";
+    if (!FitsReaders(header.value)) return "the length is too large";
     if (length && *length != header.value) return "there are two lengths";
     length = header.value;
   }
--- a/src/http/framing_test.cc
+++ b/src/http/framing_test.cc
@@ -33,6 +33,18 @@
   BOOST_TEST(!FramingProblem({{"", "x"}}).empty());
 }
 
+// Guards against a length that a reader can't hold and therefore ignores, so
+// that any end of the connection ends the body.
+BOOST_AUTO_TEST_CASE(AResponsesLengthFits64Bits) {
+  const auto problem = [](const char* length) {
+    return ResponseFramingProblem({{"Content-Length", length}});
+  };
+  BOOST_TEST(problem("9223372036854775807").empty());
+  BOOST_TEST(problem("00000000000000000000000004").empty());
+  BOOST_TEST(problem("9223372036854775808") == "the length is too large");
+  BOOST_TEST(problem("99999999999999999999") == "the length is too large");
+}
+
 // A caller gets a part of a response as the whole, where its server and this
 // host disagree on its end.
 BOOST_AUTO_TEST_CASE(AResponseWithoutACertainEndIsRefused) {
