An interim head that states a length or chunks is refused

ReadResponseHead sees the last head alone. So the body of an unframed response was cut at the interim head's length, and its end confirmed by the living server; one with a length was read as chunks.

Why it works: the transfer ends as broken at the end of such a head, before anything is relayed. A 1xx head may not state either (RFC 9110, 8.6; RFC 9112, 6.1); others pass as before.

--- a/src/http/framing.cc
+++ b/src/http/framing.cc
@@ -99,4 +99,14 @@
   return {};
 }
 
+std::string_view InterimFramingProblem(const std::vector<Header>& headers) {
+  const bool states_framing =
+      std::any_of(headers.begin(), headers.end(), [](const Header& header) {
+        const std::string_view name = TrimBlanks(header.name);
+        return SameName(name, "content-length") ||
+               SameName(name, "transfer-encoding");
+      });
+  return states_framing ? "an interim head states a length" : "";
+}
+
 }  // namespace gentianlb::http
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -25,6 +25,10 @@
 // empty string. Equal lengths are one.
 std::string_view ResponseFramingProblem(const std::vector<Header>& headers);
 
+// Returns why it isn't certain where a response ends that follows an interim
+// head with `headers`, or an empty string. Some readers keep what these state.
+std::string_view InterimFramingProblem(const std::vector<Header>& headers);
+
 }  // namespace gentianlb::http
 
 #endif  // GENTIANLB_HTTP_FRAMING_H_
--- a/src/http/framing_test.cc
+++ b/src/http/framing_test.cc
@@ -63,6 +63,15 @@
       {{"Transfer-Encoding", "chunked"}, {"Transfer-Encoding", "chunked"}}));
 }
 
+// Guards against a part of a response that a reader cuts at an interim head's
+// length.
+BOOST_AUTO_TEST_CASE(AnInterimHeadStatesNoFraming) {
+  BOOST_TEST(InterimFramingProblem({}).empty());
+  BOOST_TEST(InterimFramingProblem({{"Link", "4"}}).empty());
+  BOOST_TEST(!InterimFramingProblem({{"content-length", "0"}}).empty());
+  BOOST_TEST(!InterimFramingProblem({{"Transfer-Encoding ", "x"}}).empty());
+}
+
 BOOST_AUTO_TEST_CASE(AResponseWithACertainEndPasses) {
   BOOST_TEST(ResponseFramingProblem({}).empty());
   BOOST_TEST(
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -177,7 +177,7 @@
   if (line.starts_with("HTTP/")) headers_.clear();
   if (line == "\r\n" || line == "\n") {
     const int status = Status();
-    return status < kMinFinalStatus || DeliverHead(status);
+    return status < kMinFinalStatus ? PassInterimHead() : DeliverHead(status);
   }
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return true;
@@ -192,6 +192,11 @@
   return static_cast<int>(status);
 }
 
+bool Transfer::PassInterimHead() {
+  framing_problem_ = InterimFramingProblem(headers_);
+  return framing_problem_.empty();
+}
+
 bool Transfer::DeliverHead(int status) {
   framing_problem_ = ResponseFramingProblem(headers_);
   if (!framing_problem_.empty()) return false;
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -63,6 +63,7 @@
   void PrepareConnection();
   // Return false if the transfer must end.
   bool ParseHeaderLine(std::string_view line);
+  bool PassInterimHead();
   bool DeliverHead(int status);
   int Status() const;
   // Returns whether libcurl may send the request on a connection.
