Only blanks and tabs are no part of a header's value

Callers got an empty body as a whole response. Of a value that follows a vertical tab, a form feed or a return, libcurl 7.88 doesn't recognise "chunked", while this host trimmed them and took the response for framed by chunks. An end right behind the head was complete, without a question to the server, a killed server's too.

Why it works: such a value isn't "chunked" any more, and its head is refused as that of any other coding is. Names keep the wider check.

--- a/src/http/framing.cc
+++ b/src/http/framing.cc
@@ -73,6 +73,15 @@
   return text;
 }
 
+std::string_view HeaderValue(std::string_view rest_of_line) {
+  constexpr std::string_view kBlanks = " \t";
+  std::string_view value = rest_of_line;
+  if (value.ends_with('\n')) value.remove_suffix(1);
+  if (value.ends_with('\r')) value.remove_suffix(1);
+  value.remove_prefix(std::min(value.find_first_not_of(kBlanks), value.size()));
+  return value.substr(0, value.find_last_not_of(kBlanks) + 1);
+}
+
 std::string_view ResponseFramingProblem(const std::vector<Header>& headers) {
   std::optional<std::string_view> length;
   bool has_encoding = false;
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -21,6 +21,11 @@
 // Returns `text` without the blanks and line ends around it.
 std::string_view TrimBlanks(std::string_view text);
 
+// Returns the value of a header from what follows its colon in a line of a
+// head: without the blanks around it and the line's end. Other space belongs to
+// the value, since readers disagree on it.
+std::string_view HeaderValue(std::string_view rest_of_line);
+
 // Returns why it isn't certain where a response with `headers` ends, or an
 // empty string. Equal lengths are one.
 std::string_view ResponseFramingProblem(const std::vector<Header>& headers);
--- a/src/http/framing_test.cc
+++ b/src/http/framing_test.cc
@@ -72,6 +72,16 @@
   BOOST_TEST(!InterimFramingProblem({{"Transfer-Encoding ", "x"}}).empty());
 }
 
+// Guards against a coding that one reader knows and another one doesn't.
+BOOST_AUTO_TEST_CASE(OnlyBlanksAreNoPartOfAValue) {
+  BOOST_TEST(HeaderValue(" \t chunked\t \r\n") == "chunked");
+  BOOST_TEST(HeaderValue("4 5\n") == "4 5");
+  BOOST_TEST(HeaderValue(" \r\n").empty());
+  BOOST_TEST(HeaderValue("").empty());
+  BOOST_TEST(HeaderValue(" \vchunked\r\n") == "\vchunked");
+  BOOST_TEST(HeaderValue(" \rchunked\f\r\n") == "\rchunked\f");
+}
+
 BOOST_AUTO_TEST_CASE(AResponseWithACertainEndPasses) {
   BOOST_TEST(ResponseFramingProblem({}).empty());
   BOOST_TEST(
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -181,7 +181,7 @@
   }
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) return true;
-  const std::string_view value = TrimBlanks(line.substr(colon + 1));
+  const std::string_view value = HeaderValue(line.substr(colon + 1));
   headers_.push_back({std::string(line.substr(0, colon)), std::string(value)});
   return true;
 }
