Streams to callers of HTTP/1.0 end visibly when their host stalls or stops

A caller without chunks takes an orderly end of its connection for the end of its stream. Tests so far aborted a stream, or killed the process. These let the idle timeout end it, let the process stand still for longer than that, and stop the server, each of the last two with a caller that has read nothing, or all.

--- a/src/http/loop_server_test.cc
+++ b/src/http/loop_server_test.cc
@@ -58,6 +58,20 @@
     return recv(socket_, &byte, 1, MSG_DONTWAIT) < 0 && errno == ECONNRESET;
   }
 
+  enum class End { kOpen, kClosed, kReset };
+
+  // Drops the bytes that have arrived. Returns whether the connection ends
+  // behind them.
+  End ReadAll() const {
+    std::string bytes(64 << 10, '\0');
+    ssize_t count = 0;
+    do {
+      count = recv(socket_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+    } while (count > 0);
+    if (count == 0) return End::kClosed;
+    return errno == ECONNRESET ? End::kReset : End::kOpen;
+  }
+
  private:
   int socket_;
   bool connected_ = false;
@@ -186,6 +200,84 @@
   }
 }
 
+// A stream to a caller of HTTP/1.0, in its middle.
+struct OpenStream : Fixture {
+  OpenStream() {
+    hold_responses = true;
+    caller.Send("GET /a HTTP/1.0\r\nHost: h\r\n\r\n");
+    for (int i = 0; i < 100 && held.empty(); ++i) RunLoop();
+    BOOST_REQUIRE(held.size() == 1u);
+    held[0]->Begin(200, {});
+  }
+  // Writes more than the connection holds.
+  void FillConnection() {
+    held[0]->Write(std::string(32 << 20, 'x'));
+    RunLoop();
+  }
+  // Reads to the end of the connection. Returns whether it was reset.
+  bool EndsWithReset() {
+    Caller::End end = Caller::End::kOpen;
+    for (int i = 0; i < 200 && end == Caller::End::kOpen; ++i) {
+      end = caller.ReadAll();
+      RunFor(absl::Milliseconds(5));
+    }
+    BOOST_TEST((end != Caller::End::kOpen));
+    return end == Caller::End::kReset;
+  }
+
+  const Caller caller{server->port()};
+};
+
+// Guards against a part of a stream that looks complete since its caller has
+// read nothing for the idle timeout.
+BOOST_FIXTURE_TEST_CASE(AStreamThatTimesOutNeverLooksComplete, OpenStream) {
+  FillConnection();
+  server->SetIdleTimeout(absl::Seconds(1));
+  RunFor(absl::Seconds(3));
+  BOOST_TEST(EndsWithReset());
+}
+
+// Guards against the same since this process stood still for that long.
+BOOST_FIXTURE_TEST_CASE(AStreamOfAStalledServerNeverLooksComplete, OpenStream) {
+  FillConnection();
+  server->SetIdleTimeout(absl::Seconds(1));
+  RunLoop();
+  absl::SleepFor(absl::Seconds(3));
+  RunFor(absl::Seconds(2));
+  held[0]->Abort();
+  BOOST_TEST(EndsWithReset());
+}
+
+// Guards against the same since the server is stopped.
+BOOST_FIXTURE_TEST_CASE(AStreamOfAStoppedServerNeverLooksComplete, OpenStream) {
+  FillConnection();
+  server.reset();
+  BOOST_TEST(EndsWithReset());
+}
+
+// The same after the caller has read all that has come.
+BOOST_FIXTURE_TEST_CASE(AReadStreamOfAStoppedServerNeverLooksComplete,
+                        OpenStream) {
+  held[0]->Write("half");
+  BOOST_TEST(ReadResponse(caller).ends_with("half"));
+  server.reset();
+  BOOST_TEST(EndsWithReset());
+}
+
+// Guards against a stream that looks complete since this process stood still
+// before its events went out.
+BOOST_FIXTURE_TEST_CASE(AReadStreamOfAStalledServerNeverLooksComplete,
+                        OpenStream) {
+  server->SetIdleTimeout(absl::Seconds(1));
+  held[0]->Write("half");
+  BOOST_TEST(ReadResponse(caller).ends_with("half"));
+  held[0]->Write("more");
+  absl::SleepFor(absl::Seconds(3));
+  RunLoop();
+  held[0]->Abort();
+  BOOST_TEST(EndsWithReset());
+}
+
 // A server as a process of its own that begins a stream for each request, and
 // finishes it if the target is /whole.
 class ServerProcess {
