--- a/src/http/framing.cc
+++ b/src/http/framing.cc
@@ -1,7 +1,10 @@
 #include "http/framing.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cstdint>
 #include <optional>
+#include <system_error>
 
 #include "absl/strings/ascii.h"
 
@@ -20,6 +23,14 @@
   });
 }
 
+// Readers hold lengths in 64 bits with a sign, and may ignore one that is
+// larger.
+bool FitsReaders(std::string_view length) {
+  std::int64_t bytes = 0;
+  const char* const end = length.data() + length.size();
+  return std::from_chars(length.data(), end, bytes).ec == std::errc();
+}
+
 bool HasName(const Header& header, std::string_view name) {
   return SameName(header.name, name);
 }
@@ -62,6 +73,15 @@
   return text;
 }
 
+std::string_view HeaderValue(std::string_view rest_of_line) {
+  constexpr std::string_view kBlanks = " \t";
+  std::string_view value = rest_of_line;
+  if (value.ends_with('\n')) value.remove_suffix(1);
+  if (value.ends_with('\r')) value.remove_suffix(1);
+  value.remove_prefix(std::min(value.find_first_not_of(kBlanks), value.size()));
+  return value.substr(0, value.find_last_not_of(kBlanks) + 1);
+}
+
 std::string_view ResponseFramingProblem(const std::vector<Header>& headers) {
   std::optional<std::string_view> length;
   bool has_encoding = false;
@@ -80,6 +100,7 @@
       continue;
     }
     if (!IsNumber(header.value)) return "the length is not a number";
+    if (!FitsReaders(header.value)) return "the length is too large";
     if (length && *length != header.value) return "there are two lengths";
     length = header.value;
   }
@@ -87,4 +108,14 @@
   return {};
 }
 
+std::string_view InterimFramingProblem(const std::vector<Header>& headers) {
+  const bool states_framing =
+      std::any_of(headers.begin(), headers.end(), [](const Header& header) {
+        const std::string_view name = TrimBlanks(header.name);
+        return SameName(name, "content-length") ||
+               SameName(name, "transfer-encoding");
+      });
+  return states_framing ? "an interim head states a length" : "";
+}
+
 }  // namespace gentianlb::http
--- a/src/http/framing_test.cc
+++ b/src/http/framing_test.cc
@@ -33,6 +33,18 @@
   BOOST_TEST(!FramingProblem({{"", "x"}}).empty());
 }
 
+// Guards against a length that a reader can't hold and therefore ignores, so
+// that any end of the connection ends the body.
+BOOST_AUTO_TEST_CASE(AResponsesLengthFits64Bits) {
+  const auto problem = [](const char* length) {
+    return ResponseFramingProblem({{"Content-Length", length}});
+  };
+  BOOST_TEST(problem("9223372036854775807").empty());
+  BOOST_TEST(problem("00000000000000000000000004").empty());
+  BOOST_TEST(problem("9223372036854775808") == "the length is too large");
+  BOOST_TEST(problem("99999999999999999999") == "the length is too large");
+}
+
 // A caller gets a part of a response as the whole, where its server and this
 // host disagree on its end.
 BOOST_AUTO_TEST_CASE(AResponseWithoutACertainEndIsRefused) {
@@ -51,6 +63,25 @@
       {{"Transfer-Encoding", "chunked"}, {"Transfer-Encoding", "chunked"}}));
 }
 
+// Guards against a part of a response that a reader cuts at an interim head's
+// length.
+BOOST_AUTO_TEST_CASE(AnInterimHeadStatesNoFraming) {
+  BOOST_TEST(InterimFramingProblem({}).empty());
+  BOOST_TEST(InterimFramingProblem({{"Link", "4"}}).empty());
+  BOOST_TEST(!InterimFramingProblem({{"content-length", "0"}}).empty());
+  BOOST_TEST(!InterimFramingProblem({{"Transfer-Encoding ", "x"}}).empty());
+}
+
+// Guards against a coding that one reader knows and another one doesn't.
+BOOST_AUTO_TEST_CASE(OnlyBlanksAreNoPartOfAValue) {
+  BOOST_TEST(HeaderValue(" \t chunked\t \r\n") == "chunked");
+  BOOST_TEST(HeaderValue("4 5\n") == "4 5");
+  BOOST_TEST(HeaderValue(" \r\n").empty());
+  BOOST_TEST(HeaderValue("").empty());
+  BOOST_TEST(HeaderValue(" \vchunked\r\n") == "\vchunked");
+  BOOST_TEST(HeaderValue(" \rchunked\f\r\n") == "\rchunked\f");
+}
+
 BOOST_AUTO_TEST_CASE(AResponseWithACertainEndPasses) {
   BOOST_TEST(ResponseFramingProblem({}).empty());
   BOOST_TEST(
