An unframed answer of a plain service isn't complete

What callers saw: the product's own interface passes half a body of a plain service on as a whole answer, with a length of its own, when the service is killed, or closes, in the middle of an answer that has neither a length nor chunks. The half is also kept for re-sends of the key and read by other hosts.

Cause: the end of a connection was taken for the end of a body. The kernel closes the connections of a killed process in good order, so that libcurl reports such a transfer as complete, and AnswerRelay::Deliver took its word.

The fix: such an answer ends the call at its head with 3003 (502, run unknown). A plain service states no id and no start on this interface, and its load report comes from whatever listens at its address, so that there is nothing to ask for a proof. The call counts as sent: its claim keeps that, no second server gets it. Bodiless answers (HEAD, 204, 304) are whole as before.

--- a/src/entry/answer_relay.cc
+++ b/src/entry/answer_relay.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "http/framing.h"
+
 namespace gentianlb::entry {
 namespace {
 
@@ -21,7 +23,8 @@
       log_(std::move(log)),
       events_(std::move(events)) {}
 
-http::TransferSink AnswerRelay::MakeSink() {
+http::TransferSink AnswerRelay::MakeSink(std::string method) {
+  method_ = std::move(method);
   status_ = 0;
   headers_.clear();
   body_.clear();
@@ -29,8 +32,7 @@
   reader_ = std::make_unique<EventStreamReader>(engine_request_, next_offset_);
   auto self = shared_from_this();
   return {[self](http::ReceivedHead head) {
-            self->OnHead(head.status, std::move(head.headers));
-            return http::ReadAction::kContinue;
+            return self->OnHead(head.status, std::move(head.headers));
           },
           [self](std::string_view bytes) { self->OnData(bytes); },
           [self](http::TransferEnd end, std::string detail) {
@@ -38,11 +40,20 @@
           }};
 }
 
-void AnswerRelay::OnHead(int status, std::vector<http::Header> headers) {
+http::ReadAction AnswerRelay::OnHead(int status,
+                                     std::vector<http::Header> headers) {
   status_ = status;
   headers_ = std::move(headers);
   std::string_view stream = http::FindHeader(headers_, "X-Stream-Id");
   if (!stream.empty()) events_.on_stream(std::string(stream));
+  // A killed process's connections end in good order too, and a plain service
+  // has no way to say that it has outlived the end.
+  if (plain() && http::EndsWithConnection(method_, status_, headers_)) {
+    corrupt_ = true;
+    fault_ = {Code::kServerBroke, "the answer has neither a length nor chunks"};
+    return http::ReadAction::kStop;
+  }
+  return http::ReadAction::kContinue;
 }
 
 void AnswerRelay::OnData(std::string_view bytes) {
--- a/src/entry/answer_relay.h
+++ b/src/entry/answer_relay.h
@@ -43,18 +43,19 @@
 class AnswerRelay : public std::enable_shared_from_this<AnswerRelay> {
  public:
   // `engine_request` is the X-Request-Id that each chunk must carry; empty for
-  // a plain service, whose answer is passed on whole.
+  // a plain service, whose answer is passed on whole, and only if it states
+  // where it ends.
   AnswerRelay(std::string engine_request, std::shared_ptr<AnswerLog> log,
               RelayEvents events);
 
-  // The sink of the next transfer.
-  http::TransferSink MakeSink();
+  // The sink of the next transfer, whose request has `method`.
+  http::TransferSink MakeSink(std::string method);
 
   // Where a resumed transfer goes on; not while one is under way.
   int next_offset() const { return next_offset_; }
 
  private:
-  void OnHead(int status, std::vector<http::Header> headers);
+  http::ReadAction OnHead(int status, std::vector<http::Header> headers);
   void OnData(std::string_view bytes);
   void OnChunks(std::string_view bytes);
   void OnEnd(http::TransferEnd end, const std::string& detail);
@@ -68,6 +69,7 @@
   const RelayEvents events_;
 
   // Of the current transfer.
+  std::string method_;
   int status_ = 0;
   std::vector<http::Header> headers_;
   std::string body_;  // Of a plain answer, or an engine's refusal.
--- a/src/entry/calls_dispatch.cc
+++ b/src/entry/calls_dispatch.cc
@@ -69,7 +69,8 @@
     call->relay = std::make_shared<AnswerRelay>(
         model ? call->engine_request : "", call->log, MakeEvents(call));
   }
-  call->transfer = client_->Start(std::move(request), call->relay->MakeSink());
+  http::TransferSink sink = call->relay->MakeSink(request.method);
+  call->transfer = client_->Start(std::move(request), std::move(sink));
 }
 
 RelayEvents Calls::MakeEvents(const CallPtr& call) {
--- a/src/http/framing.cc
+++ b/src/http/framing.cc
@@ -8,6 +8,9 @@
 namespace gentianlb::http {
 namespace {
 
+constexpr int kNoContentStatus = 204;
+constexpr int kNotModifiedStatus = 304;
+
 bool IsNameCharacter(char c) {
   constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
   return absl::ascii_isalnum(c) ||
@@ -87,4 +90,12 @@
   return {};
 }
 
+bool EndsWithConnection(std::string_view method, int status,
+                        const std::vector<Header>& headers) {
+  const bool has_body = method != "HEAD" && status != kNoContentStatus &&
+                        status != kNotModifiedStatus;
+  return has_body && FindHeader(headers, "Content-Length").empty() &&
+         FindHeader(headers, "Transfer-Encoding").empty();
+}
+
 }  // namespace gentianlb::http
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -25,6 +25,11 @@
 // empty string. Equal lengths are one.
 std::string_view ResponseFramingProblem(const std::vector<Header>& headers);
 
+// Returns whether the response to `method` has a body of which only the end of
+// the connection marks the end.
+bool EndsWithConnection(std::string_view method, int status,
+                        const std::vector<Header>& headers);
+
 }  // namespace gentianlb::http
 
 #endif  // GENTIANLB_HTTP_FRAMING_H_
--- a/src/http/framing_test.cc
+++ b/src/http/framing_test.cc
@@ -64,5 +64,17 @@
   BOOST_TEST(!FramingProblem({{"Host", "a"}, {"Host", "b"}}).empty());
 }
 
+// Guards against a body whose end nothing marks, and which passes for framed.
+BOOST_AUTO_TEST_CASE(ABodyWithoutFramingEndsWithItsConnection) {
+  BOOST_TEST(EndsWithConnection("GET", 200, {}));
+  BOOST_TEST(EndsWithConnection("POST", 503, {{"Connection", "close"}}));
+  BOOST_TEST(!EndsWithConnection("GET", 200, {{"content-length", "0"}}));
+  BOOST_TEST(
+      !EndsWithConnection("GET", 200, {{"Transfer-Encoding", "chunked"}}));
+  BOOST_TEST(!EndsWithConnection("HEAD", 200, {}));
+  BOOST_TEST(!EndsWithConnection("GET", 204, {}));
+  BOOST_TEST(!EndsWithConnection("GET", 304, {}));
+}
+
 }  // namespace
 }  // namespace gentianlb::http
