--- a/src/http/framing.cc
+++ b/src/http/framing.cc
@@ -11,6 +11,9 @@
 namespace gentianlb::http {
 namespace {
 
+constexpr int kNoContentStatus = 204;
+constexpr int kNotModifiedStatus = 304;
+
 bool IsNameCharacter(char c) {
   constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
   return absl::ascii_isalnum(c) ||
@@ -118,4 +121,12 @@
   return states_framing ? "an interim head states a length" : "";
 }
 
+bool EndsWithConnection(std::string_view method, int status,
+                        const std::vector<Header>& headers) {
+  const bool has_body = method != "HEAD" && status != kNoContentStatus &&
+                        status != kNotModifiedStatus;
+  return has_body && FindHeader(headers, "Content-Length").empty() &&
+         FindHeader(headers, "Transfer-Encoding").empty();
+}
+
 }  // namespace gentianlb::http
--- a/src/http/framing.h
+++ b/src/http/framing.h
@@ -34,6 +34,11 @@
 // head with `headers`, or an empty string. Some readers keep what these state.
 std::string_view InterimFramingProblem(const std::vector<Header>& headers);
 
+// Returns whether the response to `method` has a body of which only the end of
+// the connection marks the end.
+bool EndsWithConnection(std::string_view method, int status,
+                        const std::vector<Header>& headers);
+
 }  // namespace gentianlb::http
 
 #endif  // GENTIANLB_HTTP_FRAMING_H_
