--- a/tests/process/stream_ends_soak_test.cc
+++ b/tests/process/stream_ends_soak_test.cc
@@ -10,6 +10,7 @@
 
 #include <signal.h>
 
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <random>
@@ -119,8 +120,12 @@
 
   void Check() {
     const Judgement verdict = site_.Verdict();
-    BOOST_TEST_MESSAGE("seed " << seed_ << " kills " << kills_ << " "
-                               << verdict.Text());
+    const std::vector<CallRecord> calls = site_.Records();
+    const auto streams =
+        std::count_if(calls.begin(), calls.end(),
+                      [](const CallRecord& call) { return call.stream; });
+    BOOST_TEST_MESSAGE("seed " << seed_ << " kills " << kills_ << " streams "
+                               << streams << " " << verdict.Text());
     BOOST_TEST(verdict.order.empty());
     BOOST_TEST(verdict.mixed.empty());
     BOOST_TEST(verdict.twice.empty());
