Soak of stream ends: slow callers, ends of hosts, versions, routes, addresses

A stream that runs at a server of plain calls is an error in all of them.

That the checks of versions, routes and services fail on wrong code hasn't been shown.

--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -67,6 +68,13 @@
                      ",\"slo_ms\":", absl::ToInt64Milliseconds(objective))}});
 }
 
+// The same, newer, in which no stream may be resumed.
+inline std::string ConfigurationWithoutResumption() {
+  return absl::StrReplaceAll(
+      kAnswersConfiguration,
+      {{R"("version":1)", R"("version":2)"}, {R"(,"resumable":true)", ""}});
+}
+
 enum class CallKind { kOnce, kRead, kChat, kTalk };
 
 struct FaultyServerSetup {
@@ -131,6 +139,49 @@
     StartServerAt(i, port);
   }
 
+  // The same under a new id, as a server of another version.
+  void ReplaceServer(std::size_t i, const std::string& version) {
+    setups_[i].version = version;
+    RestartServer(i, /*keeps_id=*/false);
+  }
+
+  // Starts two servers under new ids, each at the address of the other, which
+  // must be free.
+  void ExchangeAddresses(std::size_t first, std::size_t second) {
+    const int ports[] = {ports_.at(first), ports_.at(second)};
+    for (const std::size_t server : {first, second}) {
+      table_.Remove("servers", ServerId(server));
+      ++ids_used_[server];
+    }
+    StartServerAt(first, ports[1]);
+    StartServerAt(second, ports[0]);
+  }
+
+  // From `begin` on no stream may run twice, and none is taken up. Thread-safe.
+  void EndResumption(absl::Time begin) {
+    absl::MutexLock lock(&mutex_);
+    resumption_ends_ = begin;
+  }
+
+  // Of these callers each one reads slowly; 0: none does.
+  void SetSlowCallers(std::size_t one_in) { slow_callers_ = one_in; }
+
+  // Returns a line for each stream that ran at a server of plain calls.
+  std::vector<std::string> FindWrongServices() {
+    std::set<std::string> streams;
+    for (const CallRecord& call : Records()) {
+      if (call.stream) streams.insert(call.id);
+    }
+    std::vector<std::string> found;
+    for (const ServerLog& log : logs_) {
+      if (log.setup.service != "plain") continue;
+      for (const std::string& run : ReadReport(log).runs) {
+        if (streams.contains(run)) found.push_back(run + " at " + log.id);
+      }
+    }
+    return found;
+  }
+
   // `port`: 0 for any.
   void StartServerAt(std::size_t i, int port) {
     const FaultyServerSetup& setup = setups_[i];
@@ -147,7 +198,7 @@
                      setup.options.end());
     const std::string log =
         folder_.Path(absl::StrCat(ServerId(i), "-", ++server_starts_));
-    logs_.push_back({i, ServerId(i), log + ".out"});
+    logs_.push_back({setup, ServerId(i), log + ".out"});
     servers_[i] = std::make_unique<Process>(
         GENTIANLB_BUILD_DIR "/tests/standins/faulty_server", arguments, log);
     Register(i);
@@ -183,7 +234,9 @@
     absl::MutexLock lock(&mutex_);
     CallRecord call;
     call.id = absl::StrCat("r", ++requests_);
-    call.once = kind == CallKind::kOnce || kind == CallKind::kTalk;
+    const bool resumes =
+        kind == CallKind::kChat && absl::Now() < resumption_ends_;
+    call.once = kind != CallKind::kRead && !resumes;
     call.stream = kind == CallKind::kChat || kind == CallKind::kTalk;
     return call;
   }
@@ -300,11 +353,7 @@
   // Returns what each start of each server has reported.
   std::vector<ServerReport> Reports() const {
     std::vector<ServerReport> reports;
-    for (const ServerLog& log : logs_) {
-      const FaultyServerSetup& setup = setups_[log.number];
-      reports.push_back(ReadServerReport(log.id, setup.version,
-                                         setup.body_bytes, ReadFile(log.path)));
-    }
+    for (const ServerLog& log : logs_) reports.push_back(ReadReport(log));
     return reports;
   }
 
@@ -316,11 +365,16 @@
 
  private:
   struct ServerLog {
-    std::size_t number = 0;  // Of the server.
+    FaultyServerSetup setup;
     std::string id;
     std::string path;  // Of the file with its reports.
   };
 
+  static ServerReport ReadReport(const ServerLog& log) {
+    return ReadServerReport(log.id, log.setup.version, log.setup.body_bytes,
+                            ReadFile(log.path));
+  }
+
   // Nobody listens at a host that was killed.
   static constexpr absl::Duration kPauseAtADeadHost = absl::Milliseconds(20);
 
@@ -333,6 +387,8 @@
         host = (host + 1) % hosts_.size();
         connection = std::make_unique<CallerConnection>(
             in_rotation_[host] ? hosts_[host]->callers() : "");
+        const bool slow = slow_callers_ > 0 && caller % slow_callers_ == 0;
+        if (slow) connection->ReadSlowly();
       }
       if (!connection->IsOpen()) {
         absl::SleepFor(kPauseAtADeadHost);
@@ -356,6 +412,7 @@
       CallerConnection connection(in_rotation_[i] ? hosts_[i]->callers() : "");
       if (!connection.IsOpen()) continue;
       CallRecord next = NewCall(CallKind::kChat);
+      if (next.once) return;
       next.resumes = first;
       next.after_event = last;
       call = Ask(connection, i, CallKind::kChat, std::move(next));
@@ -374,10 +431,11 @@
                           std::filesystem::copy_options::recursive, ignored);
   }
 
-  const std::vector<FaultyServerSetup> setups_;
+  std::vector<FaultyServerSetup> setups_;
   const int events_;
   const std::uint64_t seed_;
   std::array<std::atomic<bool>, kMaxHosts> in_rotation_;
+  std::size_t slow_callers_ = 0;
   int server_starts_ = 0;
   std::map<std::size_t, absl::Time> started_;  // By the server's number.
   std::map<std::size_t, int> ports_;           // By the server's number.
@@ -385,6 +443,7 @@
   std::vector<ServerLog> logs_;          // By start.
   absl::Mutex mutex_;
   int requests_ ABSL_GUARDED_BY(mutex_) = 0;
+  absl::Time resumption_ends_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
   std::vector<CallRecord> calls_ ABSL_GUARDED_BY(mutex_);
 };
 
--- a/tests/process/caller_connection.cc
+++ b/tests/process/caller_connection.cc
@@ -24,6 +24,8 @@
 namespace {
 
 constexpr std::size_t kReadBytes = 16 << 10;
+constexpr std::size_t kSlowReadBytes = 512;
+constexpr absl::Duration kSlowReadPause = absl::Milliseconds(25);
 constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
@@ -88,6 +90,12 @@
   cut_ = true;
 }
 
+void CallerConnection::ReadSlowly() {
+  slow_ = true;
+  const int smallest = 1;  // The kernel takes its own minimum.
+  setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &smallest, sizeof smallest);
+}
+
 bool CallerConnection::IsOpen() {
   if (socket_ < 0) return false;
   const Read waiting = ReadMore(absl::InfinitePast());
@@ -101,7 +109,9 @@
       std::max<std::int64_t>(0, absl::ToInt64Milliseconds(end - absl::Now()));
   if (poll(&waiting, 1, static_cast<int>(left)) <= 0) return Read::kTimeout;
   std::array<char, kReadBytes> bytes;
-  const ssize_t count = recv(socket_, bytes.data(), bytes.size(), 0);
+  if (slow_) absl::SleepFor(kSlowReadPause);
+  const ssize_t count =
+      recv(socket_, bytes.data(), slow_ ? kSlowReadBytes : bytes.size(), 0);
   if (count < 0) return Read::kReset;
   if (count == 0) return Read::kEnd;
   received_.append(bytes.data(), static_cast<std::size_t>(count));
--- a/tests/process/caller_connection.h
+++ b/tests/process/caller_connection.h
@@ -49,6 +49,10 @@
   // Sends `request`, as it stands, and reads its answer for at most `timeout`.
   RawAnswer Ask(const std::string& request, absl::Duration timeout);
 
+  // From now on takes few bytes at a time, and lets the rest wait in a kernel's
+  // buffer that is as small as it may be.
+  void ReadSlowly();
+
   // Cuts the link: from now on nothing arrives, and the end of the connection
   // doesn't reach the other side before this object is destroyed. May be called
   // while Ask() runs. Does nothing once the connection has ended.
@@ -68,6 +72,7 @@
   absl::Mutex close_mutex_;
   int cut_socket_ = -1;  // Kept open once the link is cut.
   bool cut_ = false;
+  bool slow_ = false;
   std::string received_;
 };
 
--- a/tests/process/stream_ends_soak_test.cc
+++ b/tests/process/stream_ends_soak_test.cc
@@ -3,6 +3,13 @@
 // while hosts stand still for moments, as with a small share of a core, or for
 // longer. Servers refuse, answer twice and break off beside it.
 //
+// Beside that, each of these is played where its variable isn't 0, and all of
+// them in the second case: GENTIANLB_SOAK_SLOW, callers that read slowly;
+// GENTIANLB_SOAK_HOST_ENDS, hosts that are killed, stopped and started again;
+// GENTIANLB_SOAK_VERSIONS, a second software version that replaces the first;
+// GENTIANLB_SOAK_ROUTES, streams that may no longer be resumed;
+// GENTIANLB_SOAK_ADDRESSES, servers of another service at the address.
+//
 // GENTIANLB_SOAK_SEEDS sets how many seeds are played,
 // GENTIANLB_SOAK_FIRST_SEED the first one, GENTIANLB_SOAK_HOSTS,
 // GENTIANLB_SOAK_SERVERS and GENTIANLB_SOAK_SECONDS the size and length of a
@@ -13,6 +20,7 @@
 #include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <random>
 #include <string>
 #include <thread>
@@ -21,6 +29,7 @@
 
 #include "absl/cleanup/cleanup.h"
 #include "absl/strings/str_cat.h"
+#include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "base/environment_test.h"
 #include "process/answers_site_test.h"
@@ -29,6 +38,7 @@
 namespace {
 
 constexpr int kSeeds = 2;
+constexpr int kSeedsWithAll = 1;
 constexpr int kHosts = 6;
 constexpr int kServers = 16;
 constexpr int kSeconds = 8;
@@ -49,6 +59,31 @@
 // Longer ones, of one host at a time.
 constexpr int kMaxStallMs = 2500;
 
+constexpr std::size_t kSlowCallersOneIn = 3;
+constexpr absl::Duration kHostEndInterval = absl::Seconds(1);
+// From the change of a configuration until all hosts are held to it, a stall
+// included.
+constexpr absl::Duration kConfigurationTime = absl::Seconds(4);
+
+struct Disturbances {
+  bool slow_callers = false;
+  bool host_ends = false;
+  bool versions = false;
+  bool routes = false;
+  bool addresses = false;
+};
+
+Disturbances ChosenDisturbances(bool by_default) {
+  const auto chosen = [by_default](const char* name) {
+    return FromEnvironment(name, by_default ? 1 : 0) != 0;
+  };
+  return {.slow_callers = chosen("GENTIANLB_SOAK_SLOW"),
+          .host_ends = chosen("GENTIANLB_SOAK_HOST_ENDS"),
+          .versions = chosen("GENTIANLB_SOAK_VERSIONS"),
+          .routes = chosen("GENTIANLB_SOAK_ROUTES"),
+          .addresses = chosen("GENTIANLB_SOAK_ADDRESSES")};
+}
+
 bool IsPlain(std::size_t server) { return server % 4 == 0; }
 
 std::vector<FaultyServerSetup> Servers(int count, int unframed_percent) {
@@ -95,11 +130,15 @@
 
 class Play {
  public:
-  Play(unsigned seed, int hosts, int servers, int unframed_percent)
+  Play(unsigned seed, int hosts, int servers, int unframed_percent,
+       const Disturbances& disturbances)
       : seed_(seed),
+        disturbances_(disturbances),
+        host_mutexes_(static_cast<std::size_t>(hosts)),
         site_(Servers(servers, unframed_percent),
               static_cast<std::size_t>(hosts), kEvents, seed) {
     site_.StartHosts();
+    if (disturbances_.slow_callers) site_.SetSlowCallers(kSlowCallersOneIn);
   }
 
   void Run(absl::Duration length) {
@@ -113,7 +152,12 @@
     for (std::size_t host = 0; host < site_.hosts_.size(); ++host) {
       threads.emplace_back([this, host] { StutterLoop(host); });
     }
-    KillLoop(absl::Now() + length);
+    if (disturbances_.host_ends) {
+      threads.emplace_back([this] { HostEndLoop(); });
+    }
+    begin_ = absl::Now();
+    length_ = length;
+    KillLoop();
     ends_ = true;
     for (std::jthread& thread : threads) thread.join();
   }
@@ -131,59 +175,124 @@
     BOOST_TEST(verdict.twice.empty());
     BOOST_TEST(verdict.refused.empty());
     BOOST_TEST(verdict.served > 0);
+    for (const std::string& line : site_.FindWrongServices()) {
+      BOOST_ERROR("ROUTE " << line);
+    }
   }
 
  private:
   // The host stands still for moments, every seventh time for longer.
   void StutterLoop(std::size_t host) {
     Dice dice(seed_ * 1000 + static_cast<unsigned>(host));
-    Process& process = site_.hosts_[host]->process();
     while (!ends_) {
       absl::SleepFor(absl::Milliseconds(dice.Between(0, 2 * kMeanPauseMs)));
       const bool long_stall = dice.Pick(7) == 0;
       const int stall_ms =
           dice.Between(kMinMomentMs, long_stall ? kMaxStallMs : kMaxMomentMs);
-      process.Signal(SIGSTOP);
+      Signal(host, SIGSTOP);
       absl::SleepFor(absl::Milliseconds(stall_ms));
-      process.Signal(SIGCONT);
+      Signal(host, SIGCONT);
+    }
+  }
+
+  void Signal(std::size_t host, int signal) {
+    absl::MutexLock lock(&host_mutexes_[host]);
+    site_.hosts_[host]->process().Signal(signal);
+  }
+
+  bool HasEnded(std::size_t host) {
+    absl::MutexLock lock(&host_mutexes_[host]);
+    return site_.hosts_[host]->process().HasEnded();
+  }
+
+  // One host at a time is killed or stopped, and started again.
+  void HostEndLoop() {
+    Dice dice(seed_ + 1'000'000);
+    while (!ends_) {
+      absl::SleepFor(kHostEndInterval);
+      const std::size_t host = dice.Pick(site_.hosts_.size());
+      site_.SetInRotation(host, false);
+      Signal(host, dice.Pick(2) == 0 ? SIGKILL : SIGTERM);
+      WaitUntil("the host has ended", [&] { return HasEnded(host); });
+      {
+        absl::MutexLock lock(&host_mutexes_[host]);
+        site_.hosts_[host]->Run(absl::StrCat("h", host, "-", ++host_ends_));
+      }
+      WaitUntil("the host is ready again", [&] {
+        return site_.hosts_[host]->Ready(site_.client_) == 200;
+      });
+      site_.SetInRotation(host, true);
+    }
+  }
+
+  // Returns whether this share of the play is over.
+  bool IsOver(double share) const {
+    return absl::Now() > begin_ + share * length_;
+  }
+
+  void ChangeRoutesOnce() {
+    if (routes_changed_ || !disturbances_.routes || !IsOver(0.25)) return;
+    routes_changed_ = true;
+    site_.table_.Put("op", "config", ConfigurationWithoutResumption());
+    site_.EndResumption(absl::Now() + kConfigurationTime);
+  }
+
+  // Starts a killed server again, or two of two services.
+  void Restart(std::size_t server, Dice& dice) {
+    // A plain server that keeps its id can't be told from its predecessor.
+    const bool keeps_id = !IsPlain(server) && dice.Pick(3) == 0;
+    const bool exchanges = disturbances_.addresses && dice.Pick(3) == 0;
+    const std::size_t other = (server + 1) % site_.servers_.size();
+    if (exchanges && IsPlain(server) != IsPlain(other)) {
+      site_.servers_[other]->KillAndWait();
+      ++kills_;
+      return site_.ExchangeAddresses(server, other);
     }
+    const bool replaces =
+        disturbances_.versions && !IsPlain(server) && IsOver(0.25);
+    if (replaces) return site_.ReplaceServer(server, "v2");
+    site_.RestartServer(server, keeps_id);
   }
 
-  void KillLoop(absl::Time until) {
+  void KillLoop() {
     Dice dice(seed_);
     const absl::Duration interval =
         kKillInterval * kServersPerInterval / site_.servers_.size();
-    while (absl::Now() < until) {
+    while (!IsOver(1)) {
+      ChangeRoutesOnce();
       const std::size_t server = dice.Pick(site_.servers_.size());
       site_.servers_[server]->KillAndWait();
       ++kills_;
       const absl::Duration away =
           absl::Milliseconds(kAwayMs[dice.Pick(std::size(kAwayMs))]);
       absl::SleepFor(away);
-      // A plain server that keeps its id can't be told from its predecessor.
-      const bool keeps_id = !IsPlain(server) && dice.Pick(3) == 0;
-      site_.RestartServer(server, keeps_id);
+      Restart(server, dice);
       absl::SleepFor(interval);
     }
   }
 
   const unsigned seed_;
+  const Disturbances disturbances_;
+  std::deque<absl::Mutex> host_mutexes_;
   AnswersSite site_;
   std::atomic<bool> ends_ = false;
+  absl::Time begin_;
+  absl::Duration length_;
+  bool routes_changed_ = false;
+  int host_ends_ = 0;
   int kills_ = 0;
 };
 
-// Guards against half of an answer that ends as complete because another
-// process listens at the address of its server, which was killed.
-BOOST_AUTO_TEST_CASE(NoSuccessorSpeaksForAKilledServer) {
+void PlaySeeds(int seeds, bool with_all) {
   const int first = FromEnvironment("GENTIANLB_SOAK_FIRST_SEED", 1);
-  const int seeds = FromEnvironment("GENTIANLB_SOAK_SEEDS", kSeeds);
+  seeds = FromEnvironment("GENTIANLB_SOAK_SEEDS", seeds);
   for (int seed = first; seed < first + seeds; ++seed) {
     BOOST_TEST_CONTEXT("seed " << seed) {
       Play play(static_cast<unsigned>(seed),
                 FromEnvironment("GENTIANLB_SOAK_HOSTS", kHosts),
                 FromEnvironment("GENTIANLB_SOAK_SERVERS", kServers),
-                FromEnvironment("GENTIANLB_SOAK_UNFRAMED", kUnframedPercent));
+                FromEnvironment("GENTIANLB_SOAK_UNFRAMED", kUnframedPercent),
+                ChosenDisturbances(with_all));
       play.Run(
           absl::Seconds(FromEnvironment("GENTIANLB_SOAK_SECONDS", kSeconds)));
       play.Check();
@@ -191,5 +300,16 @@
   }
 }
 
+// Guards against half of an answer that ends as complete because another
+// process listens at the address of its server, which was killed.
+BOOST_AUTO_TEST_CASE(NoSuccessorSpeaksForAKilledServer) {
+  PlaySeeds(kSeeds, /*with_all=*/false);
+}
+
+// The same, and streams of two runs, while hosts, versions and routes change.
+BOOST_AUTO_TEST_CASE(NoSuccessorSpeaksForAKilledServerWhileAllChanges) {
+  PlaySeeds(kSeedsWithAll, /*with_all=*/true);
+}
+
 }  // namespace
 }  // namespace gentianlb::process
