--- a/tests/process/stream_ends_soak_test.cc
+++ b/tests/process/stream_ends_soak_test.cc
@@ -22,6 +22,7 @@
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <random>
+#include <set>
 #include <string>
 #include <thread>
 #include <utility>
@@ -46,7 +47,8 @@
 constexpr int kEvents = 24;
 constexpr std::size_t kCallersPerHost = 6;
 
-// Between two kills, at 16 servers.
+constexpr std::size_t kKilledAtOnce = 3;
+// Until the next are killed, at 16 servers.
 constexpr absl::Duration kKillInterval = absl::Milliseconds(250);
 constexpr int kServersPerInterval = 16;
 // Until the killed server is back.
@@ -237,15 +239,22 @@
     site_.EndResumption(absl::Now() + kConfigurationTime);
   }
 
-  // Starts a killed server again, or two of two services.
-  void Restart(std::size_t server, Dice& dice) {
+  void Kill(std::size_t server) {
+    site_.servers_[server]->KillAndWait();
+    ++kills_;
+  }
+
+  // Starts one of the killed servers again, or it and one of another service,
+  // each at the address of the other.
+  void Restart(std::size_t server, const std::set<std::size_t>& killed,
+               Dice& dice) {
     // A plain server that keeps its id can't be told from its predecessor.
     const bool keeps_id = !IsPlain(server) && dice.Pick(3) == 0;
     const bool exchanges = disturbances_.addresses && dice.Pick(3) == 0;
     const std::size_t other = (server + 1) % site_.servers_.size();
-    if (exchanges && IsPlain(server) != IsPlain(other)) {
-      site_.servers_[other]->KillAndWait();
-      ++kills_;
+    if (exchanges && IsPlain(server) != IsPlain(other) &&
+        !killed.contains(other)) {
+      Kill(other);
       return site_.ExchangeAddresses(server, other);
     }
     const bool replaces =
@@ -260,13 +269,15 @@
         kKillInterval * kServersPerInterval / site_.servers_.size();
     while (!IsOver(1)) {
       ChangeRoutesOnce();
-      const std::size_t server = dice.Pick(site_.servers_.size());
-      site_.servers_[server]->KillAndWait();
-      ++kills_;
+      std::set<std::size_t> killed;
+      while (killed.size() < kKilledAtOnce) {
+        killed.insert(dice.Pick(site_.servers_.size()));
+      }
+      for (const std::size_t server : killed) Kill(server);
       const absl::Duration away =
           absl::Milliseconds(kAwayMs[dice.Pick(std::size(kAwayMs))]);
       absl::SleepFor(away);
-      Restart(server, dice);
+      for (const std::size_t server : killed) Restart(server, killed, dice);
       absl::SleepFor(interval);
     }
   }
