Lines name the connection on which a refusal or an answer came

A refusal and its copy come on one connection. No line told which one, so that a copy that is taken for another server's refusal could not be told from a real one. No decision changes.

--- a/src/explain/sends.cc
+++ b/src/explain/sends.cc
@@ -10,8 +10,9 @@
 namespace gentianlb::explain {
 namespace {
 
-constexpr std::array<absl::string_view, 4> kNames = {
-    "second send", "sent again", "false promise", "two at work"};
+constexpr std::array<absl::string_view, 5> kNames = {
+    "second send", "sent again", "false promise", "two at work",
+    "copied refusal"};
 
 // Events that end a send of which the server did not run the request.
 bool EndsNotRun(const LogLine& line) {
@@ -66,6 +67,7 @@
   const auto found = host.requests.find(id);
   if (found == host.requests.end()) return;
   Request& request = found->second;
+  if (line.event == "shed") OnShed(line, id, request);
   if (EndsNotRun(line)) return EndSend(id, request, line.time);
   if (line.event == "sending-failed") {
     request.may_have_run = true;
@@ -81,6 +83,17 @@
   host.requests.erase(found);
 }
 
+void Sends::OnShed(const LogLine& line, const std::string& id,
+                   Request& request) {
+  const auto connection = static_cast<std::int64_t>(line.Number("connection"));
+  if (connection == 0) return;  // Of a host that doesn't name it.
+  const auto [earlier, first] =
+      request.refusals.emplace(connection, request.place);
+  if (first) return;
+  problems_.push_back({SendFault::kCopiedRefusal, id, earlier->second,
+                       request.place, absl::ZeroDuration()});
+}
+
 void Sends::EndSend(const std::string& id, Request& request, absl::Time end) {
   if (!std::exchange(request.open, false)) return;
   if (request.once) return;
--- a/src/explain/sends.h
+++ b/src/explain/sends.h
@@ -22,10 +22,11 @@
 namespace gentianlb::explain {
 
 enum class SendFault {
-  kSecondSend,    // Sent while an earlier send was open.
-  kSentAgain,     // Sent though an earlier send may have run it, may run once.
-  kFalsePromise,  // Refused while a send was open, or though one may have run.
-  kTwoAtWork,     // A stream was taken up, and its first server worked on.
+  kSecondSend,     // Sent while an earlier send was open.
+  kSentAgain,      // Sent though an earlier send may have run it, may run once.
+  kFalsePromise,   // Refused while a send was open, or though one may have run.
+  kTwoAtWork,      // A stream was taken up, and its first server worked on.
+  kCopiedRefusal,  // Refused twice on one connection: perhaps by a copy.
 };
 
 absl::string_view NameOf(SendFault fault);
@@ -66,6 +67,8 @@
     bool once = false;
     std::string place;   // Of the send that is open, or ended last.
     std::string stream;  // The caller's attempt that got its first event.
+    // The place of each refusal, by its connection's port.
+    std::map<std::int64_t, std::string> refusals;
     absl::Time sent;
   };
   // The sends of one stream, in the order in which they ended.
@@ -82,6 +85,8 @@
 
   void OnSent(const LogLine& line, Host& host);
   void OnEnd(const LogLine& line, Host& host);
+  // Compares a server's refusal with the earlier ones of its request.
+  void OnShed(const LogLine& line, const std::string& id, Request& request);
   void EndSend(const std::string& id, Request& request, absl::Time end);
   // The process has ended, and with it all connections.
   void EndAll(Host& host);
--- a/src/explain/sends_test.cc
+++ b/src/explain/sends_test.cc
@@ -61,6 +61,20 @@
              std::string::npos);
 }
 
+// Guards against a copy of a refusal that passes for another server's.
+BOOST_AUTO_TEST_CASE(ASecondRefusalOnOneConnectionIsFound) {
+  Log log;
+  for (const char* port : {"1", "2"}) {
+    const std::string id = absl::StrCat("request=r", port);
+    log.Add(0, "h", absl::StrCat("sent ", id, " server=s once=1"));
+    log.Add(1, "h", absl::StrCat("shed ", id, " server=s connection=1"));
+    log.Add(2, "h", absl::StrCat("sent ", id, " server=t once=1"));
+    log.Add(3, "h", absl::StrCat("shed ", id, " server=t connection=", port));
+    log.Add(4, "h", absl::StrCat("refused ", id));
+  }
+  BOOST_TEST((log.Faults() == Faults{SendFault::kCopiedRefusal}));
+}
+
 // Guards against a send after one that may have run.
 BOOST_AUTO_TEST_CASE(ASendAfterAnUnknownEndIsFoundWhereTheRequestMayRunOnce) {
   Log log;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -130,6 +130,7 @@
                << " signed=" << head.signed_
                << " names_other_request=" << head.names_other_request
                << " kept_connection=" << head.kept_connection
+               << " connection=" << head.connection_port
                << " waits_for_end=" << may_end;
   attempt.foreign_answer = true;
   metrics_->CountForeignAnswer(head.names_other_request);
@@ -340,7 +341,8 @@
             << " status=" << exchange.attempt.head.status
             << " wrong_server=" << wrong
             << " names_request=" << exchange.attempt.head.names_request
-            << " kept_connection=" << exchange.attempt.head.kept_connection;
+            << " kept_connection=" << exchange.attempt.head.kept_connection
+            << " connection=" << exchange.attempt.head.connection_port;
   ++exchange.shed_attempts;
   if (!exchange.attempt.head.names_request) {
     metrics_->CountUnnamedRefusal(exchange.attempt.head.kept_connection);
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -136,6 +136,7 @@
             << " body_bytes=" << body_bytes << " framing=" << FramingOf(head)
             << " stated_bytes=" << OrDash(head.content_length)
             << " kept_connection=" << head.kept_connection
+            << " connection=" << head.connection_port
             << " peer=" << exchange.attempt.path.peer_name()
             << " longest_pause_ms=" << Milliseconds(longest_pause)
             << " max_pause_ms=" << MillisecondsOrDash(max_pause)
--- a/src/gateway/messages.h
+++ b/src/gateway/messages.h
@@ -149,7 +149,8 @@
   bool names_request = false;  // It states the id of its request.
   // Other responses have come on its connection before.
   bool kept_connection = false;
-  bool signed_ = false;  // Made by a server of the platform.
+  int connection_port = 0;  // On this host; 0: not known.
+  bool signed_ = false;     // Made by a server of the platform.
   bool not_run = false;  // The server has not run the request and never will.
   bool wrong_server = false;  // The address belongs to another server now.
   bool closing = false;       // The server is about to leave.
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -77,6 +77,9 @@
   std::vector<Header> headers;
   // The connection has carried other responses before.
   bool kept_connection = false;
+  // The connection's port on this host, which identifies it among those to one
+  // address; 0: not known.
+  int local_port = 0;
 };
 
 // Callbacks for a response, called in this order from the client's thread. They
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -202,8 +202,8 @@
   if (!framing_problem_.empty()) return false;
   head_delivered_ = true;
   if (!sink_.on_head) return true;
-  const ReadAction action =
-      sink_.on_head({status, std::move(headers_), made_socket_ < 0});
+  const ReadAction action = sink_.on_head(
+      {status, std::move(headers_), made_socket_ < 0, local_port_});
   // libcurl reads it when the transfer ends.
   if (action == ReadAction::kContinueThenClose) {
     curl_easy_setopt(handle_, CURLOPT_FORBID_REUSE, 1L);
@@ -238,6 +238,7 @@
 
 bool Transfer::MaySend(PortPair ports) {
   if (cancelled_) return false;
+  local_port_ = ports.local;
   withdrawn_ = request_.may_send && !request_.may_send();
   if (withdrawn_) return false;
   if (made_socket_ >= 0) {
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -88,6 +88,7 @@
   std::size_t trailer_bytes_ = 0;  // Behind the last chunk.
   bool has_begun_ = false;         // A line of the response's head has arrived.
   int made_socket_ = -1;      // Of the connection that was made for it, if any.
+  int local_port_ = 0;        // Of the connection; 0 until one is chosen.
   bool found_bytes_ = false;  // At a kept connection, before the request.
   bool head_delivered_ = false;       // The empty line after it has arrived.
   std::string_view framing_problem_;  // Of its head.
