Known failure: the copy of a refusal is taken for the next server's answer

A server writes a refusal (421) with its request's id twice. The stand-in doubles its 421s as its other refusals.

--- a/tests/standins/faulty_server.cc
+++ b/tests/standins/faulty_server.cc
@@ -301,13 +301,24 @@
   return true;
 }
 
+bool FaultyServer::RefuseMisdirected(int connection, const Request& request,
+                                     std::string* copy) {
+  const std::string late = std::exchange(*copy, "");
+  if (!late.empty()) Report(absl::StrCat("copy ", request.Id()));
+  const std::string answer = absl::StrCat(
+      "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nRequest-Id: ",
+      request.Id(), "\r\n", HeadEnd(Framing::kLength, 0));
+  std::mt19937_64 random(std::hash<std::string>()(absl::StrCat(
+      "misdirected ", options_.seed, " ", options_.id, " ", request.Id())));
+  const double draw = std::uniform_real_distribution<double>(0, 1)(random);
+  if (draw < options_.doubled_refusals) *copy = answer;
+  return Send(connection, late + answer);
+}
+
 bool FaultyServer::Handle(int connection, const Request& request,
                           std::string* copy) {
   if (request.Header("expect-instance") != options_.id) {
-    return Send(connection, absl::StrCat("HTTP/1.1 421 Misdirected Request\r\n"
-                                         "Not-Executed: 1\r\nRequest-Id: ",
-                                         request.Id(), "\r\n",
-                                         HeadEnd(Framing::kLength, 0)));
+    return RefuseMisdirected(connection, request, copy);
   }
   if (AnswerAboutItself(connection, request)) return true;
   const FaultyPlan plan = MakePlan(request);
--- a/tests/standins/faulty_server.h
+++ b/tests/standins/faulty_server.h
@@ -34,14 +34,15 @@
   absl::Duration event_gap;                     // After each of them.
 
   // Written once more where the next answer on its connection is due.
-  double doubled = 0;           // Of what isn't refused.
-  double doubled_refusals = 0;  // Of the refusals.
-  double copied_at_once = 0;    // Written once more at once.
-  double refused = 0;           // 503 and not run.
-  int refused_first = 0;        // Arrivals of each request that are refused.
-  double unnamed = 0.5;         // Of the refusals: without a Request-Id.
-  double chunked = 0;           // Of plain answers.
-  double unframed = 0;          // Of plain answers: they end with a close.
+  double doubled = 0;  // Of what isn't refused.
+  double doubled_refusals =
+      0;                      // Of the refusals, also of other servers' calls.
+  double copied_at_once = 0;  // Written once more at once.
+  double refused = 0;         // 503 and not run.
+  int refused_first = 0;      // Arrivals of each request that are refused.
+  double unnamed = 0.5;       // Of the refusals: without a Request-Id.
+  double chunked = 0;         // Of plain answers.
+  double unframed = 0;        // Of plain answers: they end with a close.
   double unframed_streams = 0;
   double cut = 0;          // Ends in the middle of the body.
   double cut_in_head = 0;  // Ends inside the head.
@@ -86,6 +87,10 @@
   // Answers a question about the server itself. Returns false if the request is
   // none.
   bool AnswerAboutItself(int connection, const Request& request) const;
+  // Refuses a request for another server. Returns whether the connection stays
+  // open.
+  bool RefuseMisdirected(int connection, const Request& request,
+                         std::string* copy);
   // Returns whether the connection stays open.
   bool Handle(int connection, const Request& request, std::string* copy);
   FaultyPlan MakePlan(const Request& request);
