A connection carries the id of a request once

Callers saw a call that may run once run at two servers, or refused though it ran. A server that writes a refusal twice names the refused request in both. The host asked for a new connection only where the same server id had refused before, but connections are kept by address: a request that a server's row of old led to its successor came back on the connection of its refusal, and the copy was taken for the answer. An id names a request, not one sending of it; what proves that an answer is to this send is that the connection has not carried the request. The connection now remembers the ids that it has carried, whatever server, call or route they were for, and is left when one comes again; the forwarder's rule by server id is gone.

--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -3,7 +3,6 @@
 #ifndef GENTIANLB_GATEWAY_EXCHANGE_H_
 #define GENTIANLB_GATEWAY_EXCHANGE_H_
 
-#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -78,10 +77,9 @@
   std::optional<LimitRefusal> over_limit;
 
   Attempt attempt;
-  int attempts = 0;             // Attempts sent to a server.
-  int shed_attempts = 0;        // Attempts that the server did not run.
-  std::vector<ServerId> asked;  // Servers of the earlier attempts.
-  bool retry_taken = false;     // From the budget, for an attempt not yet sent.
+  int attempts = 0;          // Attempts sent to a server.
+  int shed_attempts = 0;     // Attempts that the server did not run.
+  bool retry_taken = false;  // From the budget, for an attempt not yet sent.
   SendState sends;
 
   std::string body;  // Of a plain response, until it is complete.
@@ -109,12 +107,6 @@
                                                  : request->id);
   }
 
-  // Returns whether an earlier attempt was sent to `server`. A late copy of its
-  // answer would name this request.
-  bool WasSentTo(const ServerId& server) const {
-    return std::find(asked.begin(), asked.end(), server) != asked.end();
-  }
-
   // Returns whether its stream may go on at `server`.
   bool Fits(const ServerEntry& server) const {
     return stream_version.empty() || stream_version == server.version;
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -419,7 +419,6 @@
   LOG(INFO) << "event=resend request=" << exchange.request->id
             << " after=" << avoid << " why=\"" << reason
             << "\" last_event=" << exchange.splitter.last_event();
-  exchange.asked.push_back(avoid);
   if (exchange.responding) metrics_->CountResumed();
   if (rollouts_ != nullptr) {
     const ServiceId& service = exchange.service->id;
--- a/src/gateway/forwarder_send.cc
+++ b/src/gateway/forwarder_send.cc
@@ -107,8 +107,7 @@
   exchange.attempt.server = server;
   exchange.attempt.sent_at = now;
   exchange.attempt.events_before = exchange.splitter.event_count();
-  const bool new_connection =
-      exchange.WasSentTo(server.id) || !connection_reuse_.MayReuse(server, now);
+  const bool new_connection = !connection_reuse_.MayReuse(server, now);
   LOG(INFO) << "event=sent request=" << exchange.request->id
             << " server=" << server.id
             << " address=" << settings::Format(server.address)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,6 +56,9 @@
   // Maximum time without any received byte.
   absl::Duration inactivity_timeout = absl::InfiniteDuration();
 
+  // The id by which the response names this request. A connection carries an id
+  // once. Empty: responses name no request.
+  std::string id;
   SendPolicy send_policy = SendPolicy::kAllowResend;
   // Kept connections that were idle for longer are not reused.
   absl::Duration max_connection_idle = absl::InfiniteDuration();
--- a/src/http/connection_sockets.cc
+++ b/src/http/connection_sockets.cc
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 
+#include "absl/hash/hash.h"
+
 namespace gentianlb::http {
 namespace {
 
@@ -36,10 +38,36 @@
 }  // namespace
 
 bool ConnectionSockets::HasUnreadBytes(PortPair ports) const {
-  return std::any_of(ports_.begin(), ports_.end(), [&](const auto& entry) {
-    const auto& [socket, known] = entry;
-    return known == ports && HasPorts(socket, ports) && HasBytes(socket);
-  });
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [&](const auto& entry) {
+                       const auto& [socket, connection] = entry;
+                       return connection.ports == ports &&
+                              HasPorts(socket, ports) && HasBytes(socket);
+                     });
+}
+
+bool ConnectionSockets::Carry(PortPair ports, std::string_view request_id) {
+  Connection* const connection = Find(ports);
+  if (connection == nullptr) return false;
+  std::vector<std::uint32_t>& requests = connection->requests;
+  if (requests.size() >= kMaxRequests) return false;
+  // Ids with the same hash only cost a connection.
+  const auto hash =
+      static_cast<std::uint32_t>(absl::Hash<std::string_view>()(request_id));
+  if (std::find(requests.begin(), requests.end(), hash) != requests.end()) {
+    return false;
+  }
+  requests.push_back(hash);
+  return true;
+}
+
+ConnectionSockets::Connection* ConnectionSockets::Find(PortPair ports) {
+  for (auto& [socket, connection] : connections_) {
+    if (connection.ports == ports && HasPorts(socket, ports)) {
+      return &connection;
+    }
+  }
+  return nullptr;
 }
 
 }  // namespace gentianlb::http
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -241,19 +241,29 @@
   local_port_ = ports.local;
   withdrawn_ = request_.may_send && !request_.may_send();
   if (withdrawn_) return false;
+  unfit_reason_ = FindUnfitness(ports);
+  if (!unfit_reason_.empty()) return false;
+  const bool is_resend = send_attempts_++ > 0;
+  return !is_resend || request_.send_policy == SendPolicy::kAllowResend;
+}
+
+std::string_view Transfer::FindUnfitness(PortPair ports) {
   if (made_socket_ >= 0) {
     sockets_->OnMade(made_socket_, ports);
-  } else if (request_.url.starts_with(kPlainScheme)) {
-    found_bytes_ = sockets_->HasUnreadBytes(ports);
-    if (found_bytes_) return false;
+  } else if (request_.url.starts_with(kPlainScheme) &&
+             sockets_->HasUnreadBytes(ports)) {
+    return "bytes wait at it";
   }
-  const bool is_resend = send_attempts_++ > 0;
-  return !is_resend || request_.send_policy == SendPolicy::kAllowResend;
+  const bool carries =
+      request_.id.empty() || sockets_->Carry(ports, request_.id);
+  return carries ? "" : "it may have carried the request before";
 }
 
 bool Transfer::PrepareNewConnection() {
-  if (cancelled_ || !std::exchange(found_bytes_, false)) return false;
-  LOG(WARNING) << "event=bytes-before-request url=" << request_.url;
+  if (cancelled_ || unfit_reason_.empty()) return false;
+  LOG(INFO) << "event=connection-left request=" << request_.id
+            << " url=" << request_.url << " connection=" << local_port_
+            << " cause=\"" << std::exchange(unfit_reason_, "") << "\"";
   curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
   return true;
 }
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -31,8 +31,9 @@
   void Prepare();
 
   // Must be called first once libcurl has finished. Returns true, with a log
-  // line, if nothing was sent, since bytes waited at the kept connection. The
-  // handle is then ready to be run again and will make a new connection.
+  // line, if nothing was sent, since the kept connection was not fit for the
+  // request. The handle is then ready to be run again and will make a new
+  // connection.
   bool PrepareNewConnection();
   // Must be called once libcurl has finished with `code`. Returns how the
   // transfer ended.
@@ -68,6 +69,9 @@
   int Status() const;
   // Returns whether libcurl may send the request on a connection.
   bool MaySend(PortPair ports);
+  // Returns why the request must not go on a connection; empty: it may, and the
+  // connection carries it from now on.
+  std::string_view FindUnfitness(PortPair ports);
 
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count,
                               void* closure);
@@ -87,9 +91,9 @@
   std::size_t head_bytes_ = 0;     // Of all heads of the response.
   std::size_t trailer_bytes_ = 0;  // Behind the last chunk.
   bool has_begun_ = false;         // A line of the response's head has arrived.
-  int made_socket_ = -1;      // Of the connection that was made for it, if any.
-  int local_port_ = 0;        // Of the connection; 0 until one is chosen.
-  bool found_bytes_ = false;  // At a kept connection, before the request.
+  int made_socket_ = -1;  // Of the connection that was made for it, if any.
+  int local_port_ = 0;    // Of the connection; 0 until one is chosen.
+  std::string_view unfit_reason_;     // Of a kept connection; empty: it is fit.
   bool head_delivered_ = false;       // The empty line after it has arrived.
   std::string_view framing_problem_;  // Of its head.
   bool withdrawn_ = false;
