--- a/tests/process/copied_refusal_test.cc
+++ b/tests/process/copied_refusal_test.cc
@@ -17,11 +17,13 @@
 constexpr std::size_t kCallsOfCaller = 4;  // For each renaming.
 
 // Each of its refusals comes twice.
-const FaultyServerSetup kDoublingServer = {
-    .service = "plain", .options = {"--doubled-refusals", "1"}};
+FaultyServerSetup DoublingServer() {
+  return {.service = "plain", .options = {"--doubled-refusals", "1"}};
+}
 // Requests come to it after the other one.
-const FaultyServerSetup kSlowServer = {.service = "plain",
-                                       .options = {"--work-ms", "100"}};
+FaultyServerSetup SlowServer() {
+  return {.service = "plain", .options = {"--work-ms", "100"}};
+}
 
 // The row of a server that is gone, whose address is that of server `i`.
 std::string RowOfPredecessor(AnswersSite& site, std::size_t i) {
@@ -57,12 +59,12 @@
 // Guards against a call that is refused and runs, since the copy of a refusal
 // is taken for the answer of the server that has the address now.
 BOOST_AUTO_TEST_CASE(ACopyOfARefusalRefusesNoCallOfTheNextServerAtItsAddress) {
-  CallBesideRowsOfPredecessors({kDoublingServer});
+  CallBesideRowsOfPredecessors({DoublingServer()});
 }
 
 // The same, and the call runs once more at another server.
 BOOST_AUTO_TEST_CASE(ACopyOfARefusalSendsNoCallToAThirdServer) {
-  CallBesideRowsOfPredecessors({kDoublingServer, kSlowServer});
+  CallBesideRowsOfPredecessors({DoublingServer(), SlowServer()});
 }
 
 }  // namespace
