--- a/src/gateway/connection_reuse_test.cc
+++ b/src/gateway/connection_reuse_test.cc
@@ -62,5 +62,17 @@
   BOOST_TEST(reuse.size() == 1u);
 }
 
+// Guards against another wrong answer for each row that names the address of
+// such a server, whose connections they share.
+BOOST_AUTO_TEST_CASE(APauseHoldsForEachRowOfItsAddress,
+                     *boost::unit_test::disabled()) {  // See KNOWN-RED.txt.
+  ConnectionReuse reuse;
+  ServerEntry gone = MakeServer("gone");
+  ServerEntry next = MakeServer("next", /*started=*/2);
+  gone.address = next.address = {"127.0.0.1", 8000};
+  reuse.OnOtherAnswer(gone, start);
+  BOOST_TEST(!reuse.MayReuse(next, start));
+}
+
 }  // namespace
 }  // namespace gentianlb::gateway
