--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -106,13 +106,15 @@
   AnswersSite(const AnswersSite&) = delete;
   AnswersSite& operator=(const AnswersSite&) = delete;
 
-  // `environment`: of the first host. `more_settings`: of all.
+  // `environment`: of the first host. `more_settings`, `host_settings`: of all.
   void StartHosts(const std::vector<std::string>& environment = {},
-                  const std::string& more_settings = "") {
+                  const std::string& more_settings = "",
+                  const std::string& host_settings = "") {
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       hosts_[i] = std::make_unique<GatewayProcess>(
           folder_, absl::StrCat("h", i), table_.port(),
-          i == 0 ? environment : std::vector<std::string>(), more_settings);
+          i == 0 ? environment : std::vector<std::string>(), more_settings,
+          host_settings);
     }
     for (auto& host : hosts_) host->WaitUntilReady(client_);
     WaitUntil("all hosts dispatch for each other", [this] {
--- a/tests/process/gateway_process_test.h
+++ b/tests/process/gateway_process_test.h
@@ -21,22 +21,23 @@
   // Writes the settings into `folder`, which must outlive this object, and
   // starts the gateway. `table_port`: of the table service. `environment`: as
   // NAME=VALUE, added to this process's own. `more_settings`: more sections.
+  // `host_settings`: more lines of [host].
   GatewayProcess(const TempFolder& folder, const std::string& name,
                  int table_port, std::vector<std::string> environment = {},
-                 const std::string& more_settings = "")
+                 const std::string& more_settings = "",
+                 const std::string& host_settings = "")
       : folder_(folder),
         environment_(std::move(environment)),
         callers_(PickAddress()),
         ready_(PickAddress()),
         metrics_(PickAddress()) {
-    const std::string settings =
-        absl::StrCat("[host]\nid = ", name,
-                     "\nzone = z\ngrace = 8s\n[callers]\naddress = ", callers_,
-                     "\n[ready]\naddress = ", ready_,
-                     "\npath = /v1/readyz\n[metrics]\naddress = ", metrics_,
-                     "\n[peers]\naddress = ", PickAddress(),
-                     "\n[table]\naddress = 127.0.0.1:", table_port,
-                     "\n[servers]\ndrain_time = 2s\n", more_settings);
+    const std::string settings = absl::StrCat(
+        "[host]\nid = ", name, "\nzone = z\ngrace = 8s\n", host_settings,
+        "\n[callers]\naddress = ", callers_, "\n[ready]\naddress = ", ready_,
+        "\npath = /v1/readyz\n[metrics]\naddress = ", metrics_,
+        "\n[peers]\naddress = ", PickAddress(),
+        "\n[table]\naddress = 127.0.0.1:", table_port,
+        "\n[servers]\ndrain_time = 2s\n", more_settings);
     settings_ = folder_.Write(name + ".ini", settings);
     Run(name);
   }
@@ -73,6 +74,8 @@
   }
 
   const std::string& callers() const { return callers_; }
+  const std::string& ready() const { return ready_; }
+  const std::string& metrics() const { return metrics_; }
   Process& process() { return *process_; }
 
  private:
--- a/tests/process/process.cc
+++ b/tests/process/process.cc
@@ -172,16 +172,27 @@
   while (!HasEnded() && absl::Now() < end) absl::SleepFor(kPoll);
 }
 
-std::int64_t Process::PeakMemory() const {
-  constexpr std::string_view kField = "VmHWM:";
+std::int64_t Process::MemoryField(std::string_view field) const {
   const std::string status = ReadFile(absl::StrCat("/proc/", pid_, "/status"));
-  const std::size_t field = status.find(kField);
-  if (field == std::string::npos) return 0;
+  const std::size_t start = status.find(field);
+  if (start == std::string::npos) return 0;
   constexpr std::int64_t kKibibyte = 1024;
-  return std::strtoll(status.c_str() + field + kField.size(), nullptr, 10) *
+  return std::strtoll(status.c_str() + start + field.size(), nullptr, 10) *
          kKibibyte;
 }
 
+std::int64_t Process::PeakMemory() const { return MemoryField("VmHWM:"); }
+
+std::int64_t Process::ResidentMemory() const { return MemoryField("VmRSS:"); }
+
+std::size_t Process::OpenDescriptors() const {
+  std::error_code ignored;
+  const std::filesystem::directory_iterator descriptors(
+      absl::StrCat("/proc/", pid_, "/fd"), ignored);
+  return static_cast<std::size_t>(
+      std::distance(begin(descriptors), end(descriptors)));
+}
+
 std::string Process::Output() const { return ReadFile(log_ + ".out"); }
 
 std::string Process::Errors() const { return ReadFile(log_ + ".err"); }
--- a/tests/process/process.h
+++ b/tests/process/process.h
@@ -67,11 +67,18 @@
   // Returns the most memory that has been resident, in bytes; 0 once the
   // process has ended.
   std::int64_t PeakMemory() const;
+  // Returns the memory that is resident, in bytes; 0 once it has ended.
+  std::int64_t ResidentMemory() const;
+  // Returns the number of its descriptors; 0 once it has ended.
+  std::size_t OpenDescriptors() const;
 
   std::string Output() const;
   std::string Errors() const;
 
  private:
+  // Returns a field of /proc/PID/status that is in kB, in bytes.
+  std::int64_t MemoryField(std::string_view field) const;
+
   const std::string log_;
   pid_t pid_ = 0;
   bool ended_ = false;
