The faulty stand-in refuses with 429 and 408 too

A share of its refusals each, drawn after all else, so that the other draws of a seed stay as they were. It reports each connection that carries a request and each request that it refuses as another server's, so that a soak can count both.

--- a/tests/standins/faulty_server.cc
+++ b/tests/standins/faulty_server.cc
@@ -63,6 +63,13 @@
   return absl::StrCat(absl::Hex(bytes.size()), "\r\n", bytes, "\r\n");
 }
 
+std::string StatusLine(int status) {
+  const char* const reason = status == 429   ? "Too Many Requests"
+                             : status == 408 ? "Request Timeout"
+                                             : "Service Unavailable";
+  return absl::StrCat("HTTP/1.1 ", status, " ", reason, "\r\n");
+}
+
 // Returns the end of the head, and closes the list of headers.
 std::string HeadEnd(Framing framing, std::size_t body_bytes) {
   switch (framing) {
@@ -88,6 +95,12 @@
   }
   std::string Id() const { return Header("request-id"); }
   bool IsStream() const { return !Header("model").empty(); }
+  bool AsksForReport() const {
+    return first_line.starts_with("GET /v1/report ");
+  }
+  bool IsAboutServer() const {
+    return AsksForReport() || first_line.starts_with("GET /healthz ");
+  }
 };
 
 struct FaultyServer::Answer {
@@ -163,6 +176,7 @@
   std::string copy;  // Of an answer, still to be written.
   std::array<char, 16 << 10> block;
   bool open = true;
+  bool carries_request = false;
   while (open) {
     const std::size_t head_end = received.find(kHeadEnd);
     std::size_t size = std::string::npos;
@@ -186,6 +200,9 @@
     }
     if (size <= received.size()) {
       received.erase(0, size);
+      if (!request.IsAboutServer() && !std::exchange(carries_request, true)) {
+        Report(absl::StrCat("connection ", request.Id()));
+      }
       open = Handle(connection, request, &copy);
       continue;
     }
@@ -230,13 +247,20 @@
   } else if (framing < options_.unframed + options_.chunked) {
     plan.framing = Framing::kChunks;
   }
+  const double status = draw();
+  if (status < options_.timeouts) {
+    plan.refusal_status = 408;
+  } else if (status < options_.timeouts + options_.too_many) {
+    plan.refusal_status = 429;
+  }
   return plan;
 }
 
 FaultyServer::Answer FaultyServer::MakeRefusal(const Request& request,
                                                const FaultyPlan& plan) const {
   Answer answer;
-  answer.head = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n";
+  answer.head =
+      absl::StrCat(StatusLine(plan.refusal_status), "Not-Executed: 1\r\n");
   if (plan.named) {
     absl::StrAppend(&answer.head, "Request-Id: ", request.Id(), "\r\n");
   }
@@ -289,10 +313,9 @@
 
 bool FaultyServer::AnswerAboutItself(int connection,
                                      const Request& request) const {
-  const bool report = request.first_line.starts_with("GET /v1/report ");
-  if (!report && !request.first_line.starts_with("GET /healthz ")) return false;
+  if (!request.IsAboutServer()) return false;
   const std::string body =
-      report && options_.started != 0
+      request.AsksForReport() && options_.started != 0
           ? absl::StrCat("{\"born\":", options_.started, "}")
           : "";
   Send(connection,
@@ -305,6 +328,7 @@
                                      std::string* copy) {
   const std::string late = std::exchange(*copy, "");
   if (!late.empty()) Report(absl::StrCat("copy ", request.Id()));
+  Report(absl::StrCat("misdirected ", request.Id()));
   const std::string answer = absl::StrCat(
       "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nRequest-Id: ",
       request.Id(), "\r\n", HeadEnd(Framing::kLength, 0));
--- a/tests/standins/faulty_server.h
+++ b/tests/standins/faulty_server.h
@@ -1,6 +1,7 @@
 // A backend server that writes raw bytes to its connections, faulty by seed:
 // it writes answers twice, refuses, cuts its answers, and leaves out their
-// framing. It reports each run and each finished answer as a line of text.
+// framing. It reports each run, each finished answer and each connection that
+// carries a request as a line of text.
 // SIGUSR1 cuts its link: no packet arrives any more, the ends of connections
 // neither, while its own go out. SIGUSR2 heals it.
 
@@ -38,8 +39,10 @@
   double doubled_refusals =
       0;                      // Of the refusals, also of other servers' calls.
   double copied_at_once = 0;  // Written once more at once.
-  double refused = 0;         // 503 and not run.
+  double refused = 0;         // Not run: 503 unless stated otherwise.
   int refused_first = 0;      // Arrivals of each request that are refused.
+  double too_many = 0;        // Of the refusals: 429.
+  double timeouts = 0;        // Of the refusals: 408.
   double unnamed = 0.5;       // Of the refusals: without a Request-Id.
   double chunked = 0;         // Of plain answers.
   double unframed = 0;        // Of plain answers: they end with a close.
@@ -55,6 +58,7 @@
   enum class Framing { kLength, kChunks, kClose };
 
   bool refused = false;
+  int refusal_status = 503;
   bool named = true;
   bool doubled = false;
   bool copy_before_work = false;  // The copy comes as the request does.
--- a/tests/standins/programs/faulty_server.cc
+++ b/tests/standins/programs/faulty_server.cc
@@ -31,6 +31,8 @@
   app.add_option("--copied-at-once", options.copied_at_once);
   app.add_option("--refused", options.refused);
   app.add_option("--refused-first", options.refused_first);
+  app.add_option("--too-many", options.too_many);
+  app.add_option("--timeouts", options.timeouts);
   app.add_option("--unnamed", options.unnamed);
   app.add_option("--chunked", options.chunked);
   app.add_option("--unframed", options.unframed);
