--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -24,6 +24,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
+#include "absl/strings/str_split.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
 #include "base/json_text.h"
@@ -145,6 +146,16 @@
     RestartServer(i, /*keeps_id=*/false);
   }
 
+  // Starts server number `i` again at the address that it had, which must be
+  // free, under a new id. Returns the old one, whose row stays.
+  std::string RestartServerBesideItsRow(std::size_t i) {
+    const int port = ports_.at(i);
+    std::string old_id = ServerId(i);
+    ++ids_used_[i];
+    StartServerAt(i, port);
+    return old_id;
+  }
+
   // Starts two servers under new ids, each at the address of the other, which
   // must be free.
   void ExchangeAddresses(std::size_t first, std::size_t second) {
@@ -350,6 +361,20 @@
     return Judge(calls_, reports, events_);
   }
 
+  // Returns how many lines of all servers' reports begin with `word`.
+  int CountReported(const std::string& word) const {
+    int count = 0;
+    for (const ServerLog& log : logs_) {
+      const std::vector<std::string> lines =
+          absl::StrSplit(ReadFile(log.path), '\n');
+      count += static_cast<int>(std::count_if(
+          lines.begin(), lines.end(), [&word](const std::string& line) {
+            return line.starts_with(word + " ");
+          }));
+    }
+    return count;
+  }
+
   // Returns what each start of each server has reported.
   std::vector<ServerReport> Reports() const {
     std::vector<ServerReport> reports;
--- a/tests/process/gateway_process_test.h
+++ b/tests/process/gateway_process_test.h
@@ -3,6 +3,7 @@
 #ifndef GENTIANLB_PROCESS_GATEWAY_PROCESS_TEST_H_
 #define GENTIANLB_PROCESS_GATEWAY_PROCESS_TEST_H_
 
+#include <cstdlib>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -44,8 +45,7 @@
   // Starts another process with the same settings; its log is `log`.
   void Run(const std::string& log) {
     process_ = std::make_unique<Process>(
-        GENTIANLB_BUILD_DIR "/src/gentianlb/gentianlb",
-        std::vector<std::string>{"gateway", "--settings", settings_},
+        Binary(), std::vector<std::string>{"gateway", "--settings", settings_},
         folder_.Path(log), environment_);
   }
 
@@ -72,6 +72,13 @@
     return absl::StrCat("http://", address, std::string(path));
   }
 
+  // GENTIANLB_TEST_GATEWAY names another build's gateway, to compare with.
+  static std::string Binary() {
+    const char* const other = std::getenv("GENTIANLB_TEST_GATEWAY");
+    return other != nullptr ? other
+                            : GENTIANLB_BUILD_DIR "/src/gentianlb/gentianlb";
+  }
+
   const std::string& callers() const { return callers_; }
   Process& process() { return *process_; }
 
