A host that has drained doesn't ask its servers while they end

A draining host of the product's own interface ended by SIGSEGV once, in ADrainingHostSendsTheRestToSlowReaders, after all callers had their answers. Its control thread asks both servers every 50 ms whether responses are open, and went on doing so while the main thread destroyed them. The check now ends on the control thread before the servers do.

--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -72,9 +72,11 @@
   return host;
 }
 
-// What can still call a part stops before the parts are destroyed: servers,
-// then transfers, whose ends refer to the parts, then the control thread.
+// What can still call a part stops before the parts are destroyed: checks of
+// the servers, servers, then transfers, whose ends refer to the parts, then the
+// control thread.
 EntryHost::~EntryHost() {
+  if (draining_) StopDrainChecks();
   callers_.reset();
   control_.reset();
   traffic_client_.Stop();
@@ -278,7 +280,17 @@
   });
 }
 
+void EntryHost::StopDrainChecks() {
+  absl::Notification done;
+  loop_.Post([&] {
+    checks_drain_ = false;
+    done.Notify();
+  });
+  done.WaitForNotification();
+}
+
 void EntryHost::CheckDrained() {
+  if (!checks_drain_) return;
   // A call has ended once its last bytes are queued. The servers' threads have
   // yet to send them, and callers would miss the rest of their answers, also
   // those for whom a peer reads from here.
--- a/src/entry/entry_host.h
+++ b/src/entry/entry_host.h
@@ -66,6 +66,8 @@
              std::shared_ptr<http::Responder> responder);
   ConfigIndexPtr config() const;
   void CheckDrained();
+  // From its return on the control thread doesn't ask the servers.
+  void StopDrainChecks();
 
   // entry_host_parts.cc: what the parts tell each other.
   PeerHooks MakePeerHooks();
@@ -118,6 +120,7 @@
   rpc::AsyncMethodTable peer_methods_;
   rpc::AsyncMethodTable operator_methods_;
   bool ready_logged_ = false;
+  bool checks_drain_ = true;
   absl::Time list_read_ = absl::InfinitePast();
   std::map<std::string, Domain> domain_by_role_;
 
--- a/tests/process/start_and_drain_test.cc
+++ b/tests/process/start_and_drain_test.cc
@@ -65,6 +65,20 @@
   BOOST_TEST(site.host(0).process->Wait() == 0);
 }
 
+// Guards against a host that has drained and crashes as it ends.
+BOOST_AUTO_TEST_CASE(HostsThatHaveDrainedEndInOrder) {
+  constexpr int kHostsOfZone = 12;
+  Shape shape;
+  shape.hosts_per_zone = kHostsOfZone;
+  Deployment site(GENTIANLB_BUILD_DIR, shape);
+  for (std::size_t i = 0; i < site.host_count(); ++i) {
+    site.host(i).process->Signal(SIGTERM);
+  }
+  for (std::size_t i = 0; i < site.host_count(); ++i) {
+    BOOST_TEST(site.host(i).process->Wait() == 0);
+  }
+}
+
 // More than the kernel's buffers hold.
 constexpr int kLargeAnswerBytes = 16 << 20;
 
