--- a/tests/process/renamed_servers_soak_test.cc
+++ b/tests/process/renamed_servers_soak_test.cc
@@ -1,6 +1,6 @@
 // Seeded series of kills of servers that write refusals twice: a killed server
 // is started again at its address at once, under another id, while its row of
-// before stays for a while. Hosts stand still for moments.
+// before stays for a while. Hosts are paused for moments.
 //
 // GENTIANLB_SOAK_SEEDS sets how many seeds are played,
 // GENTIANLB_SOAK_FIRST_SEED the first one, GENTIANLB_SOAK_HOSTS,
@@ -49,10 +49,10 @@
 // Rows are removed, and servers killed, at such times.
 constexpr absl::Duration kTick = absl::Milliseconds(10);
 
-// Of moments in which a host stands still, and between them.
-constexpr int kMinMomentMs = 30;
-constexpr int kMaxMomentMs = 200;
-constexpr int kMeanPauseMs = 1000;
+// Of pauses of a host, and the mean time between them.
+constexpr int kMinHostPauseMs = 30;
+constexpr int kMaxHostPauseMs = 200;
+constexpr int kMeanGapMs = 1000;
 
 // Refusals don't use up the retries.
 constexpr char kEnoughRetries[] = "[retries]\nper_request = 0.5\nburst = 100\n";
@@ -81,9 +81,9 @@
   return servers;
 }
 
-class Dice {
+class Random {
  public:
-  explicit Dice(unsigned seed) : random_(seed) {}
+  explicit Random(unsigned seed) : random_(seed) {}
   int Between(int from, int to) {
     return std::uniform_int_distribution<int>(from, to)(random_);
   }
@@ -125,7 +125,7 @@
     // Also where a fault of the test itself ends it.
     const absl::Cleanup end = [this] { ends_ = true; };
     for (std::size_t host = 0; host < site_.hosts_.size(); ++host) {
-      threads.emplace_back([this, host] { StutterLoop(host); });
+      threads.emplace_back([this, host] { PauseHostLoop(host); });
     }
     KillLoop(absl::Now() + length);
     ends_ = true;
@@ -155,33 +155,34 @@
   }
 
  private:
-  void StutterLoop(std::size_t host) {
-    Dice dice(seed_ * 1000 + static_cast<unsigned>(host));
+  void PauseHostLoop(std::size_t host) {
+    Random random(seed_ * 1000 + static_cast<unsigned>(host));
     Process& process = site_.hosts_[host]->process();
     while (!ends_) {
-      absl::SleepFor(absl::Milliseconds(dice.Between(0, 2 * kMeanPauseMs)));
-      const int moment_ms = dice.Between(kMinMomentMs, kMaxMomentMs);
+      absl::SleepFor(absl::Milliseconds(random.Between(0, 2 * kMeanGapMs)));
+      const int pause_ms = random.Between(kMinHostPauseMs, kMaxHostPauseMs);
       process.Signal(SIGSTOP);
-      absl::SleepFor(absl::Milliseconds(moment_ms));
+      absl::SleepFor(absl::Milliseconds(pause_ms));
       process.Signal(SIGCONT);
     }
   }
 
   void KillLoop(absl::Time end) {
-    Dice dice(seed_);
+    Random random(seed_);
     const absl::Duration interval = kKillInterval / site_.servers_.size();
     absl::Time next_kill = absl::Now();
     while (absl::Now() < end) {
       absl::SleepFor(kTick);
       RemoveDueRows();
       if (absl::Now() < next_kill) continue;
-      next_kill = absl::Now() + interval * dice.Between(50, 150) / 100;
-      const std::size_t server = dice.Pick(site_.servers_.size());
+      next_kill = absl::Now() + interval * random.Between(50, 150) / 100;
+      const std::size_t server = random.Pick(site_.servers_.size());
       site_.servers_[server]->KillAndWait();
       ++kills_;
       const std::string old_id = site_.RestartServerBesideItsRow(server);
       old_rows_.emplace(
-          absl::Now() + absl::Milliseconds(dice.Between(0, kMaxRowMs)), old_id);
+          absl::Now() + absl::Milliseconds(random.Between(0, kMaxRowMs)),
+          old_id);
     }
   }
 
--- a/tests/standins/faulty_server.h
+++ b/tests/standins/faulty_server.h
@@ -35,17 +35,16 @@
   absl::Duration event_gap;                     // After each of them.
 
   // Written once more where the next answer on its connection is due.
-  double doubled = 0;  // Of what isn't refused.
-  double doubled_refusals =
-      0;                      // Of the refusals, also of other servers' calls.
-  double copied_at_once = 0;  // Written once more at once.
-  double refused = 0;         // Not run: 503 unless stated otherwise.
-  int refused_first = 0;      // Arrivals of each request that are refused.
-  double too_many = 0;        // Of the refusals: 429.
-  double timeouts = 0;        // Of the refusals: 408.
-  double unnamed = 0.5;       // Of the refusals: without a Request-Id.
-  double chunked = 0;         // Of plain answers.
-  double unframed = 0;        // Of plain answers: they end with a close.
+  double doubled = 0;           // Of what isn't refused.
+  double doubled_refusals = 0;  // Of the refusals, 421 included.
+  double copied_at_once = 0;    // Written once more at once.
+  double refused = 0;           // Not run: 503 unless stated otherwise.
+  int refused_first = 0;        // Arrivals of each request that are refused.
+  double too_many = 0;          // Of the refusals: 429.
+  double timeouts = 0;          // Of the refusals: 408.
+  double unnamed = 0.5;         // Of the refusals: without a Request-Id.
+  double chunked = 0;           // Of plain answers.
+  double unframed = 0;          // Of plain answers: they end with a close.
   double unframed_streams = 0;
   double cut = 0;          // Ends in the middle of the body.
   double cut_in_head = 0;  // Ends inside the head.
