--- a/src/http/loop_connections.h
+++ b/src/http/loop_connections.h
@@ -3,8 +3,8 @@
 //
 // libmicrohttpd doesn't check a connection whose response is pending, so a
 // backend server would compute for a disconnected caller until sending the
-// first byte of the response fails. At its limit it accepts nobody, so callers
-// that never end a message would shut out all others.
+// first byte of the response fails. At its limit libmicrohttpd accepts no
+// connection, so callers that never complete a request would shut out others.
 
 #ifndef GENTIANLB_HTTP_LOOP_CONNECTIONS_H_
 #define GENTIANLB_HTTP_LOOP_CONNECTIONS_H_
--- a/src/http/loop_server_test.cc
+++ b/src/http/loop_server_test.cc
@@ -448,8 +448,8 @@
       : Fixture({.receive_buffer_bytes = kReceiveBufferBytes}) {}
 };
 
-// Guards against a host whose memory the kernel fills with what callers send
-// while nobody reads it.
+// Guards against a kernel that fills a host's memory with bytes that callers
+// send while the server doesn't read them.
 BOOST_FIXTURE_TEST_CASE(TheKernelTakesLittleOfWhatIsNotRead,
                         SmallReceiveBuffers) {
   hold_responses = true;
--- a/tests/process/client_crowd_test.cc
+++ b/tests/process/client_crowd_test.cc
@@ -39,7 +39,8 @@
 // tunnels and files.
 constexpr std::size_t kMaxDescriptors = 1500 + 500;
 
-// Longer than a test, so that nobody leaves before its end.
+// The idle timeout is longer than a test, so that the host closes no connection
+// of the crowd for it.
 constexpr char kConfiguration[] = R"({"version":2,
  "routes":[
   {"name":"read","host":"one.example","prefix":"/read/",
