A libcurl handle runs one transfer

What callers saw: a server's answer whose first line after the status line begins with a blank ended the host (SIGSEGV or SIGABRT), at the first such answer to a plain call, each time it was started again. One server in trouble could end every host, one by one.

Cause: libcurl 7.88 keeps a pointer to the last header that a handle has read, for folded lines, and frees that header when the handle runs again. The first line of the next head, if it begins with a blank, is folded onto freed memory. That happens before libcurl asks our header callback, so no check of ours on the line comes early enough. Valgrind on the code before: "Invalid read ... 32 bytes inside a block of size 66 free'd", freed at the start of the same handle's next transfer. All users of http/loop_client were open to it: calls, streams, health checks, reports, the table, peers. http/client (threads) made a new handle for each transfer and was not, but for the one case below.

Change: no handle is kept for a later transfer. A transfer that changes to a new connection before anything was sent gets a new handle too: a tunnel's CONNECT head may have been read by the old one.

Why it works: a new handle has no earlier header, and runs once.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -86,8 +86,9 @@
       Transfer* transfer = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
       const CURLcode code = message->data.result;
-      if (transfer->PrepareNewConnection()) {
+      if (transfer->NeedsNewConnection()) {
         curl_multi_remove_handle(multi, transfer->handle());
+        transfer->PrepareNewConnection();
         curl_multi_add_handle(multi, transfer->handle());
         continue;
       }
@@ -177,7 +178,7 @@
   }
   impl_->Push(
       {id, std::make_unique<Transfer>(id, std::move(request), std::move(sink),
-                                      curl_easy_init(), &impl_->sockets)});
+                                      &impl_->sockets)});
   return id;
 }
 
--- a/src/http/loop_client.cc
+++ b/src/http/loop_client.cc
@@ -7,10 +7,6 @@
 namespace gentianlb::http {
 namespace {
 
-// A handle takes about 5 KB and 20 us to create. A small host doesn't run more
-// transfers at once.
-constexpr std::size_t kMaxSpareHandles = 32;
-
 std::uint32_t EpollEvents(int what) {
   switch (what) {
     case CURL_POLL_IN:
@@ -50,15 +46,14 @@
     curl_multi_remove_handle(multi_, transfer->handle());
   }
   transfers_.clear();
-  for (CURL* handle : spare_handles_) curl_easy_cleanup(handle);
   curl_multi_cleanup(multi_);
   loop_->timers().Cancel(timer_);
 }
 
 TransferId LoopClient::Start(ClientRequest request, TransferSink sink) {
   const TransferId id = next_id_++;
-  auto transfer = std::make_shared<Transfer>(
-      id, std::move(request), std::move(sink), NewHandle(), &sockets_);
+  auto transfer = std::make_shared<Transfer>(id, std::move(request),
+                                             std::move(sink), &sockets_);
   transfer->Prepare();
   transfers_.emplace(id, std::move(transfer));
   RunOutsideCallbacks([this, id] {
@@ -87,30 +82,14 @@
   transfer->Cancel();
   RunOutsideCallbacks([this, transfer] {
     curl_multi_remove_handle(multi_, transfer->handle());
-    Recycle(transfer);
+    Destroy(transfer);
   });
 }
 
-CURL* LoopClient::NewHandle() {
-  if (spare_handles_.empty()) return curl_easy_init();
-  CURL* handle = spare_handles_.back();
-  spare_handles_.pop_back();
-  return handle;
-}
-
-// Destroys `transfer` and keeps its handle for reuse. Deferred, since a
-// transfer may be cancelled from one of its own callbacks and must live until
-// libcurl returns.
-void LoopClient::Recycle(std::shared_ptr<Transfer> transfer) {
-  loop_->Defer([this, finished = std::move(transfer)] {
-    CURL* handle = finished->ReleaseHandle();
-    if (spare_handles_.size() >= kMaxSpareHandles) {
-      curl_easy_cleanup(handle);
-      return;
-    }
-    curl_easy_reset(handle);
-    spare_handles_.push_back(handle);
-  });
+// Deferred, since a transfer may be cancelled from one of its own callbacks and
+// must live until libcurl returns.
+void LoopClient::Destroy(std::shared_ptr<Transfer> transfer) {
+  loop_->Defer([finished = std::move(transfer)] {});
 }
 
 int LoopClient::OnSocketChange(CURL* /*handle*/, curl_socket_t socket, int what,
@@ -167,8 +146,9 @@
 void LoopClient::EndTransfer(TransferId id, CURLcode code) {
   const auto found = transfers_.find(id);
   if (found == transfers_.end()) return;
-  if (found->second->PrepareNewConnection()) {
+  if (found->second->NeedsNewConnection()) {
     curl_multi_remove_handle(multi_, found->second->handle());
+    found->second->PrepareNewConnection();
     curl_multi_add_handle(multi_, found->second->handle());
     return;
   }
@@ -183,7 +163,7 @@
   std::string detail = transfer->DetailOf(code);
   std::function<void(TransferEnd, std::string)> on_end =
       std::move(transfer->sink().on_end);
-  Recycle(std::move(transfer));
+  Destroy(std::move(transfer));
   if (on_end) on_end(end, std::move(detail));
 }
 
--- a/src/http/loop_client.h
+++ b/src/http/loop_client.h
@@ -1,5 +1,5 @@
 // An HTTP/1.1 client over libcurl that runs on an event loop. It keeps idle
-// connections and the libcurl handles of finished transfers for reuse.
+// connections for reuse.
 
 #ifndef GENTIANLB_HTTP_LOOP_CLIENT_H_
 #define GENTIANLB_HTTP_LOOP_CLIENT_H_
@@ -10,7 +10,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "absl/container/flat_hash_map.h"
 #include "http/client.h"
@@ -49,9 +48,8 @@
   void RunSocketAction(curl_socket_t socket, int events);
   void CollectFinished();
   void EndTransfer(TransferId id, CURLcode code);
-  void Recycle(std::shared_ptr<Transfer> transfer);
+  void Destroy(std::shared_ptr<Transfer> transfer);
   void RunOutsideCallbacks(std::function<void()> closure);
-  CURL* NewHandle();
 
   loop::EventLoop* const loop_;
   CURLM* const multi_;
@@ -60,7 +58,6 @@
   bool in_callback_ = false;  // True while libcurl calls back.
   ConnectionSockets sockets_;
   absl::flat_hash_map<TransferId, std::shared_ptr<Transfer>> transfers_;
-  std::vector<CURL*> spare_handles_;
   std::uint64_t connections_made_ = 0;
 };
 
--- a/src/http/loop_client_test.cc
+++ b/src/http/loop_client_test.cc
@@ -125,6 +125,9 @@
     "HTTP/1.1 204 None\r\n\r\n", kChunkedAnswer,
     "HTTP/1.1 503 Full\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"};
 
+// Damage to the heap shows after some of them.
+constexpr int kManyResponses = 20;
+
 // Returns whether the connection is closed after an answer.
 bool ClosesAfter(std::string_view answer, ReadAction action) {
   Fixture fixture;
@@ -178,5 +181,23 @@
   BOOST_TEST(client.connections_made() == 2u);
 }
 
+// Guards against a line that begins with a blank and is folded onto a header of
+// an earlier response, which was freed: that ends the process.
+BOOST_FIXTURE_TEST_CASE(AFoldedLineTouchesNoEarlierResponse, Fixture) {
+  for (int i = 0; i < kManyResponses; ++i) {
+    for (const std::string_view answer :
+         {kFramedAnswers[0],
+          std::string_view("HTTP/1.1 200 OK\r\n X-A: v\r\nRequest-Id: r\r\n"
+                           "Content-Length: 4\r\n\r\nfold")}) {
+      end.reset();
+      Send();
+      Answer(std::string(answer));
+      RunUntil([this] { return end.has_value(); });
+      server.request.clear();
+    }
+    server.Close();
+  }
+}
+
 }  // namespace
 }  // namespace gentianlb::http
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -50,21 +50,19 @@
 void InitializeCurl(CurlUse use) { static const CurlGlobal global(use); }
 
 Transfer::Transfer(TransferId transfer_id, ClientRequest request,
-                   TransferSink sink, CURL* handle, ConnectionSockets* sockets)
+                   TransferSink sink, ConnectionSockets* sockets)
     : id(transfer_id),
       request_(std::move(request)),
       sink_(std::move(sink)),
-      handle_(handle),
+      handle_(curl_easy_init()),
       sockets_(sockets),
       last_byte_time_(absl::Now()) {}
 
 Transfer::~Transfer() {
+  curl_easy_cleanup(handle_);
   curl_slist_free_all(header_list_);
-  if (handle_ != nullptr) curl_easy_cleanup(handle_);
 }
 
-CURL* Transfer::ReleaseHandle() { return std::exchange(handle_, nullptr); }
-
 void Transfer::Prepare() {
   curl_easy_setopt(handle_, CURLOPT_URL, request_.url.c_str());
   if (!request_.target.empty()) {
@@ -258,13 +256,19 @@
   return carries ? "" : "it may have carried the request before";
 }
 
-bool Transfer::PrepareNewConnection() {
-  if (cancelled_ || unfit_reason_.empty()) return false;
+bool Transfer::NeedsNewConnection() const {
+  return !cancelled_ && !unfit_reason_.empty();
+}
+
+void Transfer::PrepareNewConnection() {
   LOG(INFO) << "event=connection-left request=" << request_.id
             << " url=" << request_.url << " connection=" << local_port_
             << " cause=\"" << std::exchange(unfit_reason_, "") << "\"";
+  curl_easy_cleanup(handle_);
+  curl_slist_free_all(std::exchange(header_list_, nullptr));
+  handle_ = curl_easy_init();
+  Prepare();
   curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
-  return true;
 }
 
 int Transfer::OnSocket(void* closure, curl_socket_t socket,
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -18,11 +18,10 @@
 // Not copyable: libcurl stores its address.
 class Transfer {
  public:
-  // Takes ownership of `handle`, which comes from curl_easy_init() or
-  // ReleaseHandle(). `sockets` are those of the client's connections and must
-  // outlive the transfer.
+  // `sockets` are those of the client's connections and must outlive the
+  // transfer.
   Transfer(TransferId transfer_id, ClientRequest request, TransferSink sink,
-           CURL* handle, ConnectionSockets* sockets);
+           ConnectionSockets* sockets);
   ~Transfer();
   Transfer(const Transfer&) = delete;
   Transfer& operator=(const Transfer&) = delete;
@@ -30,11 +29,12 @@
   // Sets all options of the handle.
   void Prepare();
 
-  // Must be called first once libcurl has finished. Returns true, with a log
-  // line, if nothing was sent, since the kept connection was not fit for the
-  // request. The handle is then ready to be run again and will make a new
-  // connection.
-  bool PrepareNewConnection();
+  // Returns whether nothing was sent, since the kept connection was not fit for
+  // the request. Must be called first once libcurl has finished.
+  bool NeedsNewConnection() const;
+  // Replaces the handle, which the client must have removed, by one that makes
+  // a new connection. Writes a log line.
+  void PrepareNewConnection();
   // Must be called once libcurl has finished with `code`. Returns how the
   // transfer ended.
   TransferEnd Finish(CURLcode code) const;
@@ -46,9 +46,6 @@
   // called from a callback of the sink.
   void Cancel() { cancelled_ = true; }
 
-  // Returns the handle for reuse. The transfer must not be used afterwards.
-  CURL* ReleaseHandle();
-
   CURL* handle() const { return handle_; }
   const ClientRequest& request() const { return request_; }
   TransferSink& sink() { return sink_; }
@@ -84,7 +81,10 @@
 
   ClientRequest request_;
   TransferSink sink_;
-  CURL* handle_ = nullptr;
+  // Runs once: libcurl 7.88 keeps a pointer to the last header that a handle
+  // has read, but frees the header when the handle runs again. A head whose
+  // first line begins with a blank would write there.
+  CURL* handle_;
   ConnectionSockets* const sockets_;
   curl_slist* header_list_ = nullptr;
   std::vector<Header> headers_;
