A response head outside the grammar is no answer

What callers saw (MIXED): a server in trouble sent an answer in whose head the name of a header held a blank or a control byte. Callers got it as an answer, with that line passed on, or with a body that a line cut which one reader takes for a length ("Content- Length: 5" beside the true one).

Cause: libcurl reads the head by its rules and http/transfer a second time by ours, and neither held the lines to the grammar of RFC 9112. ParseHeaderLine dropped a line without a colon and took any name and value; http/framing checked names in requests alone.

Change: one grammar, http/head_grammar, for status lines, header lines, those of interim heads and of trailers. http/response_head reads a response's lines by it, without libcurl, network or clock; the transfer ends at the first wrong line, before anything of the head is believed, and closes the connection. Requests' names are checked by the same function. The status is the one of the line that was checked, 100 to 599 but for 101.

The call becomes what a broken answer makes of it: sent, outcome unknown. One that may run once isn't sent again and gets 502 without "not run".

Decided: lines may end with a line feed alone (RFC 9112, 2.2), but all lines of a head alike: a stray one would move the rest of the head into the body. The blank before a reason that is left out may be missing (RFC 9112, 4). Folded lines are refused with 502 (RFC 9112, 5.2). Control bytes in values are refused, tabs and bytes above 7f pass. Statuses above 599 are invalid (RFC 9110, 15).

A test changes: AShortTrailerIsNoPartOfTheResponse had "HTTP/1.1 500: x" in its trailer, which has no valid name.

Status 000 and 099 were not passed on before; they stay as tests. http_response_head_test puts each byte at each place of a sound head, and takes each away: the same headers, or none.

--- a/src/http/framing.cc
+++ b/src/http/framing.cc
@@ -7,6 +7,7 @@
 #include <system_error>
 
 #include "absl/strings/ascii.h"
+#include "http/head_grammar.h"
 
 namespace gentianlb::http {
 namespace {
@@ -14,12 +15,6 @@
 constexpr int kNoContentStatus = 204;
 constexpr int kNotModifiedStatus = 304;
 
-bool IsNameCharacter(char c) {
-  constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
-  return absl::ascii_isalnum(c) ||
-         kPunctuation.find(c) != std::string_view::npos;
-}
-
 bool IsNumber(std::string_view text) {
   return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
     return absl::ascii_isdigit(c);
@@ -45,10 +40,9 @@
   int encodings = 0;
   int hosts = 0;
   for (const Header& header : headers) {
-    const bool is_valid_name =
-        !header.name.empty() &&
-        std::all_of(header.name.begin(), header.name.end(), IsNameCharacter);
-    if (!is_valid_name) return "a header name holds a character that none may";
+    if (!IsHeaderName(header.name)) {
+      return "a header name holds a character that none may";
+    }
     if (HasName(header, "host")) ++hosts;
     if (HasName(header, "content-length")) {
       ++lengths;
--- a/src/http/response_end_test.cc
+++ b/src/http/response_end_test.cc
@@ -248,12 +248,23 @@
   Send();
   Answer(
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-      "4\r\nbody\r\n0\r\nContent-Length: 9\r\nHTTP/1.1 500: x\r\n\r\n");
+      "4\r\nbody\r\n0\r\nContent-Length: 9\r\nHTTP: 500\r\n\r\n");
   BOOST_TEST((*end == TransferEnd::kComplete));
   BOOST_TEST(headers.size() == 1u);
   BOOST_TEST(body == "body");
 }
 
+// Guards against a trailer's line that a reader takes for another response.
+BOOST_FIXTURE_TEST_CASE(ATrailerHoldsNoStatusLine, Fixture) {
+  Send();
+  Answer(
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nbody\r\n0\r\nContent-Length: 9\r\nHTTP/1.1 500: x\r\n\r\n");
+  BOOST_TEST((*end == TransferEnd::kBroken));
+  BOOST_TEST(statuses == std::vector<int>{200},
+             boost::test_tools::per_element());
+}
+
 constexpr char kChunks[] =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
     "5\r\nfirst\r\n0\r\n\r\n";
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -6,7 +6,6 @@
 #include <utility>
 
 #include "absl/time/clock.h"
-#include "http/framing.h"
 #include "loop/tcp_socket.h"
 
 namespace gentianlb::http {
@@ -20,15 +19,6 @@
 // Over TLS, what waits may be a message of TLS itself.
 constexpr std::string_view kPlainScheme = "http://";
 
-// A faulty server may write lines without end. Each short line of a head takes
-// some times its length.
-constexpr std::size_t kMaxHeadLines = 512;
-constexpr std::size_t kMaxHeadBytes = 64 << 10;
-constexpr std::size_t kMaxTrailerBytes = 64 << 10;
-
-// A smaller status is of a head that another one follows.
-constexpr int kMinFinalStatus = 200;
-
 // Returned by a callback, it has libcurl end the transfer and close its
 // connection.
 constexpr std::size_t kEndTransfer = 0;
@@ -154,54 +144,32 @@
                                void* closure) {
   auto& transfer = *static_cast<Transfer*>(closure);
   const bool goes_on =
-      !transfer.cancelled_ && transfer.ParseHeaderLine({data, size * count});
+      !transfer.cancelled_ && transfer.ReadLine({data, size * count});
   return goes_on && !transfer.cancelled_ ? size * count : kEndTransfer;
 }
 
-bool Transfer::ParseHeaderLine(std::string_view line) {
+// The lines behind a body in chunks come here too.
+bool Transfer::ReadLine(std::string_view line) {
   last_byte_time_ = absl::Now();
   if (!std::exchange(has_begun_, true) && sink_.on_first_byte) {
     sink_.on_first_byte();
     if (cancelled_) return false;
   }
-  // The lines behind a body in chunks come here too.
-  if (head_delivered_) {
-    trailer_bytes_ += line.size();
-    return trailer_bytes_ <= kMaxTrailerBytes;
+  switch (head_.Read(line)) {
+    case ResponseHead::Progress::kGoesOn:
+      return true;
+    case ResponseHead::Progress::kComplete:
+      return DeliverHead();
+    case ResponseHead::Progress::kInvalid:
+      return false;
   }
-  head_bytes_ += line.size();
-  if (head_bytes_ > kMaxHeadBytes) return false;
-  if (headers_.size() >= kMaxHeadLines) return false;
-  if (line.starts_with("HTTP/")) headers_.clear();
-  if (line == "\r\n" || line == "\n") {
-    const int status = Status();
-    return status < kMinFinalStatus ? PassInterimHead() : DeliverHead(status);
-  }
-  const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos) return true;
-  const std::string_view value = HeaderValue(line.substr(colon + 1));
-  headers_.push_back({std::string(line.substr(0, colon)), std::string(value)});
-  return true;
-}
-
-int Transfer::Status() const {
-  long status = 0;  // NOLINT: libcurl's own type
-  curl_easy_getinfo(handle_, CURLINFO_RESPONSE_CODE, &status);
-  return static_cast<int>(status);
-}
-
-bool Transfer::PassInterimHead() {
-  framing_problem_ = InterimFramingProblem(headers_);
-  return framing_problem_.empty();
+  return false;
 }
 
-bool Transfer::DeliverHead(int status) {
-  framing_problem_ = ResponseFramingProblem(headers_);
-  if (!framing_problem_.empty()) return false;
-  head_delivered_ = true;
+bool Transfer::DeliverHead() {
   if (!sink_.on_head) return true;
   const ReadAction action = sink_.on_head(
-      {status, std::move(headers_), made_socket_ < 0, local_port_});
+      {head_.status(), head_.TakeHeaders(), made_socket_ < 0, local_port_});
   // libcurl reads it when the transfer ends.
   if (action == ReadAction::kContinueThenClose) {
     curl_easy_setopt(handle_, CURLOPT_FORBID_REUSE, 1L);
@@ -214,7 +182,7 @@
   auto& transfer = *static_cast<Transfer*>(closure);
   transfer.last_byte_time_ = absl::Now();
   // A body without a head is no response.
-  if (transfer.cancelled_ || !transfer.head_delivered_) return kEndTransfer;
+  if (transfer.cancelled_ || !transfer.head_.complete()) return kEndTransfer;
   if (transfer.sink_.on_data) {
     transfer.sink_.on_data(std::string_view(data, size * count));
   }
@@ -283,7 +251,7 @@
 // response without a body.
 TransferEnd Transfer::Finish(CURLcode code) const {
   if (cancelled_) return TransferEnd::kCancelled;
-  if (code == CURLE_OK && head_delivered_) return TransferEnd::kComplete;
+  if (code == CURLE_OK && head_.complete()) return TransferEnd::kComplete;
   if (send_attempts_ == 0) {
     return withdrawn_ ? TransferEnd::kWithdrawn : TransferEnd::kNotSent;
   }
@@ -293,12 +261,8 @@
 
 std::string Transfer::DetailOf(CURLcode code) const {
   if (cancelled_) return "cancelled";
-  if (!framing_problem_.empty()) return std::string(framing_problem_);
-  if (head_bytes_ > kMaxHeadBytes || headers_.size() >= kMaxHeadLines) {
-    return "the head is too long";
-  }
-  if (trailer_bytes_ > kMaxTrailerBytes) return "the trailer is too long";
-  if (code == CURLE_OK && !head_delivered_) {
+  if (head_.problem()) return ToText(*head_.problem());
+  if (code == CURLE_OK && !head_.complete()) {
     return "the connection ended within the head";
   }
   return curl_easy_strerror(code);
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -7,11 +7,12 @@
 #include <curl/curl.h>
 
 #include <string>
-#include <vector>
+#include <string_view>
 
 #include "absl/time/time.h"
 #include "http/client.h"
 #include "http/connection_sockets.h"
+#include "http/response_head.h"
 
 namespace gentianlb::http {
 
@@ -60,10 +61,8 @@
   void PrepareBody();
   void PrepareConnection();
   // Return false if the transfer must end.
-  bool ParseHeaderLine(std::string_view line);
-  bool PassInterimHead();
-  bool DeliverHead(int status);
-  int Status() const;
+  bool ReadLine(std::string_view line);
+  bool DeliverHead();
   // Returns whether libcurl may send the request on a connection.
   bool MaySend(const ConnectionEnds& ends);
   // Returns why the request must not go on a connection; empty: it may, and the
@@ -87,15 +86,11 @@
   CURL* handle_;
   ConnectionSockets* const sockets_;
   curl_slist* header_list_ = nullptr;
-  std::vector<Header> headers_;
-  std::size_t head_bytes_ = 0;     // Of all heads of the response.
-  std::size_t trailer_bytes_ = 0;  // Behind the last chunk.
-  bool has_begun_ = false;         // A line of the response's head has arrived.
-  int made_socket_ = -1;  // Of the connection that was made for it, if any.
-  int local_port_ = 0;    // Of the connection; 0 until one is chosen.
-  std::string_view unfit_reason_;     // Of a kept connection; empty: it is fit.
-  bool head_delivered_ = false;       // The empty line after it has arrived.
-  std::string_view framing_problem_;  // Of its head.
+  ResponseHead head_;
+  bool has_begun_ = false;  // A line of the response's head has arrived.
+  int made_socket_ = -1;    // Of the connection that was made for it, if any.
+  int local_port_ = 0;      // Of the connection; 0 until one is chosen.
+  std::string_view unfit_reason_;  // Of a kept connection; empty: it is fit.
   bool withdrawn_ = false;
   bool cancelled_ = false;
   int send_attempts_ = 0;
--- /dev/null
+++ b/tests/process/broken_answers_test.cc
@@ -0,0 +1,65 @@
+// Servers in trouble that write heads outside the grammar of HTTP/1.1, or
+// answer before they have the request. Real gateways and servers as processes.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "http/head_grammar.h"
+#include "process/answers_site_test.h"
+
+namespace gentianlb::process {
+namespace {
+
+constexpr std::size_t kCallers = 6;
+constexpr std::size_t kCalls = 40;  // Of a caller.
+
+const std::vector<CallKind> kAllKinds = {CallKind::kOnce, CallKind::kRead,
+                                         CallKind::kChat, CallKind::kTalk};
+
+bool IsWhole(const RawAnswer& answer) {
+  return answer.status == 200 &&
+         (answer.end == AnswerEnd::kFramed || answer.end == AnswerEnd::kClosed);
+}
+
+// Checks that callers got whole answers only of servers that wrote a sound one
+// to its end, and no line that no head may have.
+void CheckAnswers(AnswersSite& site) {
+  const Judgement verdict = site.Verdict();
+  BOOST_TEST_MESSAGE(verdict.Text());
+  BOOST_TEST(verdict.twice.empty());
+  BOOST_TEST(verdict.refused.empty());
+  BOOST_TEST(verdict.mixed.empty());
+  BOOST_TEST(verdict.order.empty());
+  std::set<std::string> written;
+  for (const ServerReport& report : site.Reports()) {
+    written.insert(report.finished.begin(), report.finished.end());
+  }
+  for (const CallRecord& call : site.Records()) {
+    BOOST_TEST((!IsWhole(call.answer) || written.contains(call.id)), call.id);
+    for (const http::Header& header : call.answer.headers) {
+      BOOST_TEST(http::IsHeaderName(header.name), header.name);
+    }
+  }
+}
+
+// Guards against a caller that gets a server's bad head, or a body that a line
+// of it cut.
+BOOST_AUTO_TEST_CASE(ABadHeadReachesNoCaller) {
+  const std::vector<std::string> faults = {"--bad-head", "0.3", "--chunked",
+                                           "0.3"};
+  AnswersSite site({{"plain", "v1", 600, faults},
+                    {"plain", "v1", 600, faults},
+                    {"llm", "v1", 600, faults},
+                    {"llm", "v1", 600, faults}},
+                   2);
+  site.StartHosts();
+  site.CallAll(kAllKinds, kCallers, kCalls);
+  CheckAnswers(site);
+  BOOST_TEST(site.CountReported("bad-head") > 0);
+}
+
+}  // namespace
+}  // namespace gentianlb::process
--- a/tests/standins/faulty_server.cc
+++ b/tests/standins/faulty_server.cc
@@ -23,6 +23,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/time/clock.h"
+#include "http/bad_heads_test.h"
 #include "loop/cut_link_test.h"
 #include "standins/answer_bytes.h"
 
@@ -253,6 +254,8 @@
   } else if (status < options_.timeouts + options_.too_many) {
     plan.refusal_status = 429;
   }
+  plan.bad_head = draw() < options_.bad_head;
+  plan.bad_head_kind = draw();
   return plan;
 }
 
@@ -360,6 +363,10 @@
   const Answer answer = plan.refused         ? MakeRefusal(request, plan)
                         : request.IsStream() ? MakeStream(request, plan)
                                              : MakePlain(request, plan);
+  if (plan.bad_head) {
+    WriteBadHead(connection, request, plan, answer);
+    return false;
+  }
   if (!WriteAnswer(connection, request, plan, answer)) return false;
   std::string bytes = answer.head;
   for (const std::string& piece : answer.pieces) bytes += piece;
@@ -408,6 +415,21 @@
   return !answer.closes;
 }
 
+// Writes sound lines and the whole body behind the bad lines, and leaves time
+// for the caller to take them for an answer.
+void FaultyServer::WriteBadHead(int connection, const Request& request,
+                                const FaultyPlan& plan, const Answer& answer) {
+  static const std::vector<http::BadHead> kinds = http::AllBadHeads();
+  const http::BadHead& bad = kinds.at(static_cast<std::size_t>(
+      plan.bad_head_kind * static_cast<double>(kinds.size())));
+  Report(absl::StrCat("bad-head ", request.Id(), " ", bad.name));
+  std::string bytes = absl::StrCat(
+      bad.first_lines, answer.head.substr(answer.head.find('\n') + 1));
+  for (const std::string& piece : answer.pieces) bytes += piece;
+  Send(connection, bytes);
+  absl::SleepFor(kTimeToSend);
+}
+
 void FaultyServer::WriteWithoutEnd(int connection, const Request& request) {
   Report(absl::StrCat("endless ", request.Id()));
   const absl::Time end = absl::Now() + kMaxEndless;
--- a/tests/standins/faulty_server.h
+++ b/tests/standins/faulty_server.h
@@ -50,6 +50,7 @@
   double cut_in_head = 0;  // Ends inside the head.
   double reset = 0.5;      // Of what is cut, where a close is a fault too.
   double endless = 0;      // Of plain answers: chunks until the caller closes.
+  double bad_head = 0;     // Outside the grammar of HTTP/1.1, of all kinds.
 };
 
 // What a server does with one arrival of a request.
@@ -66,7 +67,9 @@
   bool cut_in_head = false;
   bool reset = false;
   bool endless = false;
-  double cut_at = 0;  // Share of the body, or of the head.
+  bool bad_head = false;
+  double bad_head_kind = 0;  // Share of the list of them.
+  double cut_at = 0;         // Share of the body, or of the head.
   Framing framing = Framing::kLength;
 };
 
@@ -102,6 +105,8 @@
   Answer MakeStream(const Request& request, const FaultyPlan& plan) const;
   bool WriteAnswer(int connection, const Request& request,
                    const FaultyPlan& plan, const Answer& answer);
+  void WriteBadHead(int connection, const Request& request,
+                    const FaultyPlan& plan, const Answer& answer);
   void WriteWithoutEnd(int connection, const Request& request);
   void Report(const std::string& line);
 
--- a/tests/standins/programs/faulty_server.cc
+++ b/tests/standins/programs/faulty_server.cc
@@ -41,6 +41,7 @@
   app.add_option("--cut-in-head", options.cut_in_head);
   app.add_option("--reset", options.reset);
   app.add_option("--endless", options.endless);
+  app.add_option("--bad-head", options.bad_head);
   CLI11_PARSE(app, argc, argv);
   options.work = absl::Milliseconds(work_ms);
   options.piece_gap = absl::Milliseconds(piece_gap_ms);
