A server that writes a bad head is no lost server

What callers saw: once servers wrote bad heads, sound contents were refused with 3007 for five minutes.

Cause: a response that is none ended its transfer as kBroken, like a connection that broke, and the forwarder counts each as the loss of its server under the content and the prompt's parts.

Change: TransferEnd::kInvalid, for heads and trailers outside the grammar, without a certain end, or too long. The server lived to write them. All else stays: sent, outcome unknown. kBroken remains for what may be the end of a server: a reset, and a head that is cut, at each of its bytes. libcurl refuses some lines before it passes them on, none of which was cut (the result codes CURLE_UNSUPPORTED_PROTOCOL, WEIRD_SERVER_REPLY and BAD_FUNCTION_ARGUMENT once a request was sent).

--- a/src/gateway/forwarder_streams_test.cc
+++ b/src/gateway/forwarder_streams_test.cc
@@ -241,6 +241,15 @@
              3u);
 }
 
+// Guards against a part that is refused since servers write bad heads, and go
+// on.
+BOOST_AUTO_TEST_CASE(AnInvalidAnswerIsNoLoss) {
+  BOOST_TEST(ServersUntilRefused([](FakeSite& site) {
+               site.last().Begin();
+               site.last().Finish(http::TransferEnd::kInvalid);
+             }) == 0u);
+}
+
 // Guards against a part that is refused since servers answer it late, with the
 // answer to another request, and go on.
 BOOST_AUTO_TEST_CASE(AnAnswerToAnotherRequestIsNoLoss) {
--- a/src/http/response_head.h
+++ b/src/http/response_head.h
@@ -55,6 +55,8 @@
   int status() const { return status_; }
   // Moves the headers out of the complete head.
   std::vector<Header> TakeHeaders() { return std::move(headers_); }
+  // Returns the number of lines read.
+  std::size_t lines() const { return lines_; }
   const std::optional<ResponseProblem>& problem() const { return problem_; }
 
  private:
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 #include "loop/tcp_socket.h"
 
@@ -28,6 +29,15 @@
       std::max<std::int64_t>(1, absl::ToInt64Milliseconds(duration)));
 }
 
+// Returns whether libcurl has refused a line of a head or trailer before it
+// passed it on: the begin of a transfer excludes other causes. It refuses no
+// line that was cut.
+bool IsRefusedLine(CURLcode code) {
+  return code == CURLE_UNSUPPORTED_PROTOCOL ||
+         code == CURLE_WEIRD_SERVER_REPLY ||
+         code == CURLE_BAD_FUNCTION_ARGUMENT;
+}
+
 struct CurlGlobal {
   explicit CurlGlobal(CurlUse use) {
     curl_global_init(use == CurlUse::kWithTls ? CURL_GLOBAL_DEFAULT
@@ -256,7 +266,8 @@
     return withdrawn_ ? TransferEnd::kWithdrawn : TransferEnd::kNotSent;
   }
   if (code == CURLE_OPERATION_TIMEDOUT) return TransferEnd::kTimedOut;
-  return TransferEnd::kBroken;
+  const bool is_invalid = head_.problem() || IsRefusedLine(code);
+  return is_invalid ? TransferEnd::kInvalid : TransferEnd::kBroken;
 }
 
 std::string Transfer::DetailOf(CURLcode code) const {
@@ -265,6 +276,10 @@
   if (code == CURLE_OK && !head_.complete()) {
     return "the connection ended within the head";
   }
+  if (IsRefusedLine(code)) {
+    return absl::StrCat("libcurl refuses what follows line ", head_.lines(),
+                        ": ", curl_easy_strerror(code));
+  }
   return curl_easy_strerror(code);
 }
 
--- a/tests/process/broken_answers_test.cc
+++ b/tests/process/broken_answers_test.cc
@@ -61,5 +61,21 @@
   BOOST_TEST(site.CountReported("bad-head") > 0);
 }
 
+// Guards against a content that is taken for one that ends servers, since they
+// write bad heads: all callers that ask for it would be refused for minutes.
+BOOST_AUTO_TEST_CASE(AContentOutlivesBadHeads) {
+  const FaultyServerSetup server = {.service = "plain",
+                                    .options = {"--bad-head", "0.5"}};
+  AnswersSite site({server, server, server, server}, 1);
+  site.StartHosts();
+  site.CallAll({CallKind::kOnce, CallKind::kRead}, kCallers, kCalls);
+  CheckAnswers(site);
+  for (const CallRecord& call : site.Records()) {
+    BOOST_TEST(call.answer.body.find("3007") == std::string::npos, call.id);
+  }
+  const std::string log = ReadFile(site.folder_.Path("h0.out"));
+  BOOST_TEST(log.find("event=suspect ") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace gentianlb::process
