--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -27,6 +27,7 @@
 #include "gateway/stream_versions.h"
 #include "gateway/table_sharing.h"
 #include "gateway/table_subscriber.h"
+#include "http/loop_client.h"
 #include "http/server.h"
 #include "log/bounded_log.h"
 #include "loop/event_loop.h"
@@ -62,6 +63,8 @@
   std::function<Outcome<RolloutOrder>(const TableRow& row)> read_order;
   std::function<Outcome<RolloutStatus>(std::string_view row)> read_status;
   std::function<std::string(const RolloutStatus& status)> write_status;
+  // Returns how many invalid responses of all kinds have come.
+  std::function<http::InvalidResponses()> invalid_responses;
 };
 
 class Host {
@@ -116,6 +119,7 @@
   void SetPathMetrics();
   void SetStreamMetrics();
   void SetHeldMetrics();
+  void SetResponseMetrics();
 
   void OnConfigurationRows(const std::vector<TableRow>& rows, bool full_list,
                            absl::Time now);
--- a/src/gateway/host_metrics.cc
+++ b/src/gateway/host_metrics.cc
@@ -57,6 +57,14 @@
                static_cast<double>(budget_->limit()));
 }
 
+void Host::SetResponseMetrics() {
+  for (const auto& [fault, count] : platform_.invalid_responses()) {
+    metrics_.Set("gentianlb_invalid_responses",
+                 "Responses that were none, by what was wrong with them",
+                 {{"fault", std::string(fault)}}, static_cast<double>(count));
+  }
+}
+
 void Host::SetStreamMetrics() {
   const StreamRecordCounts& counts = records_.counts();
   for (const auto& [call, outcome, count] :
@@ -129,6 +137,7 @@
   SetPathMetrics();
   SetStreamMetrics();
   SetHeldMetrics();
+  SetResponseMetrics();
   SetRolloutMetrics();
   metrics_.Set("gentianlb_log_lines_left_out", "For the log's bound", {},
                static_cast<double>(log_->dropped_lines()));
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -93,6 +93,7 @@
         continue;
       }
       const TransferEnd end = transfer->Finish(code);
+      if (end == TransferEnd::kInvalid) transfer->ReportInvalid(code);
       EndTransfer(transfer->id, end, transfer->DetailOf(code));
     }
   }
--- a/src/http/loop_client.cc
+++ b/src/http/loop_client.cc
@@ -159,6 +159,9 @@
                     &new_connections);
   connections_made_ += static_cast<std::uint64_t>(new_connections);
   const TransferEnd end = transfer->Finish(code);
+  if (end == TransferEnd::kInvalid) {
+    ++invalid_responses_[transfer->ReportInvalid(code)];
+  }
   curl_multi_remove_handle(multi_, transfer->handle());
   std::string detail = transfer->DetailOf(code);
   std::function<void(TransferEnd, std::string)> on_end =
--- a/src/http/loop_client.h
+++ b/src/http/loop_client.h
@@ -8,8 +8,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "absl/container/flat_hash_map.h"
 #include "http/client.h"
@@ -18,6 +20,9 @@
 
 namespace gentianlb::http {
 
+// Numbers of responses by a short word for what was wrong with them.
+using InvalidResponses = std::map<std::string_view, std::uint64_t>;
+
 // Not thread-safe: used by the loop's thread only.
 class LoopClient {
  public:
@@ -38,6 +43,10 @@
   std::size_t running() const { return transfers_.size(); }
   // Number of connections made so far.
   std::uint64_t connections_made() const { return connections_made_; }
+  // Returns how many transfers ended as kInvalid so far, by what was wrong.
+  const InvalidResponses& invalid_responses() const {
+    return invalid_responses_;
+  }
 
  private:
   static int OnSocketChange(CURL* handle, curl_socket_t socket, int what,
@@ -59,6 +68,7 @@
   ConnectionSockets sockets_;
   absl::flat_hash_map<TransferId, std::shared_ptr<Transfer>> transfers_;
   std::uint64_t connections_made_ = 0;
+  InvalidResponses invalid_responses_;
 };
 
 }  // namespace gentianlb::http
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -283,4 +283,15 @@
   return curl_easy_strerror(code);
 }
 
+std::string_view Transfer::ReportInvalid(CURLcode code) const {
+  const std::string_view fault =
+      head_.problem() ? Name(head_.problem()->fault) : "refused-line";
+  LOG(WARNING) << "event=invalid-response request=" << request_.id
+               << " url=" << request_.url << " tunnel="
+               << (request_.tunnel.empty() ? "-" : request_.tunnel)
+               << " connection=" << local_port_ << " fault=" << fault
+               << " cause=\"" << DetailOf(code) << "\"";
+  return fault;
+}
+
 }  // namespace gentianlb::http
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -41,6 +41,9 @@
   TransferEnd Finish(CURLcode code) const;
   // Returns the reason for that end, for log lines.
   std::string DetailOf(CURLcode code) const;
+  // Writes a log line for a transfer that ended as kInvalid with `code`, and
+  // returns a short word for what was wrong, for metrics.
+  std::string_view ReportInvalid(CURLcode code) const;
 
   // From now on only the end is reported, and only by the caller of this.
   // libcurl sends nothing more and ends the transfer at the next byte. May be
--- a/tests/process/broken_answers_test.cc
+++ b/tests/process/broken_answers_test.cc
@@ -59,6 +59,12 @@
   site.CallAll(kAllKinds, kCallers, kCalls);
   CheckAnswers(site);
   BOOST_TEST(site.CountReported("bad-head") > 0);
+  // An operator sees which server wrote them, and what was wrong.
+  const std::string metrics = site.hosts_[0]->Metrics(site.client_);
+  BOOST_TEST(metrics.find("gentianlb_invalid_responses{fault=\"name\"}") !=
+             std::string::npos);
+  const std::string log = ReadFile(site.folder_.Path("h0.out"));
+  BOOST_TEST(log.find("event=invalid-response ") != std::string::npos);
 }
 
 // Guards against a content that is taken for one that ends servers, since they
