An unframed response that ends before the server had the request is no answer

What callers saw: a server answered a long upload at once with a 200 that had neither a length nor chunks, wrote part of its body, ended its side of the connection, and reset it later with most of the upload unread. Callers of plain calls got that part as a complete answer.

Cause: all that speaks for the completeness of such a body is the end of its connection, and that came while the request was still being sent. The host asked the server whether it lives, it does, and the end counted. The reset alone, without an end before it, was seen: 502 in all forms tried.

Change: where a response ends with its connection, the transfer asks whether the server had the whole request: libcurl has handed all of it to the kernel, and the server's kernel had acknowledged it when the connection was closed (SIOCOUTQ; a kernel takes some megabytes at once, so libcurl's word is not enough). Else it ends as kInvalid: sent, outcome unknown. It is no lost server: the kernel of a process that died with unread bytes resets at once.

Why it works: a server that has read all of a request has acknowledged all of it by the time its own end arrives. What it costs: a server that means an early unframed answer gets 502 for it, as it already did where its close reset the connection.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -25,7 +25,8 @@
   kNotSent,    // No byte of the request left this host.
   kWithdrawn,  // The same, since `may_send` said so.
   kBroken,     // The connection broke after it was made.
-  kInvalid,    // The server wrote what is no response, and lived to do so.
+  kInvalid,    // The server wrote what is no response, or ended it before it
+               // had the request, and lived to do so.
   kTimedOut,   // `timeout` or `inactivity_timeout` passed.
   kCancelled,  // Cancel() was called.
 };
--- a/src/http/connection_sockets.cc
+++ b/src/http/connection_sockets.cc
@@ -1,13 +1,17 @@
 #include "http/connection_sockets.h"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/types.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <optional>
+#include <utility>
 
 #include "absl/hash/hash.h"
 
@@ -52,8 +56,36 @@
   return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+// Returns whether bytes were sent that the other side has not acknowledged.
+bool HasUnacknowledged(int socket) {
+  int bytes = 0;
+  return ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 }  // namespace
 
+void ConnectionSockets::OnMade(int socket, ConnectionEnds ends) {
+  std::erase(closed_early_, ends);
+  connections_[socket] = {std::move(ends), {}};
+}
+
+int ConnectionSockets::Close(int socket) {
+  const auto found = connections_.find(socket);
+  if (found != connections_.end()) {
+    const ConnectionEnds& ends = found->second.ends;
+    if (HasUnacknowledged(socket) && HasEnds(socket, ends)) {
+      closed_early_.push_back(ends);
+      if (closed_early_.size() > kMaxClosedEarly) closed_early_.pop_front();
+    }
+    connections_.erase(found);
+  }
+  return close(socket);
+}
+
+bool ConnectionSockets::TakeClosedEarly(const ConnectionEnds& ends) {
+  return std::erase(closed_early_, ends) > 0;
+}
+
 bool ConnectionSockets::HasUnreadBytes(const ConnectionEnds& ends) const {
   return std::any_of(connections_.begin(), connections_.end(),
                      [&](const auto& entry) {
--- a/src/http/connection_sockets.h
+++ b/src/http/connection_sockets.h
@@ -1,4 +1,5 @@
-// Finds out whether a kept connection may carry a request, before it is sent.
+// Finds out whether a kept connection may carry a request, before it is sent,
+// and whether the other side had all of it when a connection was closed.
 //
 // A server may write more than one response to a request. Bytes that wait at a
 // connection are such a response, which libcurl would read as the beginning of
@@ -11,9 +12,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -36,12 +37,19 @@
  public:
   // Bounds what is remembered of a connection.
   static constexpr std::size_t kMaxRequests = 256;
+  // The latest connections that were closed early. Who asks does so at once.
+  static constexpr std::size_t kMaxClosedEarly = 32;
 
   // Records a connection that was made. A socket whose number was used before
   // replaces the earlier one, so that what is kept is bounded.
-  void OnMade(int socket, ConnectionEnds ends) {
-    connections_[socket] = {std::move(ends), {}};
-  }
+  void OnMade(int socket, ConnectionEnds ends);
+
+  // Closes a connection's socket, and remembers it for a while if the other
+  // side had not acknowledged all that was sent. Returns what close() returns.
+  int Close(int socket);
+  // Returns whether the connection was closed before the other side had
+  // acknowledged all that was sent, and forgets that.
+  bool TakeClosedEarly(const ConnectionEnds& ends);
 
   // Returns whether bytes have arrived at a connection and were not read.
   // Returns false for a connection that isn't known.
@@ -62,6 +70,7 @@
   Connection* Find(const ConnectionEnds& ends);
 
   absl::flat_hash_map<int, Connection> connections_;  // By socket.
+  std::deque<ConnectionEnds> closed_early_;           // The oldest first.
 };
 
 }  // namespace gentianlb::http
--- a/src/http/raw_server_test.h
+++ b/src/http/raw_server_test.h
@@ -87,6 +87,11 @@
 
   void StopListening() { close(std::exchange(listener_, -1)); }
 
+  // Ends its side of the connection, and goes on to read.
+  void EndOwnSide() const {
+    BOOST_REQUIRE(shutdown(connection_, SHUT_WR) == 0);
+  }
+
   void Close() { close(std::exchange(connection_, -1)); }
 
   // Closes the connection with a reset.
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
+#include "http/framing.h"
 #include "loop/tcp_socket.h"
 
 namespace gentianlb::http {
@@ -97,6 +99,8 @@
                    Milliseconds(request_.connect_timeout));
   curl_easy_setopt(handle_, CURLOPT_SOCKOPTFUNCTION, &OnSocket);
   curl_easy_setopt(handle_, CURLOPT_SOCKOPTDATA, this);
+  curl_easy_setopt(handle_, CURLOPT_CLOSESOCKETFUNCTION, &OnCloseSocket);
+  curl_easy_setopt(handle_, CURLOPT_CLOSESOCKETDATA, sockets_);
   if (request_.max_connection_idle < absl::InfiniteDuration()) {
     curl_easy_setopt(
         handle_, CURLOPT_MAXAGE_CONN,
@@ -177,9 +181,12 @@
 }
 
 bool Transfer::DeliverHead() {
+  std::vector<Header> headers = head_.TakeHeaders();
+  ends_with_connection_ =
+      EndsWithConnection(request_.method, head_.status(), headers);
   if (!sink_.on_head) return true;
   const ReadAction action = sink_.on_head(
-      {head_.status(), head_.TakeHeaders(), made_socket_ < 0, local_port_});
+      {head_.status(), std::move(headers), made_socket_ < 0, ends_.local_port});
   // libcurl reads it when the transfer ends.
   if (action == ReadAction::kContinueThenClose) {
     curl_easy_setopt(handle_, CURLOPT_FORBID_REUSE, 1L);
@@ -213,7 +220,7 @@
 
 bool Transfer::MaySend(const ConnectionEnds& ends) {
   if (cancelled_) return false;
-  local_port_ = ends.local_port;
+  ends_ = ends;
   withdrawn_ = request_.may_send && !request_.may_send();
   if (withdrawn_) return false;
   unfit_reason_ = FindUnfitness(ends);
@@ -240,7 +247,7 @@
 
 void Transfer::PrepareNewConnection() {
   LOG(INFO) << "event=connection-left request=" << request_.id
-            << " url=" << request_.url << " connection=" << local_port_
+            << " url=" << request_.url << " connection=" << ends_.local_port
             << " cause=\"" << std::exchange(unfit_reason_, "") << "\"";
   curl_easy_cleanup(handle_);
   curl_slist_free_all(std::exchange(header_list_, nullptr));
@@ -256,12 +263,32 @@
   return CURL_SOCKOPT_OK;
 }
 
+// Called when a connection is closed, maybe long after the transfer that made
+// it: `closure` is that of all connections.
+int Transfer::OnCloseSocket(void* closure, curl_socket_t socket) {
+  return static_cast<ConnectionSockets*>(closure)->Close(socket);
+}
+
+// libcurl may still hold a part of the request, or the kernel. Over TLS, what
+// the kernel holds may be TLS's own word of the end.
+bool Transfer::HasEndedEarly() {
+  if (!ends_with_connection_) return false;
+  curl_off_t sent = 0;
+  curl_easy_getinfo(handle_, CURLINFO_SIZE_UPLOAD_T, &sent);
+  if (sent < static_cast<curl_off_t>(request_.body.size())) return true;
+  return request_.url.starts_with(kPlainScheme) &&
+         sockets_->TakeClosedEarly(ends_);
+}
+
 // Returns kNotSent only if certainly no byte of the request was sent. To
 // libcurl, a connection that is closed in good order within the head ends a
 // response without a body.
-TransferEnd Transfer::Finish(CURLcode code) const {
+TransferEnd Transfer::Finish(CURLcode code) {
   if (cancelled_) return TransferEnd::kCancelled;
-  if (code == CURLE_OK && head_.complete()) return TransferEnd::kComplete;
+  if (code == CURLE_OK && head_.complete()) {
+    ended_early_ = HasEndedEarly();
+    return ended_early_ ? TransferEnd::kInvalid : TransferEnd::kComplete;
+  }
   if (send_attempts_ == 0) {
     return withdrawn_ ? TransferEnd::kWithdrawn : TransferEnd::kNotSent;
   }
@@ -276,6 +303,9 @@
   if (code == CURLE_OK && !head_.complete()) {
     return "the connection ended within the head";
   }
+  if (ended_early_) {
+    return "unframed, and ended before the server had the request";
+  }
   if (IsRefusedLine(code)) {
     return absl::StrCat("libcurl refuses what follows line ", head_.lines(),
                         ": ", curl_easy_strerror(code));
@@ -284,12 +314,13 @@
 }
 
 std::string_view Transfer::ReportInvalid(CURLcode code) const {
-  const std::string_view fault =
-      head_.problem() ? Name(head_.problem()->fault) : "refused-line";
+  std::string_view fault = "refused-line";
+  if (head_.problem()) fault = Name(head_.problem()->fault);
+  if (ended_early_) fault = "early-end";
   LOG(WARNING) << "event=invalid-response request=" << request_.id
                << " url=" << request_.url << " tunnel="
                << (request_.tunnel.empty() ? "-" : request_.tunnel)
-               << " connection=" << local_port_ << " fault=" << fault
+               << " connection=" << ends_.local_port << " fault=" << fault
                << " cause=\"" << DetailOf(code) << "\"";
   return fault;
 }
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -36,9 +36,9 @@
   // Replaces the handle, which the client must have removed, by one that makes
   // a new connection. Writes a log line.
   void PrepareNewConnection();
-  // Must be called once libcurl has finished with `code`. Returns how the
+  // Must be called once, when libcurl has finished with `code`. Returns how the
   // transfer ended.
-  TransferEnd Finish(CURLcode code) const;
+  TransferEnd Finish(CURLcode code);
   // Returns the reason for that end, for log lines.
   std::string DetailOf(CURLcode code) const;
   // Writes a log line for a transfer that ended as kInvalid with `code`, and
@@ -66,6 +66,10 @@
   // Return false if the transfer must end.
   bool ReadLine(std::string_view line);
   bool DeliverHead();
+  // Returns whether the response ended with its connection while the server had
+  // not received the whole request. Such an end doesn't show that the response
+  // is complete: the reset that may follow would come too late.
+  bool HasEndedEarly();
   // Returns whether libcurl may send the request on a connection.
   bool MaySend(const ConnectionEnds& ends);
   // Returns why the request must not go on a connection; empty: it may, and the
@@ -80,6 +84,7 @@
                           int primary_port, int local_port);
   static int OnSocket(void* closure, curl_socket_t socket,
                       curlsocktype purpose);
+  static int OnCloseSocket(void* closure, curl_socket_t socket);
 
   ClientRequest request_;
   TransferSink sink_;
@@ -92,8 +97,10 @@
   ResponseHead head_;
   bool has_begun_ = false;  // A line of the response's head has arrived.
   int made_socket_ = -1;    // Of the connection that was made for it, if any.
-  int local_port_ = 0;      // Of the connection; 0 until one is chosen.
+  ConnectionEnds ends_;     // Of the connection; empty until one is chosen.
   std::string_view unfit_reason_;  // Of a kept connection; empty: it is fit.
+  bool ends_with_connection_ = false;  // The body of the response does.
+  bool ended_early_ = false;
   bool withdrawn_ = false;
   bool cancelled_ = false;
   int send_attempts_ = 0;
--- a/tests/process/answers_site_test.h
+++ b/tests/process/answers_site_test.h
@@ -179,6 +179,9 @@
   // Of these callers each one reads slowly; 0: none does.
   void SetSlowCallers(std::size_t one_in) { slow_callers_ = one_in; }
 
+  // Of each call from now on.
+  void SetRequestBytes(std::size_t bytes) { request_bytes_ = bytes; }
+
   // Returns a line for each stream that ran at a server of plain calls.
   std::vector<std::string> FindWrongServices() {
     std::set<std::string> streams;
@@ -260,7 +263,7 @@
                  CallRecord call, absl::Duration timeout = kAnswerTime) {
     constexpr const char* kPaths[] = {"/once/1", "/read/1", "/chat/1",
                                       "/talk/1"};
-    const std::string body = "question";
+    const std::string body(request_bytes_, 'q');
     std::string text = absl::StrCat(
         "POST ", kPaths[static_cast<int>(kind)],
         " HTTP/1.1\r\nHost: one.example\r\nRequest-Id: ", call.id,
@@ -463,6 +466,7 @@
   const std::uint64_t seed_;
   std::array<std::atomic<bool>, kMaxHosts> in_rotation_;
   std::size_t slow_callers_ = 0;
+  std::size_t request_bytes_ = 8;
   int server_starts_ = 0;
   std::map<std::size_t, absl::Time> started_;  // By the server's number.
   std::map<std::size_t, int> ports_;           // By the server's number.
--- a/tests/process/broken_answers_test.cc
+++ b/tests/process/broken_answers_test.cc
@@ -1,5 +1,5 @@
-// Servers in trouble that write heads outside the grammar of HTTP/1.1, or
-// answer before they have the request. Real gateways and servers as processes.
+// Servers in trouble that write heads outside the grammar of HTTP/1.1, or answer
+// before they have the request. Real gateways and servers as processes.
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -15,6 +15,7 @@
 
 constexpr std::size_t kCallers = 6;
 constexpr std::size_t kCalls = 40;  // Of a caller.
+constexpr std::size_t kUploadBytes = 1 << 20;
 
 const std::vector<CallKind> kAllKinds = {CallKind::kOnce, CallKind::kRead,
                                          CallKind::kChat, CallKind::kTalk};
@@ -83,5 +84,18 @@
   BOOST_TEST(log.find("event=suspect ") == std::string::npos);
 }
 
+// Guards against the beginning of an unframed answer that passes for the whole,
+// since its server ended it before it had the request.
+BOOST_AUTO_TEST_CASE(AnEarlyEndMakesNoAnswerWhole) {
+  AnswersSite site({{"plain", "v1", 600, {"--answers-early"}},
+                    {"llm", "v1", 600, {"--answers-early"}}},
+                   2);
+  site.StartHosts();
+  site.SetRequestBytes(kUploadBytes);
+  site.CallAll(kAllKinds, kCallers, /*count=*/4);
+  CheckAnswers(site);
+  BOOST_TEST(site.CountReported("early") > 0);
+}
+
 }  // namespace
 }  // namespace gentianlb::process
--- a/tests/standins/faulty_server.cc
+++ b/tests/standins/faulty_server.cc
@@ -38,6 +38,12 @@
 // A reset drops what the kernel has yet to send.
 constexpr absl::Duration kTimeToSend = absl::Milliseconds(30);
 
+// Of an early answer: what comes of its body, and the pauses before the end of
+// the server's side and before the reset.
+constexpr std::size_t kEarlyBytes = 260;
+constexpr absl::Duration kTimeToEndSide = absl::Milliseconds(50);
+constexpr absl::Duration kTimeToReset = absl::Milliseconds(250);
+
 // Bounds an answer without end, if nobody closes.
 constexpr absl::Duration kMaxEndless = absl::Seconds(4);
 // Many of them come with one read.
@@ -199,6 +205,10 @@
       }
       size = head_end + kHeadEnd.size() + length;
     }
+    if (head_end != std::string::npos && size > received.size() &&
+        AnswerEarly(connection, request)) {
+      break;
+    }
     if (size <= received.size()) {
       received.erase(0, size);
       if (!request.IsAboutServer() && !std::exchange(carries_request, true)) {
@@ -430,6 +440,28 @@
   absl::SleepFor(kTimeToSend);
 }
 
+bool FaultyServer::AnswerEarly(int connection, const Request& request) {
+  if (!options_.answers_early || request.IsAboutServer() ||
+      request.Header("expect-instance") != options_.id) {
+    return false;
+  }
+  Report(
+      absl::StrCat("run ", request.Id(), " ", absl::ToUnixMillis(absl::Now())));
+  Report(absl::StrCat("early ", request.Id()));
+  FaultyPlan plan;
+  plan.framing = Framing::kClose;
+  const Answer answer =
+      request.IsStream() ? MakeStream(request, plan) : MakePlain(request, plan);
+  std::string body;
+  for (const std::string& piece : answer.pieces) body += piece;
+  Send(connection, answer.head + body.substr(0, kEarlyBytes));
+  absl::SleepFor(kTimeToEndSide);
+  shutdown(connection, SHUT_WR);
+  absl::SleepFor(kTimeToReset);
+  Reset(connection);
+  return true;
+}
+
 void FaultyServer::WriteWithoutEnd(int connection, const Request& request) {
   Report(absl::StrCat("endless ", request.Id()));
   const absl::Time end = absl::Now() + kMaxEndless;
--- a/tests/standins/faulty_server.h
+++ b/tests/standins/faulty_server.h
@@ -51,6 +51,9 @@
   double reset = 0.5;      // Of what is cut, where a close is a fault too.
   double endless = 0;      // Of plain answers: chunks until the caller closes.
   double bad_head = 0;     // Outside the grammar of HTTP/1.1, of all kinds.
+  // Answers requests of which not all has come with the beginning of an
+  // unframed answer, ends its side, and resets the connection later.
+  bool answers_early = false;
 };
 
 // What a server does with one arrival of a request.
@@ -107,6 +110,8 @@
                    const FaultyPlan& plan, const Answer& answer);
   void WriteBadHead(int connection, const Request& request,
                     const FaultyPlan& plan, const Answer& answer);
+  // Returns whether it has answered a request whose head alone has come.
+  bool AnswerEarly(int connection, const Request& request);
   void WriteWithoutEnd(int connection, const Request& request);
   void Report(const std::string& line);
 
--- a/tests/standins/programs/faulty_server.cc
+++ b/tests/standins/programs/faulty_server.cc
@@ -42,6 +42,7 @@
   app.add_option("--reset", options.reset);
   app.add_option("--endless", options.endless);
   app.add_option("--bad-head", options.bad_head);
+  app.add_flag("--answers-early", options.answers_early);
   CLI11_PARSE(app, argc, argv);
   options.work = absl::Milliseconds(work_ms);
   options.piece_gap = absl::Milliseconds(piece_gap_ms);
