A tunnel passes no end on that came before the server had the request

What callers saw: the same early, unframed answer through a peer's tunnel was complete. The tunnel takes what the sender writes, up to some megabytes, so that the sender's connection shows nothing unread; the server's end in good order, confirmed since the server lives, was passed on as one.

Change: the tunnel passes an orderly end on only if nothing waits for the server, its kernel has acknowledged all that was sent, and nothing of the peer is unread, also while the end was being confirmed. Else the peer's connection is reset, once the peer has all bytes, as for a server that died: a framed response arrives whole before.

--- a/src/tunnel/tunnel.cc
+++ b/src/tunnel/tunnel.cc
@@ -61,6 +61,12 @@
   return ioctl(socket, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
 }
 
+// Returns whether bytes have arrived and were not read.
+bool HasUnread(int socket) {
+  int unread = 0;
+  return ioctl(socket, FIONREAD, &unread) == 0 && unread > 0;
+}
+
 bool WouldBlock() { return errno == EAGAIN || errno == EWOULDBLOCK; }
 
 }  // namespace
@@ -206,12 +212,18 @@
   const bool sent = !broken && Flush(&server_);
   const ReadEnd end = sent ? Relay(&server_, &peer_) : ReadEnd::kBroken;
   if (end == ReadEnd::kOpen) return UpdateWatches();
+  const bool orderly = end == ReadEnd::kClosed && HasServerAll();
   server_ended_ = true;
   CloseServer();
-  if (end == ReadEnd::kClosed) OnServerClosed();
+  if (orderly) OnServerClosed();
   EndWhenFlushed();
 }
 
+bool Tunnel::HasServerAll() const {
+  return server_.outgoing.empty() && IsAllReceived(server_.socket) &&
+         !HasUnread(peer_.socket);
+}
+
 void Tunnel::OnServerClosed() {
   if (!confirm_end_) {
     orderly_end_ = true;
@@ -236,7 +248,7 @@
 
 void Tunnel::EndWhenFlushed() {
   if (confirming_ || !peer_.outgoing.empty()) return UpdateWatches();
-  if (!orderly_end_) return ResetWhenReceived();
+  if (!orderly_end_ || HasUnread(peer_.socket)) return ResetWhenReceived();
   SetAbortive(peer_.socket, false);
   End();
 }
--- a/src/tunnel/tunnel.h
+++ b/src/tunnel/tunnel.h
@@ -4,8 +4,9 @@
 // The peer speaks to the server as if it were connected directly: a connection
 // that the server closes is closed, and one that breaks is reset, because the
 // end of a connection may be the end of a response. One that the server's
-// process closes as it dies is reset, too. Whatever else ends a tunnel, the end
-// of this process too, resets the peer's connection.
+// process closes as it dies is reset, too, and so is one that the server closes
+// before it has received all that the peer sent. Whatever else ends a tunnel,
+// the end of this process too, resets the peer's connection.
 
 #ifndef GENTIANLB_TUNNEL_TUNNEL_H_
 #define GENTIANLB_TUNNEL_TUNNEL_H_
@@ -85,6 +86,8 @@
   ReadEnd Relay(Side* from, Side* to);
   // Returns false if the connection is broken.
   bool Flush(Side* side);
+  // Returns whether the server has received all that the peer has sent so far.
+  bool HasServerAll() const;
   void CloseServer();
   // Handles the end of the server's connection in good order.
   void OnServerClosed();
