A bad head makes no tunnel

The same cause at one more reader: libcurl alone read a peer's answer to CONNECT, by its own rules. After a 200 with a bad line it sent the caller's request to what listens at the peer's address.

Change: the lines of that head go through the same grammar, before anything is sent; a bad one ends the transfer as not sent, which is proved.

--- a/src/gateway/tunnel_test.cc
+++ b/src/gateway/tunnel_test.cc
@@ -20,6 +20,7 @@
 #include "gateway/path_monitor.h"
 #include "gateway/server_prober.h"
 #include "gateway/tunnel_site_test.h"
+#include "http/bad_heads_test.h"
 #include "loop/tcp_socket.h"
 
 namespace gentianlb::gateway {
@@ -66,6 +67,26 @@
   BOOST_TEST(body == "half");
 }
 
+// Guards against a request that is sent through what isn't a tunnel: its peer's
+// address may be another program's by now.
+BOOST_AUTO_TEST_CASE(ABadHeadMakesNoTunnel) {
+  std::vector<http::BadHead> heads = http::AllBadHeads();
+  heads.push_back({"refusal", "HTTP/1.1 502 Bad Gateway\r\n"});
+  for (const http::BadHead& bad : heads) {
+    TunnelSite site;
+    http::RawServer peer;
+    site.tunnel_port = peer.port();
+    site.Send();
+    site.RunUntil([&] { return peer.HasRequest(); });
+    peer.request.clear();
+    peer.Write(bad.first_lines + "Content-Length: 0\r\n\r\n");
+    site.RunUntil([&] { return site.end.has_value() || peer.HasRequest(); });
+    BOOST_TEST(peer.request.empty(), bad.name);
+    BOOST_REQUIRE(site.end.has_value());
+    BOOST_TEST((*site.end == TransferEnd::kNotSent), bad.name);
+  }
+}
+
 // A server ends its side though most of the request is still to come. Guards
 // against a part of an unframed body that passes for the whole.
 BOOST_AUTO_TEST_CASE(AnEndBeforeTheRequestWasReadIsBroken) {
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -113,7 +113,6 @@
   const bool tunnelled = !request_.tunnel.empty();
   if (tunnelled) {
     curl_easy_setopt(handle_, CURLOPT_HTTPPROXYTUNNEL, 1L);
-    curl_easy_setopt(handle_, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
     // The request's headers are not for the peer.
     curl_easy_setopt(handle_, CURLOPT_HEADEROPT,
                      static_cast<long>(CURLHEADER_SEPARATE));  // NOLINT
@@ -162,9 +161,13 @@
   return goes_on && !transfer.cancelled_ ? size * count : kEndTransfer;
 }
 
-// The lines behind a body in chunks come here too.
+// The lines of a peer's answer to CONNECT come here too, before the request is
+// sent, and those behind a body in chunks.
 bool Transfer::ReadLine(std::string_view line) {
   last_byte_time_ = absl::Now();
+  if (send_attempts_ == 0) {
+    return tunnel_head_.Read(line) != ResponseHead::Progress::kInvalid;
+  }
   if (!std::exchange(has_begun_, true) && sink_.on_first_byte) {
     sink_.on_first_byte();
     if (cancelled_) return false;
@@ -299,7 +302,9 @@
 
 std::string Transfer::DetailOf(CURLcode code) const {
   if (cancelled_) return "cancelled";
-  if (head_.problem()) return ToText(*head_.problem());
+  for (const ResponseHead* head : {&tunnel_head_, &head_}) {
+    if (head->problem()) return ToText(*head->problem());
+  }
   if (code == CURLE_OK && !head_.complete()) {
     return "the connection ended within the head";
   }
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -94,6 +94,7 @@
   CURL* handle_;
   ConnectionSockets* const sockets_;
   curl_slist* header_list_ = nullptr;
+  ResponseHead tunnel_head_;  // A peer's answer to CONNECT.
   ResponseHead head_;
   bool has_begun_ = false;  // A line of the response's head has arrived.
   int made_socket_ = -1;    // Of the connection that was made for it, if any.
