--- a/src/http/bad_head_test.cc
+++ b/src/http/bad_head_test.cc
@@ -21,8 +21,6 @@
 namespace gentianlb::http {
 namespace {
 
-using std::string_literals::operator""s;
-
 constexpr char kRest[] = "Content-Length: 14\r\n\r\nHello, caller!";
 constexpr char kBody[] = "Hello, caller!";
 
@@ -116,23 +114,27 @@
   for (const std::string& first_lines :
        {ok + "!#$%&'*+-.^_`|~09azAZ: v\r\n", ok + "X:\r\nY: \t \r\nZ:v\r\n",
         ok + "X: a\tb  c\r\n", ok + "X: \x80\xa0\xc3\xa4\xff\r\n",
-        ok + "X: (\"/\\,;<=>?@[]{}:)\r\n", "HTTP/1.1 200 \r\n"s,
-        "HTTP/1.1 200\r\n"s, "HTTP/1.1 299 \xe9t\xe9\tx\r\n"s,
-        "HTTP/1.1 404 :\r\n"s, "HTTP/1.1 599 Late\r\n"s, "HTTP/1.0 200 OK\r\n"s,
+        ok + "X: (\"/\\,;<=>?@[]{}:)\r\n", std::string("HTTP/1.1 200 \r\n"),
+        std::string("HTTP/1.1 200\r\n"),
+        std::string("HTTP/1.1 299 \xe9t\xe9\tx\r\n"),
+        std::string("HTTP/1.1 404 :\r\n"), std::string("HTTP/1.1 599 Late\r\n"),
+        std::string("HTTP/1.0 200 OK\r\n"),
         "HTTP/1.1 100 Continue\r\n\r\n" + ok,
         "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + ok}) {
     Fixture fixture;
     fixture.CheckRead(first_lines + kRest);
   }
   Fixture fixture;
-  fixture.CheckRead("HTTP/1.1 200 OK\nX: v\nContent-Length: 14\n\n"s + kBody);
+  fixture.CheckRead(
+      std::string("HTTP/1.1 200 OK\nX: v\nContent-Length: 14\n\n") + kBody);
 }
 
 // Guards against a byte that one of the two readers, libcurl and ours, takes
 // differently, so that the caller gets another body.
 BOOST_AUTO_TEST_CASE(AByteMoreLeavesTheBodyOrNone) {
   constexpr int kTries = 300;
-  const std::string sound = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\n"s + kRest;
+  const std::string sound =
+      std::string("HTTP/1.1 200 OK\r\nRequest-Id: r\r\n") + kRest;
   const std::size_t head_bytes = sound.size() - sizeof kBody + 1;
   std::mt19937 random(1);  // NOLINT: the same bytes in each run
   for (int i = 0; i < kTries; ++i) {
--- a/src/http/response_head_test.cc
+++ b/src/http/response_head_test.cc
@@ -10,8 +10,6 @@
 namespace gentianlb::http {
 namespace {
 
-using std::string_literals::operator""s;
-
 // Returns what is left of reading `bytes`, a line at a time, up to the end of
 // the head.
 ResponseHead Read(std::string_view bytes) {
--- a/tests/process/broken_answers_test.cc
+++ b/tests/process/broken_answers_test.cc
@@ -1,5 +1,5 @@
-// Servers in trouble that write heads outside the grammar of HTTP/1.1, or answer
-// before they have the request. Real gateways and servers as processes.
+// Servers in trouble that write heads outside the grammar of HTTP/1.1, or
+// answer before they have the request. Real gateways and servers as processes.
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -17,8 +17,9 @@
 constexpr std::size_t kCalls = 40;  // Of a caller.
 constexpr std::size_t kUploadBytes = 1 << 20;
 
-const std::vector<CallKind> kAllKinds = {CallKind::kOnce, CallKind::kRead,
-                                         CallKind::kChat, CallKind::kTalk};
+std::vector<CallKind> AllKinds() {
+  return {CallKind::kOnce, CallKind::kRead, CallKind::kChat, CallKind::kTalk};
+}
 
 bool IsWhole(const RawAnswer& answer) {
   return answer.status == 200 &&
@@ -57,7 +58,7 @@
                     {"llm", "v1", 600, faults}},
                    2);
   site.StartHosts();
-  site.CallAll(kAllKinds, kCallers, kCalls);
+  site.CallAll(AllKinds(), kCallers, kCalls);
   CheckAnswers(site);
   BOOST_TEST(site.CountReported("bad-head") > 0);
   // An operator sees which server wrote them, and what was wrong.
@@ -92,7 +93,7 @@
                    2);
   site.StartHosts();
   site.SetRequestBytes(kUploadBytes);
-  site.CallAll(kAllKinds, kCallers, /*count=*/4);
+  site.CallAll(AllKinds(), kCallers, /*count=*/4);
   CheckAnswers(site);
   BOOST_TEST(site.CountReported("early") > 0);
 }
