Last read of the heads of answers: each question stands once

Cause: read as a newcomer, the change asked the kernel in two places what the other side has acknowledged (the tunnel had that already), checked each status line twice, kept a flag that the number of lines says, and told two causes wrongly. PrepareNewConnection left the earlier peer's answer to CONNECT in place, so that the next one would have been read as its trailer and refused; a tunnel is always a new connection that fits, so no test reaches it. libcurl's "unsupported protocol" of a request that was never sent was reported as a line of a head.

Change: loop::IsAllAcknowledged for both; ReadStatus wants a checked line; the flag is gone; the answer to CONNECT begins anew with the handle; the cause "libcurl refuses" needs a sent request. No check asks less.

--- a/src/http/connection_sockets.cc
+++ b/src/http/connection_sockets.cc
@@ -1,9 +1,7 @@
 #include "http/connection_sockets.h"
 
 #include <arpa/inet.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/types.h>
 #include <unistd.h>
@@ -14,6 +12,7 @@
 #include <utility>
 
 #include "absl/hash/hash.h"
+#include "loop/tcp_socket.h"
 
 namespace gentianlb::http {
 namespace {
@@ -56,12 +55,6 @@
   return recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-// Returns whether bytes were sent that the other side has not acknowledged.
-bool HasUnacknowledged(int socket) {
-  int bytes = 0;
-  return ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0;
-}
-
 }  // namespace
 
 void ConnectionSockets::OnMade(int socket, ConnectionEnds ends) {
@@ -73,7 +66,7 @@
   const auto found = connections_.find(socket);
   if (found != connections_.end()) {
     const ConnectionEnds& ends = found->second.ends;
-    if (HasUnacknowledged(socket) && HasEnds(socket, ends)) {
+    if (!loop::IsAllAcknowledged(socket) && HasEnds(socket, ends)) {
       closed_early_.push_back(ends);
       if (closed_early_.size() > kMaxClosedEarly) closed_early_.pop_front();
     }
--- a/src/http/connection_sockets.h
+++ b/src/http/connection_sockets.h
@@ -37,7 +37,8 @@
  public:
   // Bounds what is remembered of a connection.
   static constexpr std::size_t kMaxRequests = 256;
-  // The latest connections that were closed early. Who asks does so at once.
+  // Bounds the connections that are remembered as closed early. A transfer asks
+  // as soon as it ends.
   static constexpr std::size_t kMaxClosedEarly = 32;
 
   // Records a connection that was made. A socket whose number was used before
--- a/src/http/head_grammar.cc
+++ b/src/http/head_grammar.cc
@@ -108,7 +108,6 @@
 }
 
 int ReadStatus(std::string_view line) {
-  if (CheckStatusLine(line)) return 0;
   int status = 0;
   for (const char digit : line.substr(kStatusOffset, kStatusDigits)) {
     status = 10 * status + (digit - '0');
--- a/src/http/head_grammar.h
+++ b/src/http/head_grammar.h
@@ -51,12 +51,12 @@
 // Bytes of a valid status line before its status.
 inline constexpr std::size_t kStatusOffset = 9;
 
-// Returns the status of a valid status line; 0 for any other line. The blank
-// before a reason that is left out may be missing (RFC 9112, section 4). `line`
-// has no end.
+// Returns the status of a line in which CheckStatusLine() finds nothing wrong.
 int ReadStatus(std::string_view line);
 
-// Return what is wrong with a line, which has no end, or nullopt.
+// Return what is wrong with a line, which has no end, or nullopt. In a status
+// line, the blank before a reason that is left out may be missing (RFC 9112,
+// section 4).
 std::optional<LineProblem> CheckStatusLine(std::string_view line);
 std::optional<LineProblem> CheckHeaderLine(std::string_view line);
 
--- a/src/http/transfer.cc
+++ b/src/http/transfer.cc
@@ -32,8 +32,8 @@
 }
 
 // Returns whether libcurl has refused a line of a head or trailer before it
-// passed it on: the begin of a transfer excludes other causes. It refuses no
-// line that was cut.
+// passed it on, in a transfer that has sent its request: before that, the codes
+// have other causes. libcurl refuses no line that was cut.
 bool IsRefusedLine(CURLcode code) {
   return code == CURLE_UNSUPPORTED_PROTOCOL ||
          code == CURLE_WEIRD_SERVER_REPLY ||
@@ -168,7 +168,7 @@
   if (send_attempts_ == 0) {
     return tunnel_head_.Read(line) != ResponseHead::Progress::kInvalid;
   }
-  if (!std::exchange(has_begun_, true) && sink_.on_first_byte) {
+  if (head_.lines() == 0 && sink_.on_first_byte) {
     sink_.on_first_byte();
     if (cancelled_) return false;
   }
@@ -255,6 +255,7 @@
   curl_easy_cleanup(handle_);
   curl_slist_free_all(std::exchange(header_list_, nullptr));
   handle_ = curl_easy_init();
+  tunnel_head_ = ResponseHead();
   Prepare();
   curl_easy_setopt(handle_, CURLOPT_FRESH_CONNECT, 1L);
 }
@@ -311,7 +312,7 @@
   if (ended_early_) {
     return "unframed, and ended before the server had the request";
   }
-  if (IsRefusedLine(code)) {
+  if (send_attempts_ > 0 && IsRefusedLine(code)) {
     return absl::StrCat("libcurl refuses what follows line ", head_.lines(),
                         ": ", curl_easy_strerror(code));
   }
--- a/src/http/transfer.h
+++ b/src/http/transfer.h
@@ -96,9 +96,8 @@
   curl_slist* header_list_ = nullptr;
   ResponseHead tunnel_head_;  // A peer's answer to CONNECT.
   ResponseHead head_;
-  bool has_begun_ = false;  // A line of the response's head has arrived.
-  int made_socket_ = -1;    // Of the connection that was made for it, if any.
-  ConnectionEnds ends_;     // Of the connection; empty until one is chosen.
+  int made_socket_ = -1;  // Of the connection that was made for it, if any.
+  ConnectionEnds ends_;   // Of its connection; empty before it has one.
   std::string_view unfit_reason_;  // Of a kept connection; empty: it is fit.
   bool ends_with_connection_ = false;  // The body of the response does.
   bool ended_early_ = false;
--- a/src/loop/tcp_socket.cc
+++ b/src/loop/tcp_socket.cc
@@ -2,7 +2,9 @@
 
 #include <arpa/inet.h>
 #include <glog/logging.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace gentianlb::loop {
@@ -66,4 +68,9 @@
                : absl::ZeroDuration();
 }
 
+bool IsAllAcknowledged(int socket) {
+  int bytes = 0;
+  return ioctl(socket, SIOCOUTQ, &bytes) != 0 || bytes == 0;
+}
+
 }  // namespace gentianlb::loop
--- a/src/loop/tcp_socket.h
+++ b/src/loop/tcp_socket.h
@@ -37,6 +37,10 @@
 // waits, or if the kernel doesn't say.
 absl::Duration UnacknowledgedFor(int socket);
 
+// Returns whether the other side has acknowledged all that was sent; true if
+// the kernel doesn't say.
+bool IsAllAcknowledged(int socket);
+
 }  // namespace gentianlb::loop
 
 #endif  // GENTIANLB_LOOP_TCP_SOCKET_H_
--- a/src/tunnel/tunnel.cc
+++ b/src/tunnel/tunnel.cc
@@ -1,7 +1,6 @@
 #include "tunnel/tunnel.h"
 
 #include <glog/logging.h>
-#include <linux/sockios.h>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -55,12 +54,6 @@
   PLOG(WARNING) << "event=socket-option-refused option=SO_LINGER";
 }
 
-// Returns whether the other side has acknowledged all bytes.
-bool IsAllReceived(int socket) {
-  int unacknowledged = 0;
-  return ioctl(socket, SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
-}
-
 // Returns whether bytes have arrived and were not read.
 bool HasUnread(int socket) {
   int unread = 0;
@@ -220,7 +213,7 @@
 }
 
 bool Tunnel::HasServerAll() const {
-  return server_.outgoing.empty() && IsAllReceived(server_.socket) &&
+  return server_.outgoing.empty() && loop::IsAllAcknowledged(server_.socket) &&
          !HasUnread(peer_.socket);
 }
 
@@ -257,7 +250,7 @@
   if (reset_timer_ != 0) return UpdateWatches();
   const absl::Time now = loop_->now();
   if (reset_by_ == absl::InfiniteFuture()) reset_by_ = now + kMaxReceiveTime;
-  if (IsAllReceived(peer_.socket) || now >= reset_by_) return End();
+  if (loop::IsAllAcknowledged(peer_.socket) || now >= reset_by_) return End();
   UpdateWatches();
   reset_timer_ =
       loop_->timers().At(now + kReceiveCheckInterval, [this](absl::Time) {
