--- a/src/http/bad_head_test.cc
+++ b/src/http/bad_head_test.cc
@@ -2,8 +2,6 @@
 // that are unusual.
 
 #include <boost/test/unit_test.hpp>
-#include <functional>
-#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -14,9 +12,7 @@
 #include "absl/time/clock.h"
 #include "http/bad_heads_test.h"
 #include "http/client.h"
-#include "http/loop_client.h"
-#include "http/raw_server_test.h"
-#include "loop/loop_runner_test.h"
+#include "http/raw_exchange_test.h"
 
 namespace gentianlb::http {
 namespace {
@@ -24,26 +20,10 @@
 constexpr char kRest[] = "Content-Length: 14\r\n\r\nHello, caller!";
 constexpr char kBody[] = "Hello, caller!";
 
-struct Fixture : loop::LoopRunner {
+struct Fixture : RawExchange {
   void Exchange(const std::string& response) {
-    client.Start({.method = "POST",
-                  .url = server.url(),
-                  .body = "x",
-                  .send_policy = SendPolicy::kNoResend},
-                 {.on_head =
-                      [this](ReceivedHead got) {
-                        head = std::move(got);
-                        return ReadAction::kContinue;
-                      },
-                  .on_data = [this](std::string_view data) { body += data; },
-                  .on_end =
-                      [this](TransferEnd got, const std::string& got_detail) {
-                        end = got;
-                        detail = got_detail;
-                      }});
-    RunUntil([this] { return server.HasRequest(); });
-    server.Write(response);
-    RunUntil([this] { return end.has_value(); });
+    Answer(/*request_bytes=*/1, response);
+    WaitForEnd();
   }
   void CheckRefused(const BadHead& bad) {
     BOOST_TEST_CONTEXT(bad.name << ": " << bad.first_lines) {
@@ -60,13 +40,6 @@
     BOOST_TEST((*end == TransferEnd::kComplete), response);
     BOOST_TEST(body == kBody, response);
   }
-
-  LoopClient client{&loop, 4};
-  RawServer server;
-  std::optional<ReceivedHead> head;
-  std::string body;
-  std::optional<TransferEnd> end;
-  std::string detail;
 };
 
 void CheckAllRefused(const std::vector<BadHead>& heads) {
