Callers' connections: buffers that grow by need, on the event loop

Cause: libmicrohttpd keeps a request's head with some 70 bytes for each line, a pipelined next request and the answer's head in one block per connection, of max_header_bytes + 4 KiB. A larger block holds the forms and not the memory: it is cleared, so touched, after each request, and heads were counted nowhere.

Change: http/loop_server and loop_connection read and write callers' connections, with Boost.Beast's grammar (http/request_parser). An idle connection holds nothing; heads of requests and answers are counted in the byte budget, and whoever holds most gets 503 before anything runs. An answer that its connection doesn't take is logged (answer-undelivered). The product's own interface keeps libmicrohttpd, with a block as large as its limits ask. max_header_bytes of the configuration is applied, 16 KiB at least.

--- a/src/entry/entry_host.cc
+++ b/src/entry/entry_host.cc
@@ -38,7 +38,7 @@
       static_cast<std::size_t>(limits.header_bytes);
   server.limits.idle_timeout = limits.idle_timeout;
   server.limits.max_connections = static_cast<unsigned>(limits.connections);
-  server.limits.threads = static_cast<unsigned>(limits.threads);
+  server.threads = static_cast<unsigned>(limits.threads);
   server.certificate_pem = tls.certificate_pem;
   server.private_key_pem = tls.private_key_pem;
   return server;
--- a/src/explain/explain_test.cc
+++ b/src/explain/explain_test.cc
@@ -64,6 +64,18 @@
   BOOST_TEST(table.at(Ending::kHostLost).at("-").requests == 1);
 }
 
+// Guards against a request that counts as served though its caller's
+// connection didn't take the answer.
+BOOST_AUTO_TEST_CASE(AnAnswerThatWasNotTakenIsNone) {
+  Losses losses;
+  losses.Add(Line("answered request=a route=r status=200 in_time=1"));
+  losses.Add(Line("answered request=b route=r status=200 in_time=1"));
+  losses.Add(Line("answer-undelivered request=b route=r"));
+  losses.Finish();
+  BOOST_TEST(losses.table().at(Ending::kInTime).at("r").requests == 1);
+  BOOST_TEST(losses.table().at(Ending::kNotTaken).at("r").requests == 1);
+}
+
 BOOST_AUTO_TEST_CASE(TheTableNamesCausesAndRoutes) {
   Losses losses;
   losses.Add(Line("refused request=d route=chat code=2004 prompt_tokens=5000"));
--- a/src/explain/losses.cc
+++ b/src/explain/losses.cc
@@ -18,11 +18,12 @@
 // Routes with less than this part of all requests share a column.
 constexpr double kMainPart = 0.005;
 
-constexpr std::array<absl::string_view, 12> kNames = {
+constexpr std::array<absl::string_view, 13> kNames = {
     "in time",         "late pause",      "late first event",
     "over limit",      "refused at once", "refused after waiting",
     "no server",       "unknown",         "server failed",
-    "deadline passed", "caller left",     "host lost"};
+    "deadline passed", "caller left",     "answer not taken",
+    "host lost"};
 
 Ending EndingOfRefusal(const LogLine& line) {
   switch (static_cast<Code>(static_cast<int>(line.Number("code")))) {
@@ -71,8 +72,10 @@
   begin_ = std::min(begin_, line.time);
   const std::string id(line.Text("request"));
   if (id.empty()) return;
+  if (line.event == "answer-undelivered") return CountUndelivered(id, line);
   if (const auto ending = EndingOf(line)) {
     open_.erase(id);
+    if (line.event == "answered") answered_[id] = {*ending, line};
     return Count(*ending, line);
   }
   if (line.event == "sent") open_[id] = line;
@@ -83,12 +86,22 @@
   open_.clear();
 }
 
-void Losses::Count(Ending ending, const LogLine& line) {
+// What was counted as answered wasn't.
+void Losses::CountUndelivered(const std::string& id, const LogLine& line) {
+  const auto answered = answered_.find(id);
+  if (answered == answered_.end()) return Count(Ending::kNotTaken, line);
+  const auto& [ending, earlier] = answered->second;
+  Count(ending, earlier, -1);
+  Count(Ending::kNotTaken, earlier);
+  answered_.erase(answered);
+}
+
+void Losses::Count(Ending ending, const LogLine& line, int by) {
   const absl::string_view route = line.Text("route");
   Counted& counted = table_[ending][std::string(route.empty() ? "-" : route)];
-  ++counted.requests;
-  counted.prompt_tokens += line.Number("prompt_tokens");
-  ++seconds_[absl::ToInt64Seconds(line.time - begin_)][ending];
+  counted.requests += by;
+  counted.prompt_tokens += by * line.Number("prompt_tokens");
+  seconds_[absl::ToInt64Seconds(line.time - begin_)][ending] += by;
 }
 
 std::vector<std::string> Losses::MainRoutes() const {
--- a/src/explain/losses.h
+++ b/src/explain/losses.h
@@ -12,6 +12,7 @@
 #include <iosfwd>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
@@ -32,6 +33,7 @@
   kServerFailed,  // It broke off, or failed.
   kDeadline,      // The time was up while a server had it.
   kCallerLeft,
+  kNotTaken,  // The answer, by the caller's connection.
   kHostLost,
 };
 
@@ -67,10 +69,14 @@
   // Those that have a column of their own in the table.
   std::vector<std::string> MainRoutes() const;
 
-  void Count(Ending ending, const LogLine& line);
+  // `by`: requests; -1 takes one back.
+  void Count(Ending ending, const LogLine& line, int by = 1);
+  void CountUndelivered(const std::string& id, const LogLine& line);
 
   // The last line of each request that was sent and has no end yet.
   absl::flat_hash_map<std::string, LogLine> open_;
+  // The ending of each request that was answered, and its line.
+  absl::flat_hash_map<std::string, std::pair<Ending, LogLine>> answered_;
   absl::Time begin_ = absl::InfiniteFuture();
   std::map<Ending, std::map<std::string, Counted>> table_;
   std::map<std::int64_t, std::map<Ending, std::int64_t>> seconds_;
--- a/src/gateway/configuration.h
+++ b/src/gateway/configuration.h
@@ -81,7 +81,7 @@
 
 struct CallerLimits {
   std::int64_t body_bytes = 8 << 20;
-  std::int64_t header_bytes = 32 << 10;
+  std::int64_t header_bytes = 16 << 10;
   absl::Duration idle_timeout = absl::Seconds(30);
   bool operator==(const CallerLimits&) const = default;
 };
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -19,7 +19,7 @@
 #include "gateway/route_index.h"
 #include "gateway/send_state.h"
 #include "gateway/stream_messages.h"
-#include "http/server.h"
+#include "http/messages.h"
 
 namespace gentianlb::gateway {
 
@@ -83,7 +83,8 @@
   SendState sends;
 
   std::string body;  // Of a plain response, until it is complete.
-  std::unique_ptr<HeldBytes> held;  // That, and events that are not complete.
+  // That, the answer's head, and events that are not complete.
+  std::unique_ptr<HeldBytes> held;
   EventSplitter splitter{0};
   bool responding = false;  // The response's head was sent to the caller.
   // Version of the software that wrote the stream's first event, at which alone
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -200,6 +200,8 @@
                         exchange.arrival + CallerEventTimeout(*exchange.route));
   }
   const auto kept_responder = exchange.responder;
+  RequestId request_id = exchange.request->id;
+  std::string route = exchange.route->name;
   exchange.pool = rollouts_ == nullptr
                       ? service
                       : rollouts_->ChoosePool(service, exchange.request->id);
@@ -209,9 +211,13 @@
     Enqueue(exchange, ServerId());
   }
   // Last, because it calls back at once if the caller has disconnected already.
-  kept_responder->OnDisconnect([this, id] {
-    if (Exchange* disconnected = Find(id)) OnCallerDisconnected(*disconnected);
-  });
+  kept_responder->OnDisconnect(
+      [this, id, request = std::move(request_id), route = std::move(route)] {
+        if (Exchange* disconnected = Find(id)) {
+          return OnCallerDisconnected(*disconnected);
+        }
+        OnUndelivered(request, route);
+      });
 }
 
 std::optional<Error> Forwarder::Check(const Exchange& exchange) const {
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -238,6 +238,9 @@
                  const Error& error);
   // Ends an answer that is longer than this host can keep.
   void BreakOffAnswer(Exchange& exchange, std::string_view detail);
+  // Counts the answer's head. Returns false if the attempt has ended, as this
+  // host holds as much as it may.
+  bool MakeRoomForHead(Exchange& exchange);
   // Counts the bytes of the answer that are held.
   void CountHeldBytes(Exchange& exchange);
   // Returns whether too many servers were lost under requests with the same
@@ -264,6 +267,9 @@
   // Answers a request that this host won't finish before it exits.
   void EndForExit(Exchange& exchange);
   void OnCallerDisconnected(Exchange& exchange);
+  // The answer, or the refusal, of a request was handed over, and the
+  // connection ended before all of it was sent.
+  void OnUndelivered(const RequestId& request, const std::string& route);
   // Check whether the caller of a stream still acknowledges what it gets. The
   // link to it may be cut, so that no end of its connection arrives, and the
   // server would work on while the caller goes on over another host.
--- a/src/gateway/forwarder_attempt.cc
+++ b/src/gateway/forwarder_attempt.cc
@@ -105,6 +105,7 @@
   const std::optional<ServerLoad> load = head.load;
   exchange.attempt.has_head = true;
   exchange.attempt.head = std::move(head);
+  if (!MakeRoomForHead(exchange)) return http::ReadAction::kStop;
   // Applying the decisions that follow may finish this request too.
   const ExchangeId id = exchange.id;
   if (exchange.attempt.head.leaving) RecordLeaving(exchange);
--- a/src/gateway/forwarder_body.cc
+++ b/src/gateway/forwarder_body.cc
@@ -40,8 +40,10 @@
 }
 
 void Forwarder::CountHeldBytes(Exchange& exchange) {
-  std::size_t bytes = AllocatedBytes(exchange.body) +
-                      AllocatedBytes(exchange.splitter.partial());
+  std::size_t bytes =
+      http::AllocatedHeaderBytes(exchange.attempt.head.headers) +
+      AllocatedBytes(exchange.body) +
+      AllocatedBytes(exchange.splitter.partial());
   if (const auto& unidentified = exchange.attempt.unidentified) {
     bytes += AllocatedBytes(unidentified->partial());
   }
@@ -60,6 +62,16 @@
   return found != nullptr && found->attempt.send == send;
 }
 
+bool Forwarder::MakeRoomForHead(Exchange& exchange) {
+  if (options_.budget == nullptr) return true;
+  const ExchangeId id = exchange.id;
+  const SendId send = exchange.attempt.send;
+  CountHeldBytes(exchange);
+  options_.budget->Relieve();
+  const Exchange* const found = Find(id);
+  return found != nullptr && found->attempt.send == send;
+}
+
 void Forwarder::TakeBytes(Exchange& exchange, std::string_view bytes) {
   if (exchange.attempt.foreign_answer) {
     return OnUnidentifiedBytes(exchange, bytes);
--- a/src/gateway/forwarder_finish.cc
+++ b/src/gateway/forwarder_finish.cc
@@ -236,6 +236,13 @@
   Remove(exchange.id);
 }
 
+void Forwarder::OnUndelivered(const RequestId& request,
+                              const std::string& route) {
+  LOG(WARNING) << "event=answer-undelivered request=" << request
+               << " route=" << route;
+  metrics_->CountUndelivered();
+}
+
 void Forwarder::ScheduleCallerCheck(Exchange& exchange, absl::Time when) {
   exchange.caller_check_timer =
       timers_->At(when, [this, id = exchange.id](absl::Time) {
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -18,8 +18,10 @@
 constexpr absl::Duration kDrainIdleTimeout = absl::Seconds(1);
 constexpr absl::Duration kDrainCheckInterval = absl::Milliseconds(50);
 
-// Limits of a caller's request, as configured by current operators.
-constexpr std::size_t kMaxHeaderBytes = 16 << 10;
+// Limits of a caller's request. A configuration may allow larger heads; a
+// request that an older one allowed may still be on its way.
+constexpr std::int64_t kMinHeaderBytes = 16 << 10;
+constexpr std::int64_t kMaxHeaderBytes = 1 << 20;
 constexpr std::size_t kMaxBodyBytes = 4 << 20;
 // What the kernel holds counts as the process's memory. A caller's first flight
 // of packets fits.
@@ -249,19 +251,20 @@
 
 std::optional<Error> Host::Listen() {
   auto listen =
-      [this](const settings::Endpoint& endpoint, unsigned connections,
-             http::Server::Handler handler,
-             std::unique_ptr<http::Server>* server) -> std::optional<Error> {
-    http::ServerSettings server_settings;
+      [this](
+          const settings::Endpoint& endpoint, unsigned connections,
+          http::RequestHandler handler,
+          std::unique_ptr<http::LoopServer>* server) -> std::optional<Error> {
+    http::LoopServerSettings server_settings;
     server_settings.address = endpoint.ip;
     server_settings.port = static_cast<std::uint16_t>(endpoint.port);
     server_settings.limits.max_connections = connections;
-    server_settings.limits.max_header_bytes = kMaxHeaderBytes;
+    server_settings.limits.max_header_bytes = kMinHeaderBytes;
     server_settings.limits.max_body_bytes = kMaxBodyBytes;
     server_settings.limits.receive_buffer_bytes = kReceiveBufferBytes;
     server_settings.budget = budget_;
-    server_settings.loop = loop_;
-    auto started = http::Server::Start(server_settings, std::move(handler));
+    auto started =
+        http::LoopServer::Start(loop_, server_settings, std::move(handler));
     if (!started.ok()) return started.error();
     *server = std::move(started.value());
     return std::nullopt;
@@ -345,6 +348,8 @@
     return;
   }
   caller_server_->SetIdleTimeout(parsed.value().limits.idle_timeout);
+  caller_server_->SetMaxHeaderBytes(static_cast<std::size_t>(std::clamp(
+      parsed.value().limits.header_bytes, kMinHeaderBytes, kMaxHeaderBytes)));
   forwarder_.SetConfiguration(std::move(parsed.value()));
 }
 
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -28,7 +28,7 @@
 #include "gateway/table_sharing.h"
 #include "gateway/table_subscriber.h"
 #include "http/loop_client.h"
-#include "http/server.h"
+#include "http/loop_server.h"
 #include "log/bounded_log.h"
 #include "loop/event_loop.h"
 #include "metrics/metrics.h"
@@ -172,9 +172,9 @@
   TableSharing sharing_;
   std::unique_ptr<Peers> peers_;
   std::unique_ptr<PathMonitor> path_monitor_;
-  std::unique_ptr<http::Server> caller_server_;
-  std::unique_ptr<http::Server> readiness_server_;
-  std::unique_ptr<http::Server> metrics_server_;
+  std::unique_ptr<http::LoopServer> caller_server_;
+  std::unique_ptr<http::LoopServer> readiness_server_;
+  std::unique_ptr<http::LoopServer> metrics_server_;
   int reported_hosts_ = 1;  // To the forwarder.
   absl::Time reported_hosts_at_ = absl::InfinitePast();
   std::vector<TimerId> timers_;
--- a/src/gateway/startup_queue.h
+++ b/src/gateway/startup_queue.h
@@ -16,7 +16,7 @@
 #include "absl/time/time.h"
 #include "base/timer_service.h"
 #include "gateway/messages.h"
-#include "http/server.h"
+#include "http/messages.h"
 
 namespace gentianlb::gateway {
 
--- a/src/http/loop_server_test.cc
+++ b/src/http/loop_server_test.cc
@@ -1,11 +1,7 @@
 // Tests the server on an event loop with raw sockets from the same thread.
 
-#include <arpa/inet.h>
 #include <fcntl.h>
-#include <linux/sockios.h>
 #include <signal.h>
-#include <sys/ioctl.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -18,123 +14,11 @@
 #include <vector>
 
 #include "absl/time/clock.h"
-#include "http/loop_connections.h"
-#include "http/server.h"
-#include "loop/loop_runner_test.h"
+#include "http/loop_server_site_test.h"
 
 namespace gentianlb::http {
 namespace {
 
-// A caller's connection.
-class Caller {
- public:
-  explicit Caller(std::uint16_t port)
-      : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    connected_ = connect(socket_, reinterpret_cast<sockaddr*>(&address),
-                         sizeof address) == 0;
-  }
-  ~Caller() { close(socket_); }
-  Caller(const Caller&) = delete;
-  Caller& operator=(const Caller&) = delete;
-
-  bool connected() const { return connected_; }
-
-  void Send(const std::string& text) const {
-    BOOST_REQUIRE(send(socket_, text.data(), text.size(), MSG_NOSIGNAL) ==
-                  static_cast<ssize_t>(text.size()));
-  }
-
-  // Sends until the kernel takes no more. Returns the number of bytes.
-  std::size_t SendWhatFits() const {
-    const std::string block(64 << 10, 'x');
-    std::size_t sent = 0;
-    ssize_t count = 0;
-    do {
-      sent += static_cast<std::size_t>(count);
-      count = send(socket_, block.data(), block.size(),
-                   MSG_NOSIGNAL | MSG_DONTWAIT);
-    } while (count > 0);
-    return sent;
-  }
-
-  // Returns the bytes that the server's kernel has not acknowledged.
-  std::size_t Unacknowledged() const {
-    int bytes = 0;
-    BOOST_REQUIRE(ioctl(socket_, SIOCOUTQ, &bytes) == 0);
-    return static_cast<std::size_t>(bytes);
-  }
-
-  // Returns the bytes that have arrived, without blocking.
-  std::string Read() const {
-    std::string text(4096, '\0');
-    const ssize_t count = recv(socket_, text.data(), text.size(), MSG_DONTWAIT);
-    text.resize(count < 0 ? 0 : static_cast<std::size_t>(count));
-    return text;
-  }
-
-  // Returns whether the connection was reset rather than closed.
-  bool IsReset() const {
-    char byte = 0;
-    return recv(socket_, &byte, 1, MSG_DONTWAIT) < 0 && errno == ECONNRESET;
-  }
-
-  enum class End { kOpen, kClosed, kReset };
-
-  // Drops the bytes that have arrived. Returns whether the connection ends
-  // behind them.
-  End ReadAll() const {
-    std::string bytes(64 << 10, '\0');
-    ssize_t count = 0;
-    do {
-      count = recv(socket_, bytes.data(), bytes.size(), MSG_DONTWAIT);
-    } while (count > 0);
-    if (count == 0) return End::kClosed;
-    return errno == ECONNRESET ? End::kReset : End::kOpen;
-  }
-
- private:
-  int socket_;
-  bool connected_ = false;
-};
-
-constexpr char kGet[] = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
-
-struct Fixture : loop::LoopRunner {
-  explicit Fixture(ServerLimits limits = {}) {
-    ServerSettings settings;
-    settings.loop = &loop;
-    settings.limits = limits;
-    auto started = Server::Start(settings, [this](Request, auto response) {
-      if (hold_responses) return held.push_back(std::move(response));
-      response->Respond(200, {}, "fine");
-    });
-    BOOST_REQUIRE(started.ok());
-    server = std::move(started.value());
-  }
-
-  // Runs the loop for 50 ms. The tests don't depend on the exact time.
-  void RunLoop() { RunFor(absl::Milliseconds(50)); }
-  // Runs one round of events without waiting.
-  void RunOneRound() { RunFor(absl::ZeroDuration()); }
-  // Runs the loop until bytes arrive at `caller`, and returns them.
-  std::string ReadResponse(const Caller& caller) {
-    std::string received;
-    for (int i = 0; i < 100 && received.empty(); ++i) {
-      RunLoop();
-      received = caller.Read();
-    }
-    return received;
-  }
-
-  bool hold_responses = false;
-  std::vector<std::shared_ptr<Responder>> held;
-  std::unique_ptr<Server> server;
-};
-
 BOOST_FIXTURE_TEST_CASE(RespondsOnKeptConnections, Fixture) {
   const Caller caller(server->port());
   for (int i = 0; i < 3; ++i) {
@@ -144,7 +28,7 @@
   BOOST_TEST(server->open_connections() == 1u);
 }
 
-// A caller sends two requests at once. The second is in libmicrohttpd's buffer
+// A caller sends two requests at once. The second is already read
 // when the first is answered, and no socket event reports it. It stayed unread
 // until the next event, up to a second on an idle host.
 BOOST_FIXTURE_TEST_CASE(PipelinedRequestIsServedWithoutAnEvent, Fixture) {
@@ -331,10 +215,8 @@
   [[noreturn]] static void Run(int pipe_end) {
     loop::EventLoop loop;
     std::vector<std::shared_ptr<Responder>> held;
-    ServerSettings settings;
-    settings.loop = &loop;
-    auto started =
-        Server::Start(settings, [&](const Request& request, auto response) {
+    auto started = LoopServer::Start(
+        &loop, {}, [&](const Request& request, auto response) {
           response->Begin(200, {});
           response->Write("half");
           if (request.path == "/whole") response->Finish();
@@ -431,7 +313,7 @@
   SendAll(kGet);
   const Caller other(server->port());
   other.Send(kGet);
-  RunFor(LoopConnections::kMinWait + absl::Seconds(2));
+  RunFor(LoopServer::kMinWait + absl::Seconds(2));
   BOOST_TEST(server->evicted_connections() == 0u);
   BOOST_TEST(held.size() == kFewConnections);
   for (const auto& response : held) response->Respond(200, {}, "fine");
--- a/src/http/messages.cc
+++ b/src/http/messages.cc
@@ -42,6 +42,14 @@
   return {};
 }
 
+std::size_t AllocatedHeaderBytes(const std::vector<Header>& headers) {
+  std::size_t bytes = headers.capacity() * sizeof(Header);
+  for (const Header& header : headers) {
+    bytes += AllocatedBytes(header.name) + AllocatedBytes(header.value);
+  }
+  return bytes;
+}
+
 std::string_view Request::argument(std::string_view name) const {
   std::string_view rest = query;
   while (!rest.empty()) {
--- a/src/http/messages.h
+++ b/src/http/messages.h
@@ -29,6 +29,9 @@
 std::string_view FindHeader(const std::vector<Header>& headers,
                             std::string_view name);
 
+// Returns the bytes that headers have allocated.
+std::size_t AllocatedHeaderBytes(const std::vector<Header>& headers);
+
 struct Request {
   std::string method;
   std::string path;    // Decoded, without the query.
@@ -36,7 +39,8 @@
   std::string target;  // Path and query, byte for byte as sent.
   std::vector<Header> headers;
   std::string body;
-  // What the body takes of the server's budget; null: it isn't counted.
+  // What headers and body take of the server's budget; null: they aren't
+  // counted.
   std::shared_ptr<HeldBytes> held;
 
   std::string_view header(std::string_view name) const {
--- a/src/http/pending_response.h
+++ b/src/http/pending_response.h
@@ -21,7 +21,6 @@
 #include "absl/synchronization/mutex.h"
 #include "base/byte_budget.h"
 #include "http/server.h"
-#include "loop/tcp_socket.h"
 
 namespace gentianlb::http {
 
@@ -38,17 +37,9 @@
 // nothing to send, so that no thread blocks on it.
 class PendingResponse {
  public:
-  // `on_resume` is called after each change after which libmicrohttpd must run.
-  // It is empty when the daemon has a thread of its own. `accepts_chunks`:
-  // whether the caller's protocol version has chunked bodies. `budget`: counts
-  // what the caller has yet to read; null without an event loop.
-  PendingResponse(MHD_Connection* connection, bool accepts_chunks,
-                  std::function<void()> on_resume,
-                  std::shared_ptr<ByteBudget> budget)
-      : connection_(connection),
-        accepts_chunks_(accepts_chunks),
-        on_resume_(std::move(on_resume)),
-        held_(std::move(budget), HeldKind::kUnread, [this] { GiveWay(); }) {}
+  // `accepts_chunks`: whether the caller's protocol version has chunked bodies.
+  PendingResponse(MHD_Connection* connection, bool accepts_chunks)
+      : connection_(connection), accepts_chunks_(accepts_chunks) {}
 
   void Respond(int status, std::vector<Header> headers, std::string body) {
     absl::MutexLock lock(&mutex_);
@@ -56,7 +47,6 @@
     status_ = status;
     headers_ = std::move(headers);
     buffer_ = std::move(body);
-    held_.Set(AllocatedBytes(buffer_));
     phase_ = Phase::kComplete;
     ResumeLocked();
   }
@@ -74,7 +64,6 @@
     absl::MutexLock lock(&mutex_);
     if (phase_ != Phase::kStreaming) return;
     buffer_.append(bytes);
-    held_.Set(AllocatedBytes(buffer_));
     ResumeLocked();
   }
 
@@ -97,32 +86,8 @@
     return buffer_.size() - consumed_;
   }
 
-  // Returns zero unless the server runs on an event loop, on whose thread this
-  // is called.
-  absl::Duration UnacknowledgedFor() const {
-    absl::MutexLock lock(&mutex_);
-    if (closed_ || !on_resume_) return absl::ZeroDuration();
-    const MHD_ConnectionInfo* info =
-        MHD_get_connection_info(connection_, MHD_CONNECTION_INFO_CONNECTION_FD);
-    return info == nullptr ? absl::ZeroDuration()
-                           : loop::UnacknowledgedFor(info->connect_fd);
-  }
-
   // The remaining functions are called by server threads.
 
-  // Calls the OnDisconnect() callback and aborts the response, after the caller
-  // has closed its side. libmicrohttpd doesn't check suspended connections.
-  void Cancel() {
-    std::function<void()> callback;
-    {
-      absl::MutexLock lock(&mutex_);
-      callback = std::move(on_disconnect_);
-      on_disconnect_ = nullptr;
-    }
-    if (callback) callback();
-    Abort();
-  }
-
   // Queues the response if it has started; otherwise suspends the connection
   // until it does.
   MHD_Result QueueOrSuspend(const std::shared_ptr<PendingResponse>& self) {
@@ -174,24 +139,6 @@
  private:
   enum class Phase { kWaiting, kComplete, kStreaming, kFinished, kAborted };
 
-  // Drops what the caller has not read, since this host holds too much. The
-  // response ends visibly incomplete.
-  void GiveWay() {
-    std::function<void()> callback;
-    {
-      absl::MutexLock lock(&mutex_);
-      if (closed_) return;
-      phase_ = Phase::kAborted;
-      Deallocate(buffer_);
-      consumed_ = 0;
-      held_.Set(0);
-      callback = std::move(on_disconnect_);
-      on_disconnect_ = nullptr;
-      ResumeLocked();
-    }
-    if (callback) callback();
-  }
-
   void EndStream(Phase phase) {
     absl::MutexLock lock(&mutex_);
     const bool not_started =
@@ -213,7 +160,6 @@
     if (!suspended_ || closed_) return;
     suspended_ = false;
     MHD_resume_connection(connection_);
-    if (on_resume_) on_resume_();
   }
 
   static ssize_t Read(void* closure, std::uint64_t /*position*/, char* out,
@@ -251,7 +197,6 @@
       buffer_.erase(0, consumed_);
       consumed_ = 0;
     }
-    held_.Set(AllocatedBytes(buffer_));
   }
 
   // Sets whether the end of this process resets the connection. Without chunks
@@ -287,7 +232,6 @@
   mutable absl::Mutex mutex_;
   MHD_Connection* const connection_;
   const bool accepts_chunks_;
-  const std::function<void()> on_resume_;
   Phase phase_ = Phase::kWaiting;
   bool suspended_ = false;
   bool closed_ = false;
@@ -296,7 +240,6 @@
   std::string buffer_;
   std::size_t consumed_ = 0;
   std::function<void()> on_disconnect_;
-  HeldBytes held_;
 };
 
 }  // namespace gentianlb::http
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -51,6 +51,9 @@
       unresponsive_callers_(
           AddCounter("gentianlb_streams_unresponsive_callers_total",
                      "Streams whose caller acknowledged nothing for too long")),
+      undelivered_(AddCounter(
+          "gentianlb_answers_undelivered_total",
+          "Answers and refusals that a caller's connection didn't take")),
       foreign_answers_(
           AddCounter("gentianlb_answers_foreign_total",
                      "Responses of servers that weren't for the request sent")),
@@ -123,6 +126,8 @@
   unresponsive_callers_.Add({}).Increment();
 }
 
+void Metrics::CountUndelivered() { undelivered_.Add({}).Increment(); }
+
 void Metrics::CountForeignAnswer(bool names_other_request) {
   foreign_answers_.Add({{"names_other", names_other_request ? "yes" : "no"}})
       .Increment();
--- a/src/metrics/metrics.h
+++ b/src/metrics/metrics.h
@@ -44,6 +44,8 @@
   void CountIgnoredDecision(std::string_view kind);
   // Counts a stream whose caller has acknowledged nothing for too long.
   void CountUnresponsiveCaller();
+  // An answer was handed over, and its caller's connection didn't take it.
+  void CountUndelivered();
   // Counts a response that isn't for the request that was sent.
   void CountForeignAnswer(bool names_other_request);
   // Counts a server whose connections carry one request each from now on.
@@ -82,6 +84,7 @@
   prometheus::Family<prometheus::Counter>& withheld_;
   prometheus::Family<prometheus::Counter>& ignored_decisions_;
   prometheus::Family<prometheus::Counter>& unresponsive_callers_;
+  prometheus::Family<prometheus::Counter>& undelivered_;
   prometheus::Family<prometheus::Counter>& foreign_answers_;
   prometheus::Family<prometheus::Counter>& reuse_pauses_;
   prometheus::Family<prometheus::Counter>& unnamed_refusals_;
--- a/tests/process/client_crowd_test.cc
+++ b/tests/process/client_crowd_test.cc
@@ -310,6 +310,91 @@
   site.Meet(std::move(members));
 }
 
+constexpr std::size_t kManyCallers = 1400;
+
+// Returns a head of 15 KiB in short lines, as many as a host takes.
+std::string LargeHead(const std::string& path, const std::string& id,
+                      const std::string& framing) {
+  constexpr std::size_t kLines = 500;
+  constexpr std::size_t kLineBytes = 30;
+  std::string lines;
+  for (std::size_t i = 0; i < kLines; ++i) {
+    std::string line = absl::StrCat("x", i, ": ");
+    line.append(kLineBytes - line.size() - 2, 'v');
+    absl::StrAppend(&lines, line, "\r\n");
+  }
+  return Head(path, id, lines + framing);
+}
+
+// Returns callers whose heads are large, and whose bodies lack their last part
+// if they stall.
+std::vector<CrowdMember> MakeLargeHeads(std::size_t body_bytes, bool stall,
+                                        const std::string& path) {
+  const auto body = std::make_shared<const std::string>(
+      body_bytes - (stall ? kMissing : 0), 'x');
+  std::vector<CrowdMember> members;
+  for (std::size_t i = 0; i < kManyCallers; ++i) {
+    members.push_back(
+        {.head = LargeHead(path, absl::StrCat("crowd-", i),
+                           absl::StrCat("Content-Length: ", body_bytes)),
+         .body = body,
+         .trickle = ""});
+  }
+  return members;
+}
+
+// Guards against heads that fill a host, as nothing counts them.
+BOOST_AUTO_TEST_CASE(LargeHeadsOfStalledBodiesFillNoHost) {
+  CrowdSite site(kLargeMemory, kLargeHostSettings);
+  site.Meet(MakeLargeHeads(20'000, /*stall=*/true, "/read/1"));
+}
+
+BOOST_AUTO_TEST_CASE(LargeHeadsOfSmallStalledBodiesFillNoHost) {
+  CrowdSite site(kLargeMemory, kLargeHostSettings);
+  site.Meet(MakeLargeHeads(200, /*stall=*/true, "/read/1"));
+}
+
+// The same by requests that are whole, and wait for slow servers.
+BOOST_AUTO_TEST_CASE(LargeHeadsThatWaitFillNoHost) {
+  CrowdSite site(kLargeMemory, kLargeHostSettings);
+  site.Meet(MakeLargeHeads(200, /*stall=*/false, "/slow/1"));
+}
+
+// Guards against connections that keep the memory of the large request that
+// they have carried.
+BOOST_AUTO_TEST_CASE(LargeHeadsThatWereServedFillNoHost) {
+  CrowdSite site(kLargeMemory, kLargeHostSettings);
+  site.Meet(MakeLargeHeads(200, /*stall=*/false, "/read/1"));
+}
+
+BOOST_AUTO_TEST_CASE(PartsOfLargeHeadsFillNoHost) {
+  CrowdSite site(kLargeMemory, kLargeHostSettings);
+  std::vector<CrowdMember> members =
+      MakeLargeHeads(200, /*stall=*/true, "/read/1");
+  for (CrowdMember& member : members) {
+    member.head.resize(member.head.size() - kMissing);
+    member.body = nullptr;
+  }
+  site.Meet(std::move(members));
+}
+
+// Guards against requests that come behind one that waits.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsFillNoHost) {
+  constexpr std::size_t kNextBytes = 16'000;
+  CrowdSite site(kLargeMemory, kLargeHostSettings);
+  std::vector<CrowdMember> members;
+  for (std::size_t i = 0; i < kManyCallers; ++i) {
+    const std::string id = absl::StrCat("crowd-", i);
+    members.push_back(
+        {.head = Head("/slow/1", id, "Content-Length: 0") +
+                 Head("/slow/1", id + "-next",
+                      absl::StrCat("Content-Length: ", kNextBytes)),
+         .body = std::make_shared<const std::string>(kNextBytes, 'x'),
+         .trickle = ""});
+  }
+  site.Meet(std::move(members));
+}
+
 // Guards against a host that the platform takes out of rotation since others
 // hold the connections of its readiness address.
 BOOST_AUTO_TEST_CASE(ACrowdAtOtherAddressesKeepsNoReadinessFromThePlatform) {
--- a/tests/standins/faulty_server.cc
+++ b/tests/standins/faulty_server.cc
@@ -281,15 +281,38 @@
   return answer;
 }
 
+// Returns header lines of as many bytes as the request asks for by
+// `Answer-Head: BYTES,LINES`.
+std::string FaultyServer::FurtherHeaders(const Request& request) {
+  const std::vector<std::string> asked =
+      absl::StrSplit(request.Header("answer-head"), ',');
+  std::size_t bytes = 0;
+  std::size_t lines = 0;
+  if (asked.size() != 2 || !absl::SimpleAtoi(asked[0], &bytes) ||
+      !absl::SimpleAtoi(asked[1], &lines)) {
+    return "";
+  }
+  std::string headers;
+  for (std::size_t i = 0; i < lines; ++i) {
+    std::string line = absl::StrCat("X-Further-", i, ": ");
+    const std::size_t end = bytes * (i + 1) / lines;
+    if (headers.size() + line.size() + 2 < end) {
+      line.append(end - headers.size() - line.size() - 2, 'a');
+    }
+    absl::StrAppend(&headers, line, "\r\n");
+  }
+  return headers;
+}
+
 FaultyServer::Answer FaultyServer::MakePlain(const Request& request,
                                              const FaultyPlan& plan) const {
   const std::string body =
       AnswerBody(options_.id, request.Id(), options_.body_bytes);
   Answer answer;
-  answer.head = absl::StrCat("HTTP/1.1 200 OK\r\nRequest-Id: ", request.Id(),
-                             "\r\nServer-Stamp: ", options_.id,
-                             "\r\nServer-Load: 1,0,8\r\n",
-                             HeadEnd(plan.framing, body.size()));
+  answer.head = absl::StrCat(
+      "HTTP/1.1 200 OK\r\nRequest-Id: ", request.Id(),
+      "\r\nServer-Stamp: ", options_.id, "\r\nServer-Load: 1,0,8\r\n",
+      FurtherHeaders(request), HeadEnd(plan.framing, body.size()));
   answer.closes = plan.framing == Framing::kClose;
   answer.gap = options_.piece_gap;
   const auto count = static_cast<std::size_t>(std::max(options_.pieces, 1));
@@ -309,7 +332,8 @@
   answer.head = absl::StrCat(
       "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: ",
       request.Id(), "\r\nServer-Stamp: ", options_.id,
-      "\r\nServer-Load: 1,0,8\r\n", HeadEnd(plan.framing, 0));
+      "\r\nServer-Load: 1,0,8\r\n", FurtherHeaders(request),
+      HeadEnd(plan.framing, 0));
   answer.closes = plan.framing == Framing::kClose;
   answer.gap = options_.event_gap;
   int last = 0;
--- a/tests/standins/faulty_server.h
+++ b/tests/standins/faulty_server.h
@@ -1,7 +1,8 @@
 // A backend server that writes raw bytes to its connections, faulty by seed:
 // it writes answers twice, refuses, cuts its answers, and leaves out their
 // framing. It reports each run, each finished answer and each connection that
-// carries a request as a line of text.
+// carries a request as a line of text. A request may ask for a large head of
+// its answer by `Answer-Head: BYTES,LINES`.
 // SIGUSR1 cuts its link: no packet arrives any more, the ends of connections
 // neither, while its own go out. SIGUSR2 heals it.
 
@@ -104,6 +105,7 @@
   bool Handle(int connection, const Request& request, std::string* copy);
   FaultyPlan MakePlan(const Request& request);
   Answer MakeRefusal(const Request& request, const FaultyPlan& plan) const;
+  static std::string FurtherHeaders(const Request& request);
   Answer MakePlain(const Request& request, const FaultyPlan& plan) const;
   Answer MakeStream(const Request& request, const FaultyPlan& plan) const;
   bool WriteAnswer(int connection, const Request& request,
