An answer whose caller reads is not cut for others

Cause: as the bytes held exceed their limit, whoever holds most gives way, and an answer was closed though it had only waited for the end of the round of events to be sent. Where what never gives way is more than the limit (many whole requests of up to 32 KiB), that cut ordinary answers after a server had run the request.

Change: an answer that has to give way is sent first, as far as the socket takes it; the connection closes only if its caller doesn't read.

--- a/src/http/loop_connection.cc
+++ b/src/http/loop_connection.cc
@@ -528,10 +528,15 @@
   ScheduleTurn();
 }
 
-// The response ends visibly incomplete.
+// What the socket takes is sent. Where the caller doesn't read, the response
+// ends visibly incomplete.
 void LoopConnection::GiveUnreadWay() {
   const auto self = shared_from_this();
-  Close();
+  Flush();
+  if (phase_ != Phase::kResponding) return;
+  if (unread() > 0) return Close();
+  Deallocate(body_);
+  CountUnread();
 }
 
 void LoopConnection::GiveInputWay() {
--- a/src/http/loop_server_heads_test.cc
+++ b/src/http/loop_server_heads_test.cc
@@ -157,7 +157,7 @@
     RunLoop();
     most_held = std::max(most_held, budget()->held());
   }
-  ByteBudget* budget() { return crowd_budget; }
+  ByteBudget* budget() { return crowd_budget.get(); }
   int Refused() {
     int refused = 0;
     for (const auto& caller : callers) {
@@ -172,7 +172,7 @@
 
   Crowd() : Crowd(std::make_shared<ByteBudget>(kBudgetBytes)) {}
   explicit Crowd(const std::shared_ptr<ByteBudget>& shared)
-      : crowd_budget(shared.get()) {
+      : crowd_budget(shared) {
     server.reset();
     auto started = LoopServer::Start(
         &loop, {.limits = {.max_header_bytes = 16'384}, .budget = shared},
@@ -185,7 +185,7 @@
   }
 
   static constexpr int kCallers = 100;
-  ByteBudget* crowd_budget;
+  const std::shared_ptr<ByteBudget> crowd_budget;
   std::vector<Request> requests;
   std::vector<std::unique_ptr<Caller>> callers;
   std::size_t most_held = 0;
@@ -247,6 +247,20 @@
   BOOST_TEST(gave_way + static_cast<int>(held.size()) == kCallers);
 }
 
+// Guards against an answer that is cut though its caller reads, as others hold
+// all that the host may hold.
+BOOST_FIXTURE_TEST_CASE(AnAnswerWhoseCallerReadsIsNotCut, Crowd) {
+  const Caller caller(server->port());
+  caller.Send(kGet);
+  RunUntil([this] { return held.size() == 1; });
+  HeldBytes others(crowd_budget, HeldKind::kAnswer, nullptr);
+  others.Set(kBudgetBytes);
+  // Before the answer goes out with the others of this round.
+  loop.Defer([this] { budget()->Relieve(); });
+  held[0]->Respond(200, {{"X", std::string(20'000, 'x')}}, "whole body");
+  BOOST_TEST(ReadUntil(caller, "whole body").ends_with("whole body"));
+}
+
 // Guards against connections that keep the memory of what they have carried.
 BOOST_FIXTURE_TEST_CASE(AnIdleConnectionHoldsNothing, Crowd) {
   Meet(kGet);
