A refused next request doesn't take the form of the one before

Cause: a pipelined next request that gave way before any of it was parsed was refused with the state of the request before it: behind HEAD the refusal had a length and no body, which its caller can't read to its end.

Change: the refusal begins a message of its own.

Measured: ARefusedNextRequestIsNotTakenForTheOneBefore failed before (0 of 1 refusals whole, 1 of 1 runs), and passes now.

--- a/src/http/loop_connection.cc
+++ b/src/http/loop_connection.cc
@@ -276,6 +276,7 @@
 }
 
 void LoopConnection::RefuseAndClose(Error error, absl::Duration retry_after) {
+  if (!parser_) BeginMessage();  // Nothing of it is parsed yet.
   BeginResponding();
   closes_ = true;
   message_whole_ = false;
--- a/src/http/loop_server_heads_test.cc
+++ b/src/http/loop_server_heads_test.cc
@@ -261,6 +261,28 @@
   BOOST_TEST(ReadUntil(caller, "whole body").ends_with("whole body"));
 }
 
+// Guards against a refusal of the next request that takes the form of the
+// answer to the one before it, here one without a body.
+BOOST_FIXTURE_TEST_CASE(ARefusedNextRequestIsNotTakenForTheOneBefore, Crowd) {
+  const Caller caller(server->port());
+  caller.Send(absl::StrCat("HEAD /a HTTP/1.1\r\n\r\n",
+                           "POST /b HTTP/1.1\r\nContent-Length: 16000\r\n\r\n",
+                           std::string(16'000, 'b')));
+  RunUntil([this] { return held.size() == 1; });
+  HeldBytes others(crowd_budget, HeldKind::kAnswer, nullptr);
+  held[0]->Respond(200, {}, "");
+  // Behind the answer, and before the next request is parsed.
+  loop.Defer([&] {
+    others.Set(kBudgetBytes);
+    budget()->Relieve();
+    others.Set(0);
+  });
+  const std::string received = ReadUntil(caller, "\"run\":\"no\"");
+  BOOST_TEST(received.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(Count(received, "HTTP/1.1 503 ") == 1u);
+  BOOST_TEST(Count(received, "\"run\":\"no\"") == 1u);
+}
+
 // Guards against connections that keep the memory of what they have carried.
 BOOST_FIXTURE_TEST_CASE(AnIdleConnectionHoldsNothing, Crowd) {
   Meet(kGet);
