--- a/src/http/loop_server_heads_test.cc
+++ b/src/http/loop_server_heads_test.cc
@@ -295,8 +295,8 @@
   BOOST_TEST(server->open_connections() == kCallers);
 }
 
-// Guards against an answer that counts as taken, as nobody learns that its
-// connection ended before.
+// Guards against an answer that counts as taken, as its handler isn't told
+// that the connection ended before.
 BOOST_FIXTURE_TEST_CASE(AHandlerLearnsThatItsAnswerWasNotTaken, HeadsFixture) {
   hold_responses = true;
   bool undelivered = false;
--- a/src/http/request_parser.cc
+++ b/src/http/request_parser.cc
@@ -119,7 +119,7 @@
 
 void RequestParser::on_field_impl(beast::http::field /*field*/, View name,
                                   View value, ErrorCode& error) {
-  if (has_head_) return;  // A line of a trailer, which nobody reads.
+  if (has_head_) return;  // Lines of trailers are dropped.
   header_bytes_ += name.size() + value.size() + kLineOverhead;
   if (header_bytes_ > max_header_bytes_) {
     return RefuseHead("bytes of headers", max_header_bytes_, error);
